--- /dev/null
+++ b/knapweedrail/events.py
@@ -0,0 +1,37 @@
+"""Numbered log events; docs/EVENTS.md lists the same catalogue."""
+
+from __future__ import annotations
+
+import enum
+
+import eliot
+
+
+class Event(enum.Enum):
+    """An event: its stable number, and what it says.
+
+    Numbers by area: 1xx process, 2xx platform, 3xx budgets and claims,
+    4xx configuration, 5xx members and peers, 6xx requests, 7xx endpoints.
+    """
+
+    ROUTER_STARTED = (101, "the router serves requests")
+    ROUTER_STOPPING = (102, "the router takes no new requests")
+    ROUTER_STOPPED = (103, "the router has stopped; `left` says what was unfinished")
+    TASK_FAILED = (104, "a task ended with an unexpected error")
+    PLATFORM_AWAY = (201, "a call to the platform failed")
+    PLATFORM_BACK = (202, "the platform answers again")
+
+    @property
+    def number(self) -> int:
+        """The event's number in the catalogue."""
+        return self.value[0]
+
+    @property
+    def meaning(self) -> str:
+        """What the event says."""
+        return self.value[1]
+
+
+def log_event(event: Event, **fields: object) -> None:
+    """Write one event with its number to the log."""
+    eliot.log_message(f"{event.number} {event.name.lower()}", **fields)
--- /dev/null
+++ b/knapweedrail/plugins/__init__.py
@@ -0,0 +1,1 @@
+"""Kinds that register themselves with the kernel."""
--- /dev/null
+++ b/knapweedrail/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems; no product module imports these."""
--- /dev/null
+++ b/knapweedrail/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package."""
--- /dev/null
+++ b/knapweedrail/tests/conftest.py
@@ -0,0 +1,13 @@
+"""Settings of the whole test run."""
+
+from hypothesis import HealthCheck, settings
+
+# The same examples in every run, so that a verdict never depends on the day.
+settings.register_profile(
+    "fixed",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+settings.load_profile("fixed")
--- /dev/null
+++ b/knapweedrail/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command line programs, one module each."""
--- /dev/null
+++ b/knapweedrail/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code for the messages between routers."""
