--- /dev/null
+++ b/knapweedrail/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, one module each; `tools.bench` runs them."""
