--- /dev/null
+++ b/knapweedrail/centres.py
@@ -0,0 +1,57 @@
+"""Which data centres, and which routers in them, a configuration has to reach."""
+
+from __future__ import annotations
+
+from .models import Holder
+from .outcomes import Found, Unavailable
+from .platforms import Platform
+from .registries import REGISTRY_PREFIX, decode_registry
+
+LIVE = "live"
+
+
+async def read_registered(
+    platform: Platform, data_centre: str
+) -> frozenset[Holder] | Unavailable:
+    """Read the lives of a data centre that are neither fenced nor closed.
+
+    This, and no belief about who is alive, decides whose acknowledgement is needed: a
+    router that is only paused or cut off stays in it until it is fenced.
+    """
+    found = await platform.read(f"{REGISTRY_PREFIX}{data_centre}")
+    if isinstance(found, Unavailable):
+        return found
+    if not isinstance(found, Found):
+        return frozenset()
+    return frozenset(decode_registry(found.value).live())
+
+
+async def read_live_centres(platform: Platform) -> frozenset[str] | Unavailable:
+    """Read the data centres that have a registered router."""
+    keys = await platform.list(REGISTRY_PREFIX)
+    if isinstance(keys, Unavailable):
+        return keys
+    live = set()
+    for change in keys:
+        name = change.key.removeprefix(REGISTRY_PREFIX)
+        holders = await read_registered(platform, name)
+        if isinstance(holders, Unavailable):
+            return holders
+        if holders:
+            live.add(name)
+    return frozenset(live)
+
+
+async def read_needed_centres(platform: Platform) -> frozenset[str] | Unavailable:
+    """Read the data centres that must take a new configuration.
+
+    Those with a registered router, and those in which the platform lists a live host:
+    a data centre whose routers are only starting would otherwise be passed over.
+    """
+    live = await read_live_centres(platform)
+    if isinstance(live, Unavailable):
+        return live
+    hosts = await platform.list_hosts()
+    if isinstance(hosts, Unavailable):
+        return hosts
+    return live | {host.data_centre for host in hosts if host.state == LIVE}
--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -20,6 +20,14 @@
     TASK_FAILED = (104, "a task ended with an unexpected error")
     PLATFORM_AWAY = (201, "a call to the platform failed")
     PLATFORM_BACK = (202, "the platform answers again")
+    TEXT_MISSING = (401, "a configuration's text can't be read from the platform")
+    TEXT_REFUSED = (402, "a proposed configuration doesn't pass this router's checks")
+    ACKNOWLEDGED = (403, "this router acknowledged a proposal for its data centre")
+    DECIDED = (404, "this router put a proposal in force")
+    PROPOSAL_WITHDRAWN = (405, "this router withdrew a proposal")
+    AUDIT_LATE = (406, "an entry of the audit trail couldn't be written yet")
+    CONFIGURATION_IN_FORCE = (407, "a configuration is in force at this router")
+    CONFIGURATION_STAGED = (408, "this router holds the text of a proposal")
 
     @property
     def number(self) -> int:
--- /dev/null
+++ b/knapweedrail/votes.py
@@ -0,0 +1,292 @@
+"""How a data centre's routers acknowledge, decide and record configurations."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+
+from .audits import AuditEntry, Kind, append_entries, list_settled
+from .centres import read_live_centres, read_registered
+from .events import Event, log_event
+from .models import Holder
+from .outcomes import Unavailable
+from .platforms import Platform
+from .proposals import (
+    ACKS_KEY,
+    STATE_KEY,
+    Acks,
+    Proposal,
+    State,
+    Version,
+    acknowledge,
+    decide,
+    decode_acks,
+    decode_state,
+    encode,
+    list_missing,
+    refuse,
+    withdraw,
+)
+from .updates import Edit, Updated, update_object
+
+if TYPE_CHECKING:
+    from .changes import ConfigurationTask
+
+IDLE_SECONDS = 60.0
+"""Longest wait for news; only a bound, as all news wakes the loops."""
+
+RECORDERS = 3
+"""Routers of a data centre that may write its line of the audit trail. More would only
+add reads at each change; with all three gone that line is missing, nothing else."""
+
+RECORD_SECONDS = 10.0
+"""Time for all routers of a data centre to have a version in force; then the line is
+written with those that have."""
+
+
+class Voter:
+    """Acts for the data centre in deciding a configuration.
+
+    The first registered router of a data centre, by name, acts; each next one waits
+    `Times.rank_seconds` longer. All steps are conditional updates that may be done
+    twice, so it does no harm when two act at once.
+
+    Args:
+        task: The task that follows the configuration.
+        platform: The platform.
+        data_centre: The router's data centre.
+        rng: For jitter.
+    """
+
+    def __init__(
+        self,
+        task: ConfigurationTask,
+        platform: Platform,
+        data_centre: str,
+        rng: random.Random,
+    ) -> None:
+        self._task = task
+        self._platform = platform
+        self._data_centre = data_centre
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Vote on proposals and record versions until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._vote)
+            group.start_soon(self._record)
+
+    async def refuse(self, version: Version, reason: str) -> None:
+        """Say for the data centre that it can't take a proposal's file."""
+        state = await self._platform.read(STATE_KEY)
+        if isinstance(state, Unavailable) or not hasattr(state, "value"):
+            return
+        proposal = decode_state(state.value).open()
+        if proposal is None or proposal.version != version:
+            return
+        await self._update_acks(
+            lambda acks: refuse(acks, proposal, self._data_centre, reason)
+        )
+
+    async def _vote(self) -> None:
+        while True:
+            proposal = self._task.open_proposal()
+            if proposal is None:
+                await self._task.wait_news(IDLE_SECONDS)
+                continue
+            await self._settle(proposal)
+
+    def _is_open(self, proposal: Proposal) -> bool:
+        return self._task.open_proposal() == proposal
+
+    async def _wait_open(self, proposal: Proposal, seconds: float) -> None:
+        """Wait some seconds, and no longer than the proposal is open."""
+        with anyio.move_on_after(seconds):
+            while self._is_open(proposal):
+                await self._task.wait_news(seconds)
+
+    async def _settle(self, proposal: Proposal) -> None:
+        times = self._task.times
+        begun = anyio.current_time()
+        waited = False
+        while self._is_open(proposal):
+            registered = await read_registered(self._platform, self._data_centre)
+            rank = self._find_rank(registered)
+            if rank is None:
+                await self._wait_open(proposal, times.retry_seconds)
+                continue
+            if not waited and rank > 0:
+                waited = True
+                await self._wait_open(proposal, rank * times.rank_seconds)
+                continue
+            acks = None
+            if await self._wait_held(proposal, registered):
+                acks = await self._acknowledge(proposal)
+            expired = anyio.current_time() - begun > times.withdraw_seconds
+            if await self._finish(proposal, acks, expired):
+                return
+            if acks is not None:
+                await self._wait_open(proposal, times.rank_seconds)
+
+    def _find_rank(self, registered: frozenset[Holder] | Unavailable) -> int | None:
+        """Return how many routers act before this one; ``None``: it may not act."""
+        holder = self._task.holder()
+        if isinstance(registered, Unavailable) or holder not in registered:
+            return None
+        return sorted(registered, key=str).index(holder)
+
+    async def _wait_held(
+        self, proposal: Proposal, registered: frozenset[Holder]
+    ) -> bool:
+        """Wait a moment until all registered routers hold the proposal.
+
+        A router that registers after the list was read finds the proposal by itself:
+        it takes no work before it has read the state, and the proposal stands there.
+        """
+        others = registered - {self._task.holder()}
+        number = proposal.version.number
+        follower = self._task.follower
+        with anyio.move_on_after(self._task.times.retry_seconds):
+            while not all(follower.holds(other, number) for other in others):
+                await self._task.wait_news(self._task.times.retry_seconds)
+        return all(follower.holds(other, number) for other in others)
+
+    async def _acknowledge(self, proposal: Proposal) -> Acks | None:
+        holder = str(self._task.holder())
+        acks = await self._update_acks(
+            lambda acks: acknowledge(acks, proposal, self._data_centre, holder)
+        )
+        if acks is not None and acks.centres.get(self._data_centre) == holder:
+            log_event(Event.ACKNOWLEDGED, number=proposal.version.number)
+        return acks
+
+    async def _update_acks(self, change) -> Acks | None:
+        def edit(value: bytes | None) -> Edit:
+            acks = Acks() if value is None else decode_acks(value)
+            changed = change(acks)
+            if changed is None or changed == acks:
+                return Edit(None, changed)
+            return Edit(encode(changed), changed)
+
+        outcome = await update_object(self._platform, ACKS_KEY, edit, self._rng)
+        return outcome.result if isinstance(outcome, Updated) else None
+
+    async def _finish(
+        self, proposal: Proposal, acks: Acks | None, expired: bool
+    ) -> bool:
+        """Decide or withdraw where that is due; say whether it is settled."""
+        if acks is not None and acks.refusals:
+            centre, reason = min(acks.refusals.items())
+            return await self._withdraw(proposal, f"{centre} can't take it: {reason}")
+        if acks is not None and not list_missing(proposal, acks, ()):
+            if await self._decide(proposal, acks):
+                return True
+        if expired:
+            # The operator's command withdraws earlier, unless it has died.
+            return await self._withdraw(proposal, "not acknowledged in time")
+        return False
+
+    async def _decide(self, proposal: Proposal, acks: Acks) -> bool:
+        live = await read_live_centres(self._platform)
+        if isinstance(live, Unavailable):
+            return False
+        settled = await self._update_state(
+            lambda state: decide(state, proposal.identity, acks, live, time.time())
+        )
+        if settled:
+            log_event(Event.DECIDED, number=proposal.version.number)
+        return settled
+
+    async def _withdraw(self, proposal: Proposal, reason: str) -> bool:
+        settled = await self._update_state(
+            lambda state: withdraw(state, proposal.identity, reason, time.time())
+        )
+        if settled:
+            number = proposal.version.number
+            log_event(Event.PROPOSAL_WITHDRAWN, number=number, reason=reason)
+        return settled
+
+    async def _update_state(self, change) -> bool:
+        """Settle the open proposal; say whether none is open any more."""
+
+        def edit(value: bytes | None) -> Edit:
+            state = State() if value is None else decode_state(value)
+            changed = change(state)
+            if changed is None:
+                return Edit(None, state)
+            return Edit(encode(changed), changed)
+
+        outcome = await update_object(self._platform, STATE_KEY, edit, self._rng)
+        if not isinstance(outcome, Updated):
+            return False
+        state: State = outcome.result
+        self._task.learn(state, outcome.version)
+        if state.open() is not None:
+            return False
+        await self._append(list_settled(state))
+        return True
+
+    async def _append(self, entries: tuple[AuditEntry, ...]) -> bool:
+        failure = await append_entries(self._platform, entries, self._rng)
+        if failure is not None:
+            # The state still names the proposal; whoever proposes next, or reads the
+            # trail, writes the entry.
+            log_event(Event.AUDIT_LATE, detail=failure.detail)
+        return failure is None
+
+    async def _record(self) -> None:
+        """Write, for the data centre, when each version was in force in it."""
+        recorded = 0
+        while True:
+            number = self._task.follower.followed
+            if number <= recorded or self._task.holder() is None:
+                await self._task.wait_news(IDLE_SECONDS)
+                continue
+            await self._record_number(number)
+            recorded = number
+
+    async def _record_number(self, number: int) -> None:
+        times = self._task.times
+        registered = await read_registered(self._platform, self._data_centre)
+        rank = self._find_rank(registered)
+        if rank is None or rank >= RECORDERS:
+            return
+        await anyio.sleep(rank * (times.rank_seconds + RECORD_SECONDS))
+        self._task.follower.forget_except(registered | self._task.peers.neighbours())
+        serving = await self._wait_serving(number, registered)
+        seconds = time.time()
+        lacking = registered - serving
+        names = ", ".join(sorted(map(str, serving)))
+        if lacking:
+            names += "; not yet: " + ", ".join(sorted(map(str, lacking)))
+        entry = AuditEntry(
+            f"in-force/{number}/{self._data_centre}",
+            Kind.IN_FORCE,
+            str(self._task.holder()),
+            seconds,
+            self._data_centre,
+            after=str(number),
+            detail=names,
+        )
+        await self._append((entry,))
+
+    async def _wait_serving(
+        self, number: int, registered: frozenset[Holder]
+    ) -> frozenset[Holder]:
+        follower = self._task.follower
+        own = self._task.holder()
+
+        def list_serving() -> frozenset[Holder]:
+            return frozenset(
+                holder
+                for holder in registered
+                if holder == own or follower.serves(holder, number)
+            )
+
+        with anyio.move_on_after(RECORD_SECONDS):
+            while list_serving() != registered:
+                await self._task.wait_news(RECORD_SECONDS)
+        return list_serving()
