--- a/knapweedrail/changes.py
+++ b/knapweedrail/changes.py
@@ -12,7 +12,7 @@
 
 from .configuration import digest_text, read_configuration
 from .events import Event, log_event
-from .followers import Follower, Report, View, know_state
+from .views import Follower, Report, View, know_state
 from .models import Configuration, Holder
 from .outcomes import Found, Unavailable
 from .platforms import Changes, Platform
