--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -21,6 +21,14 @@
     PLATFORM_AWAY = (201, "a call to the platform failed")
     PLATFORM_BACK = (202, "the platform answers again")
 
+    MEMBER_REGISTERED = (501, "the router has begun a life under a new incarnation")
+    MEMBER_NOT_REGISTERED = (502, "registration failed; it is tried again")
+    MEMBER_FENCED = (503, "this life is fenced; the router begins a new one")
+    MEMBER_SUPERSEDED = (504, "another process registered under this router's name")
+    MEMBER_CLOSED = (505, "the router's life is closed in the registry")
+    MEMBER_HEARD = (506, "a member of the data centre answers")
+    MEMBER_SILENT = (507, "a member of the data centre has stopped answering")
+
     @property
     def number(self) -> int:
         """The event's number in the catalogue."""
--- a/knapweedrail/examples/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Example files: two firms' configurations and the settings of a router."""
--- /dev/null
+++ b/knapweedrail/peers.py
@@ -0,0 +1,321 @@
+"""Messages between routers: the gRPC service and its clients."""
+
+from __future__ import annotations
+
+import socket
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator, Collection
+from typing import Any
+
+import anyio
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from .outcomes import Unavailable, Unknown
+from .wire.peers_grpc import PeersBase, PeersStub
+from .wire.peers_pb2 import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    Exchange,
+    FenceReply,
+    FenceRequest,
+    FindRunReply,
+    FindRunRequest,
+    FollowChunk,
+    FollowRequest,
+    HandOverReply,
+    HandOverRequest,
+)
+
+CALL_SECONDS = 1.0
+"""Time for one call to a peer. Peers answer within a few milliseconds; a second
+is far beyond a busy peer's answer and short enough that a caller of the router
+doesn't notice one lost call. Nothing is concluded from it: a call that was sent is
+`Unknown`."""
+
+KEEPALIVE_SECONDS = 30
+"""Idle time before a connection is probed, and between probes."""
+
+CONNECTION_ERRORS = (OSError, ProtocolError, StreamTerminatedError)
+"""What a broken connection raises in a call."""
+
+
+class PeerHandler(ABC):
+    """What a router does on each message of a peer."""
+
+    @abstractmethod
+    async def trade(self, exchange: Exchange) -> Exchange:
+        """Take a peer's periodic exchange and answer with the own one."""
+
+    @abstractmethod
+    async def hand_over(self, request: HandOverRequest) -> HandOverReply:
+        """Hand tokens over to the sender; the same transfer gets the same answer."""
+
+    @abstractmethod
+    async def fence(self, request: FenceRequest) -> FenceReply:
+        """Take nothing more from a holder, and say what was taken from it."""
+
+    @abstractmethod
+    async def find_run(self, request: FindRunRequest) -> FindRunReply:
+        """Say where a request identity runs; note the sender when nowhere."""
+
+    @abstractmethod
+    def follow(self, request: FollowRequest) -> AsyncIterator[FollowChunk]:
+        """Give the chunks of a run's answer from an offset on."""
+
+    @abstractmethod
+    async def fetch_configuration(
+        self, request: ConfigurationRequest
+    ) -> ConfigurationReply:
+        """Give the text of a configuration."""
+
+
+class PeerServer:
+    """The peer service of one router.
+
+    Args:
+        handler: Answers the messages.
+        address: ``host:port`` to listen on; port 0 lets the kernel choose.
+    """
+
+    def __init__(self, handler: PeerHandler, address: str) -> None:
+        self._server = Server([_Service(handler)])
+        self._bind = address
+        self.address = address
+
+    async def start(self) -> None:
+        """Listen; `address` then names the port that the kernel chose.
+
+        Raises:
+            OSError: If the address can't be bound.
+        """
+        listener = socket.create_server(split_address(self._bind))
+        # A peer that vanished without a word leaves its connection open here. The
+        # probes end it; without them each replaced host would cost a socket.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
+        host, port = listener.getsockname()[:2]
+        self.address = f"{host}:{port}"
+        await self._server.start(sock=listener)
+
+    async def close(self) -> None:
+        """Stop listening and end all calls."""
+        self._server.close()
+        await self._server.wait_closed()
+
+
+class _Service(PeersBase):
+    """Adapts the generated service to `PeerHandler`."""
+
+    def __init__(self, handler: PeerHandler) -> None:
+        self._handler = handler
+
+    async def Trade(self, stream: Stream) -> None:
+        await _answer(stream, self._handler.trade)
+
+    async def HandOver(self, stream: Stream) -> None:
+        await _answer(stream, self._handler.hand_over)
+
+    async def Fence(self, stream: Stream) -> None:
+        await _answer(stream, self._handler.fence)
+
+    async def FindRun(self, stream: Stream) -> None:
+        await _answer(stream, self._handler.find_run)
+
+    async def FetchConfiguration(self, stream: Stream) -> None:
+        await _answer(stream, self._handler.fetch_configuration)
+
+    async def Follow(self, stream: Stream) -> None:
+        request = await stream.recv_message()
+        if request is None:
+            return
+        async for chunk in self._handler.follow(request):
+            await stream.send_message(chunk)
+
+
+async def _answer(stream: Stream, handle: Any) -> None:
+    request = await stream.recv_message()
+    if request is not None:
+        await stream.send_message(await handle(request))
+
+
+class _Connection:
+    """A channel to one peer and the number of calls under way on it."""
+
+    def __init__(self, address: str) -> None:
+        host, port = split_address(address)
+        self.channel = Channel(host, port)
+        self.stub = PeersStub(self.channel)
+        self.calls = 0
+        self.doubted = False
+
+    def release(self) -> None:
+        """End one call; a doubted channel closes with its last one."""
+        self.calls -= 1
+        if self.doubted and self.calls == 0:
+            self.channel.close()
+
+
+class PeerClients:
+    """Clients of all peers: one connection each, opened when needed.
+
+    A connection on which a call got no answer is doubted: something between the two
+    ends may have lost track of it while new ones work. New calls then go over a new
+    connection; calls under way on the old one keep it until they end.
+
+    Args:
+        call_seconds: Time for one call.
+    """
+
+    def __init__(self, call_seconds: float = CALL_SECONDS) -> None:
+        self.call_seconds = call_seconds
+        self._connections: dict[str, _Connection] = {}
+
+    async def start(self) -> None:
+        """Do nothing yet: connections open with the first call."""
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for connection in self._connections.values():
+            connection.channel.close()
+        self._connections.clear()
+
+    def keep(self, addresses: Collection[str]) -> None:
+        """Drop the connections to all other addresses.
+
+        Hosts are replaced under new addresses; their connections would pile up.
+        """
+        for address, connection in list(self._connections.items()):
+            if address not in addresses:
+                self._doubt(address, connection)
+
+    async def trade(
+        self, address: str, exchange: Exchange, seconds: float | None = None
+    ) -> Exchange | Unavailable | Unknown:
+        """Exchange news with a peer."""
+        return await self._call("peers.trade", address, "Trade", exchange, seconds)
+
+    async def hand_over(
+        self, address: str, request: HandOverRequest, seconds: float | None = None
+    ) -> HandOverReply | Unavailable | Unknown:
+        """Ask a peer for tokens; after `Unknown` repeat the same transfer."""
+        return await self._call(
+            "peers.hand_over", address, "HandOver", request, seconds
+        )
+
+    async def fence(
+        self, address: str, request: FenceRequest, seconds: float | None = None
+    ) -> FenceReply | Unavailable | Unknown:
+        """Ask a peer to take nothing more from a holder."""
+        return await self._call("peers.fence", address, "Fence", request, seconds)
+
+    async def find_run(
+        self, address: str, request: FindRunRequest, seconds: float | None = None
+    ) -> FindRunReply | Unavailable | Unknown:
+        """Ask a peer where a request identity runs."""
+        return await self._call("peers.find_run", address, "FindRun", request, seconds)
+
+    async def fetch_configuration(
+        self, address: str, request: ConfigurationRequest, seconds: float | None = None
+    ) -> ConfigurationReply | Unavailable | Unknown:
+        """Ask a peer for the text of a configuration."""
+        return await self._call(
+            "peers.fetch_configuration", address, "FetchConfiguration", request, seconds
+        )
+
+    async def follow(
+        self, address: str, request: FollowRequest, silence_seconds: float
+    ) -> AsyncIterator[FollowChunk | Unavailable | Unknown]:
+        """Give the chunks of a run on a peer; a failure is the last item.
+
+        A stream that ends without a failure and without a chunk marked ``last`` or
+        ``missing`` was cut off: it is reported as `Unknown`.
+
+        Args:
+            address: The peer's address.
+            request: The run, and the offset from which to give chunks.
+            silence_seconds: Longest wait for the next chunk.
+        """
+        step = "peers.follow"
+        connection = self._use(address)
+        sent = False
+        try:
+            async with connection.stub.Follow.open() as stream:
+                with anyio.fail_after(self.call_seconds):
+                    await stream.send_request()
+                    sent = True
+                    await stream.send_message(request, end=True)
+                while True:
+                    with anyio.fail_after(silence_seconds):
+                        chunk = await stream.recv_message()
+                    if chunk is None:
+                        break
+                    yield chunk
+                    if chunk.last or chunk.cut or chunk.missing:
+                        # Without it the library waits, without bound, for trailers.
+                        await stream.cancel()
+                        return
+            yield Unknown(step, address, "the stream ended before the answer")
+        except (TimeoutError, *CONNECTION_ERRORS) as error:
+            self._doubt(address, connection)
+            yield _fail(step, address, error, sent)
+        except GRPCError as error:
+            yield _fail(step, address, error, sent)
+        finally:
+            connection.release()
+
+    async def _call(
+        self, step: str, address: str, name: str, message: Any, seconds: float | None
+    ) -> Any:
+        connection = self._use(address)
+        sent = False
+        try:
+            method = getattr(connection.stub, name)
+            with anyio.fail_after(seconds or self.call_seconds):
+                async with method.open() as stream:
+                    await stream.send_request()
+                    # Up to here only headers went out: without a message the
+                    # receiver's handler does nothing.
+                    sent = True
+                    await stream.send_message(message, end=True)
+                    reply = await stream.recv_message()
+            if reply is None:
+                return Unknown(step, address, "the answer was empty")
+            return reply
+        except (TimeoutError, *CONNECTION_ERRORS) as error:
+            self._doubt(address, connection)
+            return _fail(step, address, error, sent)
+        except GRPCError as error:
+            return _fail(step, address, error, sent)
+        finally:
+            connection.release()
+
+    def _use(self, address: str) -> _Connection:
+        connection = self._connections.get(address)
+        if connection is None:
+            connection = _Connection(address)
+            self._connections[address] = connection
+        connection.calls += 1
+        return connection
+
+    def _doubt(self, address: str, connection: _Connection) -> None:
+        if self._connections.get(address) is connection:
+            del self._connections[address]
+        connection.doubted = True
+        if connection.calls == 0:
+            connection.channel.close()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``host:port``."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def _fail(
+    step: str, address: str, error: BaseException, sent: bool
+) -> Unavailable | Unknown:
+    kind = Unknown if sent else Unavailable
+    return kind(step, address, repr(error))
