--- /dev/null
+++ b/knapweedrail/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example files: two firms' configurations and the settings of a router."""
--- /dev/null
+++ b/knapweedrail/settings.py
@@ -0,0 +1,301 @@
+"""Process settings of a router: the table of defaults, and how a file is read.
+
+`RouterSettings` is the table: each field carries its default, unit, reason and
+checks. docs/CONFIGURATION.md lists the same table, and a test compares the two.
+"""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any
+from urllib.parse import urlsplit
+
+import attrs
+import cattrs
+
+from .addresses import check_address
+from .documents import Document, Fault, check_shape, parse_document
+from .shapes import MAX_SECONDS, NAME, make_object
+
+GIBIBYTE = 2**30
+
+_SCHEMA_TYPES = {str: "string", int: "integer", float: "number", bool: "boolean"}
+
+
+def setting(unit: str, reason: str, default: Any = attrs.NOTHING, **checks: Any) -> Any:
+    """Declare one setting.
+
+    Args:
+        unit: Unit of the value, or what kind of text it is.
+        reason: Why it exists, and why its default is what it is.
+        default: Its default; a setting without one must stand in the file.
+        **checks: Keywords of JSON schema that the value must meet, and
+            ``address`` (lowest port) or ``url`` for texts of that form.
+    """
+    metadata = {"unit": unit, "reason": reason, "checks": checks}
+    return attrs.field(default=default, metadata=metadata)
+
+
+def seconds(reason: str, default: float, most: float = MAX_SECONDS) -> Any:
+    """Declare a time in seconds, above 0."""
+    return setting("seconds", reason, default, exclusiveMinimum=0, maximum=most)
+
+
+def count(unit: str, reason: str, default: int, least: int, most: int) -> Any:
+    """Declare a whole number within bounds."""
+    return setting(unit, reason, default, minimum=least, maximum=most)
+
+
+@attrs.frozen(kw_only=True)
+class RouterSettings:
+    """Settings of one router process."""
+
+    name: str = setting(
+        "name", "Unique over the fleet; the same after a restart.", **NAME
+    )
+    data_centre: str = setting(
+        "name",
+        "Decides which peers share reserves and which runners come first.",
+        **NAME,
+    )
+    platform: str = setting("URL", "Base address of the object API.", url=True)
+    host: str = setting(
+        "text",
+        "The host's name on the platform's list; empty: the router's name.",
+        "",
+        maxLength=255,
+    )
+    caller_address: str = setting(
+        "address",
+        "Where callers are answered; port 0 lets the kernel choose.",
+        "127.0.0.1:8080",
+        address=0,
+    )
+    peer_address: str = setting(
+        "address", "Where other routers are answered.", "127.0.0.1:8081", address=0
+    )
+    advertised_peer_address: str = setting(
+        "address",
+        "What other routers call; empty: the bound peer address.",
+        "",
+        address=1,
+    )
+    admin_address: str = setting(
+        "address",
+        "Health, readiness and metrics; kept away from callers.",
+        "127.0.0.1:8082",
+        address=0,
+    )
+    seeds: tuple[str, ...] = setting(
+        "addresses",
+        "Peers to ask at a start while the platform is away.",
+        (),
+        address=1,
+    )
+    platform_timeout_seconds: float = seconds(
+        "The platform answers in milliseconds; two seconds tell slow from away.", 2.0
+    )
+    watch_seconds: float = seconds(
+        "Length of one waiting watch: fewer calls when longer; a connection that"
+        " went silent is noticed only after it.",
+        20.0,
+        300.0,
+    )
+    doubt_seconds: float = seconds(
+        "Silence of the platform after which a router that has acknowledged a"
+        " configuration serves only what the old and the new one both allow.",
+        3.0,
+        60.0,
+    )
+    flush_seconds: float = seconds(
+        "Pause between two batches to one ledger: half a second is two writes a"
+        " second for each router and shard.",
+        0.5,
+        60.0,
+    )
+    ledger_shards: int = count(
+        "shards",
+        "Objects over which budgets are spread; the same on all routers.",
+        4,
+        1,
+        4096,
+    )
+    heartbeat_seconds: float = seconds(
+        "Pause between exchanges with a peer; three missed ones make it doubted.",
+        1.0,
+        60.0,
+    )
+    exchange_members: int = count(
+        "peers",
+        "Peers of other data centres in one exchange: keeps the traffic of a"
+        " router flat as the fleet grows.",
+        3,
+        1,
+        100,
+    )
+    exchange_timeout_seconds: float = seconds(
+        "Longest wait for a peer's answer; peers are under a millisecond away.",
+        1.0,
+        60.0,
+    )
+    max_body_bytes: int = count(
+        "bytes",
+        "A farm's long history is some 100 KB; ten times that is refused"
+        " before it fills the memory.",
+        2**20,
+        1024,
+        GIBIBYTE,
+    )
+    max_header_bytes: int = count(
+        "bytes",
+        "Keys and identities are short; stops a caller that sends headers without end.",
+        16_384,
+        1024,
+        2**20,
+    )
+    max_connections: int = count(
+        "connections",
+        "Open callers of one router; bounds descriptors and memory.",
+        1_000,
+        1,
+        100_000,
+    )
+    header_read_timeout_seconds: float = seconds(
+        "A caller that sends its headers a byte at a time holds a connection no"
+        " longer.",
+        10.0,
+    )
+    body_read_timeout_seconds: float = seconds(
+        "The same for bodies; a megabyte over a slow phone takes some seconds.", 30.0
+    )
+    keep_alive_seconds: float = seconds(
+        "Idle connections are closed after it; longer than the pause between two"
+        " questions, so that a chat keeps its connection.",
+        75.0,
+    )
+    answer_memory_bytes: int = count(
+        "bytes",
+        "Answers kept for retries; a quarter of the 128 MB for control.",
+        2**25,
+        65_536,
+        GIBIBYTE,
+    )
+    answer_keep_seconds: float = seconds(
+        "Callers retry within a minute or two; later ones run anew, billed once.",
+        180.0,
+    )
+    retry_share: float = setting(
+        "share",
+        "Retries for each fresh request at most, so that a fault isn't"
+        " answered with twice the load.",
+        0.1,
+        minimum=0,
+        maximum=1,
+    )
+    placement: str = setting(
+        "policy",
+        "Registered policy that places work on runners.",
+        "least-work",
+        **NAME,
+    )
+    max_queue_requests: int = count(
+        "requests",
+        "Requests that wait for one endpoint in this router; with more,"
+        " the last could only wait past its deadline.",
+        1_000,
+        1,
+        1_000_000,
+    )
+    max_queue_bytes: int = count(
+        "bytes",
+        "Bodies of waiting requests, so that waiting can't exhaust memory.",
+        2**26,
+        2**20,
+        GIBIBYTE,
+    )
+    log_file: str = setting(
+        "path",
+        "Where log lines go; empty: standard error, as hosts have no disks.",
+        "",
+        maxLength=4096,
+    )
+
+    @property
+    def host_name(self) -> str:
+        """The host's name on the platform's list."""
+        return self.host or self.name
+
+
+attrs.resolve_types(RouterSettings)
+
+
+def read_settings(path: str | pathlib.Path) -> RouterSettings | tuple[Fault, ...]:
+    """Read a settings file.
+
+    Args:
+        path: The file.
+
+    Returns:
+        The settings, or every fault that was found, by line.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return (Fault(str(path), 1, "", f"can't be read: {error}"),)
+    return parse_settings(text, str(path))
+
+
+def parse_settings(text: str, file: str) -> RouterSettings | tuple[Fault, ...]:
+    """Check the text of a settings file."""
+    document = parse_document(text, file)
+    if not isinstance(document, Document):
+        return document
+    faults = {*check_shape(document, make_shape()), *_check_texts(document)}
+    if faults:
+        return tuple(sorted(faults))
+    return cattrs.structure(document.value, RouterSettings)
+
+
+def make_shape() -> dict:
+    """Make the JSON schema of a settings file from the table."""
+    fields = attrs.fields(RouterSettings)
+    required = tuple(f.name for f in fields if f.default is attrs.NOTHING)
+    return make_object({f.name: _make_value_shape(f) for f in fields}, required)
+
+
+def _make_value_shape(field: attrs.Attribute) -> dict:
+    own = ("address", "url")
+    checks = {k: v for k, v in field.metadata["checks"].items() if k not in own}
+    if field.type == tuple[str, ...]:
+        return {"type": "array", "items": {"type": "string"}, "maxItems": 100}
+    return {"type": _SCHEMA_TYPES[field.type], **checks}
+
+
+def _check_texts(document: Document) -> list[Fault]:
+    faults = []
+    values = document.value if isinstance(document.value, dict) else {}
+    for field in attrs.fields(RouterSettings):
+        value = values.get(field.name)
+        checks = field.metadata["checks"]
+        if "url" in checks and isinstance(value, str) and not _is_url(value):
+            message = f"{value!r} is not a URL such as http://127.0.0.1:7000"
+            faults.append(document.fault((field.name,), message))
+        if "address" not in checks:
+            continue
+        items = value if isinstance(value, list) else [value]
+        for index, item in enumerate(items):
+            if not isinstance(item, str) or (item == "" and field.default == ""):
+                continue
+            message = check_address(item, checks["address"])
+            if message:
+                inner = (field.name, index) if items is value else (field.name,)
+                faults.append(document.fault(inner, message))
+    return faults
+
+
+def _is_url(text: str) -> bool:
+    try:
+        parts = urlsplit(text)
+        return parts.scheme in ("http", "https") and bool(parts.hostname)
+    except ValueError:
+        return False
