--- a/knapweedrail/changes.py
+++ b/knapweedrail/changes.py
@@ -12,7 +12,6 @@
 
 from .configuration import digest_text, read_configuration
 from .events import Event, log_event
-from .views import Follower, Report, View, know_state
 from .models import Configuration, Holder
 from .outcomes import Found, Unavailable
 from .platforms import Changes, Platform
@@ -20,6 +19,7 @@
 from .tasks import Task
 from .texts import load_text
 from .updates import choose_pause
+from .views import Follower, Report, View, know_state
 from .votes import Voter
 
 LARGE_TEXT = 65_536
@@ -118,7 +118,6 @@
         self._news = anyio.Event()
         self._watch_scope: anyio.CancelScope | None = None
         self._confirmed_at = float("-inf")
-        self._confirmed_holder: Holder | None = None
         self._heard_at = now()
 
     @property
@@ -139,15 +138,11 @@
         confirmed = now - self._confirmed_at <= doubt
         silent = not confirmed and now - self._heard_at > doubt
         isolated = silent and bool(self.peers.neighbours())
-        return self.follower.view(confirmed, isolated or self._is_unread())
+        return self.follower.view(confirmed, isolated or self._is_new())
 
-    def _is_unread(self) -> bool:
-        """Say whether the state wasn't read since the router registered.
-
-        Until then it may have missed a proposal that its data centre acknowledged
-        without it, and would go on serving the old version if it were cut off.
-        """
-        return self.holder() not in (None, self._confirmed_holder)
+    def _is_new(self) -> bool:
+        """Say whether this life hasn't read the state since it registered."""
+        return not self.follower.has_entered(self.holder())
 
     def exchange(self) -> Report:
         """What to tell other routers."""
@@ -230,7 +225,7 @@
         """Say whether the platform's silence must be noticed soon."""
         silence = self._now() - self._heard_at
         alone = silence > self.times.doubt_seconds / 3 and self.peers.neighbours()
-        return self.follower.staged is not None or bool(alone) or self._is_unread()
+        return self.follower.staged is not None or bool(alone) or self._is_new()
 
     def _must_read(self) -> bool:
         """Say whether a plain read comes before the next watch.
@@ -240,7 +235,7 @@
         """
         age = self._now() - self._confirmed_at
         late = age > 2 * self.times.press_seconds
-        return self._is_unread() or (self._is_pressing() and late)
+        return self._is_new() or (self._is_pressing() and late)
 
     async def _watch_silence(self) -> None:
         """End a long watch when its answer is needed sooner."""
@@ -275,7 +270,7 @@
         if isinstance(changes, Unavailable):
             return False
         if changes.changes:
-            return await self._read_state(changes.changes[-1].version)
+            return await self._read_state(max(c.version for c in changes.changes))
         self._confirmed_at = started
         return True
 
@@ -315,16 +310,13 @@
         version = found.version if isinstance(found, Found) else 0
         if version < least:
             return False
-        if isinstance(found, Found):
-            self.learn(decode_state(found.value), version)
-        self._confirm(started, holder)
-        return True
-
-    def _confirm(self, started: float, holder: Holder | None) -> None:
+        state = decode_state(found.value) if isinstance(found, Found) else State()
+        self.learn(state, version)
+        self.follower.enter(holder, know_state(state))
         # The time at which the read began, since its answer may have waited in a
         # socket while this process was paused.
         self._confirmed_at = started
-        self._confirmed_holder = holder
+        return True
 
     async def _fetch(self) -> None:
         while True:
--- a/knapweedrail/views.py
+++ b/knapweedrail/views.py
@@ -111,6 +111,8 @@
         self.followed = 0
         self._staged_configuration: Configuration | None = None
         self._narrow: View | None = None
+        self._life: Holder | None = None
+        self._entry: Version | None = None
         self._reports: dict[Holder, Report] = {}
 
     def learn(self, knowledge: Knowledge) -> None:
@@ -118,6 +120,29 @@
         self.knowledge = self.knowledge.join(knowledge)
         self._advance()
 
+    def enter(self, life: Holder | None, knowledge: Knowledge) -> None:
+        """Take in the platform's state, read after a life of this router registered.
+
+        The data centre may have acknowledged the proposal that is open now before this
+        life registered, and so without it. Until it holds that proposal's text, it
+        would go on serving the old version in full if it were cut off.
+
+        Args:
+            life: The registered life; ``None`` while there is none.
+            knowledge: What the state said.
+        """
+        self.learn(knowledge)
+        if life != self._life:
+            self._life = life
+            self._entry = self.knowledge.open()
+
+    def has_entered(self, life: Holder | None) -> bool:
+        """Say whether this life may take work."""
+        if life is None:
+            return True
+        missed = self._entry is not None and self._entry != self.staged
+        return life == self._life and not missed
+
     def hear(self, holder: Holder, report: Report) -> None:
         """Take in another router's report.
 
@@ -202,6 +227,8 @@
         return self._narrow
 
     def _advance(self) -> None:
+        if self._entry != self.knowledge.open():
+            self._entry = None
         if self.staged is None:
             return
         if self.staged == self.knowledge.in_force:
--- a/knapweedrail/votes.py
+++ b/knapweedrail/votes.py
@@ -8,29 +8,21 @@
 
 import anyio
 
-from .audits import AuditEntry, Kind, append_entries, list_settled
-from .centres import read_live_centres, read_registered
+from .audits import AuditEntry, Kind, append_entries
+from .centres import read_registered
 from .events import Event, log_event
 from .models import Holder
 from .outcomes import Unavailable
 from .platforms import Platform
-from .proposals import (
-    ACKS_KEY,
-    STATE_KEY,
-    Acks,
-    Proposal,
-    State,
-    Version,
-    acknowledge,
-    decide,
-    decode_acks,
-    decode_state,
-    encode,
-    list_missing,
-    refuse,
-    withdraw,
+from .proposals import Acks, Proposal, State, Version, acknowledge, list_missing, refuse
+from .settlements import (
+    Outcome,
+    read_state,
+    try_decide,
+    try_withdraw,
+    update_acks,
 )
-from .updates import Edit, Updated, update_object
+from .updates import Updated
 
 if TYPE_CHECKING:
     from .changes import ConfigurationTask
@@ -81,14 +73,15 @@
 
     async def refuse(self, version: Version, reason: str) -> None:
         """Say for the data centre that it can't take a proposal's file."""
-        state = await self._platform.read(STATE_KEY)
-        if isinstance(state, Unavailable) or not hasattr(state, "value"):
-            return
-        proposal = decode_state(state.value).open()
+        state = await read_state(self._platform)
+        proposal = state.open() if isinstance(state, State) else None
         if proposal is None or proposal.version != version:
             return
-        await self._update_acks(
-            lambda acks: refuse(acks, proposal, self._data_centre, reason)
+        centre = self._data_centre
+        await update_acks(
+            self._platform,
+            lambda acks: refuse(acks, proposal, centre, reason),
+            self._rng,
         )
 
     async def _vote(self) -> None:
@@ -156,24 +149,21 @@
 
     async def _acknowledge(self, proposal: Proposal) -> Acks | None:
         holder = str(self._task.holder())
-        acks = await self._update_acks(
-            lambda acks: acknowledge(acks, proposal, self._data_centre, holder)
+        centre = self._data_centre
+        outcome = await update_acks(
+            self._platform,
+            lambda acks: acknowledge(acks, proposal, centre, holder),
+            self._rng,
         )
-        if acks is not None and acks.centres.get(self._data_centre) == holder:
+        if not isinstance(outcome, Updated):
+            return None
+        acks: Acks = outcome.result
+        if acks.identity != proposal.identity:
+            return None
+        if acks.centres.get(centre) == holder:
             log_event(Event.ACKNOWLEDGED, number=proposal.version.number)
         return acks
 
-    async def _update_acks(self, change) -> Acks | None:
-        def edit(value: bytes | None) -> Edit:
-            acks = Acks() if value is None else decode_acks(value)
-            changed = change(acks)
-            if changed is None or changed == acks:
-                return Edit(None, changed)
-            return Edit(encode(changed), changed)
-
-        outcome = await update_object(self._platform, ACKS_KEY, edit, self._rng)
-        return outcome.result if isinstance(outcome, Updated) else None
-
     async def _finish(
         self, proposal: Proposal, acks: Acks | None, expired: bool
     ) -> bool:
@@ -190,53 +180,24 @@
         return False
 
     async def _decide(self, proposal: Proposal, acks: Acks) -> bool:
-        live = await read_live_centres(self._platform)
-        if isinstance(live, Unavailable):
-            return False
-        settled = await self._update_state(
-            lambda state: decide(state, proposal.identity, acks, live, time.time())
-        )
-        if settled:
-            log_event(Event.DECIDED, number=proposal.version.number)
-        return settled
+        outcome = await try_decide(self._platform, proposal, acks, self._rng)
+        return self._learn(outcome, Event.DECIDED, proposal)
 
     async def _withdraw(self, proposal: Proposal, reason: str) -> bool:
-        settled = await self._update_state(
-            lambda state: withdraw(state, proposal.identity, reason, time.time())
-        )
-        if settled:
-            number = proposal.version.number
-            log_event(Event.PROPOSAL_WITHDRAWN, number=number, reason=reason)
-        return settled
-
-    async def _update_state(self, change) -> bool:
-        """Settle the open proposal; say whether none is open any more."""
-
-        def edit(value: bytes | None) -> Edit:
-            state = State() if value is None else decode_state(value)
-            changed = change(state)
-            if changed is None:
-                return Edit(None, state)
-            return Edit(encode(changed), changed)
-
-        outcome = await update_object(self._platform, STATE_KEY, edit, self._rng)
+        outcome = await try_withdraw(self._platform, proposal, reason, self._rng)
+        return self._learn(outcome, Event.PROPOSAL_WITHDRAWN, proposal)
+
+    def _learn(self, outcome: Outcome, event: Event, proposal: Proposal) -> bool:
+        """Take in the state that was written; say whether nothing is open in it."""
         if not isinstance(outcome, Updated):
             return False
         state: State = outcome.result
         self._task.learn(state, outcome.version)
         if state.open() is not None:
             return False
-        await self._append(list_settled(state))
+        log_event(event, number=proposal.version.number)
         return True
 
-    async def _append(self, entries: tuple[AuditEntry, ...]) -> bool:
-        failure = await append_entries(self._platform, entries, self._rng)
-        if failure is not None:
-            # The state still names the proposal; whoever proposes next, or reads the
-            # trail, writes the entry.
-            log_event(Event.AUDIT_LATE, detail=failure.detail)
-        return failure is None
-
     async def _record(self) -> None:
         """Write, for the data centre, when each version was in force in it."""
         recorded = 0
@@ -271,7 +232,9 @@
             after=str(number),
             detail=names,
         )
-        await self._append((entry,))
+        failure = await append_entries(self._platform, (entry,), self._rng)
+        if failure is not None:
+            log_event(Event.AUDIT_LATE, detail=failure.detail)
 
     async def _wait_serving(
         self, number: int, registered: frozenset[Holder]
