--- a/knapweedrail/members.py
+++ b/knapweedrail/members.py
@@ -16,7 +16,7 @@
 from .outcomes import Failure, Unavailable
 from .peers import PeerClients
 from .platforms import Changes, Platform
-from .registrars import Registrar, Superseded
+from .registrars import Registered, Registrar, Seen, Superseded
 from .registries import REGISTRY_PREFIX, HolderState, Registry
 from .tasks import Task
 from .wire.peers_pb2 import Exchange, Fenced, Sender
@@ -183,18 +183,18 @@
         """Call back at once when this life is found to be ended by others."""
         self._on_life_ended.append(callback)
 
-    async def mark_fenced(self, holder: Holder) -> Registry | Failure:
+    async def mark_fenced(self, holder: Holder) -> Seen | Failure:
         """Fence a life of this data centre in the registry."""
         outcome = await self._registrar.fence(self.settings.data_centre, holder)
-        if isinstance(outcome, Registry):
-            self._heard_fenced.add(holder)
+        if isinstance(outcome, Seen):
+            self._adopt(self.settings.data_centre, outcome)
         return outcome
 
-    async def mark_reclaimed(self, holder: Holder) -> Registry | Failure:
+    async def mark_reclaimed(self, holder: Holder) -> Seen | Failure:
         """Note in the registry that a fenced life is reclaimed."""
         return await self._registrar.reclaim(self.settings.data_centre, holder)
 
-    async def leave(self) -> Registry | Failure | None:
+    async def leave(self) -> Seen | Failure | None:
         """Close this life in the registry; call it when nothing is held any more.
 
         Returns:
@@ -206,7 +206,7 @@
         holder = self.holder
         self._drop_holder()
         outcome = await self._registrar.close(self.settings.data_centre, holder)
-        if isinstance(outcome, Registry):
+        if isinstance(outcome, Seen):
             log_event(Event.MEMBER_CLOSED, holder=str(holder))
         return outcome
 
@@ -269,18 +269,28 @@
             if isinstance(outcome, Superseded):
                 self._note_superseded(Holder(self.settings.name, self._last))
                 return
-            if isinstance(outcome, Holder):
-                self.holder = outcome
-                self._last = outcome.incarnation
-                log_event(Event.MEMBER_REGISTERED, holder=str(outcome))
-                for callback in self._on_registered:
-                    callback(outcome)
+            if isinstance(outcome, Registered):
+                self._begin_life(outcome)
                 return
             if attempt == 0:
                 log_event(Event.MEMBER_NOT_REGISTERED, detail=str(outcome))
             await self._pause(attempt)
             attempt += 1
 
+    def _begin_life(self, registered: Registered) -> None:
+        # Before the first use of the life, the fences that stood at its beginning.
+        self._adopt(self.settings.data_centre, registered.seen)
+        self.holder = registered.holder
+        self._last = self.holder.incarnation
+        log_event(Event.MEMBER_REGISTERED, holder=str(self.holder))
+        for callback in self._on_registered:
+            callback(self.holder)
+
+    def _adopt(self, data_centre: str, seen: Seen) -> None:
+        beliefs = self._beliefs
+        if beliefs.adopt_registry(data_centre, seen.registry, seen.version):
+            self._check_own_life()
+
     async def _follow_registries(self) -> None:
         revision = 0
         attempt = 0
@@ -325,9 +335,7 @@
             if isinstance(outcome, Unavailable):
                 failed.add(data_centre)
                 continue
-            registry, version = outcome
-            if self._beliefs.adopt_registry(data_centre, registry, version):
-                self._check_own_life()
+            self._adopt(data_centre, outcome)
         return failed
 
     def _check_own_life(self) -> None:
--- a/knapweedrail/registrars.py
+++ b/knapweedrail/registrars.py
@@ -34,6 +34,33 @@
 """Upper end of any pause."""
 
 
+@dataclass(frozen=True)
+class Seen:
+    """A registry as the platform held it at one moment.
+
+    Attributes:
+        registry: The registry.
+        version: The object's version; 0 when it doesn't exist.
+    """
+
+    registry: Registry
+    version: int
+
+
+@dataclass(frozen=True)
+class Registered:
+    """A life has begun.
+
+    Attributes:
+        holder: The life.
+        seen: The registry with it. Who registers must know every fence that stood
+            before: those who fenced asked only the lives that they found then.
+    """
+
+    holder: Holder
+    seen: Seen
+
+
 @dataclass(frozen=True)
 class Superseded:
     """Another process has registered under this name after this one's last life."""
@@ -55,13 +82,13 @@
         self._platform = platform
         self._rng = rng
 
-    async def read(self, data_centre: str) -> tuple[Registry, int] | Unavailable:
+    async def read(self, data_centre: str) -> Seen | Unavailable:
         """Read a registry and its version; an empty one when it doesn't exist."""
         outcome = await self._platform.read(_key(data_centre))
         if isinstance(outcome, Found):
-            return decode_registry(outcome.value), outcome.version
+            return Seen(decode_registry(outcome.value), outcome.version)
         if isinstance(outcome, Missing):
-            return Registry(), CREATE
+            return Seen(Registry(), CREATE)
         return outcome
 
     async def register(
@@ -73,7 +100,7 @@
         registration: str,
         at_least: int,
         last: int = 0,
-    ) -> Holder | Superseded | Failure:
+    ) -> Registered | Superseded | Failure:
         """Begin a life; see `registries.register`.
 
         Args:
@@ -93,27 +120,28 @@
         outcome = await self.change(data_centre, change)
         if isinstance(outcome, Failure):
             return outcome
-        return outcome.find(name, registration) or Superseded()
+        holder = outcome.registry.find(name, registration)
+        return Registered(holder, outcome) if holder else Superseded()
 
-    async def fence(self, data_centre: str, holder: Holder) -> Registry | Failure:
+    async def fence(self, data_centre: str, holder: Holder) -> Seen | Failure:
         """Mark a life as fenced."""
         return await self.change(data_centre, lambda item: fence(item, holder))
 
-    async def close(self, data_centre: str, holder: Holder) -> Registry | Failure:
+    async def close(self, data_centre: str, holder: Holder) -> Seen | Failure:
         """Mark a life as closed in order."""
         return await self.change(data_centre, lambda item: close(item, holder))
 
-    async def reclaim(self, data_centre: str, holder: Holder) -> Registry | Failure:
+    async def reclaim(self, data_centre: str, holder: Holder) -> Seen | Failure:
         """Note that a fenced life is reclaimed."""
         return await self.change(data_centre, lambda item: reclaim(item, holder))
 
     async def change(
         self, data_centre: str, function: Callable[[Registry], Registry]
-    ) -> Registry | Failure:
+    ) -> Seen | Failure:
         """Apply an idempotent change by conditional write.
 
         Returns:
-            The registry with the change in it; `Unavailable` when it certainly had
+            What stands with the change in it; `Unavailable` when it certainly had
             no effect, `Unknown` when it may have had one or may yet.
         """
         unknown: Unknown | None = None
@@ -121,15 +149,14 @@
             seen = await self.read(data_centre)
             if isinstance(seen, Unavailable):
                 return unknown or seen
-            registry, version = seen
-            changed = function(registry)
-            if changed == registry:
-                return registry
+            changed = function(seen.registry)
+            if changed == seen.registry:
+                return seen
             outcome = await self._platform.write(
-                _key(data_centre), encode_registry(changed), version
+                _key(data_centre), encode_registry(changed), seen.version
             )
             if isinstance(outcome, Written):
-                return changed
+                return Seen(changed, outcome.version)
             if isinstance(outcome, Unavailable):
                 return unknown or outcome
             if isinstance(outcome, Unknown):
--- a/knapweedrail/registries.py
+++ b/knapweedrail/registries.py
@@ -116,6 +116,10 @@
         )
         return (*earlier, *self._latest(HolderState.FENCED))
 
+    def open(self) -> tuple[Holder, ...]:
+        """Return the lives that may still hold something: live and fenced ones."""
+        return (*self.live(), *self.fenced())
+
     def find(self, name: str, registration: str) -> Holder | None:
         """Return the life that this registration produced, if it is the latest."""
         entry = self.entries.get(name)
--- a/knapweedrail/tests/test_members.py
+++ b/knapweedrail/tests/test_members.py
@@ -193,9 +193,9 @@
         router = Router(platform, "r1")
         async with running(router):
             await until(lambda: router.task.registered)
-            registry, _ = await Registrar(platform, random.Random(1)).read("split-a")
+            seen = await Registrar(platform, random.Random(1)).read("split-a")
             assert router.task.holder.incarnation == 1
-            assert registry.fenced() == ()
+            assert seen.registry.fenced() == ()
 
     anyio.run(check)
 
