--- a/knapweedrail/followers.py
+++ b/knapweedrail/answers.py
@@ -16,7 +16,7 @@
 the second may meet the same fault; a third that brings nothing means that the router
 is gone, and its caller waits no longer."""
 
-STEP = "followers.follow"
+STEP = "answers.follow"
 
 
 @dataclass(frozen=True)
