--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -20,6 +20,13 @@
     TASK_FAILED = (104, "a task ended with an unexpected error")
     PLATFORM_AWAY = (201, "a call to the platform failed")
     PLATFORM_BACK = (202, "the platform answers again")
+    HOLDER_FENCED = (301, "this router finds itself fenced and takes no new requests")
+    HOLDER_RECOVERED = (
+        302,
+        "a fence round has ended; `waits_for` names silent routers",
+    )
+    RESERVATION_EXCEEDED = (303, "a request used more tokens than it had reserved")
+    BILL_STANDS = (304, "a request was billed before; its tokens stay unbilled")
 
     @property
     def number(self) -> int:
--- /dev/null
+++ b/knapweedrail/ledgers.py
@@ -0,0 +1,254 @@
+"""The ledger of one shard of budgets: its data, its sums and its encoding."""
+
+from __future__ import annotations
+
+import hashlib
+
+import attrs
+import orjson
+
+from .budget_messages import Claim, ClaimMade, ClaimStands
+from .entries import BillStands, Denied, Done, Granted, Outcome
+from .models import Bill
+
+OPEN = "open"
+"""Holder state: it may write anything."""
+
+FENCED = "fenced"
+"""Holder state: its fence round has ended; its reserve is back in the budget."""
+
+FORMAT = 1
+"""Number of the encoding; a reader refuses any other."""
+
+
+@attrs.frozen
+class Share:
+    """What one holder has of one budget, as recorded; its totals only rise.
+
+    Attributes:
+        allowance: Tokens granted to spend.
+        reserve: Tokens granted to hold for neighbours.
+        returned: Allowance given back.
+        reserve_returned: Reserve given back or reclaimed.
+        handed: Reserve handed over to neighbours.
+        spent: Tokens used.
+        demand: Demand last reported, tokens a second.
+        want: Tokens that requests wait for and the budget couldn't give.
+        received: Tokens received from each neighbour, by holder.
+    """
+
+    allowance: int = 0
+    reserve: int = 0
+    returned: int = 0
+    reserve_returned: int = 0
+    handed: int = 0
+    spent: int = 0
+    demand: int = 0
+    want: int = 0
+    received: dict[str, int] = attrs.field(factory=dict)
+
+    @property
+    def outstanding(self) -> int:
+        """Tokens that have left the budget through this share and not come back."""
+        return self.allowance + self.reserve - self.returned - self.reserve_returned
+
+    @property
+    def unspent_allowance(self) -> int:
+        """Allowance that the holder may still spend, by its last report."""
+        received = sum(self.received.values())
+        return self.allowance + received - self.returned - self.spent
+
+    @property
+    def unspent_reserve(self) -> int:
+        """Reserve that the holder may still hand over, by its last report."""
+        return self.reserve - self.reserve_returned - self.handed
+
+    @property
+    def unspent(self) -> int:
+        """All tokens that this holder may still have."""
+        return max(0, self.unspent_allowance) + max(0, self.unspent_reserve)
+
+
+@attrs.frozen
+class BudgetRecord:
+    """One budget.
+
+    Attributes:
+        limit: Opening tokens and top-ups.
+        opened: Whether the opening tokens are in the limit.
+        top_ups: Tokens of each top-up, by identity.
+        shares: Shares of holders that aren't closed, and of closed ones whose
+            hand-overs may have been lost on the way.
+        gone_outstanding: Sum of `Share.outstanding` over the dropped shares.
+        gone_spent: Tokens used by holders whose shares were dropped.
+        gone_received: Tokens that dropped shares received, by sender.
+        billed: Tokens billed.
+    """
+
+    limit: int = 0
+    opened: bool = False
+    top_ups: dict[str, int] = attrs.field(factory=dict)
+    shares: dict[str, Share] = attrs.field(factory=dict)
+    gone_outstanding: int = 0
+    gone_spent: int = 0
+    gone_received: dict[str, int] = attrs.field(factory=dict)
+    billed: int = 0
+
+    @property
+    def available(self) -> int:
+        """Tokens that are in nobody's hands."""
+        held = sum(share.outstanding for share in self.shares.values())
+        return self.limit - self.gone_outstanding - held
+
+    @property
+    def spent(self) -> int:
+        """Tokens used, as far as recorded."""
+        return self.gone_spent + sum(share.spent for share in self.shares.values())
+
+    @property
+    def left(self) -> int:
+        """Tokens not recorded as used, wherever they are."""
+        return self.limit - self.spent
+
+
+@attrs.frozen
+class HolderRecord:
+    """A holder that has written to this ledger and isn't closed.
+
+    Attributes:
+        number: Number of its last batch.
+        data_centre: Where it stands.
+        state: `OPEN` or `FENCED`.
+        outcomes: Outcomes of its last batch, for a writer that lost the answer.
+    """
+
+    number: int = 0
+    data_centre: str = ""
+    state: str = OPEN
+    outcomes: tuple[Outcome, ...] = ()
+
+
+@attrs.frozen
+class Ledger:
+    """All that one shard records.
+
+    Attributes:
+        budgets: Budgets by name.
+        holders: Holders that aren't closed.
+        ended: Holders that were released, or fenced with nothing in their hands.
+        bills: Tokens of recent bills, by account and identity.
+        claims: Recent claims, by account and identity.
+        pages: Pages of older bills and claims that were moved out.
+    """
+
+    budgets: dict[str, BudgetRecord] = attrs.field(factory=dict)
+    holders: dict[str, HolderRecord] = attrs.field(factory=dict)
+    ended: tuple[str, ...] = ()
+    bills: dict[str, Bill] = attrs.field(factory=dict)
+    claims: dict[str, Claim] = attrs.field(factory=dict)
+    pages: int = 0
+
+
+def find_shard(name: str, shards: int) -> int:
+    """Return the shard of a budget's or an account's name; the same everywhere."""
+    digest = hashlib.blake2b(name.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") % shards
+
+
+def name_request(account: str, identity: str) -> str:
+    """Return the key of a request identity within bills and claims."""
+    return f"{account}:{identity}"
+
+
+def encode_ledger(ledger: Ledger) -> bytes:
+    """Encode a ledger; rows instead of keys keep it small."""
+    content = {
+        "format": FORMAT,
+        "budgets": ledger.budgets,
+        "holders": {
+            name: [
+                record.number,
+                record.data_centre,
+                record.state,
+                [_encode_outcome(outcome) for outcome in record.outcomes],
+            ]
+            for name, record in ledger.holders.items()
+        },
+        "ended": ledger.ended,
+        "bills": ledger.bills,
+        "claims": {key: encode_claim(claim) for key, claim in ledger.claims.items()},
+        "pages": ledger.pages,
+    }
+    return orjson.dumps(content, default=_make_row)
+
+
+def decode_ledger(value: bytes) -> Ledger:
+    """Decode what `encode_ledger` wrote.
+
+    Raises:
+        ValueError: If the format number is another one.
+    """
+    content = orjson.loads(value)
+    if content["format"] != FORMAT:
+        raise ValueError(f"ledger of format {content['format']}, not {FORMAT}")
+    claims = {key: decode_claim(row) for key, row in content["claims"].items()}
+    return Ledger(
+        {name: _decode_budget(row) for name, row in content["budgets"].items()},
+        {name: _decode_holder(row, claims) for name, row in content["holders"].items()},
+        tuple(content["ended"]),
+        {key: Bill(*row) for key, row in content["bills"].items()},
+        claims,
+        content["pages"],
+    )
+
+
+def encode_claim(claim: Claim) -> list:
+    """Return a claim as a row; the body as text that keeps every byte."""
+    row = list(_make_row(claim))
+    if claim.body is not None:
+        row[-1] = claim.body.decode("latin-1")
+    return row
+
+
+def decode_claim(row: list) -> Claim:
+    """Return the claim of a row."""
+    body = row[-1]
+    return Claim(*row[:-1], body=None if body is None else body.encode("latin-1"))
+
+
+def _make_row(value: object) -> tuple:
+    return attrs.astuple(value, recurse=False)
+
+
+def _decode_budget(row: list) -> BudgetRecord:
+    record = BudgetRecord(*row)
+    shares = {name: Share(*share) for name, share in record.shares.items()}
+    return attrs.evolve(record, shares=shares)
+
+
+def _decode_holder(row: list, claims: dict[str, Claim]) -> HolderRecord:
+    number, data_centre, state, outcomes = row
+    decoded = tuple(_decode_outcome(outcome, claims) for outcome in outcomes)
+    return HolderRecord(number, data_centre, state, decoded)
+
+
+def _encode_outcome(outcome: Outcome) -> list:
+    if isinstance(outcome, ClaimStands):
+        claim = outcome.claim
+        # The claim stands in the same ledger or on a page: its answer isn't
+        # written a second time.
+        return ["ClaimStands", *encode_claim(attrs.evolve(claim, body=None))]
+    return [type(outcome).__name__, *_make_row(outcome)]
+
+
+def _decode_outcome(row: list, claims: dict[str, Claim]) -> Outcome:
+    kind, *values = row
+    if kind == "ClaimStands":
+        claim = decode_claim(values)
+        key = name_request(claim.account, claim.identity)
+        return ClaimStands(claims.get(key, claim))
+    return _OUTCOMES[kind](*values)
+
+
+_OUTCOMES = {kind.__name__: kind for kind in (Done, Granted, Denied, BillStands)}
+_OUTCOMES["ClaimMade"] = ClaimMade
