Cut single links, and start whole fleets of real processes

Cause: several routers reach one runner at one address, so a proxy that only knows ports can't cut one data centre off from it. Ruled out: an address of its own for each pair (the configuration holds one address for a runner, and a router advertises one address to all peers). Change: the proxy finds in the kernel's table of sockets whose process is at the other end, and judges links by source and route; a Fleet starts stand-ins, proxy and routers with generated settings; callers retry under one identity; a judge compares what they got with what runners counted. Conclusion: the Fleet and the judge wait for the router and are not yet run.

--- a/knapweedrail/standins/proxy.py
+++ b/knapweedrail/standins/proxy.py
@@ -18,6 +18,7 @@
 from starlette.routing import Route as HttpRoute
 
 from .serving import LOCALHOST, build_parser, serve_app
+from .sources import Sources
 
 CHUNK_BYTES = 65_536
 
@@ -27,13 +28,19 @@
 RESET = struct.pack("ii", 1, 0)
 """Linger option that makes `close` send a reset, which loses unsent bytes."""
 
+ANYONE = "*"
+"""Source of a fault that meets every process's connections."""
+
+GONE = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
+
 
 class Mode(enum.Enum):
-    """What becomes of a route's connections and bytes.
+    """What becomes of a link's connections and bytes.
 
     `HOLD_UP` and `HOLD_DOWN` hold one way (from, or to, the one who connects) and
-    `HOLD` both; held bytes arrive late, when the route passes again, as bytes do
-    that TCP repeats. `CUT` resets what is open and refuses new connections.
+    `HOLD` both; held bytes arrive late, when the link passes again, as bytes do
+    that TCP repeats. `CUT` resets what is open; new connections are refused when
+    it meets anyone, and reset at once when it meets single sources.
     """
 
     PASS = "pass"
@@ -47,11 +54,23 @@
 HOLDING_DOWN = (Mode.HOLD, Mode.HOLD_DOWN)
 
 
+@attrs.frozen
+class Fault:
+    """State of one link; ``delay`` in seconds for each piece of data."""
+
+    mode: Mode = Mode.PASS
+    delay: float = 0.0
+
+
+PASSING = Fault()
+
+
 @attrs.define(eq=False)
 class Connection:
     """One forwarded connection; a frozen one stays silent for good."""
 
     near: anyio.abc.SocketStream
+    source: str
     scope: anyio.CancelScope
     frozen: bool = False
     complete: bool = False
@@ -64,20 +83,26 @@
     cut: connections are refused, and no other process is given the port.
     """
 
-    def __init__(self, name: str, target: str, group: anyio.abc.TaskGroup) -> None:
+    def __init__(
+        self, name: str, target: str, sources: Sources, group: anyio.abc.TaskGroup
+    ) -> None:
         self.name = name
         self.target = target
-        self.mode = Mode.PASS
-        self.delay = 0.0
+        self.connections: set[Connection] = set()
+        self._sources = sources
         self._group = group
+        self._faults: dict[str, Fault] = {}
         self._changed = anyio.Event()
-        self._connections: set[Connection] = set()
         self._listening: anyio.CancelScope | None = None
         self._closed = anyio.Event()
-        self._holder = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._holder.bind((LOCALHOST, 0))
-        self.port = self._holder.getsockname()[1]
+        self._port_keeper = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._port_keeper.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._port_keeper.bind((LOCALHOST, 0))
+        self.port = self._port_keeper.getsockname()[1]
+
+    def get_fault(self, source: str) -> Fault:
+        """Return the fault that a source meets."""
+        return self._faults.get(source) or self._faults.get(ANYONE, PASSING)
 
     async def listen(self) -> None:
         """Open the listening socket and accept in the background."""
@@ -88,30 +113,33 @@
         self._closed = anyio.Event()
         self._group.start_soon(self._accept, listener, self._listening)
 
-    async def set(self, mode: Mode, delay: float) -> None:
-        """Change what becomes of connections, open ones and new ones."""
-        previous, self.mode, self.delay = self.mode, mode, delay
-        if mode is Mode.CUT:
-            if previous is not Mode.CUT:
-                self._listening.cancel()
-                await self._closed.wait()
-            await self.reset()
-        elif previous is Mode.CUT:
+    async def set_fault(self, source: str, fault: Fault) -> None:
+        """Change what a source meets; `ANYONE` replaces all that was set."""
+        refused = self.get_fault(ANYONE).mode is Mode.CUT
+        if source == ANYONE:
+            self._faults.clear()
+        self._faults[source] = fault
+        refuses = self.get_fault(ANYONE).mode is Mode.CUT
+        if refuses and not refused:
+            self._listening.cancel()
+            await self._closed.wait()
+        if refused and not refuses:
             await self.listen()
+        if fault.mode is Mode.CUT:
+            await self.reset(source)
         self._changed.set()
         self._changed = anyio.Event()
 
-    def freeze(self) -> None:
-        """Silence the connections open now, for good; new ones work."""
-        for connection in self._connections:
-            connection.frozen = True
+    def list_connections(self, source: str) -> set[Connection]:
+        """Return the open connections of a source."""
+        return {c for c in self.connections if source in (ANYONE, c.source)}
 
-    async def reset(self) -> None:
+    async def reset(self, source: str) -> None:
         """Reset the connections open now, and wait until that is done."""
-        resetting = set(self._connections)
+        resetting = self.list_connections(source)
         for connection in resetting:
             connection.scope.cancel()
-        while resetting & self._connections:
+        while resetting & self.connections:
             await anyio.sleep(CHECK_SECONDS)
 
     async def _accept(
@@ -123,22 +151,25 @@
         self._closed.set()
 
     async def _forward(self, near: anyio.abc.SocketStream) -> None:
-        connection = Connection(near, anyio.CancelScope())
-        self._connections.add(connection)
+        far_port = near.extra(anyio.abc.SocketAttribute.remote_port, 0)
+        source = self._sources.find(far_port, self.port)
+        connection = Connection(near, source, anyio.CancelScope())
+        self.connections.add(connection)
         try:
             with connection.scope:
                 await self._connect(connection)
-        except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+        except GONE:
             pass  # Either end has gone; the reset below tells the other.
         except BaseExceptionGroup as group:
-            gone = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
-            if group.split(gone)[1] is not None:
+            if group.split(GONE)[1] is not None:
                 raise
         finally:
             await _close(near, connection.complete)
-            self._connections.discard(connection)
+            self.connections.discard(connection)
 
     async def _connect(self, connection: Connection) -> None:
+        if self.get_fault(connection.source).mode is Mode.CUT:
+            return
         host, _, port = self.target.rpartition(":")
         await self._pass_gate(connection, HOLDING_UP)
         far = await anyio.connect_tcp(host, int(port))
@@ -154,30 +185,31 @@
     async def _pump(
         self,
         connection: Connection,
-        source: anyio.abc.SocketStream,
-        sink: anyio.abc.SocketStream,
+        origin: anyio.abc.SocketStream,
+        target: anyio.abc.SocketStream,
         holding: tuple[Mode, ...],
     ) -> None:
         while True:
             try:
-                data = await source.receive(CHUNK_BYTES)
+                data = await origin.receive(CHUNK_BYTES)
             except anyio.EndOfStream:
                 data = b""
             await self._pass_gate(connection, holding)
-            if self.delay:
-                await anyio.sleep(self.delay)
             if not data:
-                await sink.send_eof()
+                await target.send_eof()
                 return
-            await sink.send(data)
+            await target.send(data)
 
     async def _pass_gate(
         self, connection: Connection, holding: tuple[Mode, ...]
     ) -> None:
-        """Wait while the route holds this direction."""
+        """Wait for the delay, and while the link holds this direction."""
         if connection.frozen:
             await anyio.sleep_forever()
-        while self.mode in holding:
+        delay = self.get_fault(connection.source).delay
+        if delay:
+            await anyio.sleep(delay)
+        while self.get_fault(connection.source).mode in holding:
             await self._changed.wait()
 
 
@@ -202,6 +234,7 @@
 
     def __init__(self) -> None:
         self.routes: dict[str, Route] = {}
+        self.sources = Sources()
         self._group: anyio.abc.TaskGroup | None = None
 
     async def serve(self, port: int) -> None:
@@ -209,6 +242,7 @@
         app = Starlette(
             routes=[
                 HttpRoute("/routes", self._add_route, methods=["POST"]),
+                HttpRoute("/sources", self._add_sources, methods=["POST"]),
                 HttpRoute("/faults", self._set_faults, methods=["POST"]),
             ]
         )
@@ -220,23 +254,30 @@
         body = await request.json()
         route = self.routes.get(body["name"])
         if route is None:
-            route = Route(body["name"], body["target"], self._group)
+            route = Route(body["name"], body["target"], self.sources, self._group)
             await route.listen()
             self.routes[route.name] = route
         route.target = body["target"]
         return JSONResponse({"port": route.port})
 
+    async def _add_sources(self, request: Request) -> Response:
+        """Take names of processes with their ids."""
+        for name, process in (await request.json()).items():
+            self.sources.set(name, process)
+        return Response()
+
     async def _set_faults(self, request: Request) -> Response:
-        """Set the mode and delay of routes; freeze or reset what is open."""
+        """Set mode and delay of links; freeze or reset what is open on them."""
         body = await request.json()
-        mode = Mode(body.get("mode", Mode.PASS.value))
+        fault = Fault(Mode(body.get("mode", Mode.PASS.value)), body.get("delay", 0.0))
         for name in body["routes"]:
             route = self.routes[name]
-            await route.set(mode, body.get("delay", 0.0))
-            if body.get("freeze"):
-                route.freeze()
-            if body.get("reset"):
-                await route.reset()
+            for source in body.get("sources", [ANYONE]):
+                await route.set_fault(source, fault)
+                for connection in route.list_connections(source):
+                    connection.frozen |= body.get("freeze", False)
+                if body.get("reset"):
+                    await route.reset(source)
         return Response()
 
 
--- a/knapweedrail/standins/serving.py
+++ b/knapweedrail/standins/serving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import json
 import os
 import socket
 from collections import Counter
@@ -119,6 +120,20 @@
         }
 
 
+def read_counts_file(path: str | os.PathLike) -> dict[str, dict[str, int]]:
+    """Add up the counts that a stand-in appended, over all its lives."""
+    counts: dict[str, dict[str, int]] = {}
+    if not os.path.exists(path):
+        return counts
+    with open(path, encoding="utf-8") as file:
+        for line in file:
+            entry = json.loads(line)
+            place = counts.setdefault(entry["identity"], {"runs": 0, "tokens": 0})
+            place["runs"] += entry["runs"]
+            place["tokens"] += entry["tokens"]
+    return counts
+
+
 def update_faults(faults: object, changes: dict[str, Any]) -> None:
     """Set the attributes of ``faults`` that ``changes`` names.
 
--- a/knapweedrail/tests/support.py
+++ b/knapweedrail/tests/support.py
@@ -1,154 +1,283 @@
-"""Real processes for tests: start, kill, freeze; faults and counts of stand-ins."""
+"""Callers that retry under the same identity, and the judge of what they got."""
 
 from __future__ import annotations
 
 import json
-import os
-import signal
-import subprocess
-import sys
-import time
-from collections.abc import Callable
+from collections import defaultdict
+from collections.abc import Sequence
 from typing import Any
 
+import anyio
+import attrs
 import httpx
 
-READY_SECONDS = 20.0
-"""Longest start of a process on a busy machine; a test fails after it."""
+from ..standins.fleet import ENGINE_ROUTE, SERVICE_ROUTE, Fleet, Router, make_key
+from ..standins.generation import make_token
 
-CONDITION_SECONDS = 20.0
-"""Longest wait for a condition; a test fails after it."""
+SILENCE_SECONDS = 15.0
+"""Longest silence that a caller bears before it gives an attempt up."""
 
-POLL_SECONDS = 0.02
+RETRY_SECONDS = 0.2
+"""Longest pause of a caller before its next attempt, whatever it is told."""
 
-STANDINS = "knapweedrail.standins"
+NOT_RUN = "not run"
 
 
-class Process:
-    """One process of a test: started, signalled and ended by its own id.
+@attrs.frozen
+class Attempt:
+    """One attempt of a caller.
 
-    Args:
-        module: The module to run.
-        options: Command-line options.
+    Attributes:
+        router: Name of the router asked.
+        status: HTTP status; 0 when there was none.
+        text: What arrived of the answer.
+        whole: Whether the answer ended with its end mark.
+        problem: The refusal, if it was one.
+        usage: The answer's usage, if it was told.
+        error: What broke, if something did.
     """
 
-    def __init__(self, module: str, *options: str) -> None:
-        self.command = [sys.executable, "-m", module, *options]
-        self.ports: dict[str, int] = {}
-        self._child: subprocess.Popen | None = None
-
-    def start(self) -> None:
-        """Start without waiting; `wait_ready` waits."""
-        self._child = subprocess.Popen(self.command, stdout=subprocess.PIPE)
-
-    def wait_ready(self) -> None:
-        """Read the line in which the process tells its ports."""
-        line = self._child.stdout.readline()
-        if not line:
-            raise RuntimeError(f"{self.command} ended with {self._child.wait()}")
-        self.ports = json.loads(line)
+    router: str
+    status: int = 0
+    text: str = ""
+    whole: bool = False
+    problem: dict[str, Any] | None = None
+    usage: dict[str, int] | None = None
+    error: str = ""
 
-    def signal(self, number: int) -> None:
-        """Send a signal to this process."""
-        self._child.send_signal(number)
 
-    def kill(self) -> None:
-        """End the process at once, as a lost host does."""
-        self._child.kill()
-        self._child.wait()
+@attrs.define
+class Call:
+    """A request by its identity, with all its attempts."""
 
-    def freeze(self) -> None:
-        """Stop the process without its noticing, until `resume`."""
-        self.signal(signal.SIGSTOP)
+    account: str
+    identity: str
+    kind: str
+    attempts: list[Attempt] = attrs.field(factory=list)
 
-    def resume(self) -> None:
-        """Let a frozen process go on."""
-        self.signal(signal.SIGCONT)
-
-    def is_running(self) -> bool:
-        """Say whether the process hasn't ended."""
-        return self._child is not None and self._child.poll() is None
+    @property
+    def full_identity(self) -> str:
+        """The identity under which runners count."""
+        return f"{self.account}:{self.identity}"
 
-    def wait(self, seconds: float = READY_SECONDS) -> int:
-        """Wait for the end and return the exit code."""
-        return self._child.wait(seconds)
+    @property
+    def last(self) -> Attempt:
+        """The last attempt."""
+        return self.attempts[-1]
 
-    def close(self) -> None:
-        """End the process if it still runs."""
-        if self._child is None:
-            return
-        if self.is_running():
-            self.kill()
-        self._child.stdout.close()
+    @property
+    def answered(self) -> bool:
+        """Whether the caller has its whole answer."""
+        return self.last.whole
 
 
-class Standin(Process):
-    """A stand-in, with its faults and counts over HTTP.
+class Callers:
+    """Sends requests and keeps every call for the judge.
 
     Args:
-        name: Module of the stand-in.
-        options: Further command-line options.
+        fleet: The fleet to call.
+        tries: Attempts of one call, each at the next router in turn.
     """
 
-    def __init__(self, name: str, *options: str) -> None:
-        super().__init__(f"{STANDINS}.{name}", *options)
+    def __init__(self, fleet: Fleet, tries: int = 8) -> None:
+        self.fleet = fleet
+        self.tries = tries
+        self.calls: list[Call] = []
+
+    async def chat(
+        self,
+        identity: str,
+        prompt: str = "when do we travel",
+        account: str = "desk",
+        routers: Sequence[str] = (),
+        **options: Any,
+    ) -> Call:
+        """Ask the engine's route for a streamed answer, with retries."""
+        message = {"role": "user", "content": prompt}
+        body = {"model": ENGINE_ROUTE, "messages": [message], "stream": True}
+        call = Call(account, identity, "chat")
+        await self._retry(call, routers, "/v1/chat/completions", body | options)
+        return call
+
+    async def book(
+        self,
+        identity: str,
+        account: str = "desk",
+        routers: Sequence[str] = (),
+    ) -> Call:
+        """Confirm a slot, which must run at most once, with retries."""
+        call = Call(account, identity, "book")
+        path = f"/services/{SERVICE_ROUTE}/slots/{identity}"
+        await self._retry(call, routers, path, {"slot": identity})
+        return call
+
+    async def _retry(
+        self, call: Call, routers: Sequence[str], path: str, body: dict
+    ) -> None:
+        self.calls.append(call)
+        names = list(routers or self.fleet.routers)
+        start = hash_name(call.identity) % len(names)
+        for index in range(self.tries):
+            router = self.fleet.routers[names[(start + index) % len(names)]]
+            call.attempts.append(await self._attempt(call, router, path, body))
+            if call.answered or _is_final(call.last):
+                return
+            await anyio.sleep(_get_pause(call.last))
+
+    async def _attempt(
+        self, call: Call, router: Router, path: str, body: dict
+    ) -> Attempt:
+        headers = {
+            "Authorization": f"Bearer {make_key(call.account)}",
+            "Idempotency-Key": call.identity,
+        }
+        if call.kind == "book":
+            headers["X-Not-Repeatable"] = "true"
+        reading = Reading(router.name)
+        try:
+            async with httpx.AsyncClient(timeout=SILENCE_SECONDS) as client:
+                url = router.url + path
+                async with client.stream(
+                    "POST", url, json=body, headers=headers
+                ) as response:
+                    await reading.read(response, call.kind)
+        except (httpx.HTTPError, KeyError) as error:
+            reading.error = repr(error)
+        return reading.finish()
+
+
+class Reading:
+    """What one attempt has read so far; a broken one keeps what arrived."""
+
+    def __init__(self, router: str) -> None:
+        self.router = router
+        self.status = 0
+        self.text = ""
+        self.whole = False
+        self.problem: dict[str, Any] | None = None
+        self.usage: dict[str, int] | None = None
+        self.error = ""
+
+    async def read(self, response: httpx.Response, kind: str) -> None:
+        """Read an answer or a refusal."""
+        self.status = response.status_code
+        if "problem" in response.headers.get("Content-Type", ""):
+            self.problem = json.loads(await response.aread())
+        elif kind == "chat" and self.status == 200:
+            await self._read_events(response)
+        else:
+            self.text = (await response.aread()).decode()
+            self.whole = self.status == 200
+
+    async def _read_events(self, response: httpx.Response) -> None:
+        event = ""
+        async for line in response.aiter_lines():
+            name, _, value = line.partition(": ")
+            if name == "event":
+                event = value
+            elif name == "data" and event == "error":
+                self.problem = json.loads(value)
+            elif line == "data: [DONE]":
+                self.whole = True
+            elif name == "data":
+                self._read_chunk(json.loads(value))
+
+    def _read_chunk(self, chunk: dict[str, Any]) -> None:
+        for choice in chunk["choices"]:
+            self.text += choice["delta"].get("content") or ""
+        self.usage = chunk.get("usage") or self.usage
+
+    def finish(self) -> Attempt:
+        """Return the attempt."""
+        return Attempt(**vars(self))
+
+
+def hash_name(name: str) -> int:
+    """Return a number for a name, the same in every run."""
+    return sum((index + 1) * ord(letter) for index, letter in enumerate(name))
+
+
+def _is_final(attempt: Attempt) -> bool:
+    """Say whether coming back can't help."""
+    problem = attempt.problem
+    return problem is not None and problem.get("retry_after_seconds") is None
+
+
+def _get_pause(attempt: Attempt) -> float:
+    told = (attempt.problem or {}).get("retry_after_seconds") or RETRY_SECONDS
+    return min(told, RETRY_SECONDS)
+
+
+def make_answer(call: Call, tokens: int) -> str:
+    """Return the only right answer of this length to a call."""
+    return "".join(make_token(call.full_identity, index) for index in range(tokens))
+
+
+def check_outcomes(
+    callers: Callers, topped_up: dict[str, int] | None = None
+) -> list[str]:
+    """Compare what callers got with what runners counted.
 
-    @property
-    def address(self) -> str:
-        """The stand-in's ``host:port``."""
-        return f"127.0.0.1:{self.ports['port']}"
-
-    def post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
-        """Post a control message, past every proxy."""
-        response = httpx.post(f"http://{self.address}{path}", json=body)
-        response.raise_for_status()
-        return response.json() if response.content else {}
-
-    def get(self, path: str) -> dict[str, Any]:
-        """Read a control page, past every proxy."""
-        response = httpx.get(f"http://{self.address}{path}")
-        response.raise_for_status()
-        return response.json()
-
-    def set_faults(self, **faults: Any) -> None:
-        """Change what goes wrong."""
-        self.post("/faults", faults)
-
-
-def start_all(processes: list[Process]) -> None:
-    """Start processes side by side and wait until all are ready."""
-    for process in processes:
-        process.start()
-    for process in processes:
-        process.wait_ready()
-
-
-def wait_for(
-    condition: Callable[[], Any], what: str, seconds: float = CONDITION_SECONDS
-) -> Any:
-    """Wait until ``condition`` gives something true, and return that.
-
-    Raises:
-        AssertionError: If it gives nothing true in time.
+    Args:
+        callers: The callers, with all calls.
+        topped_up: Tokens topped up by account, beyond the opening ones.
+
+    Returns:
+        What is wrong, one sentence each; empty when all is right.
     """
-    end = time.monotonic() + seconds
-    while time.monotonic() < end:
-        value = condition()
-        if value:
-            return value
-        time.sleep(POLL_SECONDS)
-    raise AssertionError(f"waited {seconds} s in vain for {what}")
-
-
-def read_counts_file(path: str | os.PathLike) -> dict[str, dict[str, int]]:
-    """Add up the counts that a stand-in appended, over all its lives."""
-    counts: dict[str, dict[str, int]] = {}
-    if not os.path.exists(path):
-        return counts
-    with open(path, encoding="utf-8") as file:
-        for line in file:
-            entry = json.loads(line)
-            place = counts.setdefault(entry["identity"], {"runs": 0, "tokens": 0})
-            place["runs"] += entry["runs"]
-            place["tokens"] += entry["tokens"]
-    return counts
+    counts = callers.fleet.read_counts()
+    faults = _check_spend(callers.fleet, counts, topped_up or {})
+    for call in callers.calls:
+        runs = counts.get(call.full_identity, {"runs": 0})["runs"]
+        faults += _check_answers(call)
+        if call.kind == "book" and runs > 1:
+            faults.append(f"{call.full_identity} ran {runs} times")
+        if runs and _is_not_run(call):
+            faults.append(f"{call.full_identity} ran, and was told as not run")
+        if call.answered and not runs:
+            faults.append(f"{call.full_identity} was answered without a run")
+    return faults
+
+
+def _check_spend(
+    fleet: Fleet, counts: dict[str, dict[str, int]], topped_up: dict[str, int]
+) -> list[str]:
+    spent: dict[str, int] = defaultdict(int)
+    for identity, count in counts.items():
+        spent[identity.partition(":")[0]] += count["tokens"]
+    faults = []
+    for account, tokens in spent.items():
+        limit = fleet.budgets.get(account, 0) + topped_up.get(account, 0)
+        if tokens > limit:
+            faults.append(f"{account} spent {tokens} tokens of {limit}")
+    return faults
+
+
+def _check_answers(call: Call) -> list[str]:
+    faults = []
+    for attempt in call.attempts:
+        if call.kind == "book":
+            right = not attempt.whole or call.full_identity in attempt.text
+        else:
+            right = _is_own_answer(call, attempt)
+        if not right:
+            name = call.full_identity
+            faults.append(f"{name} got {attempt.text!r} (whole: {attempt.whole})")
+    return faults
+
+
+def _is_own_answer(call: Call, attempt: Attempt) -> bool:
+    """Say whether the text is the call's own answer, or the start of it."""
+    received = attempt.text.count(" ")
+    if attempt.text != make_answer(call, received):
+        return False
+    if not attempt.whole:
+        return True
+    return attempt.usage is not None and (
+        attempt.usage["completion_tokens"] == received
+    )
+
+
+def _is_not_run(call: Call) -> bool:
+    """Say whether every attempt was told that it didn't run."""
+    return all((a.problem or {}).get("ran") == NOT_RUN for a in call.attempts)
--- a/knapweedrail/tests/test_standins.py
+++ b/knapweedrail/tests/test_standins.py
@@ -1,5 +1,6 @@
 """Tests of the stand-ins: the faults on which other tests rely do happen."""
 
+import os
 import socket
 
 import anyio
@@ -9,7 +10,8 @@
 from ..outcomes import Conflict, Found, Missing, Unavailable, Unknown, Written
 from ..platforms import CREATE, HttpPlatform
 from ..standins.generation import make_token
-from .support import Standin, read_counts_file, start_all, wait_for
+from ..standins.processes import Standin, start_all, wait_for
+from ..standins.serving import read_counts_file
 
 CHAT = "/v1/chat/completions"
 
@@ -203,6 +205,18 @@
         assert caller.recv(100).startswith(b"HTTP/1.1 200")
 
 
+def test_a_link_is_held_for_one_source_alone(standins):
+    """One process can't reach a runner that others go on reaching."""
+    proxy = standins["proxy"]
+    url = add_route(proxy, "single", standins["booking"])
+    proxy.post("/sources", {"this": os.getpid(), "other": standins["engine"].id})
+    proxy.set_faults(routes=["single"], sources=["other"], mode="hold")
+    assert httpx.get(f"{url}/x").status_code == 200
+    proxy.set_faults(routes=["single"], sources=["this"], mode="hold")
+    with pytest.raises(httpx.ReadTimeout):
+        httpx.get(f"{url}/x", timeout=0.2)
+
+
 def test_frozen_connections_stay_silent_and_new_ones_work(standins):
     """A connection that was open goes silent for good; a new one works."""
     proxy = standins["proxy"]
