--- a/knapweedrail/outcomes.py
+++ b/knapweedrail/outcomes.py
@@ -88,6 +88,7 @@
     UNKNOWN_ROUTE = "unknown-route"
     IDENTITY_REUSED = "identity-reused"
     BUDGET_SPENT = "budget-spent"
+    BUDGET_TOO_LOW = "budget-too-low"
     BUDGET_OUT_OF_REACH = "budget-out-of-reach"
     FULL = "full"
     DEADLINE = "deadline"
