--- a/knapweedrail/endpoints.py
+++ b/knapweedrail/endpoints.py
@@ -13,6 +13,7 @@
 
 from .models import Holder
 from .outcomes import Unavailable, Unknown
+from .work import LoadReport
 
 IDENTITY_HEADER = "X-Request-Identity"
 RESUME_HEADER = "X-Resume-Offset"
@@ -148,17 +149,6 @@
     body: bytes
 
 
-@attrs.frozen
-class LoadNews:
-    """What a runner says of its load, as of ``as_of`` (Unix seconds)."""
-
-    running: int
-    queued: int
-    slots: int
-    as_of: float
-    leaving: bool
-
-
 class RunnerClient(ABC):
     """What every kind of runner answers.
 
@@ -180,11 +170,11 @@
             await self._client.aclose()
             self._client = None
 
-    async def load(self, address: str) -> LoadNews | Unavailable:
+    async def load(self, address: str) -> LoadReport | Unavailable:
         """Ask a runner for its load."""
         try:
             response = await self._client.get(f"http://{address}/load", timeout=1.0)
-            return LoadNews(**orjson.loads(response.content))
+            return LoadReport(**orjson.loads(response.content))
         except (httpx.HTTPError, TypeError, ValueError) as error:
             return Unavailable("runner.load", address, repr(error))
 
--- a/knapweedrail/schedulers.py
+++ b/knapweedrail/schedulers.py
@@ -8,11 +8,12 @@
 import anyio
 import attrs
 
-from .dispatch import Decision, Dispatcher, Ended, LoadReport, Refuse, Start, Work
-from .endpoints import LoadNews, RunnerClient
+from .dispatch import Dispatcher
+from .endpoints import RunnerClient
 from .models import Endpoint, Runner
-from .outcomes import Refusal
+from .outcomes import Refusal, Unavailable
 from .tasks import Reply, Task
+from .work import Decision, Ended, EndedKind, LoadReport, Refuse, Start, Work
 
 POLL_SECONDS = 0.5
 """Time between two load reports of a runner. A leaving runner is known to leave
@@ -142,7 +143,7 @@
             return
         # Nobody waits any more (the caller went), or the runner was removed since:
         # the place is given back, so that it isn't lost for good.
-        ended = Ended(kind="cancelled", first_token_seconds=None, seconds=0.0)
+        ended = Ended(EndedKind.CANCELLED)
         self._carry_out(
             self.dispatcher.finished(work_id, runner, ended, time.monotonic())
         )
@@ -165,21 +166,12 @@
                 # Spread, so that a fleet doesn't ask every runner at one moment.
                 await anyio.sleep(POLL_SECONDS * random.uniform(0.75, 1.25))
 
-    def _hear(self, runner: Runner, news: object) -> None:
+    def _hear(self, runner: Runner, news: LoadReport | Unavailable) -> None:
         now = time.monotonic()
-        if not isinstance(news, LoadNews):
+        if not isinstance(news, LoadReport):
             self.dispatcher.unreachable(runner.name, now)
             return
-        # Runners' clocks aren't ours: only the report's age is taken over.
-        age = max(time.time() - news.as_of, 0.0)
-        report = LoadReport(
-            running=news.running,
-            queued=news.queued,
-            slots=news.slots,
-            as_of=now - age,
-            leaving=news.leaving,
-        )
-        self.dispatcher.report(runner.name, report, now)
+        self.dispatcher.report(runner.name, news, now)
 
     async def place(self, work: Work) -> Placed | Refusal:
         """Wait until the work may start, or is refused."""
