--- a/knapweedrail/generations.py
+++ b/knapweedrail/generations.py
@@ -24,6 +24,7 @@
 from .jobs import Job
 from .models import Bill, Runner
 from .outcomes import Failure, Ran, Refusal, RefusalKind, Unavailable, Unknown
+from .schedulers import FirstByte
 from .work import Ended, EndedKind, Work
 
 RESUMES = 3
@@ -195,6 +196,7 @@
     def _take(self, attempt: Attempt, piece: Piece) -> None:
         if attempt.first is None:
             attempt.first = time.monotonic() - attempt.began
+            self.scheduler.tell(FirstByte(self.identity))
         attempt.pieces += 1
         if piece.usage is not None:
             attempt.usage = piece.usage
--- a/knapweedrail/schedulers.py
+++ b/knapweedrail/schedulers.py
@@ -53,6 +53,13 @@
     ended: Ended
 
 
+@attrs.frozen
+class FirstByte:
+    """The first byte of an answer has come."""
+
+    work_id: str
+
+
 @attrs.frozen
 class Abandon:
     """The caller of this work has gone."""
@@ -118,9 +125,12 @@
                 decisions = self.dispatcher.finished(work_id, runner, ended, now)
                 self._carry_out(decisions)
                 reply.set(None)
+            case FirstByte(work_id):
+                self.dispatcher.answering(work_id, now)
             case Abandon(work_id):
                 self._waiting.pop(work_id, None)
-                self._carry_out(self.dispatcher.cancel(work_id, now) or [])
+                self.dispatcher.cancel(work_id, now)
+                self._carry_out(self.dispatcher.tick(now))
                 reply.set(None)
             case Reconfigure(endpoint):
                 self._take_runners(endpoint)
