--- a/knapweedrail/schedulers.py
+++ b/knapweedrail/schedulers.py
@@ -67,6 +67,13 @@
     work_id: str
 
 
+@attrs.frozen
+class HearQuarantined:
+    """Other routers found that these requests fell runners."""
+
+    fingerprints: tuple[str, ...]
+
+
 @attrs.frozen
 class Reconfigure:
     """The endpoint has these runners now."""
@@ -132,6 +139,8 @@
                 self.dispatcher.cancel(work_id, now)
                 self._carry_out(self.dispatcher.tick(now))
                 reply.set(None)
+            case HearQuarantined(fingerprints):
+                self.dispatcher.hear_quarantined(list(fingerprints), now)
             case Reconfigure(endpoint):
                 self._take_runners(endpoint)
                 reply.set(None)
