Wire the whole path: a request is answered, billed and shown end to end

Cause: the parts stood apart. Ruled out: running a request inside its caller's connection; one process for control. Change: routers wires platform client, membership, configuration, budgets, endpoint pools, intake, gateway, admin console; neighbourhoods carries hand-overs, fences and texts over gRPC; FenceReply also tells what was handed over. Before: no request could be sent. The second confirmation, at another router within the flush interval, is told "unknown, may be under way" though it has run: true, but less than is known. Conclusion: the thin path stands; outcomes of claims should be written before the answer goes out.

--- a/knapweedrail/changes.py
+++ b/knapweedrail/changes.py
@@ -12,7 +12,6 @@
 
 from .configuration import digest_text, read_configuration
 from .events import Event, log_event
-from .views import Follower, Report, View, know_state
 from .models import Configuration, Holder
 from .outcomes import Found, Unavailable
 from .platforms import Changes, Platform
@@ -20,6 +19,7 @@
 from .tasks import Task
 from .texts import load_text
 from .updates import choose_pause
+from .views import Follower, Report, View, know_state
 from .votes import Voter
 
 LARGE_TEXT = 65_536
--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -44,6 +44,8 @@
     MEMBER_HEARD = (506, "a member of the data centre answers")
     MEMBER_SILENT = (507, "a member of the data centre has stopped answering")
 
+    JOB_FAILED = (601, "a request's run ended with an unexpected error")
+
     @property
     def number(self) -> int:
         """The event's number in the catalogue."""
--- a/knapweedrail/handlers.py
+++ b/knapweedrail/handlers.py
@@ -2,19 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Iterable
+from typing import TYPE_CHECKING
 
 from .budget_messages import Fence, HandOver
 from .changes import ConfigurationTask
 from .followers import give_chunks
-from .homes import RunFinder
-from .intake import Life
-from .members import ExchangePart, MembershipTask
+from .members import ExchangePart
 from .models import Holder
-from .neighbours import HandedOver, Received
+from .neighbours import HandedOver, Received, Total
 from .peers import PeerHandler
 from .pools import Pools
-from .runs import RunTable
 from .schedulers import HearQuarantined
 from .wire.peers_pb2 import (
     ConfigurationReply,
@@ -31,39 +29,27 @@
     ReceivedTokens,
 )
 
+if TYPE_CHECKING:
+    from .routers import Router
+
 
 class RouterHandler(PeerHandler):
     """Answers other routers from the tasks of this one.
 
     Args:
-        membership: The router's membership.
-        configuration: The task that follows the configuration.
-        finder: Answers as the home of identities.
-        table: The runs of this router.
-        find_life: Returns the router's present life, if it has one.
+        router: The router.
     """
 
-    def __init__(
-        self,
-        membership: MembershipTask,
-        configuration: ConfigurationTask,
-        finder: RunFinder,
-        table: RunTable,
-        find_life: Callable[[], Life | None],
-    ) -> None:
-        self._membership = membership
-        self._configuration = configuration
-        self._finder = finder
-        self._table = table
-        self._find_life = find_life
+    def __init__(self, router: Router) -> None:
+        self._router = router
 
     async def trade(self, exchange: Exchange) -> Exchange:
-        return await self._membership.trade(exchange)
+        return await self._router.membership.trade(exchange)
 
     async def hand_over(self, request: HandOverRequest) -> HandOverReply:
-        life = self._find_life()
+        life = self._router.life
         if life is None:
-            return HandOverReply(holder=str(self._membership.holder))
+            return HandOverReply(holder=str(self._router.membership.holder))
         message = HandOver(
             Holder.parse(request.sender.holder),
             request.budget,
@@ -76,32 +62,34 @@
         )
 
     async def fence(self, request: FenceRequest) -> FenceReply:
-        life = self._find_life()
+        life = self._router.life
         if life is None:
-            return FenceReply(holder=str(self._membership.holder))
+            return FenceReply(holder=str(self._router.membership.holder))
         answer: Received = await life.budgets.ask(Fence(Holder.parse(request.holder)))
         reply = FenceReply(holder=str(life.holder))
-        for total in answer.received:
-            reply.received.append(
-                ReceivedTokens(budget=total.budget, tokens=total.tokens)
-            )
+        reply.received.extend(_write_totals(answer.received))
+        reply.handed.extend(_write_totals(answer.handed))
         return reply
 
     async def find_run(self, request: FindRunRequest) -> FindRunReply:
-        return self._finder.answer(request)
+        return self._router.finder.answer(request)
 
     def follow(self, request: FollowRequest) -> AsyncIterator[FollowChunk]:
-        return give_chunks(self._table, request)
+        return give_chunks(self._router.table, request)
 
     async def fetch_configuration(
         self, request: ConfigurationRequest
     ) -> ConfigurationReply:
-        text = self._configuration.text_of(request.digest)
+        text = self._router.configuration.text_of(request.digest)
         if text is None:
             return ConfigurationReply(found=False)
         return ConfigurationReply(found=True, text=text.encode())
 
 
+def _write_totals(totals: Iterable[Total]) -> list[ReceivedTokens]:
+    return [ReceivedTokens(budget=item.budget, tokens=item.tokens) for item in totals]
+
+
 class QuarantinePart(ExchangePart):
     """Tells other routers which requests fell runners, and hears theirs."""
 
--- a/knapweedrail/jobs.py
+++ b/knapweedrail/jobs.py
@@ -158,4 +158,3 @@
     async def report(self, work: Work, runner: Runner, ended: Ended) -> None:
         """Tell the scheduler how the work ended at a runner."""
         await self.scheduler.ask(Report(work.id, runner.name, ended))
-
--- a/knapweedrail/members.py
+++ b/knapweedrail/members.py
@@ -40,6 +40,9 @@
 """Upper end of any such pause: after an outage the fleet comes back over ten seconds
 and not at once."""
 
+HURRY_SECONDS = 0.02
+"""Pause before a round that news has started, for more news to join it."""
+
 FENCED_CARRIED = 64
 """Fenced lives named in one exchange, so that its size is bounded. The registry names
 them all; exchanges only bring the latest sooner."""
@@ -130,6 +133,7 @@
         self._registration = ""
         self._last = 0
         self._lifeless = anyio.Event()
+        self._hurry = anyio.Event()
         self._parts: list[ExchangePart] = []
         self._on_registered: list[Callable[[Holder], None]] = []
         self._on_life_ended: list[Callable[[LifeEnded], None]] = []
@@ -194,6 +198,10 @@
         """Note in the registry that a fenced life is reclaimed."""
         return await self._registrar.reclaim(self.settings.data_centre, holder)
 
+    def announce(self) -> None:
+        """Start the next round of exchanges now, since there is news to tell."""
+        self._hurry.set()
+
     async def leave(self) -> Registry | Failure | None:
         """Close this life in the registry; call it when nothing is held any more.
 
@@ -393,7 +401,11 @@
             if seeds:
                 self._ask(group, self._rng.choice(seeds), "")
             share = self._rng.uniform(0.8, 1.2)
-            await anyio.sleep(share * self.settings.heartbeat_seconds)
+            with anyio.move_on_after(share * self.settings.heartbeat_seconds):
+                await self._hurry.wait()
+                # Several pieces of news in a row make one round.
+                await anyio.sleep(HURRY_SECONDS)
+            self._hurry = anyio.Event()
 
     def _ask(self, group: anyio.abc.TaskGroup, address: str, name: str) -> None:
         if address not in self._asking:
--- a/knapweedrail/peers.py
+++ b/knapweedrail/peers.py
@@ -82,10 +82,13 @@
     def __init__(self, handler: PeerHandler, address: str) -> None:
         self._server = Server([_Service(handler)])
         self._bind = address
+        self._listener: socket.socket | None = None
         self.address = address
 
-    async def start(self) -> None:
-        """Listen; `address` then names the port that the kernel chose.
+    def bind(self) -> None:
+        """Bind the address; `address` then names the port that the kernel chose.
+
+        The router's registration names it, and it is answered only after `start`.
 
         Raises:
             OSError: If the address can't be bound.
@@ -98,7 +101,17 @@
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
         host, port = listener.getsockname()[:2]
         self.address = f"{host}:{port}"
-        await self._server.start(sock=listener)
+        self._listener = listener
+
+    async def start(self) -> None:
+        """Answer peers; binds the address first unless that was done.
+
+        Raises:
+            OSError: If the address can't be bound.
+        """
+        if self._listener is None:
+            self.bind()
+        await self._server.start(sock=self._listener)
 
     async def close(self) -> None:
         """Stop listening and end all calls."""
--- a/knapweedrail/pools.py
+++ b/knapweedrail/pools.py
@@ -77,7 +77,9 @@
             await pool.scheduler.close()
             await pool.client.close()
 
-    async def _apply_endpoint(self, name: str, endpoint: Endpoint, rules: Rules) -> None:
+    async def _apply_endpoint(
+        self, name: str, endpoint: Endpoint, rules: Rules
+    ) -> None:
         pool = self._pools.get(name)
         if pool is not None and pool.endpoint == endpoint and pool.rules == rules:
             return
--- a/knapweedrail/renderings.py
+++ b/knapweedrail/renderings.py
@@ -6,8 +6,8 @@
 
 import orjson
 
-from .problems import render_problem
 from .outcomes import Refusal
+from .problems import render_problem
 
 END_EVENT = b"data: [DONE]\n\n"
 
--- a/knapweedrail/routers.py
+++ b/knapweedrail/routers.py
@@ -8,6 +8,7 @@
 import anyio.abc
 
 from .answers import Answers
+from .beliefs import choose_by_hash
 from .budget_messages import Drain, Drained, Recover, Recovered
 from .budgets import BudgetTask
 from .changes import ConfigurationTask, Times
@@ -38,6 +39,11 @@
 """Time between two looks for members that seem gone. A recovery costs a write and a
 call to each neighbour, and is safe to try at any time."""
 
+SILENT_SECONDS = 10.0
+"""Silence of a member after which its tokens are recovered. Recovery is right at any
+time, but it ends the life of a member that was only paused or cut off and strands its
+allowance; most pauses are shorter."""
+
 DRAIN_SECONDS = 10.0
 """Bound on giving tokens back and writing bills at the end; the platform may be away
 just then."""
@@ -59,7 +65,9 @@
         self.settings = settings
         self.stopping = False
         self.measures = Measures()
-        self.platform = HttpPlatform(settings.platform, settings.platform_timeout_seconds)
+        self.platform = HttpPlatform(
+            settings.platform, settings.platform_timeout_seconds
+        )
         self.clients = PeerClients(settings.exchange_timeout_seconds)
         self.table = RunTable(
             settings.answer_keep_seconds, settings.answer_memory_bytes
@@ -129,7 +137,7 @@
     async def _start_peers(self, group: anyio.abc.TaskGroup) -> None:
         settings = self.settings
         # The port is bound first, since the registration names it.
-        self.peer_server = PeerServer(self, settings.peer_address)
+        self.peer_server = PeerServer(RouterHandler(self), settings.peer_address)
         self.peer_server.bind()
         self.membership = MembershipTask(
             MembershipSettings(
@@ -157,14 +165,6 @@
         )
         homes = HomeTable(settings.answer_keep_seconds)
         self.finder = RunFinder(self.membership, self.clients, homes)
-        self.handler = RouterHandler(
-            self.membership,
-            self.configuration,
-            self.finder,
-            self.table,
-            lambda: self.life,
-        )
-        self.peer_server.handle(self.handler)
         self.membership.on_registered(self._begin_life)
         self.membership.on_life_ended(self._end_life)
         self.membership.on_exchange(ConfigurationPart(self.configuration))
@@ -260,22 +260,49 @@
             await anyio.sleep(VIEW_SECONDS)
 
     async def _recover_gone(self) -> None:
+        silent_since: dict[Holder, float] = {}
         while True:
             await anyio.sleep(RECOVER_SECONDS)
-            life = self.life
-            if life is None or self.stopping:
+            silent_since = self._note_silent(silent_since)
+            if self.life is None or self.stopping:
                 continue
-            for member in self.membership.own_data_centre_members():
-                if member.alive or not member.holder.incarnation:
-                    continue
-                recovered: Recovered = await life.budgets.ask(Recover(member.holder))
-                log_event(
-                    Event.HOLDER_RECOVERED,
-                    holder=str(member.holder),
-                    tokens=recovered.tokens,
-                    stranded=recovered.stranded,
-                    waits_for=recovered.waits_for,
-                )
+            limit = time.monotonic() - SILENT_SECONDS
+            gone = [item for item, since in silent_since.items() if since < limit]
+            for holder in [*gone, *self.membership.registry().fenced()]:
+                if self._is_first_for(holder):
+                    await self._recover(holder)
+
+    def _note_silent(self, before: dict[Holder, float]) -> dict[Holder, float]:
+        now = time.monotonic()
+        return {
+            member.holder: before.get(member.holder, now)
+            for member in self.membership.own_data_centre_members()
+            if not member.alive and member.holder.incarnation
+        }
+
+    def _is_first_for(self, holder: Holder) -> bool:
+        # One router of the data centre does it; which one only spares writes.
+        names = [
+            member.holder.name
+            for member in self.membership.own_data_centre_members()
+            if member.alive
+        ]
+        own = self.settings.name
+        return choose_by_hash(str(holder), [*names, own]) == own
+
+    async def _recover(self, holder: Holder) -> None:
+        if self.life is None:
+            return
+        recovered: Recovered = await self.life.budgets.ask(Recover(holder))
+        log_event(
+            Event.HOLDER_RECOVERED,
+            holder=str(holder),
+            tokens=recovered.tokens,
+            stranded=recovered.stranded,
+            waits_for=recovered.waits_for,
+        )
+        if not recovered.waits_for:
+            await self.membership.mark_reclaimed(holder)
 
     async def _drain(self) -> Drained:
         left = Drained()
--- a/knapweedrail/tools/router.py
+++ b/knapweedrail/tools/router.py
@@ -74,13 +74,14 @@
     if arguments.check:
         return EXIT_STOPPED
     open_log(settings)
+    code = EXIT_STOPPED
     try:
         anyio.run(serve, settings)
     except* OSError as errors:
         for error in errors.exceptions:
             print(f"knapweedrail-router: {error}", file=sys.stderr)
-        return EXIT_FAILED
-    return EXIT_STOPPED
+        code = EXIT_FAILED
+    return code
 
 
 if __name__ == "__main__":
