--- a/knapweedrail/answers.py
+++ b/knapweedrail/answers.py
@@ -1,125 +1,139 @@
-"""Following the answer of a run on another router."""
+"""An answer as its caller gets it, wherever its run is."""
 
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
 from contextlib import aclosing
-from dataclasses import dataclass
 
-from .outcomes import Failure, Unknown
+import anyio.abc
+
+from .calls import Generation, Visit
+from .followers import Head, NoRun, follow_run
+from .homes import RunningAt
+from .intake import Intake, Opened
+from .members import MembershipTask
+from .models import Holder
+from .outcomes import Failure, Ran, Refusal, RefusalKind
 from .peers import PeerClients
-from .runs import Chunk, End, Run, RunTable
-from .wire.peers_pb2 import FollowChunk, FollowRequest, Sender
-
-FOLLOW_ATTEMPTS = 3
-"""Connections tried in a row without a new chunk. The first may have gone silent and
-the second may meet the same fault; a third that brings nothing means that the router
-is gone, and its caller waits no longer."""
-
-STEP = "answers.follow"
-
-
-@dataclass(frozen=True)
-class Head:
-    """Status and content type of an answer, before its first chunk."""
-
-    status: int
-    content_type: str
-
-
-@dataclass(frozen=True)
-class NoRun:
-    """The other router has no such run."""
-
-
-async def give_chunks(
-    table: RunTable, request: FollowRequest
-) -> AsyncIterator[FollowChunk]:
-    """Answer a follow request from the table of runs."""
-    run = table.get(request.account, request.identity)
-    if run is None:
-        yield FollowChunk(missing=True)
-        return
-    named = False
-    async with aclosing(run.follow(request.offset)) as items:
-        async for item in items:
-            message = _make_message(item)
-            if not named:
-                _name(message, run)
-                named = True
-            yield message
-
-
-async def follow_run(
-    clients: PeerClients,
-    address: str,
-    sender: Sender,
-    account: str,
-    identity: str,
-    silence_seconds: float,
-    offset: int = 0,
-) -> AsyncIterator[Head | Chunk | End | NoRun | Failure]:
-    """Give the answer of a run on another router, each chunk once and in order.
-
-    A connection that breaks or goes silent is replaced, and the new one is asked for
-    the chunks from the first one that is lacking. Only ``End(whole=True)`` says that
-    the answer is complete; `NoRun` or a failure is the last item otherwise.
+from .runs import Chunk, End
+
+Item = Head | Chunk | End | Refusal
+"""Parts of an answer: its head, its chunks in order, then its end or a refusal."""
+
+SEARCHES = 3
+"""Routers at which the run of an identity is looked for. Each that hasn't got it is
+named to the home, so a second search is rare and a third means that homes move."""
+
+RETURN_SECONDS = 1.0
+
+
+class Answers:
+    """Gives callers the answers of runs in this router and in others.
 
     Args:
-        clients: Clients of the peers.
-        address: The other router's peer service.
-        sender: This router.
-        account: Name of the client account.
-        identity: The request's identity.
-        silence_seconds: Longest wait for a chunk on one connection.
-        offset: First chunk wanted.
+        group: Task group for what outlives a caller.
+        intake: The runs of this router.
+        membership: Names this router to others.
+        clients: Clients of the other routers.
+        silence_seconds: Longest silence of another router's run.
     """
-    headed = False
-    failures = 0
-    while True:
-        request = FollowRequest(
-            sender=sender, account=account, identity=identity, offset=offset
+
+    def __init__(
+        self,
+        group: anyio.abc.TaskGroup,
+        intake: Intake,
+        membership: MembershipTask,
+        clients: PeerClients,
+        silence_seconds: float,
+    ) -> None:
+        self._group = group
+        self._intake = intake
+        self._membership = membership
+        self._clients = clients
+        self.silence_seconds = silence_seconds
+
+    async def give(self, call: Generation | Visit) -> AsyncIterator[Item]:
+        """Give the answer to a call; `End` is whole, a `Refusal` is final."""
+        gone: Holder | None = None
+        for _ in range(SEARCHES):
+            opened = await self._intake.open(call, gone)
+            if isinstance(opened, Refusal):
+                yield opened
+                return
+            if isinstance(opened, Opened):
+                async with aclosing(self._give_local(call, opened)) as items:
+                    async for item in items:
+                        yield item
+                return
+            begun = False
+            async with aclosing(self._give_remote(call, opened)) as items:
+                async for item in items:
+                    begun = begun or isinstance(item, Chunk)
+                    # Until a chunk has come, this router can do the work as well.
+                    if isinstance(item, Refusal) and not begun:
+                        break
+                    yield item
+                    if isinstance(item, End | Refusal):
+                        return
+            gone = opened.holder
+        yield _refuse_cut("router.search", "the run was not found where it was named")
+
+    async def _give_local(
+        self, call: Generation | Visit, opened: Opened
+    ) -> AsyncIterator[Item]:
+        job = opened.job
+        if job is not None:
+            job.join()
+        try:
+            if job is not None:
+                await job.started.wait()
+                if job.refusal is not None and not opened.run.chunks:
+                    yield job.refusal
+                    return
+            yield Head(opened.run.status, opened.run.content_type)
+            async with aclosing(opened.run.follow()) as items:
+                async for item in items:
+                    if isinstance(item, End) and not item.whole:
+                        refusal = job.refusal if job is not None else None
+                        yield refusal or _refuse_cut("router.run", "the run ended")
+                        return
+                    yield item
+        finally:
+            if job is not None:
+                self._group.start_soon(job.leave, call.named)
+
+    async def _give_remote(
+        self, call: Generation | Visit, place: RunningAt
+    ) -> AsyncIterator[Item]:
+        stream = follow_run(
+            self._clients,
+            place.peer_address,
+            self._membership.make_sender(),
+            call.account.name,
+            call.identity,
+            self.silence_seconds,
         )
-        first = True
-        failure: Failure | None = None
-        stream = clients.follow(address, request, silence_seconds)
-        async with aclosing(stream) as messages:
-            async for message in messages:
-                if isinstance(message, Failure):
-                    failure = message
-                    break
-                if message.missing:
-                    yield NoRun()
+        async with aclosing(stream) as items:
+            async for item in items:
+                if isinstance(item, NoRun):
+                    yield _refuse_cut("peers.follow", "no such run", place.peer_address)
                     return
-                if first and message.identity != f"{account}:{identity}":
-                    failure = Unknown(STEP, address, "another request's answer")
-                    break
-                if message.offset != offset:
-                    failure = Unknown(STEP, address, f"chunk {message.offset}")
-                    break
-                first = False
-                if not headed:
-                    headed = True
-                    yield Head(message.status, message.content_type)
-                if message.last or message.cut:
-                    yield End(offset, message.last)
+                if isinstance(item, Failure):
+                    yield _refuse_cut(item.step, item.detail, item.peer)
                     return
-                failures = 0
-                yield Chunk(offset, message.data)
-                offset += 1
-        failures += 1
-        if failures >= FOLLOW_ATTEMPTS:
-            yield failure or Unknown(STEP, address, "no end")
-            return
-
-
-def _make_message(item: Chunk | End) -> FollowChunk:
-    if isinstance(item, End):
-        return FollowChunk(offset=item.offset, last=item.whole, cut=not item.whole)
-    return FollowChunk(offset=item.offset, data=item.data)
-
-
-def _name(message: FollowChunk, run: Run) -> None:
-    message.identity = f"{run.key.account}:{run.key.identity}"
-    message.status = run.status
-    message.content_type = run.content_type
+                if isinstance(item, End) and not item.whole:
+                    detail = "the run ended before its answer"
+                    yield _refuse_cut("peers.follow", detail, place.peer_address)
+                    return
+                yield item
+
+
+def _refuse_cut(step: str, detail: str, peer: str = "router") -> Refusal:
+    return Refusal(
+        step,
+        peer,
+        detail,
+        RefusalKind.ENDPOINT_FAILED,
+        Ran.UNKNOWN,
+        RETURN_SECONDS,
+    )
