--- a/knapweedrail/peers.py
+++ b/knapweedrail/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Collection
@@ -254,6 +255,7 @@
         step = "peers.follow"
         connection = self._use(address)
         sent = False
+        cancellations = asyncio.current_task().cancelling()
         try:
             async with connection.stub.Follow.open() as stream:
                 with anyio.fail_after(self.call_seconds):
@@ -272,6 +274,7 @@
                         return
             yield Unknown(step, address, "the stream ended before the answer")
         except (TimeoutError, *CONNECTION_ERRORS) as error:
+            _undo_cancellation(error, cancellations)
             self._doubt(address, connection)
             yield _fail(step, address, error, sent)
         except GRPCError as error:
@@ -284,6 +287,7 @@
     ) -> Any:
         connection = self._use(address)
         sent = False
+        cancellations = asyncio.current_task().cancelling()
         try:
             method = getattr(connection.stub, name)
             with anyio.fail_after(seconds or self.call_seconds):
@@ -298,6 +302,7 @@
                 return Unknown(step, address, "the answer was empty")
             return reply
         except (TimeoutError, *CONNECTION_ERRORS) as error:
+            _undo_cancellation(error, cancellations)
             self._doubt(address, connection)
             return _fail(step, address, error, sent)
         except GRPCError as error:
@@ -327,6 +332,18 @@
     return host.strip("[]"), int(port)
 
 
+def _undo_cancellation(error: BaseException, before: int) -> None:
+    """Take back the cancellation by which grpclib ends a call on a broken connection.
+
+    It cancels the calling task, turns that into `StreamTerminatedError` and leaves the
+    task marked as being cancelled. Code that counts these marks, such as
+    `asyncio.TaskGroup`, would later take its own end for a cancellation from outside.
+    """
+    task = asyncio.current_task()
+    if isinstance(error, StreamTerminatedError) and task.cancelling() > before:
+        task.uncancel()
+
+
 def _fail(
     step: str, address: str, error: BaseException, sent: bool
 ) -> Unavailable | Unknown:
