--- a/knapweedrail/standins/engine.py
+++ b/knapweedrail/standins/engine.py
@@ -48,6 +48,7 @@
         return Starlette(
             routes=[
                 Route("/v1/chat/completions", self._complete, methods=["POST"]),
+                Route("/v1/cancel", self._cancel, methods=["POST"]),
                 Route("/load", self._show_load),
                 Route("/usage", self._show_usage),
                 Route("/fence", self._set_fence, methods=["POST"]),
@@ -129,10 +130,18 @@
             while await run.wait(index):
                 if client in self._silent:
                     await anyio.sleep_forever()
-                if mixed and index == offset + 1:
-                    yield _write_event(index, _make_chunk(FOREIGN_IDENTITY, index))
-                yield _write_event(index, _make_chunk(run.identity, index, run))
-                index += 1
+                # All that is there goes out at once, as a late reader needs less
+                # of this process's time that way.
+                ready = range(index, run.tokens)
+                pieces = [
+                    _write_event(i, _make_chunk(run.identity, i, run)) for i in ready
+                ]
+                if mixed and 1 in ready:
+                    place = ready.index(1)
+                    foreign = _make_chunk(FOREIGN_IDENTITY, place)
+                    pieces.insert(place, _write_event(1, foreign))
+                yield b"".join(pieces)
+                index = ready.stop
             if not run.scope.cancel_called:
                 yield b"data: [DONE]\n\n"
         finally:
@@ -158,6 +167,16 @@
         }
         return JSONResponse(answer, headers={"X-Request-Identity": run.identity})
 
+    async def _cancel(self, request: Request) -> Response:
+        """Stop a run; answer once it generates nothing more, with its usage."""
+        run = self.batch.runs.get((await request.json())["identity"])
+        if run is None:
+            return JSONResponse({"error": "no such run"}, 404)
+        run.scope.cancel()
+        while not run.done:
+            await run.wait(run.tokens)
+        return JSONResponse({"usage": _make_usage(run)})
+
     def _leave(self, run: Run) -> None:
         run.followers -= 1
         if run.followers == 0 and not run.done:
@@ -238,10 +257,11 @@
 
 
 def _make_usage(run: Run) -> dict[str, int]:
+    prompt = len(run.words) if run.started else 0
     return {
-        "prompt_tokens": len(run.words),
+        "prompt_tokens": prompt,
         "completion_tokens": run.tokens,
-        "total_tokens": len(run.words) + run.tokens,
+        "total_tokens": prompt + run.tokens,
     }
 
 
--- a/knapweedrail/standins/generation.py
+++ b/knapweedrail/standins/generation.py
@@ -104,6 +104,7 @@
         self.limit = limit
         self.tokens = 0
         self.length = 0
+        self.started = False
         self.done = False
         self.followers = 0
         self.scope = anyio.CancelScope()
@@ -172,6 +173,7 @@
 
     async def _generate(self, run: Run) -> None:
         prompt = " ".join(run.words)
+        run.started = True
         self.counts.add(run.identity, 1, len(run.words))
         if self.faults.poison and self.faults.poison in prompt:
             os._exit(CRASH_STATUS)
--- a/knapweedrail/tests/test_standins.py
+++ b/knapweedrail/tests/test_standins.py
@@ -140,6 +140,20 @@
     assert count == {"runs": 1, "tokens": 34}
 
 
+def test_a_cancelled_run_generates_nothing_after_the_answer(standins):
+    """A caller leaves and its run is stopped; the usage told is all there is."""
+    engine = standins["engine"]
+    url = f"http://{engine.address}{CHAT}"
+    headers = {"X-Request-Identity": "a:cancel"}
+    body = ask("x [tokens:1000]", max_tokens=1000)
+    with httpx.stream("POST", url, json=body, headers=headers) as response:
+        next(response.iter_lines())
+        told = engine.post("/v1/cancel", {"identity": "a:cancel"})["usage"]
+        assert "data: [DONE]" not in list(response.iter_lines())
+    count = engine.get("/counts")["requests"]["a:cancel"]
+    assert count["tokens"] == told["total_tokens"] < 1002
+
+
 def test_a_silenced_connection_never_answers_and_a_new_one_does(standins):
     """Something between the ends loses track of the open connections.
 
