--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -20,6 +20,21 @@
     TASK_FAILED = (104, "a task ended with an unexpected error")
     PLATFORM_AWAY = (201, "a call to the platform failed")
     PLATFORM_BACK = (202, "the platform answers again")
+    HOLDER_FENCED = (301, "this router finds itself fenced and takes no new requests")
+    HOLDER_RECOVERED = (
+        302,
+        "a fence round has ended; `waits_for` names silent routers",
+    )
+    RESERVATION_EXCEEDED = (303, "a request used more tokens than it had reserved")
+    BILL_STANDS = (304, "a request was billed before; its tokens stay unbilled")
+    TEXT_MISSING = (401, "a configuration's text can't be read from the platform")
+    TEXT_REFUSED = (402, "a proposed configuration doesn't pass this router's checks")
+    ACKNOWLEDGED = (403, "this router acknowledged a proposal for its data centre")
+    DECIDED = (404, "this router put a proposal in force")
+    PROPOSAL_WITHDRAWN = (405, "this router withdrew a proposal")
+    AUDIT_LATE = (406, "an entry of the audit trail couldn't be written yet")
+    CONFIGURATION_IN_FORCE = (407, "a configuration is in force at this router")
+    CONFIGURATION_STAGED = (408, "this router holds the text of a proposal")
 
     MEMBER_REGISTERED = (501, "the router has begun a life under a new incarnation")
     MEMBER_NOT_REGISTERED = (502, "registration failed; it is tried again")
@@ -29,6 +44,8 @@
     MEMBER_HEARD = (506, "a member of the data centre answers")
     MEMBER_SILENT = (507, "a member of the data centre has stopped answering")
 
+    JOB_FAILED = (601, "a request's run ended with an unexpected error")
+
     @property
     def number(self) -> int:
         """The event's number in the catalogue."""
--- a/knapweedrail/tests/test_standins.py
+++ b/knapweedrail/tests/test_standins.py
@@ -147,9 +147,10 @@
     headers = {"X-Request-Identity": "a:cancel"}
     body = ask("x [tokens:1000]", max_tokens=1000)
     with httpx.stream("POST", url, json=body, headers=headers) as response:
-        next(response.iter_lines())
+        lines = response.iter_lines()
+        next(lines)
         told = engine.post("/v1/cancel", {"identity": "a:cancel"})["usage"]
-        assert "data: [DONE]" not in list(response.iter_lines())
+        assert "data: [DONE]" not in list(lines)
     count = engine.get("/counts")["requests"]["a:cancel"]
     assert count["tokens"] == told["total_tokens"] < 1002
 
