--- a/knapweedrail/neighbourhoods.py
+++ b/knapweedrail/neighbourhoods.py
@@ -11,7 +11,7 @@
 from .neighbours import HandedOver, Neighbours, Received, Total
 from .outcomes import Failure, Unavailable
 from .peers import PeerClients
-from .registries import Registry
+from .registrars import Seen
 from .wire.peers_pb2 import (
     ConfigurationReply,
     ConfigurationRequest,
@@ -83,9 +83,9 @@
 
     async def mark_fenced(self, holder: Holder) -> tuple[Holder, ...] | Unavailable:
         outcome = await self._membership.mark_fenced(holder)
-        if not isinstance(outcome, Registry):
+        if not isinstance(outcome, Seen):
             return Unavailable(outcome.step, outcome.peer, outcome.detail)
-        others = {*outcome.live(), *outcome.fenced()} - {holder}
+        others = set(outcome.registry.open()) - {holder}
         return tuple(sorted(others, key=str))
 
     def fenced(self) -> frozenset[Holder]:
