--- a/knapweedrail/peers.py
+++ b/knapweedrail/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Collection
@@ -82,10 +83,13 @@
     def __init__(self, handler: PeerHandler, address: str) -> None:
         self._server = Server([_Service(handler)])
         self._bind = address
+        self._listener: socket.socket | None = None
         self.address = address
 
-    async def start(self) -> None:
-        """Listen; `address` then names the port that the kernel chose.
+    def bind(self) -> None:
+        """Bind the address; `address` then names the port that the kernel chose.
+
+        The router's registration names it, and it is answered only after `start`.
 
         Raises:
             OSError: If the address can't be bound.
@@ -98,7 +102,17 @@
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
         host, port = listener.getsockname()[:2]
         self.address = f"{host}:{port}"
-        await self._server.start(sock=listener)
+        self._listener = listener
+
+    async def start(self) -> None:
+        """Answer peers; binds the address first unless that was done.
+
+        Raises:
+            OSError: If the address can't be bound.
+        """
+        if self._listener is None:
+            self.bind()
+        await self._server.start(sock=self._listener)
 
     async def close(self) -> None:
         """Stop listening and end all calls."""
@@ -241,6 +255,7 @@
         step = "peers.follow"
         connection = self._use(address)
         sent = False
+        cancellations = asyncio.current_task().cancelling()
         try:
             async with connection.stub.Follow.open() as stream:
                 with anyio.fail_after(self.call_seconds):
@@ -259,6 +274,7 @@
                         return
             yield Unknown(step, address, "the stream ended before the answer")
         except (TimeoutError, *CONNECTION_ERRORS) as error:
+            _undo_cancellation(error, cancellations)
             self._doubt(address, connection)
             yield _fail(step, address, error, sent)
         except GRPCError as error:
@@ -271,6 +287,7 @@
     ) -> Any:
         connection = self._use(address)
         sent = False
+        cancellations = asyncio.current_task().cancelling()
         try:
             method = getattr(connection.stub, name)
             with anyio.fail_after(seconds or self.call_seconds):
@@ -285,6 +302,7 @@
                 return Unknown(step, address, "the answer was empty")
             return reply
         except (TimeoutError, *CONNECTION_ERRORS) as error:
+            _undo_cancellation(error, cancellations)
             self._doubt(address, connection)
             return _fail(step, address, error, sent)
         except GRPCError as error:
@@ -314,6 +332,18 @@
     return host.strip("[]"), int(port)
 
 
+def _undo_cancellation(error: BaseException, before: int) -> None:
+    """Take back the cancellation by which grpclib ends a call on a broken connection.
+
+    It cancels the calling task, turns that into `StreamTerminatedError` and leaves the
+    task marked as being cancelled. Code that counts these marks, such as
+    `asyncio.TaskGroup`, would later take its own end for a cancellation from outside.
+    """
+    task = asyncio.current_task()
+    if isinstance(error, StreamTerminatedError) and task.cancelling() > before:
+        task.uncancel()
+
+
 def _fail(
     step: str, address: str, error: BaseException, sent: bool
 ) -> Unavailable | Unknown:
