Ask for another place in the same step as the report of a failure

Cause: the dispatcher places refused work anew in the step that reports it; the place went to nobody, since the job asked only afterwards, and the request hung (found by reading; a runner that answers 503 shows it). Ruled out: letting the job wait before it reports (the slot stays taken). Change: Replace carries the report; reservations are given back when a caller goes while it waits; whole answers and visits stop when their caller hangs up. Before: a request whose runner refused hung. Conclusion: one message, one step.

--- a/knapweedrail/gateway.py
+++ b/knapweedrail/gateway.py
@@ -5,7 +5,7 @@
 import hashlib
 import time
 import uuid
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import aclosing
 from typing import Any
 
@@ -47,6 +47,9 @@
 """Headers passed on to plain services. The caller's key stays here: an endpoint has
 no use for it and might log it."""
 
+STATUS_GONE = 499
+"""Status of an answer whose caller has gone; nobody sees it but the log."""
+
 RETURN_SECONDS = 1.0
 STOPPING_RETURN_SECONDS = 1.0
 """The balancer sends the next try to another host."""
@@ -118,12 +121,18 @@
         if isinstance(call, Refusal):
             self._count("generation", "", call.kind.value)
             return call
+        return await _until_gone(request, self._open_generation(call, began))
+
+    async def _open_generation(
+        self, call: Generation, began: float
+    ) -> Response | Refusal:
         items = self._answers.give(call)
         first = await anext(items)
         if isinstance(first, Refusal):
             self._count("generation", call.route.name, first.kind.value)
             return first
         if call.streamed:
+            # From here the library itself ends the stream when the caller goes.
             return StreamingResponse(
                 self._stream(call, items, began), media_type="text/event-stream"
             )
@@ -201,6 +210,9 @@
         if isinstance(call, Refusal):
             self._count("service", "", call.kind.value)
             return call
+        return await _until_gone(request, self._open_visit(call, began))
+
+    async def _open_visit(self, call: Visit, began: float) -> Response | Refusal:
         head = Head(200, "")
         body: list[bytes] = []
         items = self._answers.give(call)
@@ -374,6 +386,28 @@
         return None
 
 
+async def _until_gone(
+    request: Request, answering: Coroutine[Any, Any, Response | Refusal]
+) -> Response | Refusal:
+    """Prepare an answer until it is there or its caller has gone.
+
+    Without it a caller that hangs up while it waits for its first byte would leave a
+    run behind that nobody reads.
+    """
+    answers: list[Response | Refusal] = []
+
+    async def watch() -> None:
+        while (await request.receive())["type"] != "http.disconnect":
+            pass
+        group.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(watch)
+        answers.append(await answering)
+        group.cancel_scope.cancel()
+    return answers[0] if answers else Response(status_code=STATUS_GONE)
+
+
 def _respond(refusal: Refusal) -> Response:
     return Response(
         render_problem(refusal), find_status(refusal), render_headers(refusal)
--- a/knapweedrail/generations.py
+++ b/knapweedrail/generations.py
@@ -21,7 +21,7 @@
     RunLost,
     Usage,
 )
-from .jobs import Job
+from .jobs import RETURN_SECONDS, Job, replace_ran
 from .models import Bill, Runner
 from .outcomes import Failure, Ran, Refusal, RefusalKind, Unavailable, Unknown
 from .schedulers import FirstByte
@@ -68,6 +68,7 @@
         super().__init__(*common)
         self.generation = generation
         self._held_back: list[bytes] = []
+        self._ran = Ran.NOT_RUN
 
     @property
     def identity(self) -> str:
@@ -80,27 +81,26 @@
             self.end(reservation)
             return
         work = self._describe_work(began)
-        try:
-            placed = await self.place(work)
-        except anyio.get_cancelled_exc_class():
-            with anyio.CancelScope(shield=True):
-                await self.cancel(reservation)
-            raise
+        placed = await self.hold(reservation, self.place(work))
         while not isinstance(placed, Refusal):
             attempt = Attempt(placed.runner, time.monotonic())
             end = await self._attempt(work, attempt, reservation)
             if isinstance(end, Completed | Refusal):
                 return
+            ended = attempt.describe_end(_classify(end))
             if isinstance(end, Unknown):
                 # The broken run may have used all that was reserved for it, so a
                 # new one needs a reservation of its own.
+                self._ran = Ran.UNKNOWN
                 reservation = await self._reserve_worst_case(began)
                 if isinstance(reservation, Refusal):
-                    self.end(replace_ran(reservation, Ran.UNKNOWN))
+                    await self.report(work, attempt.runner, ended)
+                    self.end(replace_ran(reservation, self._ran))
                     return
-            placed = await self.place_again(work)
+            again = self.place_again(work, attempt.runner, ended)
+            placed = await self.hold(reservation, again)
         await self.cancel(reservation)
-        self.end(placed)
+        self.end(replace_ran(placed, self._ran))
 
     async def _reserve_worst_case(self, began: float) -> Reservation | Refusal:
         generation = self.generation
@@ -134,14 +134,19 @@
         if isinstance(end, Completed):
             await self._complete(work, attempt, reservation)
             return end
-        await self.report(work, attempt.runner, attempt.describe_end(_classify(end)))
+        ended = attempt.describe_end(_classify(end))
         if isinstance(end, Invalid):
+            await self.report(work, attempt.runner, ended)
             await self.cancel(reservation)
             return self._refuse_invalid(end)
         if isinstance(end, Unavailable):
             return end
         await self.settle(reservation, reservation.tokens, None)
-        return self._give_up_or_retry(end)
+        if self.record.chunks:
+            await self.report(work, attempt.runner, ended)
+            return self._refuse_broken(end)
+        self._held_back.clear()
+        return end
 
     async def _stream_with_resumes(
         self, attempt: Attempt
@@ -266,10 +271,7 @@
         self.end(refusal)
         return refusal
 
-    def _give_up_or_retry(self, end: Unknown) -> Refusal | Unknown:
-        if not self.record.chunks:
-            self._held_back.clear()
-            return end
+    def _refuse_broken(self, end: Unknown) -> Refusal:
         # Callers have seen a part of this answer; another run would give them
         # another answer's rest. They are told, and a retry gets a whole one.
         refusal = Refusal(
@@ -278,24 +280,12 @@
             f"the answer broke off: {end.detail}",
             RefusalKind.ENDPOINT_FAILED,
             Ran.UNKNOWN,
-            retry_after=1.0,
+            RETURN_SECONDS,
         )
         self.end(refusal)
         return refusal
 
 
-def replace_ran(refusal: Refusal, ran: Ran) -> Refusal:
-    """Return the refusal with another word on whether the request ran."""
-    return Refusal(
-        refusal.step,
-        refusal.peer,
-        refusal.detail,
-        refusal.kind,
-        ran,
-        refusal.retry_after,
-    )
-
-
 def _classify(end: Failure) -> EndedKind:
     match end:
         case Unavailable():
--- a/knapweedrail/jobs.py
+++ b/knapweedrail/jobs.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 from abc import ABC, abstractmethod
+from collections.abc import Awaitable
 
 import anyio
+import anyio.lowlevel
 
 from .budget_messages import Cancel, Reservation, Reserve, Settle
 from .endpoints import RunnerClient
@@ -129,8 +132,21 @@
     async def reserve(
         self, budget: str, tokens: int, wait_seconds: float
     ) -> Reservation | Refusal:
-        """Reserve tokens for one run."""
-        return await self.budgets.ask(Reserve(budget, tokens, wait_seconds))
+        """Reserve tokens for one run.
+
+        A caller that goes meanwhile doesn't interrupt it: tokens set aside for a
+        caller that has gone would stay so for ever.
+        """
+        with anyio.CancelScope(shield=True):
+            reservation = await self.budgets.ask(Reserve(budget, tokens, wait_seconds))
+        try:
+            await anyio.lowlevel.checkpoint_if_cancelled()
+        except anyio.get_cancelled_exc_class():
+            if isinstance(reservation, Reservation):
+                with anyio.CancelScope(shield=True):
+                    await self.cancel(reservation)
+            raise
+        return reservation
 
     async def cancel(self, reservation: Reservation) -> None:
         """Give a reservation back of which nothing can be used."""
@@ -151,10 +167,34 @@
                 await self.scheduler.ask(Abandon(work.id))
             raise
 
-    async def place_again(self, work: Work) -> Placed | Refusal:
-        """Ask for another place after a failure."""
-        return await self.scheduler.ask(Replace(work.id))
+    async def hold(
+        self, reservation: Reservation, placing: Awaitable[Placed | Refusal]
+    ) -> Placed | Refusal:
+        """Wait for a place; give the reservation back if the caller goes."""
+        try:
+            return await placing
+        except anyio.get_cancelled_exc_class():
+            with anyio.CancelScope(shield=True):
+                await self.cancel(reservation)
+            raise
+
+    async def place_again(
+        self, work: Work, runner: Runner, ended: Ended
+    ) -> Placed | Refusal:
+        """Tell how the work ended at a runner, and wait for another place."""
+        try:
+            return await self.scheduler.ask(Replace(work.id, runner.name, ended))
+        except anyio.get_cancelled_exc_class():
+            with anyio.CancelScope(shield=True):
+                await self.scheduler.ask(Abandon(work.id))
+            raise
 
     async def report(self, work: Work, runner: Runner, ended: Ended) -> None:
-        """Tell the scheduler how the work ended at a runner."""
+        """Tell the scheduler how the work ended at a runner, for good."""
         await self.scheduler.ask(Report(work.id, runner.name, ended))
+        await self.scheduler.ask(Abandon(work.id))
+
+
+def replace_ran(refusal: Refusal, ran: Ran) -> Refusal:
+    """Return the refusal with another word on whether the request ran."""
+    return dataclasses.replace(refusal, ran=ran)
--- a/knapweedrail/schedulers.py
+++ b/knapweedrail/schedulers.py
@@ -38,15 +38,22 @@
 
 
 @attrs.frozen
-class Replace:
-    """Failed work asks to start again; answered by `Placed` or `Refusal`."""
+class Report:
+    """A piece of work ended at a runner, for good."""
 
     work_id: str
+    runner: str
+    ended: Ended
 
 
 @attrs.frozen
-class Report:
-    """A piece of work ended at a runner."""
+class Replace:
+    """A piece of work ended at a runner and asks for another place.
+
+    Answered by `Placed` or `Refusal`. It is one message with the report, since the
+    dispatcher may place work that was refused anew in the same step; the place would
+    be given to nobody if the asker came later.
+    """
 
     work_id: str
     runner: str
@@ -125,9 +132,11 @@
             case Place(work):
                 self._waiting[work.id] = reply
                 self._carry_out(self.dispatcher.submit(work, now))
-            case Replace(work_id):
+            case Replace(work_id, runner, ended):
                 self._waiting[work_id] = reply
-                self._carry_out(self.dispatcher.retry(work_id, now))
+                self._carry_out(self.dispatcher.finished(work_id, runner, ended, now))
+                if ended.kind is not EndedKind.REFUSED:
+                    self._carry_out(self.dispatcher.retry(work_id, now))
             case Report(work_id, runner, ended):
                 decisions = self.dispatcher.finished(work_id, runner, ended, now)
                 self._carry_out(decisions)
@@ -160,9 +169,13 @@
         if reply is not None and runner in self._runners:
             reply.set(Placed(self._runners[runner]))
             return
-        # Nobody waits any more (the caller went), or the runner was removed since:
-        # the place is given back, so that it isn't lost for good.
-        ended = Ended(EndedKind.CANCELLED)
+        # Nobody waits any more since the caller went, or the runner was removed a
+        # moment ago: the place is given back, so that it isn't lost for good.
+        kind = EndedKind.CANCELLED
+        if reply is not None:
+            self._waiting[work_id] = reply
+            kind = EndedKind.REFUSED
+        ended = Ended(kind)
         self._carry_out(
             self.dispatcher.finished(work_id, runner, ended, time.monotonic())
         )
--- a/knapweedrail/visits.py
+++ b/knapweedrail/visits.py
@@ -22,10 +22,10 @@
 )
 from .calls import Visit
 from .endpoints import Crossed, ServiceAnswer, ServiceCall, ServiceClient
-from .generations import replace_ran
-from .jobs import RETURN_SECONDS, Job
+from .jobs import RETURN_SECONDS, Job, replace_ran
 from .models import Bill, Runner
 from .outcomes import Ran, Refusal, RefusalKind, Unavailable, Unknown
+from .schedulers import Placed
 from .work import Ended, EndedKind, Work
 
 
@@ -122,29 +122,35 @@
             fingerprint=visit.fingerprint,
             repeatable=visit.repeatable,
         )
-        try:
-            placed = await self.place(work)
-        except anyio.get_cancelled_exc_class():
-            with anyio.CancelScope(shield=True):
-                await self.cancel(reservation)
-            raise
+        placed = await self.hold(reservation, self.place(work))
+        # A call that has been sent is waited for, so that what it used and whether
+        # it ran are known.
+        with anyio.CancelScope(shield=True):
+            await self._call_until_settled(work, placed, reservation)
+
+    async def _call_until_settled(
+        self, work: Work, placed: Placed | Refusal, reservation: Reservation
+    ) -> None:
         ran = Ran.NOT_RUN
         while not isinstance(placed, Refusal):
-            answer = await self._call(work, placed.runner, reservation)
+            began = time.monotonic()
+            answer = await self._call(placed.runner)
+            seconds = time.monotonic() - began
+            ended = Ended(_classify(answer), seconds, seconds)
             if isinstance(answer, ServiceAnswer):
+                await self.report(work, placed.runner, ended)
+                await self._complete(answer, reservation)
                 return
             if isinstance(answer, Unknown):
                 ran = Ran.UNKNOWN
-                if not visit.repeatable:
+                if not self.visit.repeatable:
+                    await self.report(work, placed.runner, ended)
                     await self._end_unknown(answer, reservation)
                     return
-            placed = await self.place_again(work)
+            placed = await self.place_again(work, placed.runner, ended)
         await self._end_refused(placed, reservation, ran)
 
-    async def _call(
-        self, work: Work, runner: Runner, reservation: Reservation
-    ) -> ServiceAnswer | Unavailable | Unknown:
-        began = time.monotonic()
+    async def _call(self, runner: Runner) -> ServiceAnswer | Unavailable | Unknown:
         visit = self.visit
         call = ServiceCall(
             identity=self.identity,
@@ -154,12 +160,7 @@
             body=visit.body,
             repeatable=visit.repeatable,
         )
-        answer = await self.client.call(runner.address, call)
-        seconds = time.monotonic() - began
-        await self.report(work, runner, Ended(_classify(answer), seconds, seconds))
-        if isinstance(answer, ServiceAnswer):
-            await self._complete(answer, reservation)
-        return answer
+        return await self.client.call(runner.address, call)
 
     async def _complete(self, answer: ServiceAnswer, reservation: Reservation) -> None:
         await self.settle(reservation, reservation.tokens, self._make_bill())
