Suspect members only while hearing half of the data centre; mend stale reads

Cause: a router cut off from its neighbours but not from the platform took all of them for gone and would have fenced a whole data centre. A stale read of the registry could make a fence seem done that was never written, and hide one until the next change. A paused router whose life was reclaimed meanwhile (closed, not fenced) didn't notice. The list of members was built anew with each request.

Ruled out: suspecting by the platform's host list alone (it lags by minutes and stand-by hosts stay listed).

--- a/knapweedrail/beliefs.py
+++ b/knapweedrail/beliefs.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 import hashlib
+import math
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
 from .models import Holder
-from .registries import HolderState, Registry
+from .registries import HolderState, Life, Registry
 
 OWN_FAN_OUT = 6
 """Members of the own data centre asked in one heartbeat. Both sides of an exchange
@@ -89,11 +90,14 @@
         self.data_centre = data_centre
         self.heartbeat_seconds = heartbeat_seconds
         self.leaving_hosts: frozenset[str] = frozenset()
+        self.listed_hosts: frozenset[str] = frozenset()
         self._registries: dict[str, Registry] = {}
         self._versions: dict[str, int] = {}
         self._news: dict[str, News] = {}
         self._heard: dict[str, float] = {}
         self._refused: set[str] = set()
+        self._own: tuple[Member, ...] = ()
+        self._own_until = -math.inf
 
     def adopt_registry(
         self, data_centre: str, registry: Registry, version: int
@@ -103,6 +107,7 @@
             return False
         self._registries[data_centre] = registry
         self._versions[data_centre] = version
+        self._own_until = -math.inf
         return True
 
     def knows(self, data_centre: str) -> bool:
@@ -133,6 +138,8 @@
         name = news.holder.name
         if name == self.name or news.holder.incarnation < self.highest(name):
             return False
+        if news != self._news.get(name) or name not in self._heard:
+            self._own_until = -math.inf
         self._news[name] = news
         self._heard[name] = now
         self._refused.discard(name)
@@ -142,46 +149,103 @@
         """Note that a member refused a connection: its process seems gone."""
         self._heard.pop(name, None)
         self._refused.add(name)
+        self._own_until = -math.inf
+
+    def own_members(self, now: float) -> tuple[Member, ...]:
+        """Return the members of the own data centre, sorted by name.
+
+        Asked with every request, so the list is kept until something changes or half
+        a heartbeat has passed.
+        """
+        if now >= self._own_until:
+            self._own = self.list_members(self.data_centre, now)
+            self._own_until = now + self.heartbeat_seconds / 2
+        return self._own
 
     def members(self, now: float) -> tuple[Member, ...]:
-        """Return all members, sorted by name."""
-        found: dict[str, Member] = {}
-        for data_centre, registry in self._registries.items():
-            for holder in registry.live():
-                life = registry.entries[holder.name].life
-                member = Member(holder, data_centre, life.peer_address, life.host)
-                found[holder.name] = self._with_news(member)
+        """Return all members."""
+        return tuple(
+            member
+            for data_centre in self.data_centres()
+            for member in self.list_members(data_centre, now)
+        )
+
+    def data_centres(self) -> tuple[str, ...]:
+        """Return the names of all data centres, sorted."""
+        heard = {news.data_centre for news in self._news.values()}
+        return tuple(sorted(heard.union(self._registries)))
+
+    def list_members(self, data_centre: str, now: float) -> tuple[Member, ...]:
+        """Return the members of one data centre, sorted by name."""
+        registry = self.registry(data_centre)
+        found: dict[str, Life | None] = {
+            holder.name: registry.entries[holder.name].life
+            for holder in registry.live()
+        }
         for name, news in self._news.items():
-            if name not in found and self._may_live(news):
-                member = Member(news.holder, news.data_centre, news.peer_address)
-                found[name] = self._with_news(member)
+            if news.data_centre == data_centre and self._may_live(news):
+                found.setdefault(name, None)
         found.pop(self.name, None)
-        silent = self.silent_seconds(found.values())
+        since = now - self.silent_seconds(len(found))
         return tuple(
-            attrs.evolve(item, alive=self._seems_alive(item, now - silent))
-            for _, item in sorted(found.items())
+            self._make_member(name, data_centre, life, since)
+            for name, life in sorted(found.items())
         )
 
-    def silent_seconds(self, members: Iterable[Member]) -> float:
-        """Return the silence after which a member of the data centre seems dead."""
-        own = sum(item.data_centre == self.data_centre for item in members)
-        rounds = -(-own // OWN_FAN_OUT) or 1
+    def suspects(self, now: float) -> tuple[Member, ...]:
+        """Return the registered members of the own data centre that seem gone.
+
+        Made for the hour in which this router is cut off from its neighbours but not
+        from the platform: it hears none of them, and if it took all for gone, it would
+        end the lives of a whole data centre and strand what they hold. So a router
+        that hears less than half of its data centre suspects only those whose hosts
+        the platform's list doesn't name.
+        """
+        own = [item for item in self.own_members(now) if item.holder.incarnation]
+        silent = [item for item in own if not item.alive]
+        if 2 * len(silent) <= len(own) + 1:
+            return tuple(silent)
+        listed = self.listed_hosts
+        return tuple(item for item in silent if listed and item.host not in listed)
+
+    def find_address(self, holder: Holder) -> str | None:
+        """Return the peer address of a life of the own data centre."""
+        news = self._news.get(holder.name)
+        if news is not None and news.holder == holder:
+            return news.peer_address
+        entry = self.registry(self.data_centre).entries.get(holder.name)
+        if entry is not None and entry.life.incarnation == holder.incarnation:
+            return entry.life.peer_address
+        return None
+
+    def silent_seconds(self, members: int) -> float:
+        """Return the silence after which one of so many members seems dead."""
+        rounds = -(-members // OWN_FAN_OUT) or 1
         return SILENT_ROUNDS * rounds * self.heartbeat_seconds
 
-    def _with_news(self, member: Member) -> Member:
-        leaving = member.host in self.leaving_hosts
-        news = self._news.get(member.holder.name)
-        if news is None or news.holder.incarnation < member.holder.incarnation:
-            return attrs.evolve(member, leaving=leaving)
-        return attrs.evolve(
-            member,
-            holder=news.holder,
-            peer_address=news.peer_address,
-            leaving=news.leaving or leaving,
-            configuration_number=news.configuration_number,
-            configuration_digest=news.configuration_digest,
-            staged_number=news.staged_number,
-            staged_digest=news.staged_digest,
+    def _make_member(
+        self, name: str, data_centre: str, life: Life | None, since: float
+    ) -> Member:
+        host = life.host if life is not None else ""
+        alive = self._seems_alive(name, data_centre, since)
+        leaving = host in self.leaving_hosts
+        news = self._news.get(name)
+        if life is not None and (
+            news is None or news.holder.incarnation < life.incarnation
+        ):
+            holder = Holder(name, life.incarnation)
+            return Member(holder, data_centre, life.peer_address, host, alive, leaving)
+        return Member(
+            news.holder,
+            data_centre,
+            news.peer_address,
+            host,
+            alive,
+            leaving or news.leaving,
+            news.configuration_number,
+            news.configuration_digest,
+            news.staged_number,
+            news.staged_digest,
         )
 
     def _may_live(self, news: News) -> bool:
@@ -189,11 +253,10 @@
         unregistered = news.holder.incarnation == 0
         return unregistered or state in (None, HolderState.LIVE)
 
-    def _seems_alive(self, member: Member, since: float) -> bool:
-        name = member.holder.name
-        if member.data_centre != self.data_centre:
+    def _seems_alive(self, name: str, data_centre: str, since: float) -> bool:
+        if data_centre != self.data_centre:
             return name not in self._refused
-        return self._heard.get(name, float("-inf")) >= since
+        return self._heard.get(name, -math.inf) >= since
 
 
 def choose_by_hash(key: str, names: Iterable[str]) -> str | None:
@@ -232,18 +295,26 @@
         self._own: list[str] = []
         self._others: list[str] = []
 
-    def choose(self, data_centre: str, members: Iterable[Member]) -> list[Member]:
-        """Choose the members to ask now."""
-        own = {}
-        others: dict[str, list[Member]] = {}
-        for member in members:
-            if member.data_centre == data_centre:
-                own[member.holder.name] = member
-            else:
-                others.setdefault(member.data_centre, []).append(member)
-        chosen = [own[name] for name in self._next(self._own, own, OWN_FAN_OUT)]
-        for name in self._next(self._others, others, OTHER_FAN_OUT):
-            chosen.append(self._choose_partner(others[name]))
+    def choose(
+        self,
+        own: Iterable[Member],
+        others: Iterable[str],
+        list_members: Callable[[str], tuple[Member, ...]],
+    ) -> list[Member]:
+        """Choose the members to ask now.
+
+        Args:
+            own: Members of the own data centre.
+            others: Names of the other data centres.
+            list_members: Returns the members of a data centre.
+        """
+        by_name = {item.holder.name: item for item in own}
+        names = self._next(self._own, by_name, OWN_FAN_OUT)
+        chosen = [by_name[name] for name in names]
+        for data_centre in self._next(self._others, others, OTHER_FAN_OUT):
+            members = list(list_members(data_centre))
+            if members:
+                chosen.append(self._choose_partner(members))
         return chosen
 
     def _choose_partner(self, members: list[Member]) -> Member:
--- a/knapweedrail/members.py
+++ b/knapweedrail/members.py
@@ -15,30 +15,19 @@
 from .models import Holder
 from .outcomes import Failure, Unavailable
 from .peers import PeerClients
-from .platforms import Changes, Platform
+from .platforms import Platform
 from .registrars import Registered, Registrar, Seen, Superseded
-from .registries import REGISTRY_PREFIX, HolderState, Registry
+from .registries import HolderState, Registry
 from .tasks import Task
+from .watches import OTHERS_READ_SECONDS, RegistryWatch, choose_pause
 from .wire.peers_pb2 import Exchange, Fenced, Sender
 
-WATCH_SECONDS = 30.0
-"""Longest wait of one watch. Each return costs a call; at 500 routers this is 17
-calls a second for the whole fleet."""
-
-OTHERS_READ_SECONDS = 10.0
-"""Mean delay before a changed registry of another data centre is read. When a data
-centre restarts, its registry changes thirty times; 500 routers that read it each time
-would use up the platform's reads for everyone else."""
-
 HOSTS_READ_SECONDS = 10.0
 """Mean time between reads of the platform's host list, which lags anyway."""
 
-RETRY_SECONDS = 0.2
-"""Upper end of the first random pause after a failed call to the platform."""
-
-RETRY_LIMIT_SECONDS = 10.0
-"""Upper end of any such pause: after an outage the fleet comes back over ten seconds
-and not at once."""
+IDLE_SECONDS = 60.0
+"""Time after which an unused connection to a peer is closed. Partners are kept, so an
+unused one belongs to a host that was replaced or to a partner that was given up."""
 
 HURRY_SECONDS = 0.02
 """Pause before a round that news has started, for more news to join it."""
@@ -129,6 +118,14 @@
         self._beliefs = Beliefs(
             settings.name, settings.data_centre, settings.heartbeat_seconds
         )
+        self._watch = RegistryWatch(
+            platform,
+            self._registrar,
+            settings.data_centre,
+            settings.others_read_seconds,
+            self._adopt,
+            self._rng,
+        )
         self._rounds = Rounds(settings.name, self._rng)
         self._registration = ""
         self._last = 0
@@ -152,8 +149,7 @@
 
     def own_data_centre_members(self) -> tuple[Member, ...]:
         """Return the beliefs about the other routers of this data centre."""
-        place = self.settings.data_centre
-        return tuple(item for item in self.members() if item.data_centre == place)
+        return self._beliefs.own_members(anyio.current_time())
 
     def registry(self) -> Registry:
         """Return the latest known registry of this data centre."""
@@ -171,6 +167,14 @@
         ended = state in (HolderState.FENCED, HolderState.CLOSED)
         return ended or holder in self._heard_fenced
 
+    def suspects(self) -> tuple[Member, ...]:
+        """Return the members of this data centre that seem gone; see `Beliefs`."""
+        return self._beliefs.suspects(anyio.current_time())
+
+    def find_address(self, holder: Holder) -> str | None:
+        """Return the peer address of a life of this data centre, if it is known."""
+        return self._beliefs.find_address(holder)
+
     def note_silent(self, name: str) -> None:
         """Note that a member didn't answer; until it is heard it seems dead."""
         self._beliefs.note_refused(name)
@@ -251,7 +255,7 @@
         """Keep a life registered, follow the registries, beat."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._keep_registered)
-            group.start_soon(self._follow_registries)
+            group.start_soon(self._watch.run)
             group.start_soon(self._follow_hosts)
             await self._beat(group)
 
@@ -282,7 +286,7 @@
                 return
             if attempt == 0:
                 log_event(Event.MEMBER_NOT_REGISTERED, detail=str(outcome))
-            await self._pause(attempt)
+            await anyio.sleep(choose_pause(attempt, self._rng))
             attempt += 1
 
     def _begin_life(self, registered: Registered) -> None:
@@ -299,68 +303,20 @@
         if beliefs.adopt_registry(data_centre, seen.registry, seen.version):
             self._check_own_life()
 
-    async def _follow_registries(self) -> None:
-        revision = 0
-        attempt = 0
-        waiting: set[str] = set()
-        due = anyio.current_time()
-        while True:
-            left = due - anyio.current_time() if waiting else WATCH_SECONDS
-            if waiting and left <= 0:
-                waiting = await self._read_registries(waiting)
-                due = self._others_due()
-                continue
-            outcome = await self._platform.watch(REGISTRY_PREFIX, revision, left)
-            if not isinstance(outcome, Changes):
-                await self._pause(attempt)
-                attempt += 1
-                continue
-            attempt = 0
-            revision = max(revision, outcome.revision)
-            changed = {
-                item.key.removeprefix(REGISTRY_PREFIX) for item in outcome.changes
-            }
-            urgent = {item for item in changed if self._is_urgent(item)}
-            failed = await self._read_registries(urgent)
-            changed = changed - urgent | failed
-            if changed and not waiting:
-                due = self._others_due()
-            waiting |= changed
-
-    def _is_urgent(self, data_centre: str) -> bool:
-        own = data_centre == self.settings.data_centre
-        return own or not self._beliefs.knows(data_centre)
-
-    def _others_due(self) -> float:
-        share = self._rng.uniform(0.5, 1.5)
-        return anyio.current_time() + share * self.settings.others_read_seconds
-
-    async def _read_registries(self, data_centres: set[str]) -> set[str]:
-        """Read registries; return those that couldn't be read."""
-        failed: set[str] = set()
-        for data_centre in sorted(data_centres):
-            outcome = await self._registrar.read(data_centre)
-            if isinstance(outcome, Unavailable):
-                failed.add(data_centre)
-                continue
-            self._adopt(data_centre, outcome)
-        return failed
-
     def _check_own_life(self) -> None:
         """End this life when the registry says that others have ended it."""
         registry = self.registry()
-        entry = registry.entries.get(self.settings.name)
-        if entry is not None:
-            self._heard_fenced = {
-                item
-                for item in self._heard_fenced
-                if registry.state(item) is not HolderState.CLOSED
-            }
-        if entry is None or not self.registered:
+        self._heard_fenced = {
+            item
+            for item in self._heard_fenced
+            if registry.state(item) is not HolderState.CLOSED
+        }
+        if not self.registered:
             return
-        if entry.life.incarnation > self.holder.incarnation:
+        if registry.highest(self.settings.name) > self.holder.incarnation:
             self._note_superseded(self.holder)
-        elif registry.state(self.holder) is HolderState.FENCED:
+        elif registry.state(self.holder) in (HolderState.FENCED, HolderState.CLOSED):
+            # Closed as well: who was paused for long finds its life reclaimed.
             self._end_life()
 
     def _end_life(self) -> None:
@@ -391,23 +347,20 @@
             await anyio.sleep(share * HOSTS_READ_SECONDS)
             outcome = await self._platform.list_hosts()
             if not isinstance(outcome, Unavailable):
+                self._beliefs.listed_hosts = frozenset(host.name for host in outcome)
                 self._beliefs.leaving_hosts = frozenset(
                     host.name for host in outcome if host.state == "leaving"
                 )
 
     async def _beat(self, group: anyio.abc.TaskGroup) -> None:
         while True:
-            members = self.members()
-            self._note_changes(members)
-            chosen = self._rounds.choose(self.settings.data_centre, members)
-            for member in chosen:
+            self._note_changes()
+            for member in self._choose_members():
                 self._ask(group, member.peer_address, member.holder.name)
-            known = {member.peer_address for member in members}
-            known.add(self.settings.peer_address)
-            self._clients.keep(known.union(self.settings.seeds))
-            seeds = [item for item in self.settings.seeds if item not in known]
-            if seeds:
-                self._ask(group, self._rng.choice(seeds), "")
+            seed = self._choose_seed()
+            if seed is not None:
+                self._ask(group, seed, "")
+            self._clients.close_idle(IDLE_SECONDS)
             share = self._rng.uniform(0.8, 1.2)
             with anyio.move_on_after(share * self.settings.heartbeat_seconds):
                 await self._hurry.wait()
@@ -415,6 +368,25 @@
                 await anyio.sleep(HURRY_SECONDS)
             self._hurry = anyio.Event()
 
+    def _choose_members(self) -> list[Member]:
+        now = anyio.current_time()
+        own = self.settings.data_centre
+        others = [item for item in self._beliefs.data_centres() if item != own]
+        return self._rounds.choose(
+            self._beliefs.own_members(now),
+            others,
+            lambda name: self._beliefs.list_members(name, now),
+        )
+
+    def _choose_seed(self) -> str | None:
+        """Choose a seed that isn't known as a member, if there is one."""
+        if not self.settings.seeds:
+            return None
+        known = {member.peer_address for member in self.members()}
+        known.add(self.settings.peer_address)
+        seeds = [item for item in self.settings.seeds if item not in known]
+        return self._rng.choice(seeds) if seeds else None
+
     def _ask(self, group: anyio.abc.TaskGroup, address: str, name: str) -> None:
         if address not in self._asking:
             self._asking.add(address)
@@ -458,19 +430,12 @@
         if self.registered and self.holder in self._heard_fenced:
             self._end_life()
 
-    def _note_changes(self, members: tuple[Member, ...]) -> None:
-        place = self.settings.data_centre
+    def _note_changes(self) -> None:
         alive = frozenset(
-            item.holder.name
-            for item in members
-            if item.alive and item.data_centre == place
+            item.holder.name for item in self.own_data_centre_members() if item.alive
         )
         for name in sorted(alive - self._own_alive):
             log_event(Event.MEMBER_HEARD, member=name)
         for name in sorted(self._own_alive - alive):
             log_event(Event.MEMBER_SILENT, member=name)
         self._own_alive = alive
-
-    async def _pause(self, attempt: int) -> None:
-        limit = min(RETRY_SECONDS * 2 ** min(attempt, 10), RETRY_LIMIT_SECONDS)
-        await anyio.sleep(self._rng.uniform(0, limit))
--- a/knapweedrail/neighbourhoods.py
+++ b/knapweedrail/neighbourhoods.py
@@ -43,13 +43,13 @@
         return tuple(
             member.holder
             for member in self._membership.own_data_centre_members()
-            if member.alive and member.holder.incarnation
+            if member.alive and not self._membership.is_over(member.holder)
         )
 
     async def hand_over(
         self, holder: Holder, budget: str, tokens: int, transfer: str
     ) -> HandedOver | Unavailable:
-        address = self._find_address(holder)
+        address = self._membership.find_address(holder)
         if address is None:
             return _fail("neighbours.hand_over", holder, "no address is known")
         request = HandOverRequest(
@@ -66,7 +66,7 @@
         return HandedOver(reply.tokens, reply.fenced)
 
     async def fence(self, asked: Holder, fenced: Holder) -> Received | Unavailable:
-        address = self._find_address(asked)
+        address = self._membership.find_address(asked)
         if address is None:
             return _fail("neighbours.fence", asked, "no address is known")
         request = FenceRequest(
@@ -91,12 +91,6 @@
     def fenced(self) -> frozenset[Holder]:
         return self._membership.fenced()
 
-    def _find_address(self, holder: Holder) -> str | None:
-        for member in self._membership.own_data_centre_members():
-            if member.holder.name == holder.name:
-                return member.peer_address
-        return None
-
 
 class ConfigurationPeers(Peers):
     """All routers, as the configuration needs them.
--- a/knapweedrail/peers.py
+++ b/knapweedrail/peers.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import socket
+import time
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator, Collection
+from collections.abc import AsyncIterator
 from typing import Any
 
 import anyio
@@ -164,6 +165,7 @@
         self.stub = PeersStub(self.channel)
         self.calls = 0
         self.doubted = False
+        self.used = time.monotonic()
 
     def release(self) -> None:
         """End one call; a doubted channel closes with its last one."""
@@ -196,13 +198,14 @@
             connection.channel.close()
         self._connections.clear()
 
-    def keep(self, addresses: Collection[str]) -> None:
-        """Drop the connections to all other addresses.
+    def close_idle(self, seconds: float) -> None:
+        """Close the connections unused for so long.
 
         Hosts are replaced under new addresses; their connections would pile up.
         """
+        limit = time.monotonic() - seconds
         for address, connection in list(self._connections.items()):
-            if address not in addresses:
+            if connection.calls == 0 and connection.used < limit:
                 self._doubt(address, connection)
 
     async def trade(
@@ -316,6 +319,7 @@
             connection = _Connection(address)
             self._connections[address] = connection
         connection.calls += 1
+        connection.used = time.monotonic()
         return connection
 
     def _doubt(self, address: str, connection: _Connection) -> None:
--- a/knapweedrail/registrars.py
+++ b/knapweedrail/registrars.py
@@ -13,6 +13,7 @@
 from .platforms import CREATE, Platform
 from .registries import (
     REGISTRY_PREFIX,
+    HolderState,
     Registry,
     close,
     decode_registry,
@@ -125,11 +126,13 @@
 
     async def fence(self, data_centre: str, holder: Holder) -> Seen | Failure:
         """Mark a life as fenced."""
-        return await self.change(data_centre, lambda item: fence(item, holder))
+        outcome = await self.change(data_centre, lambda item: fence(item, holder))
+        return _check_over(outcome, holder)
 
     async def close(self, data_centre: str, holder: Holder) -> Seen | Failure:
         """Mark a life as closed in order."""
-        return await self.change(data_centre, lambda item: close(item, holder))
+        outcome = await self.change(data_centre, lambda item: close(item, holder))
+        return _check_over(outcome, holder)
 
     async def reclaim(self, data_centre: str, holder: Holder) -> Seen | Failure:
         """Note that a fenced life is reclaimed."""
@@ -170,5 +173,19 @@
         await anyio.sleep(self._rng.uniform(0, limit))
 
 
+def _check_over(outcome: Seen | Failure, holder: Holder) -> Seen | Failure:
+    """Doubt a registry in which a life isn't over after it was ended.
+
+    The platform may answer a read with an older value. One from before the life began
+    doesn't know it, so ending it there changes nothing, and nothing was written; taken
+    for done, tokens would come back from a life that still spends.
+    """
+    if isinstance(outcome, Failure):
+        return outcome
+    if outcome.registry.state(holder) in (HolderState.FENCED, HolderState.CLOSED):
+        return outcome
+    return Unavailable("registry.end", str(holder), "not in the registry as read")
+
+
 def _key(data_centre: str) -> str:
     return f"{REGISTRY_PREFIX}{data_centre}"
--- a/knapweedrail/routers.py
+++ b/knapweedrail/routers.py
@@ -276,8 +276,7 @@
         now = time.monotonic()
         return {
             member.holder: before.get(member.holder, now)
-            for member in self.membership.own_data_centre_members()
-            if not member.alive and member.holder.incarnation
+            for member in self.membership.suspects()
         }
 
     def _is_first_for(self, holder: Holder) -> bool:
