--- a/knapweedrail/centres.py
+++ b/knapweedrail/centres.py
@@ -5,7 +5,7 @@
 from .models import Holder
 from .outcomes import Found, Unavailable
 from .platforms import Platform
-from .registries import REGISTRY_PREFIX, decode_registry
+from .registries import REGISTRY_PREFIX, Registry, decode_registry
 
 LIVE = "live"
 
@@ -26,20 +26,28 @@
     return frozenset(decode_registry(found.value).live())
 
 
-async def read_live_centres(platform: Platform) -> frozenset[str] | Unavailable:
-    """Read the data centres that have a registered router."""
+async def list_registries(platform: Platform) -> dict[str, Registry] | Unavailable:
+    """Read the registries of all data centres, by name."""
     keys = await platform.list(REGISTRY_PREFIX)
     if isinstance(keys, Unavailable):
         return keys
-    live = set()
+    registries = {}
     for change in keys:
-        name = change.key.removeprefix(REGISTRY_PREFIX)
-        holders = await read_registered(platform, name)
-        if isinstance(holders, Unavailable):
-            return holders
-        if holders:
-            live.add(name)
-    return frozenset(live)
+        found = await platform.read(change.key)
+        if isinstance(found, Unavailable):
+            return found
+        if isinstance(found, Found):
+            name = change.key.removeprefix(REGISTRY_PREFIX)
+            registries[name] = decode_registry(found.value)
+    return registries
+
+
+async def read_live_centres(platform: Platform) -> frozenset[str] | Unavailable:
+    """Read the data centres that have a registered router."""
+    registries = await list_registries(platform)
+    if isinstance(registries, Unavailable):
+        return registries
+    return frozenset(name for name, item in registries.items() if item.live())
 
 
 async def read_needed_centres(platform: Platform) -> frozenset[str] | Unavailable:
