Move the router's own life out of the membership task

Ruled out: nothing.

Change: lives.py registers, ends and closes the life; it looks at what is known of the registry once more after the callbacks of its beginning.

--- a/knapweedrail/members.py
+++ b/knapweedrail/members.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import uuid
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
@@ -12,14 +11,15 @@
 
 from .beliefs import Beliefs, Member, News, Rounds
 from .events import Event, log_event
+from .lives import LifeEnded, OwnLife, Place
 from .models import Holder
 from .outcomes import Failure, Unavailable
 from .peers import PeerClients
 from .platforms import Platform
-from .registrars import Registered, Registrar, Seen, Superseded
+from .registrars import Registrar, Seen
 from .registries import HolderState, Registry
 from .tasks import Task
-from .watches import OTHERS_READ_SECONDS, RegistryWatch, choose_pause
+from .watches import OTHERS_READ_SECONDS, RegistryWatch
 from .wire.peers_pb2 import Exchange, Fenced, Sender
 
 HOSTS_READ_SECONDS = 10.0
@@ -73,20 +73,6 @@
         """Take in what another router sent."""
 
 
-@attrs.frozen
-class LifeEnded:
-    """This router's life was ended by others.
-
-    Attributes:
-        holder: The life that is over; what it holds may not be used any more.
-        superseded: Another process registered under the router's name. The router
-            begins no new life then: two processes would fence each other for ever.
-    """
-
-    holder: Holder
-    superseded: bool
-
-
 class MembershipTask(Task):
     """Registers the router, trades news with peers and keeps beliefs about them.
 
@@ -108,9 +94,6 @@
     ) -> None:
         super().__init__("membership")
         self.settings = settings
-        self.holder = Holder(settings.name, 0)
-        self.superseded = False
-        self.leaving = False
         self._platform = platform
         self._clients = clients
         self._rng = rng or random.Random()
@@ -118,6 +101,18 @@
         self._beliefs = Beliefs(
             settings.name, settings.data_centre, settings.heartbeat_seconds
         )
+        self._life = OwnLife(
+            Place(
+                settings.name,
+                settings.host,
+                settings.data_centre,
+                settings.peer_address,
+            ),
+            self._registrar,
+            lambda: self._beliefs.highest(settings.name),
+            lambda seen: self._adopt(settings.data_centre, seen),
+            self._rng,
+        )
         self._watch = RegistryWatch(
             platform,
             self._registrar,
@@ -127,21 +122,35 @@
             self._rng,
         )
         self._rounds = Rounds(settings.name, self._rng)
-        self._registration = ""
-        self._last = 0
-        self._lifeless = anyio.Event()
         self._hurry = anyio.Event()
         self._parts: list[ExchangePart] = []
-        self._on_registered: list[Callable[[Holder], None]] = []
-        self._on_life_ended: list[Callable[[LifeEnded], None]] = []
         self._heard_fenced: set[Holder] = set()
         self._asking: set[str] = set()
         self._own_alive: frozenset[str] = frozenset()
 
+    @property
+    def holder(self) -> Holder:
+        """The router's life; its incarnation is 0 while it isn't registered."""
+        return self._life.holder
+
     @property
     def registered(self) -> bool:
         """Whether this life is registered, so that it may hold tokens."""
-        return self.holder.incarnation > 0
+        return self._life.registered
+
+    @property
+    def superseded(self) -> bool:
+        """Whether another process has this router's name now."""
+        return self._life.superseded
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the router leaves; exchanges say so."""
+        return self._life.leaving
+
+    @leaving.setter
+    def leaving(self, leaving: bool) -> None:
+        self._life.leaving = leaving
 
     def members(self) -> tuple[Member, ...]:
         """Return the beliefs about all other routers."""
@@ -185,11 +194,11 @@
 
     def on_registered(self, callback: Callable[[Holder], None]) -> None:
         """Call back when a life begins."""
-        self._on_registered.append(callback)
+        self._life.on_registered.append(callback)
 
     def on_life_ended(self, callback: Callable[[LifeEnded], None]) -> None:
         """Call back at once when this life is found to be ended by others."""
-        self._on_life_ended.append(callback)
+        self._life.on_ended.append(callback)
 
     async def mark_fenced(self, holder: Holder) -> Seen | Failure:
         """Fence a life of this data centre in the registry."""
@@ -212,15 +221,7 @@
         Returns:
             ``None`` when there was nothing to close.
         """
-        self.leaving = True
-        if not self.registered:
-            return None
-        holder = self.holder
-        self._drop_holder()
-        outcome = await self._registrar.close(self.settings.data_centre, holder)
-        if isinstance(outcome, Seen):
-            log_event(Event.MEMBER_CLOSED, holder=str(holder))
-        return outcome
+        return await self._life.leave()
 
     async def trade(self, message: Exchange) -> Exchange:
         """Take a peer's exchange and answer with the own one."""
@@ -254,92 +255,20 @@
     async def run(self) -> None:
         """Keep a life registered, follow the registries, beat."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._keep_registered)
+            group.start_soon(self._life.run)
             group.start_soon(self._watch.run)
             group.start_soon(self._follow_hosts)
             await self._beat(group)
 
-    async def _keep_registered(self) -> None:
-        while not self.superseded and not self.leaving:
-            self._registration = uuid.UUID(int=self._rng.getrandbits(128)).hex
-            self._lifeless = anyio.Event()
-            await self._register()
-            await self._lifeless.wait()
-
-    async def _register(self) -> None:
-        attempt = 0
-        while not self.leaving:
-            outcome = await self._registrar.register(
-                self.settings.data_centre,
-                self.settings.name,
-                self.settings.peer_address,
-                self.settings.host,
-                self._registration,
-                self._beliefs.highest(self.settings.name),
-                self._last,
-            )
-            if isinstance(outcome, Superseded):
-                self._note_superseded(Holder(self.settings.name, self._last))
-                return
-            if isinstance(outcome, Registered):
-                self._begin_life(outcome)
-                return
-            if attempt == 0:
-                log_event(Event.MEMBER_NOT_REGISTERED, detail=str(outcome))
-            await anyio.sleep(choose_pause(attempt, self._rng))
-            attempt += 1
-
-    def _begin_life(self, registered: Registered) -> None:
-        # Before the first use of the life, the fences that stood at its beginning.
-        self._adopt(self.settings.data_centre, registered.seen)
-        self.holder = registered.holder
-        self._last = self.holder.incarnation
-        log_event(Event.MEMBER_REGISTERED, holder=str(self.holder))
-        for callback in self._on_registered:
-            callback(self.holder)
-
     def _adopt(self, data_centre: str, seen: Seen) -> None:
-        beliefs = self._beliefs
-        if beliefs.adopt_registry(data_centre, seen.registry, seen.version):
-            self._check_own_life()
-
-    def _check_own_life(self) -> None:
-        """End this life when the registry says that others have ended it."""
+        self._beliefs.adopt_registry(data_centre, seen.registry, seen.version)
         registry = self.registry()
         self._heard_fenced = {
             item
             for item in self._heard_fenced
             if registry.state(item) is not HolderState.CLOSED
         }
-        if not self.registered:
-            return
-        if registry.highest(self.settings.name) > self.holder.incarnation:
-            self._note_superseded(self.holder)
-        elif registry.state(self.holder) in (HolderState.FENCED, HolderState.CLOSED):
-            # Closed as well: who was paused for long finds its life reclaimed.
-            self._end_life()
-
-    def _end_life(self) -> None:
-        """End this life; the task then registers the next."""
-        ended = self.holder
-        log_event(Event.MEMBER_FENCED, holder=str(ended))
-        self._drop_holder()
-        self._tell_life_ended(LifeEnded(ended, superseded=False))
-        self._lifeless.set()
-
-    def _note_superseded(self, ended: Holder) -> None:
-        log_event(Event.MEMBER_SUPERSEDED, holder=str(ended))
-        self.superseded = True
-        self._drop_holder()
-        self._tell_life_ended(LifeEnded(ended, superseded=True))
-        self._lifeless.set()
-
-    def _drop_holder(self) -> None:
-        self.holder = Holder(self.settings.name, 0)
-
-    def _tell_life_ended(self, ended: LifeEnded) -> None:
-        for callback in self._on_life_ended:
-            callback(ended)
+        self._life.check(registry)
 
     async def _follow_hosts(self) -> None:
         while True:
@@ -428,7 +357,7 @@
             if registry.state(holder) is not HolderState.CLOSED:
                 self._heard_fenced.add(holder)
         if self.registered and self.holder in self._heard_fenced:
-            self._end_life()
+            self._life.end()
 
     def _note_changes(self) -> None:
         alive = frozenset(
--- a/knapweedrail/routers.py
+++ b/knapweedrail/routers.py
@@ -18,8 +18,9 @@
 from .handlers import ConfigurationPart, QuarantinePart, RouterHandler
 from .homes import HomeTable, RunFinder
 from .intake import Intake, Life
+from .lives import LifeEnded
 from .measures import Measures
-from .members import LifeEnded, MembershipSettings, MembershipTask
+from .members import MembershipSettings, MembershipTask
 from .models import Holder, Rules
 from .neighbourhoods import BudgetNeighbours, ConfigurationPeers
 from .peers import PeerClients, PeerServer
