--- a/knapweedrail/tests/fakes.py
+++ b/knapweedrail/tests/fakes.py
@@ -1,4 +1,4 @@
-"""Fakes at the budgets' interfaces: a platform and neighbours in memory."""
+"""Fakes at the interfaces: a platform and neighbours in memory."""
 
 from __future__ import annotations
 
@@ -15,7 +15,10 @@
 
 
 class MemoryPlatform(Platform):
-    """Objects in memory; it can be away, lose answers and let writes land late."""
+    """Objects in memory; it can be away, lose answers, and let writes land late.
+
+    A stale read gives the value before the last write of the object.
+    """
 
     def __init__(self):
         self.objects = {}
@@ -27,6 +30,9 @@
         self.delay_writes = 0
         self.reads = 0
         self.writes = 0
+        self.stale_reads = 0
+        self._before = {}
+        self._changed = anyio.Event()
 
     def seen_by(self, name):
         """Return a client that can be cut off on its own."""
@@ -37,6 +43,9 @@
         self.reads += 1
         if self.away:
             return AWAY
+        if self.stale_reads and key in self._before:
+            self.stale_reads -= 1
+            return Found(*self._before[key])
         if key not in self.objects:
             return Missing()
         return Found(*self.objects[key])
@@ -66,19 +75,32 @@
         if version != expected:
             return Conflict(version)
         self.revision += 1
+        if key in self.objects:
+            self._before[key] = self.objects[key]
         self.objects[key] = (value, self.revision)
+        self._changed.set()
+        self._changed = anyio.Event()
         return Written(self.revision)
 
     async def list(self, prefix):
+        return self._list_changes(prefix, 0)
+
+    async def watch(self, prefix, revision, seconds):
+        await anyio.sleep(0)
+        with anyio.move_on_after(seconds):
+            while not self.away and not self._list_changes(prefix, revision):
+                await self._changed.wait()
+        if self.away:
+            return AWAY
+        return Changes(self.revision, self._list_changes(prefix, revision))
+
+    def _list_changes(self, prefix, revision):
         return tuple(
             Change(key, version)
             for key, (_, version) in self.objects.items()
-            if key.startswith(prefix)
+            if key.startswith(prefix) and version > revision
         )
 
-    async def watch(self, prefix, revision, seconds):
-        return Changes(self.revision, ())
-
     async def list_hosts(self):
         return ()
 
--- a/knapweedrail/tests/test_members.py
+++ b/knapweedrail/tests/test_members.py
@@ -1,147 +1,13 @@
 """Tests of the membership with real sockets and an in-memory platform."""
 
 import random
-from contextlib import asynccontextmanager
 
 import anyio
 
-from ..members import MembershipSettings, MembershipTask
-from ..outcomes import Conflict, Found, Missing, Unavailable, Unknown, Written
-from ..peers import PeerClients, PeerHandler, PeerServer
-from ..platforms import Change, Changes, Platform
+from ..outcomes import Unavailable
 from ..registrars import Registrar
-
-
-class MemoryPlatform(Platform):
-    """The platform in memory, with outages and lost answers."""
-
-    def __init__(self):
-        self.objects = {}
-        self.revision = 0
-        self.away = False
-        self.lost_answers = 0
-        self.calls = 0
-        self._changed = anyio.Event()
-
-    async def read(self, key):
-        if self._is_away():
-            return Unavailable("platform.read", "memory", "away")
-        if key not in self.objects:
-            return Missing()
-        return Found(*self.objects[key])
-
-    async def write(self, key, value, expected):
-        if self._is_away():
-            return Unavailable("platform.write", "memory", "away")
-        await anyio.sleep(0)
-        version = self.objects.get(key, (b"", 0))[1]
-        if version != expected:
-            return Conflict(version)
-        self.revision += 1
-        self.objects[key] = (value, self.revision)
-        self._changed.set()
-        self._changed = anyio.Event()
-        if self.lost_answers:
-            self.lost_answers -= 1
-            return Unknown("platform.write", "memory", "answer lost")
-        return Written(self.revision)
-
-    async def list(self, prefix):
-        return self._changes(prefix, 0)
-
-    async def watch(self, prefix, revision, seconds):
-        if self._is_away():
-            return Unavailable("platform.watch", "memory", "away")
-        with anyio.move_on_after(seconds):
-            while not self._changes(prefix, revision):
-                await self._changed.wait()
-        return Changes(self.revision, self._changes(prefix, revision))
-
-    async def list_hosts(self):
-        return ()
-
-    def _is_away(self):
-        self.calls += 1
-        return self.away
-
-    def _changes(self, prefix, revision):
-        return tuple(
-            Change(key, version)
-            for key, (_, version) in self.objects.items()
-            if key.startswith(prefix) and version > revision
-        )
-
-
-class Handler(PeerHandler):
-    """Answers exchanges only."""
-
-    task = None
-
-    async def trade(self, exchange):
-        return await self.task.trade(exchange)
-
-    async def hand_over(self, request):
-        raise NotImplementedError
-
-    fence = find_run = follow = fetch_configuration = hand_over
-
-
-class Router:
-    """One router's membership with its peer service."""
-
-    def __init__(self, platform, name, seeds=(), data_centre="split-a"):
-        self.handler = Handler()
-        self.server = PeerServer(self.handler, "127.0.0.1:0")
-        self.clients = PeerClients(0.5)
-        self.platform = platform
-        self.name = name
-        self.seeds = seeds
-        self.data_centre = data_centre
-        self.ended = []
-
-    async def start(self, group):
-        await self.server.start()
-        settings = MembershipSettings(
-            self.name,
-            f"host-of-{self.name}",
-            self.data_centre,
-            self.server.address,
-            self.seeds,
-            heartbeat_seconds=0.02,
-            others_read_seconds=0.05,
-        )
-        self.task = MembershipTask(
-            settings, self.platform, self.clients, random.Random(self.server.address)
-        )
-        self.handler.task = self.task
-        self.task.on_life_ended(self.ended.append)
-        await self.task.start(group)
-
-    async def close(self):
-        await self.task.close()
-        await self.clients.close()
-        await self.server.close()
-
-    def alive(self):
-        return {item.holder.name for item in self.task.members() if item.alive}
-
-
-@asynccontextmanager
-async def running(*routers):
-    """Run routers for the length of a block."""
-    async with anyio.create_task_group() as group:
-        for router in routers:
-            await router.start(group)
-        yield
-        for router in routers:
-            await router.close()
-
-
-async def until(condition):
-    """Wait for a condition."""
-    with anyio.fail_after(10):
-        while not condition():
-            await anyio.sleep(0.005)
+from .fakes import MemoryPlatform
+from .memberships import Router, running, until
 
 
 def test_routers_register_and_hear_each_other_across_data_centres():
@@ -236,3 +102,97 @@
                 assert [item.superseded for item in old.ended] == [True]
 
     anyio.run(check)
+
+
+def test_a_paused_router_whose_life_was_reclaimed_meanwhile_ends_it():
+    """A router is paused for so long that its neighbours have fenced its life and
+    taken back what it held. Awake again, it finds its life closed rather than fenced;
+    if it went on, its tokens would be spent twice."""
+
+    async def check():
+        platform = MemoryPlatform()
+        one, two = Router(platform, "r1"), Router(platform, "r2")
+        async with running(two):
+            async with running(one):
+                await until(lambda: one.task.registered)
+                old = one.task.holder
+            # Closed without a word, as a paused process is silent.
+            await two.task.mark_fenced(old)
+            await two.task.mark_reclaimed(old)
+            registry = await Registrar(platform, random.Random(1)).read("split-a")
+            one.task._life.holder = old
+            one.task._life.check(registry.registry)
+            assert one.ended[-1].holder == old
+            assert not one.task.registered
+
+    anyio.run(check)
+
+
+def test_a_fence_is_not_taken_for_written_on_a_stale_read():
+    """The platform answers a read with the registry from before a life began. Fencing
+    a life that this copy doesn't know writes nothing; taken for done, the life's
+    tokens would come back to the budget while it goes on spending them."""
+
+    async def check():
+        platform = MemoryPlatform()
+        one, two = Router(platform, "r1"), Router(platform, "r2")
+        async with running(one):
+            await until(lambda: one.task.registered)
+            async with running(two):
+                await until(lambda: two.task.registered)
+                platform.stale_reads = 1
+                outcome = await one.task.mark_fenced(two.task.holder)
+                assert isinstance(outcome, Unavailable)
+                platform.stale_reads = 0
+                outcome = await one.task.mark_fenced(two.task.holder)
+                assert two.task.holder not in outcome.registry.live()
+
+    anyio.run(check)
+
+
+def test_a_router_cut_off_from_its_neighbours_suspects_none():
+    """A switch cuts one router off from its data centre but not from the platform. It
+    hears nobody; if it took all the others for dead it would end the lives of a whole
+    data centre, and callers would be refused for lack of tokens everywhere. The others
+    suspect it alone."""
+
+    async def check():
+        platform = MemoryPlatform()
+        routers = [Router(platform, f"r{i}") for i in range(4)]
+        async with running(*routers):
+            for router in routers:
+                await until(lambda: len(router.alive()) == 3)
+            cut, *others = routers
+            await cut.go_deaf()
+            await until(lambda: not cut.alive())
+            for router in others:
+                await until(
+                    lambda: [m.holder.name for m in router.task.suspects()] == ["r0"]
+                )
+            assert cut.task.suspects() == ()
+
+    anyio.run(check)
+
+
+def test_members_are_known_again_after_an_outage_of_the_platform():
+    """The platform is away while routers come and go. Those that stay keep hearing
+    each other; afterwards each must know the present lives without a restart."""
+
+    async def check():
+        platform = MemoryPlatform()
+        one, two = Router(platform, "r1"), Router(platform, "r2")
+        async with running(one):
+            async with running(two):
+                await until(lambda: one.alive() == {"r2"})
+                platform.away = True
+                platform._changed.set()
+                assert one.alive() == {"r2"}
+            await until(lambda: one.alive() == set())
+            platform.away = False
+            back = Router(platform, "r2")
+            async with running(back):
+                await until(lambda: one.alive() == {"r2"})
+                await until(lambda: back.task.registered)
+                assert back.task.holder.incarnation == 2
+
+    anyio.run(check)
