--- a/knapweedrail/changes.py
+++ b/knapweedrail/changes.py
@@ -201,8 +201,9 @@
 
     def _take_in(self, message: Heard) -> None:
         before = self.follower.knowledge
-        neighbours = self.peers.neighbours()
-        if message.holder in neighbours:
+        if message.holder.incarnation:
+            # Any registered router will do, of whatever data centre: unless it was
+            # given up as well, no proposal was decided that it doesn't hold.
             self._heard_at = self._now()
         self.follower.hear(message.holder, message.report)
         self._note(changed=before != self.follower.knowledge)
--- a/knapweedrail/neighbourhoods.py
+++ b/knapweedrail/neighbourhoods.py
@@ -127,10 +127,15 @@
         self._membership.announce()
 
     def neighbours(self) -> frozenset[Holder]:
+        # A router that said it leaves falls silent in good order. Were it counted, the
+        # last router of a data centre would refuse all work in an outage during which
+        # the others are replaced.
         return frozenset(
             member.holder
             for member in self._membership.own_data_centre_members()
             if member.holder.incarnation
+            and not member.leaving
+            and not self._membership.is_over(member.holder)
         )
 
 
