--- a/knapweedrail/standins/memory.py
+++ b/knapweedrail/standins/memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 
 import anyio
 
@@ -29,6 +30,7 @@
         away: Whether every call fails.
         calls: Calls by kind.
         writes: Keys written, in order.
+        wrote: Called with the key after each write.
     """
 
     def __init__(self) -> None:
@@ -38,6 +40,7 @@
         self.away = False
         self.calls: Counter[str] = Counter()
         self.writes: list[str] = []
+        self.wrote: Callable[[str], None] = lambda key: None
         self._changed = anyio.Event()
 
     def put(self, key: str, value: bytes, expected: int) -> WriteOutcome:
@@ -48,6 +51,7 @@
         self.revision += 1
         self.objects[key] = (value, self.revision)
         self.writes.append(key)
+        self.wrote(key)
         self.wake()
         return Written(self.revision)
 
--- a/knapweedrail/tests/test_faults_configuration.py
+++ b/knapweedrail/tests/test_faults_configuration.py
@@ -85,7 +85,7 @@
     """A data centre is cut off, its open connections silent, while files are applied.
     Were one accepted, callers there would be served under another file."""
     code, printed = apply(fleet, "first")
-    assert code == 0
+    assert code == 0, printed
     wait_in_force(fleet, printed["number"])
     east, west = (fleet.routers[f"{name}-router-0"] for name in ("east", "west"))
     # Before the cut, so that both data centres hold tokens of the budget.
@@ -97,7 +97,7 @@
     assert ask(west, ENGINE_ROUTE) == (200, "")
     cut_off(fleet, "west", "pass")
     code, printed = apply(fleet, "third")
-    assert code == 0
+    assert code == 0, printed
     wait_in_force(fleet, printed["number"])
     assert ask(west, "first")[0] == 404
 
@@ -145,7 +145,7 @@
     [name] = [r["router"] for r in rows if r["router"].startswith("east-router-1/")]
     assert fleet.operate("fence", name, "--data-centre", "east").returncode == 0
     code, printed = apply(fleet, "second")
-    assert code == 0
+    assert code == 0, printed
     fleet.restart_router("east-router-1")
     wait_in_force(fleet, printed["number"])
     wait_for(router.is_ready, "the router to be ready again")
@@ -157,7 +157,7 @@
     up. In its own eyes no time has passed; a caller of the old route must not be
     served by it, whenever the call comes."""
     code, printed = apply(fleet, "old")
-    assert code == 0
+    assert code == 0, printed
     wait_in_force(fleet, printed["number"])
     router = fleet.routers["east-router-1"]
     assert ask(router, "old")[0] == 200
@@ -166,7 +166,7 @@
     router.freeze()
     fleet.operate("fence", name, "--data-centre", "east")
     code, printed = apply(fleet, "new")
-    assert code == 0
+    assert code == 0, printed
     router.resume()
     kinds = [ask(router, "old") for _ in range(20)]
     assert all(status != 200 for status, _ in kinds), kinds
@@ -189,5 +189,5 @@
     fleet.platform.set_faults(outage=False)
     fleet.wait_ready()
     code, printed = apply(fleet, "second")
-    assert code == 0
+    assert code == 0, printed
     wait_in_force(fleet, printed["number"])
--- a/knapweedrail/texts.py
+++ b/knapweedrail/texts.py
@@ -19,22 +19,27 @@
 
 WRITE_TRIES = 3
 
+SEPARATOR = b"\n"
+"""Ends the number of parts in the head."""
+
 
 async def store_text(platform: Platform, text: str) -> Unavailable | Unknown | None:
     """Store a text; ``None`` when it stands.
 
-    The parts go first and the head, which names their number, last: who finds the
-    head finds all. An object that stands already has the same content, as its key is
-    the digest, so lost answers and two operators with one file do no harm.
+    The head holds the number of parts and the first part, so that a usual file takes
+    one read of each router. It is written last: who finds the head finds all. An
+    object that stands already has the same content, as its key is the digest, so lost
+    answers and two operators with one file do no harm.
     """
     digest = digest_text(text)
     packed = zlib.compress(text.encode())
     parts = [packed[i : i + PART_BYTES] for i in range(0, len(packed), PART_BYTES)]
-    for number, part in enumerate(parts):
+    for number, part in enumerate(parts[1:], 1):
         failure = await _create(platform, f"{PREFIX}{digest}/{number}", part)
         if failure is not None:
             return failure
-    return await _create(platform, f"{PREFIX}{digest}", str(len(parts)).encode())
+    head = str(len(parts)).encode() + SEPARATOR + parts[0]
+    return await _create(platform, f"{PREFIX}{digest}", head)
 
 
 async def _create(
@@ -53,8 +58,8 @@
     head = await platform.read(f"{PREFIX}{digest}")
     if not isinstance(head, Found):
         return _fail(head, digest, "missing")
-    packed = b""
-    for number in range(int(head.value)):
+    count, _, packed = head.value.partition(SEPARATOR)
+    for number in range(1, int(count)):
         part = await platform.read(f"{PREFIX}{digest}/{number}")
         if not isinstance(part, Found):
             return _fail(part, digest, f"part {number} is missing")
--- a/knapweedrail/votes.py
+++ b/knapweedrail/votes.py
@@ -106,15 +106,15 @@
         begun = anyio.current_time()
         waited = False
         while self._is_open(proposal):
-            registered = await read_registered(self._platform, self._data_centre)
-            rank = self._find_rank(registered)
-            if rank is None:
-                await self._wait_open(proposal, times.retry_seconds)
-                continue
+            rank = self._find_rank()
             if not waited and rank > 0:
                 waited = True
                 await self._wait_open(proposal, rank * times.rank_seconds)
                 continue
+            registered = await read_registered(self._platform, self._data_centre)
+            if not self._may_act(registered):
+                await self._wait_open(proposal, times.retry_seconds)
+                continue
             acks = None
             if await self._wait_held(proposal, registered):
                 acks = await self._acknowledge(proposal)
@@ -124,12 +124,23 @@
             if acks is not None:
                 await self._wait_open(proposal, times.rank_seconds)
 
-    def _find_rank(self, registered: frozenset[Holder] | Unavailable) -> int | None:
-        """Return how many routers act before this one; ``None``: it may not act."""
+    def _find_rank(self) -> int:
+        """Return how many routers act before this one, as far as it believes.
+
+        The registry isn't read for it: 500 routers would read it at every change only
+        to find that another one acts. Two that both act do no harm.
+        """
         holder = self._task.holder()
-        if isinstance(registered, Unavailable) or holder not in registered:
-            return None
-        return sorted(registered, key=str).index(holder)
+        if holder is None:
+            return 0
+        known = {*self._task.peers.neighbours(), holder}
+        return sorted(known, key=str).index(holder)
+
+    def _may_act(self, registered: frozenset[Holder] | Unavailable) -> bool:
+        """Say whether this router's life is registered and not given up."""
+        if isinstance(registered, Unavailable):
+            return False
+        return self._task.holder() in registered
 
     async def _wait_held(
         self, proposal: Proposal, registered: frozenset[Holder]
@@ -211,11 +222,13 @@
 
     async def _record_number(self, number: int) -> None:
         times = self._task.times
-        registered = await read_registered(self._platform, self._data_centre)
-        rank = self._find_rank(registered)
-        if rank is None or rank >= RECORDERS:
+        rank = self._find_rank()
+        if rank >= RECORDERS:
             return
         await anyio.sleep(rank * (times.rank_seconds + RECORD_SECONDS))
+        registered = await read_registered(self._platform, self._data_centre)
+        if not self._may_act(registered):
+            return
         self._task.follower.forget_except(registered | self._task.peers.neighbours())
         serving = await self._wait_serving(number, registered)
         seconds = time.time()
