--- a/knapweedrail/batches.py
+++ b/knapweedrail/batches.py
@@ -8,12 +8,12 @@
 import anyio
 import attrs
 
-from .archives import Archive
 from .entries import Batch, Entry, Outcome
 from .events import Event, log_event
 from .ledgers import Ledger, decode_ledger, encode_ledger
 from .models import Holder
 from .outcomes import Conflict, Found, Missing, Unavailable, Written
+from .pages import Pages
 from .platforms import CREATE, Platform
 from .postings import apply_batch
 from .tasks import Task
@@ -27,6 +27,10 @@
 At 500 routers it makes at most 500 calls a second, which the platform bears."""
 
 
+LARGE_BYTES = 250_000
+"""A ledger above this size has its older half of bills and claims moved out. A quarter
+of what an object holds: a batch adds at most another quarter."""
+
 WRITES_FAILED = 3
 """Writes of one batch that fail, with reads answered between them, before the platform
 counts as away. One lost answer must not make a whole data centre refuse; a platform
@@ -89,7 +93,8 @@
         self.writes = 0
         self._ledger: Ledger | None = None
         self._version = CREATE
-        self._archive = Archive()
+        self._pages = Pages(shard, platform)
+        self._is_large = False
         self._number = 0
         self._away = False
         self._failed_reads = 0
@@ -117,10 +122,16 @@
     async def _try(self, batch: Batch) -> Posted | None:
         if self._ledger is None and isinstance(await self._read(), Unavailable):
             return None
-        applied = apply_batch(self._ledger, batch, self._archive)
+        if not await self._pages.catch_up(self._ledger):
+            return None
+        ledger = self._ledger
+        if self._is_large:
+            ledger = await self._pages.move(ledger)
+        applied = apply_batch(ledger, batch, self._pages.archive)
         if not applied.changed:
             return Posted(applied.outcomes, applied.ledger)
         value = encode_ledger(applied.ledger)
+        self._is_large = len(value) > LARGE_BYTES
         self.writes += 1
         outcome = await self.platform.write(self.key, value, self._version)
         if isinstance(outcome, Written):
--- a/knapweedrail/ledgers.py
+++ b/knapweedrail/ledgers.py
@@ -135,18 +135,22 @@
     Attributes:
         budgets: Budgets by name.
         holders: Holders that aren't closed.
-        ended: Holders that were released, or fenced with nothing in their hands.
+        closed: Highest incarnation of each router name that closed in order.
+        ended: Holders whose fence round has ended and who hold nothing any more.
         bills: Tokens of recent bills, by account and identity.
         claims: Recent claims, by account and identity.
-        pages: Pages of older bills and claims that were moved out.
+        bill_pages: Pages of older bills that were moved out.
+        claim_pages: Pages of older claims that were moved out.
     """
 
     budgets: dict[str, BudgetRecord] = attrs.field(factory=dict)
     holders: dict[str, HolderRecord] = attrs.field(factory=dict)
+    closed: dict[str, int] = attrs.field(factory=dict)
     ended: tuple[str, ...] = ()
     bills: dict[str, Bill] = attrs.field(factory=dict)
     claims: dict[str, Claim] = attrs.field(factory=dict)
-    pages: int = 0
+    bill_pages: int = 0
+    claim_pages: int = 0
 
 
 def find_shard(name: str, shards: int) -> int:
@@ -174,10 +178,12 @@
             ]
             for name, record in ledger.holders.items()
         },
+        "closed": ledger.closed,
         "ended": ledger.ended,
         "bills": ledger.bills,
         "claims": {key: encode_claim(claim) for key, claim in ledger.claims.items()},
-        "pages": ledger.pages,
+        "bill_pages": ledger.bill_pages,
+        "claim_pages": ledger.claim_pages,
     }
     return orjson.dumps(content, default=_make_row)
 
@@ -195,10 +201,12 @@
     return Ledger(
         {name: _decode_budget(row) for name, row in content["budgets"].items()},
         {name: _decode_holder(row, claims) for name, row in content["holders"].items()},
+        content["closed"],
         tuple(content["ended"]),
         {key: Bill(*row) for key, row in content["bills"].items()},
         claims,
-        content["pages"],
+        content["bill_pages"],
+        content["claim_pages"],
     )
 
 
--- a/knapweedrail/postings.py
+++ b/knapweedrail/postings.py
@@ -49,6 +49,7 @@
     name_request,
 )
 from .models import Holder
+from .neighbours import Total
 
 OPERATOR = Holder("operator", 0)
 """Writes entries that are applied once by their own identity, without a number."""
@@ -117,6 +118,7 @@
         self.archive = archive
         self.budgets = dict(ledger.budgets)
         self.holders = dict(ledger.holders)
+        self.closed = dict(ledger.closed)
         self.ended = ledger.ended
         self.bills = dict(ledger.bills)
         self.claims = dict(ledger.claims)
@@ -137,6 +139,7 @@
             self.ledger,
             budgets=self.budgets,
             holders=self.holders,
+            closed=self.closed,
             ended=self.ended,
             bills=self.bills,
             claims=self.claims,
@@ -223,7 +226,7 @@
     def add_bill(self, entry: AddBill) -> Outcome:
         bill = entry.bill
         key = name_request(bill.account, bill.identity)
-        if key in self.bills or key in self.archive.bills:
+        if key in self.bills or self.archive.has_bill(key):
             return BillStands()
         record = self.budgets.get(bill.budget)
         if record is None:
@@ -271,42 +274,66 @@
     def reclaim(self, entry: Reclaim) -> Outcome:
         """Return the reserve of a fenced holder less what neighbours took of it."""
         fenced = str(entry.holder)
+        if fenced in self.ended:
+            return Done()
+        holder = self.holders.get(fenced)
+        floor = self.closed.get(entry.holder.name, 0)
+        may_have_closed = holder is None and entry.holder.incarnation <= floor
         back = 0
         for budget, record in list(self.budgets.items()):
-            handed_here = [item for item in entry.handed if item.budget == budget]
-            if fenced not in record.shares and not handed_here:
-                continue
-            share = record.shares.get(fenced, Share())
-            received = dict(share.received)
-            for total in handed_here:
-                sender = str(total.holder)
-                received[sender] = max(received.get(sender, 0), total.tokens)
-            taken = self._sum_taken(budget, fenced, entry)
-            reserve_returned = max(share.reserve_returned, share.reserve - taken)
-            back += reserve_returned - share.reserve_returned
-            share = attrs.evolve(
-                share,
-                received=received,
-                reserve_returned=reserve_returned,
-                handed=share.reserve - reserve_returned,
-                demand=0,
-                want=0,
-            )
-            self._put_share(budget, fenced, share)
-        holder = self.holders.get(fenced)
-        if holder is None and not self._drop_closed(fenced):
-            # It holds tokens by hand-overs alone, or it closed and an answer of its
-            # hand-overs was lost.
-            holder = HolderRecord(0, self.batch.data_centre)
-        if holder is not None:
+            handed = [item for item in entry.handed if item.budget == budget]
+            if may_have_closed:
+                self._note_handed(budget, handed)
+            elif handed and fenced not in record.shares:
+                self._put_share(budget, fenced, Share())
+            if fenced in self.budgets[budget].shares:
+                back += self._reclaim_share(budget, entry, handed)
+        if holder is None and self._drop_empty(fenced):
+            self._end(fenced)
+        else:
+            holder = holder or HolderRecord(0, self.batch.data_centre)
             self.holders[fenced] = attrs.evolve(holder, state=FENCED)
         return Done(back)
 
+    def _note_handed(self, budget: str, handed: list[Total]) -> None:
+        """Count what went to a holder that may have closed in order.
+
+        If it did, it gave the tokens back or reported them, and a share made of them
+        now could be released a second time. If it didn't, nobody can tell what it
+        used. Both ways they count as taken and never come back by this.
+        """
+        record = self.budgets[budget]
+        gone_received = dict(record.gone_received)
+        for item in handed:
+            sender = str(item.holder)
+            gone_received[sender] = gone_received.get(sender, 0) + item.tokens
+        self.budgets[budget] = attrs.evolve(record, gone_received=gone_received)
+
+    def _reclaim_share(self, budget: str, entry: Reclaim, handed: list[Total]) -> int:
+        fenced = str(entry.holder)
+        share = self.budgets[budget].shares[fenced]
+        received = dict(share.received)
+        for item in handed:
+            sender = str(item.holder)
+            received[sender] = max(received.get(sender, 0), item.tokens)
+        taken = self._sum_taken(budget, fenced, entry)
+        reserve_returned = max(share.reserve_returned, share.reserve - taken)
+        reclaimed = attrs.evolve(
+            share,
+            received=received,
+            reserve_returned=reserve_returned,
+            handed=share.reserve - reserve_returned,
+            demand=0,
+            want=0,
+        )
+        self._put_share(budget, fenced, reclaimed)
+        return reserve_returned - share.reserve_returned
+
     def release(self, entry: Release) -> Outcome:
         """Return a fenced holder's allowance less what it proved to have used."""
         fenced = str(entry.holder)
         holder = self.holders.get(fenced)
-        if holder is not None and holder.state != FENCED:
+        if holder is None or holder.state != FENCED:
             return Denied(NOT_FENCED)
         back = 0
         for total in entry.used:
@@ -320,7 +347,7 @@
             back += returned - share.returned
             share = attrs.evolve(share, spent=spent, returned=returned)
             self._put_share(total.budget, fenced, share)
-            self._drop_share(total.budget, fenced)
+            self._remove_share(total.budget, fenced)
         if not any(fenced in record.shares for record in self.budgets.values()):
             self.holders.pop(fenced, None)
             self._end(fenced)
@@ -330,7 +357,12 @@
         for budget, record in list(self.budgets.items()):
             if self.name in record.shares:
                 self._drop_share(budget, self.name)
+        if self.record.state == FENCED:
+            self._end(self.name)
         self.holders.pop(self.name, None)
+        holder = self.batch.holder
+        floor = self.closed.get(holder.name, 0)
+        self.closed[holder.name] = max(floor, holder.incarnation)
         self.is_leaving = True
         return Done()
 
@@ -362,6 +394,11 @@
             # asked everybody, its tokens count as held.
             self._put_share(budget, name, attrs.evolve(share, demand=0, want=0))
             return
+        self._remove_share(budget, name)
+
+    def _remove_share(self, budget: str, name: str) -> None:
+        record = self.budgets[budget]
+        share = record.shares[name]
         shares = dict(record.shares)
         del shares[name]
         gone_received = dict(record.gone_received)
@@ -377,15 +414,15 @@
             gone_spent=record.gone_spent + share.spent,
         )
 
-    def _drop_closed(self, fenced: str) -> bool:
-        for budget, record in list(self.budgets.items()):
-            share = record.shares.get(fenced)
-            if share is None:
-                continue
-            if share.unspent > 0:
-                return False
-            self._drop_share(budget, fenced)
-        self._end(fenced)
+    def _drop_empty(self, fenced: str) -> bool:
+        """Drop a fenced holder's shares if none has anything left to prove."""
+        budgets = [
+            budget for budget, record in self.budgets.items() if fenced in record.shares
+        ]
+        if any(self.budgets[name].shares[fenced].unspent for name in budgets):
+            return False
+        for budget in budgets:
+            self._remove_share(budget, fenced)
         return True
 
     def _end(self, name: str) -> None:
