--- a/knapweedrail/members.py
+++ b/knapweedrail/members.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import uuid
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
@@ -12,33 +11,26 @@
 
 from .beliefs import Beliefs, Member, News, Rounds
 from .events import Event, log_event
+from .lives import LifeEnded, OwnLife, Place
 from .models import Holder
 from .outcomes import Failure, Unavailable
 from .peers import PeerClients
-from .platforms import Changes, Platform
-from .registrars import Registrar, Superseded
-from .registries import REGISTRY_PREFIX, HolderState, Registry
+from .platforms import Platform
+from .registrars import Registrar, Seen
+from .registries import HolderState, Registry
 from .tasks import Task
+from .watches import OTHERS_READ_SECONDS, RegistryWatch
 from .wire.peers_pb2 import Exchange, Fenced, Sender
 
-WATCH_SECONDS = 30.0
-"""Longest wait of one watch. Each return costs a call; at 500 routers this is 17
-calls a second for the whole fleet."""
-
-OTHERS_READ_SECONDS = 10.0
-"""Mean delay before a changed registry of another data centre is read. When a data
-centre restarts, its registry changes thirty times; 500 routers that read it each time
-would use up the platform's reads for everyone else."""
-
 HOSTS_READ_SECONDS = 10.0
 """Mean time between reads of the platform's host list, which lags anyway."""
 
-RETRY_SECONDS = 0.2
-"""Upper end of the first random pause after a failed call to the platform."""
+IDLE_SECONDS = 60.0
+"""Time after which an unused connection to a peer is closed. Partners are kept, so an
+unused one belongs to a host that was replaced or to a partner that was given up."""
 
-RETRY_LIMIT_SECONDS = 10.0
-"""Upper end of any such pause: after an outage the fleet comes back over ten seconds
-and not at once."""
+HURRY_SECONDS = 0.02
+"""Pause before a round that news has started, for more news to join it."""
 
 FENCED_CARRIED = 64
 """Fenced lives named in one exchange, so that its size is bounded. The registry names
@@ -81,20 +73,6 @@
         """Take in what another router sent."""
 
 
-@attrs.frozen
-class LifeEnded:
-    """This router's life was ended by others.
-
-    Attributes:
-        holder: The life that is over; what it holds may not be used any more.
-        superseded: Another process registered under the router's name. The router
-            begins no new life then: two processes would fence each other for ever.
-    """
-
-    holder: Holder
-    superseded: bool
-
-
 class MembershipTask(Task):
     """Registers the router, trades news with peers and keeps beliefs about them.
 
@@ -116,9 +94,6 @@
     ) -> None:
         super().__init__("membership")
         self.settings = settings
-        self.holder = Holder(settings.name, 0)
-        self.superseded = False
-        self.leaving = False
         self._platform = platform
         self._clients = clients
         self._rng = rng or random.Random()
@@ -126,21 +101,56 @@
         self._beliefs = Beliefs(
             settings.name, settings.data_centre, settings.heartbeat_seconds
         )
+        self._life = OwnLife(
+            Place(
+                settings.name,
+                settings.host,
+                settings.data_centre,
+                settings.peer_address,
+            ),
+            self._registrar,
+            lambda: self._beliefs.highest(settings.name),
+            lambda seen: self._adopt(settings.data_centre, seen),
+            self._rng,
+        )
+        self._watch = RegistryWatch(
+            platform,
+            self._registrar,
+            settings.data_centre,
+            settings.others_read_seconds,
+            self._adopt,
+            self._rng,
+        )
         self._rounds = Rounds(settings.name, self._rng)
-        self._registration = ""
-        self._last = 0
-        self._lifeless = anyio.Event()
+        self._hurry = anyio.Event()
         self._parts: list[ExchangePart] = []
-        self._on_registered: list[Callable[[Holder], None]] = []
-        self._on_life_ended: list[Callable[[LifeEnded], None]] = []
         self._heard_fenced: set[Holder] = set()
         self._asking: set[str] = set()
         self._own_alive: frozenset[str] = frozenset()
 
+    @property
+    def holder(self) -> Holder:
+        """The router's life; its incarnation is 0 while it isn't registered."""
+        return self._life.holder
+
     @property
     def registered(self) -> bool:
         """Whether this life is registered, so that it may hold tokens."""
-        return self.holder.incarnation > 0
+        return self._life.registered
+
+    @property
+    def superseded(self) -> bool:
+        """Whether another process has this router's name now."""
+        return self._life.superseded
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the router leaves; exchanges say so."""
+        return self._life.leaving
+
+    @leaving.setter
+    def leaving(self, leaving: bool) -> None:
+        self._life.leaving = leaving
 
     def members(self) -> tuple[Member, ...]:
         """Return the beliefs about all other routers."""
@@ -148,8 +158,7 @@
 
     def own_data_centre_members(self) -> tuple[Member, ...]:
         """Return the beliefs about the other routers of this data centre."""
-        place = self.settings.data_centre
-        return tuple(item for item in self.members() if item.data_centre == place)
+        return self._beliefs.own_members(anyio.current_time())
 
     def registry(self) -> Registry:
         """Return the latest known registry of this data centre."""
@@ -167,6 +176,14 @@
         ended = state in (HolderState.FENCED, HolderState.CLOSED)
         return ended or holder in self._heard_fenced
 
+    def suspects(self) -> tuple[Member, ...]:
+        """Return the members of this data centre that seem gone; see `Beliefs`."""
+        return self._beliefs.suspects(anyio.current_time())
+
+    def find_address(self, holder: Holder) -> str | None:
+        """Return the peer address of a life of this data centre, if it is known."""
+        return self._beliefs.find_address(holder)
+
     def note_silent(self, name: str) -> None:
         """Note that a member didn't answer; until it is heard it seems dead."""
         self._beliefs.note_refused(name)
@@ -177,38 +194,34 @@
 
     def on_registered(self, callback: Callable[[Holder], None]) -> None:
         """Call back when a life begins."""
-        self._on_registered.append(callback)
+        self._life.on_registered.append(callback)
 
     def on_life_ended(self, callback: Callable[[LifeEnded], None]) -> None:
         """Call back at once when this life is found to be ended by others."""
-        self._on_life_ended.append(callback)
+        self._life.on_ended.append(callback)
 
-    async def mark_fenced(self, holder: Holder) -> Registry | Failure:
+    async def mark_fenced(self, holder: Holder) -> Seen | Failure:
         """Fence a life of this data centre in the registry."""
         outcome = await self._registrar.fence(self.settings.data_centre, holder)
-        if isinstance(outcome, Registry):
-            self._heard_fenced.add(holder)
+        if isinstance(outcome, Seen):
+            self._adopt(self.settings.data_centre, outcome)
         return outcome
 
-    async def mark_reclaimed(self, holder: Holder) -> Registry | Failure:
+    async def mark_reclaimed(self, holder: Holder) -> Seen | Failure:
         """Note in the registry that a fenced life is reclaimed."""
         return await self._registrar.reclaim(self.settings.data_centre, holder)
 
-    async def leave(self) -> Registry | Failure | None:
+    def announce(self) -> None:
+        """Start the next round of exchanges now, since there is news to tell."""
+        self._hurry.set()
+
+    async def leave(self) -> Seen | Failure | None:
         """Close this life in the registry; call it when nothing is held any more.
 
         Returns:
             ``None`` when there was nothing to close.
         """
-        self.leaving = True
-        if not self.registered:
-            return None
-        holder = self.holder
-        self._drop_holder()
-        outcome = await self._registrar.close(self.settings.data_centre, holder)
-        if isinstance(outcome, Registry):
-            log_event(Event.MEMBER_CLOSED, holder=str(holder))
-        return outcome
+        return await self._life.leave()
 
     async def trade(self, message: Exchange) -> Exchange:
         """Take a peer's exchange and answer with the own one."""
@@ -242,132 +255,20 @@
     async def run(self) -> None:
         """Keep a life registered, follow the registries, beat."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._keep_registered)
-            group.start_soon(self._follow_registries)
+            group.start_soon(self._life.run)
+            group.start_soon(self._watch.run)
             group.start_soon(self._follow_hosts)
             await self._beat(group)
 
-    async def _keep_registered(self) -> None:
-        while not self.superseded and not self.leaving:
-            self._registration = uuid.UUID(int=self._rng.getrandbits(128)).hex
-            self._lifeless = anyio.Event()
-            await self._register()
-            await self._lifeless.wait()
-
-    async def _register(self) -> None:
-        attempt = 0
-        while not self.leaving:
-            outcome = await self._registrar.register(
-                self.settings.data_centre,
-                self.settings.name,
-                self.settings.peer_address,
-                self.settings.host,
-                self._registration,
-                self._beliefs.highest(self.settings.name),
-                self._last,
-            )
-            if isinstance(outcome, Superseded):
-                self._note_superseded(Holder(self.settings.name, self._last))
-                return
-            if isinstance(outcome, Holder):
-                self.holder = outcome
-                self._last = outcome.incarnation
-                log_event(Event.MEMBER_REGISTERED, holder=str(outcome))
-                for callback in self._on_registered:
-                    callback(outcome)
-                return
-            if attempt == 0:
-                log_event(Event.MEMBER_NOT_REGISTERED, detail=str(outcome))
-            await self._pause(attempt)
-            attempt += 1
-
-    async def _follow_registries(self) -> None:
-        revision = 0
-        attempt = 0
-        waiting: set[str] = set()
-        due = anyio.current_time()
-        while True:
-            left = due - anyio.current_time() if waiting else WATCH_SECONDS
-            if waiting and left <= 0:
-                waiting = await self._read_registries(waiting)
-                due = self._others_due()
-                continue
-            outcome = await self._platform.watch(REGISTRY_PREFIX, revision, left)
-            if not isinstance(outcome, Changes):
-                await self._pause(attempt)
-                attempt += 1
-                continue
-            attempt = 0
-            revision = max(revision, outcome.revision)
-            changed = {
-                item.key.removeprefix(REGISTRY_PREFIX) for item in outcome.changes
-            }
-            urgent = {item for item in changed if self._is_urgent(item)}
-            failed = await self._read_registries(urgent)
-            changed = changed - urgent | failed
-            if changed and not waiting:
-                due = self._others_due()
-            waiting |= changed
-
-    def _is_urgent(self, data_centre: str) -> bool:
-        own = data_centre == self.settings.data_centre
-        return own or not self._beliefs.knows(data_centre)
-
-    def _others_due(self) -> float:
-        share = self._rng.uniform(0.5, 1.5)
-        return anyio.current_time() + share * self.settings.others_read_seconds
-
-    async def _read_registries(self, data_centres: set[str]) -> set[str]:
-        """Read registries; return those that couldn't be read."""
-        failed: set[str] = set()
-        for data_centre in sorted(data_centres):
-            outcome = await self._registrar.read(data_centre)
-            if isinstance(outcome, Unavailable):
-                failed.add(data_centre)
-                continue
-            registry, version = outcome
-            if self._beliefs.adopt_registry(data_centre, registry, version):
-                self._check_own_life()
-        return failed
-
-    def _check_own_life(self) -> None:
-        """End this life when the registry says that others have ended it."""
+    def _adopt(self, data_centre: str, seen: Seen) -> None:
+        self._beliefs.adopt_registry(data_centre, seen.registry, seen.version)
         registry = self.registry()
-        entry = registry.entries.get(self.settings.name)
-        if entry is not None:
-            self._heard_fenced = {
-                item
-                for item in self._heard_fenced
-                if registry.state(item) is not HolderState.CLOSED
-            }
-        if entry is None or not self.registered:
-            return
-        if entry.life.incarnation > self.holder.incarnation:
-            self._note_superseded(self.holder)
-        elif registry.state(self.holder) is HolderState.FENCED:
-            self._end_life()
-
-    def _end_life(self) -> None:
-        """End this life; the task then registers the next."""
-        ended = self.holder
-        log_event(Event.MEMBER_FENCED, holder=str(ended))
-        self._drop_holder()
-        self._tell_life_ended(LifeEnded(ended, superseded=False))
-        self._lifeless.set()
-
-    def _note_superseded(self, ended: Holder) -> None:
-        log_event(Event.MEMBER_SUPERSEDED, holder=str(ended))
-        self.superseded = True
-        self._drop_holder()
-        self._tell_life_ended(LifeEnded(ended, superseded=True))
-        self._lifeless.set()
-
-    def _drop_holder(self) -> None:
-        self.holder = Holder(self.settings.name, 0)
-
-    def _tell_life_ended(self, ended: LifeEnded) -> None:
-        for callback in self._on_life_ended:
-            callback(ended)
+        self._heard_fenced = {
+            item
+            for item in self._heard_fenced
+            if registry.state(item) is not HolderState.CLOSED
+        }
+        self._life.check(registry)
 
     async def _follow_hosts(self) -> None:
         while True:
@@ -375,25 +276,45 @@
             await anyio.sleep(share * HOSTS_READ_SECONDS)
             outcome = await self._platform.list_hosts()
             if not isinstance(outcome, Unavailable):
+                self._beliefs.listed_hosts = frozenset(host.name for host in outcome)
                 self._beliefs.leaving_hosts = frozenset(
                     host.name for host in outcome if host.state == "leaving"
                 )
 
     async def _beat(self, group: anyio.abc.TaskGroup) -> None:
         while True:
-            members = self.members()
-            self._note_changes(members)
-            chosen = self._rounds.choose(self.settings.data_centre, members)
-            for member in chosen:
+            self._note_changes()
+            for member in self._choose_members():
                 self._ask(group, member.peer_address, member.holder.name)
-            known = {member.peer_address for member in members}
-            known.add(self.settings.peer_address)
-            self._clients.keep(known.union(self.settings.seeds))
-            seeds = [item for item in self.settings.seeds if item not in known]
-            if seeds:
-                self._ask(group, self._rng.choice(seeds), "")
+            seed = self._choose_seed()
+            if seed is not None:
+                self._ask(group, seed, "")
+            self._clients.close_idle(IDLE_SECONDS)
             share = self._rng.uniform(0.8, 1.2)
-            await anyio.sleep(share * self.settings.heartbeat_seconds)
+            with anyio.move_on_after(share * self.settings.heartbeat_seconds):
+                await self._hurry.wait()
+                # Several pieces of news in a row make one round.
+                await anyio.sleep(HURRY_SECONDS)
+            self._hurry = anyio.Event()
+
+    def _choose_members(self) -> list[Member]:
+        now = anyio.current_time()
+        own = self.settings.data_centre
+        others = [item for item in self._beliefs.data_centres() if item != own]
+        return self._rounds.choose(
+            self._beliefs.own_members(now),
+            others,
+            lambda name: self._beliefs.list_members(name, now),
+        )
+
+    def _choose_seed(self) -> str | None:
+        """Choose a seed that isn't known as a member, if there is one."""
+        if not self.settings.seeds:
+            return None
+        known = {member.peer_address for member in self.members()}
+        known.add(self.settings.peer_address)
+        seeds = [item for item in self.settings.seeds if item not in known]
+        return self._rng.choice(seeds) if seeds else None
 
     def _ask(self, group: anyio.abc.TaskGroup, address: str, name: str) -> None:
         if address not in self._asking:
@@ -436,21 +357,14 @@
             if registry.state(holder) is not HolderState.CLOSED:
                 self._heard_fenced.add(holder)
         if self.registered and self.holder in self._heard_fenced:
-            self._end_life()
+            self._life.end()
 
-    def _note_changes(self, members: tuple[Member, ...]) -> None:
-        place = self.settings.data_centre
+    def _note_changes(self) -> None:
         alive = frozenset(
-            item.holder.name
-            for item in members
-            if item.alive and item.data_centre == place
+            item.holder.name for item in self.own_data_centre_members() if item.alive
         )
         for name in sorted(alive - self._own_alive):
             log_event(Event.MEMBER_HEARD, member=name)
         for name in sorted(self._own_alive - alive):
             log_event(Event.MEMBER_SILENT, member=name)
         self._own_alive = alive
-
-    async def _pause(self, attempt: int) -> None:
-        limit = min(RETRY_SECONDS * 2 ** min(attempt, 10), RETRY_LIMIT_SECONDS)
-        await anyio.sleep(self._rng.uniform(0, limit))
--- a/knapweedrail/peers.py
+++ b/knapweedrail/peers.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
+import time
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator, Collection
+from collections.abc import AsyncIterator
 from typing import Any
 
 import anyio
@@ -82,10 +84,13 @@
     def __init__(self, handler: PeerHandler, address: str) -> None:
         self._server = Server([_Service(handler)])
         self._bind = address
+        self._listener: socket.socket | None = None
         self.address = address
 
-    async def start(self) -> None:
-        """Listen; `address` then names the port that the kernel chose.
+    def bind(self) -> None:
+        """Bind the address; `address` then names the port that the kernel chose.
+
+        The router's registration names it, and it is answered only after `start`.
 
         Raises:
             OSError: If the address can't be bound.
@@ -98,7 +103,17 @@
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
         host, port = listener.getsockname()[:2]
         self.address = f"{host}:{port}"
-        await self._server.start(sock=listener)
+        self._listener = listener
+
+    async def start(self) -> None:
+        """Answer peers; binds the address first unless that was done.
+
+        Raises:
+            OSError: If the address can't be bound.
+        """
+        if self._listener is None:
+            self.bind()
+        await self._server.start(sock=self._listener)
 
     async def close(self) -> None:
         """Stop listening and end all calls."""
@@ -150,6 +165,7 @@
         self.stub = PeersStub(self.channel)
         self.calls = 0
         self.doubted = False
+        self.used = time.monotonic()
 
     def release(self) -> None:
         """End one call; a doubted channel closes with its last one."""
@@ -182,13 +198,14 @@
             connection.channel.close()
         self._connections.clear()
 
-    def keep(self, addresses: Collection[str]) -> None:
-        """Drop the connections to all other addresses.
+    def close_idle(self, seconds: float) -> None:
+        """Close the connections unused for so long.
 
         Hosts are replaced under new addresses; their connections would pile up.
         """
+        limit = time.monotonic() - seconds
         for address, connection in list(self._connections.items()):
-            if address not in addresses:
+            if connection.calls == 0 and connection.used < limit:
                 self._doubt(address, connection)
 
     async def trade(
@@ -241,6 +258,7 @@
         step = "peers.follow"
         connection = self._use(address)
         sent = False
+        cancellations = asyncio.current_task().cancelling()
         try:
             async with connection.stub.Follow.open() as stream:
                 with anyio.fail_after(self.call_seconds):
@@ -259,6 +277,7 @@
                         return
             yield Unknown(step, address, "the stream ended before the answer")
         except (TimeoutError, *CONNECTION_ERRORS) as error:
+            _undo_cancellation(error, cancellations)
             self._doubt(address, connection)
             yield _fail(step, address, error, sent)
         except GRPCError as error:
@@ -271,6 +290,7 @@
     ) -> Any:
         connection = self._use(address)
         sent = False
+        cancellations = asyncio.current_task().cancelling()
         try:
             method = getattr(connection.stub, name)
             with anyio.fail_after(seconds or self.call_seconds):
@@ -285,6 +305,7 @@
                 return Unknown(step, address, "the answer was empty")
             return reply
         except (TimeoutError, *CONNECTION_ERRORS) as error:
+            _undo_cancellation(error, cancellations)
             self._doubt(address, connection)
             return _fail(step, address, error, sent)
         except GRPCError as error:
@@ -298,6 +319,7 @@
             connection = _Connection(address)
             self._connections[address] = connection
         connection.calls += 1
+        connection.used = time.monotonic()
         return connection
 
     def _doubt(self, address: str, connection: _Connection) -> None:
@@ -314,6 +336,18 @@
     return host.strip("[]"), int(port)
 
 
+def _undo_cancellation(error: BaseException, before: int) -> None:
+    """Take back the cancellation by which grpclib ends a call on a broken connection.
+
+    It cancels the calling task, turns that into `StreamTerminatedError` and leaves the
+    task marked as being cancelled. Code that counts these marks, such as
+    `asyncio.TaskGroup`, would later take its own end for a cancellation from outside.
+    """
+    task = asyncio.current_task()
+    if isinstance(error, StreamTerminatedError) and task.cancelling() > before:
+        task.uncancel()
+
+
 def _fail(
     step: str, address: str, error: BaseException, sent: bool
 ) -> Unavailable | Unknown:
--- a/knapweedrail/registrars.py
+++ b/knapweedrail/registrars.py
@@ -13,6 +13,7 @@
 from .platforms import CREATE, Platform
 from .registries import (
     REGISTRY_PREFIX,
+    HolderState,
     Registry,
     close,
     decode_registry,
@@ -34,6 +35,33 @@
 """Upper end of any pause."""
 
 
+@dataclass(frozen=True)
+class Seen:
+    """A registry as the platform held it at one moment.
+
+    Attributes:
+        registry: The registry.
+        version: The object's version; 0 when it doesn't exist.
+    """
+
+    registry: Registry
+    version: int
+
+
+@dataclass(frozen=True)
+class Registered:
+    """A life has begun.
+
+    Attributes:
+        holder: The life.
+        seen: The registry with it. Who registers must know every fence that stood
+            before: those who fenced asked only the lives that they found then.
+    """
+
+    holder: Holder
+    seen: Seen
+
+
 @dataclass(frozen=True)
 class Superseded:
     """Another process has registered under this name after this one's last life."""
@@ -55,13 +83,13 @@
         self._platform = platform
         self._rng = rng
 
-    async def read(self, data_centre: str) -> tuple[Registry, int] | Unavailable:
+    async def read(self, data_centre: str) -> Seen | Unavailable:
         """Read a registry and its version; an empty one when it doesn't exist."""
         outcome = await self._platform.read(_key(data_centre))
         if isinstance(outcome, Found):
-            return decode_registry(outcome.value), outcome.version
+            return Seen(decode_registry(outcome.value), outcome.version)
         if isinstance(outcome, Missing):
-            return Registry(), CREATE
+            return Seen(Registry(), CREATE)
         return outcome
 
     async def register(
@@ -73,7 +101,7 @@
         registration: str,
         at_least: int,
         last: int = 0,
-    ) -> Holder | Superseded | Failure:
+    ) -> Registered | Superseded | Failure:
         """Begin a life; see `registries.register`.
 
         Args:
@@ -93,27 +121,30 @@
         outcome = await self.change(data_centre, change)
         if isinstance(outcome, Failure):
             return outcome
-        return outcome.find(name, registration) or Superseded()
+        holder = outcome.registry.find(name, registration)
+        return Registered(holder, outcome) if holder else Superseded()
 
-    async def fence(self, data_centre: str, holder: Holder) -> Registry | Failure:
+    async def fence(self, data_centre: str, holder: Holder) -> Seen | Failure:
         """Mark a life as fenced."""
-        return await self.change(data_centre, lambda item: fence(item, holder))
+        outcome = await self.change(data_centre, lambda item: fence(item, holder))
+        return _check_over(outcome, holder)
 
-    async def close(self, data_centre: str, holder: Holder) -> Registry | Failure:
+    async def close(self, data_centre: str, holder: Holder) -> Seen | Failure:
         """Mark a life as closed in order."""
-        return await self.change(data_centre, lambda item: close(item, holder))
+        outcome = await self.change(data_centre, lambda item: close(item, holder))
+        return _check_over(outcome, holder)
 
-    async def reclaim(self, data_centre: str, holder: Holder) -> Registry | Failure:
+    async def reclaim(self, data_centre: str, holder: Holder) -> Seen | Failure:
         """Note that a fenced life is reclaimed."""
         return await self.change(data_centre, lambda item: reclaim(item, holder))
 
     async def change(
         self, data_centre: str, function: Callable[[Registry], Registry]
-    ) -> Registry | Failure:
+    ) -> Seen | Failure:
         """Apply an idempotent change by conditional write.
 
         Returns:
-            The registry with the change in it; `Unavailable` when it certainly had
+            What stands with the change in it; `Unavailable` when it certainly had
             no effect, `Unknown` when it may have had one or may yet.
         """
         unknown: Unknown | None = None
@@ -121,15 +152,14 @@
             seen = await self.read(data_centre)
             if isinstance(seen, Unavailable):
                 return unknown or seen
-            registry, version = seen
-            changed = function(registry)
-            if changed == registry:
-                return registry
+            changed = function(seen.registry)
+            if changed == seen.registry:
+                return seen
             outcome = await self._platform.write(
-                _key(data_centre), encode_registry(changed), version
+                _key(data_centre), encode_registry(changed), seen.version
             )
             if isinstance(outcome, Written):
-                return changed
+                return Seen(changed, outcome.version)
             if isinstance(outcome, Unavailable):
                 return unknown or outcome
             if isinstance(outcome, Unknown):
@@ -143,5 +173,19 @@
         await anyio.sleep(self._rng.uniform(0, limit))
 
 
+def _check_over(outcome: Seen | Failure, holder: Holder) -> Seen | Failure:
+    """Doubt a registry in which a life isn't over after it was ended.
+
+    The platform may answer a read with an older value. One from before the life began
+    doesn't know it, so ending it there changes nothing, and nothing was written; taken
+    for done, tokens would come back from a life that still spends.
+    """
+    if isinstance(outcome, Failure):
+        return outcome
+    if outcome.registry.state(holder) in (HolderState.FENCED, HolderState.CLOSED):
+        return outcome
+    return Unavailable("registry.end", str(holder), "not in the registry as read")
+
+
 def _key(data_centre: str) -> str:
     return f"{REGISTRY_PREFIX}{data_centre}"
