--- /dev/null
+++ b/knapweedrail/tests/test_events.py
@@ -0,0 +1,20 @@
+"""The catalogue of events and its page say the same."""
+
+import pathlib
+import re
+
+from ..events import Event
+
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "EVENTS.md"
+ROW = re.compile(r"^\| (\d+) \| `(\w+)` \| (.+?) \|", re.MULTILINE)
+
+
+def test_the_page_lists_every_event_with_its_number_and_meaning():
+    listed = {(int(n), name, text) for n, name, text in ROW.findall(PAGE.read_text())}
+    known = {(e.number, e.name.lower(), e.meaning) for e in Event}
+    assert listed == known
+
+
+def test_no_number_stands_twice():
+    numbers = [event.number for event in Event]
+    assert len(numbers) == len(set(numbers))
--- /dev/null
+++ b/knapweedrail/tests/test_purity.py
@@ -0,0 +1,71 @@
+"""The parts that others embed import neither network nor clock."""
+
+import ast
+import pathlib
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parents[1]
+
+PURE = [
+    "admission",
+    "allowances",
+    "beliefs",
+    "configuration",
+    "dispatch",
+    "ejection",
+    "entries",
+    "fleets",
+    "grants",
+    "ledgers",
+    "models",
+    "outcomes",
+    "placement",
+    "postings",
+    "proposals",
+    "quarantine",
+    "queues",
+    "registries",
+    "retries",
+    "verdicts",
+    "views",
+    "work",
+]
+"""Modules that promise to do no I/O and to read no clock."""
+
+FORBIDDEN = {
+    "anyio",
+    "asyncio",
+    "eliot",
+    "grpclib",
+    "httpx",
+    "hypercorn",
+    "socket",
+    "starlette",
+    "time",
+}
+
+
+def find_imports(name, seen):
+    """Return all modules that a module of the package reaches."""
+    if name in seen:
+        return set()
+    seen.add(name)
+    path = ROOT / f"{name}.py"
+    if not path.exists():
+        return set()
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            found.update(alias.name.split(".")[0] for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.level == 0:
+            found.add(node.module.split(".")[0])
+        elif isinstance(node, ast.ImportFrom) and node.level == 1:
+            found |= find_imports((node.module or "").split(".")[0], seen)
+    return found
+
+
+@pytest.mark.parametrize("name", PURE)
+def test_a_pure_module_reaches_neither_network_nor_clock(name):
+    assert (ROOT / f"{name}.py").exists()
+    assert not find_imports(name, set()) & FORBIDDEN
