--- a/knapweedrail/admission.py
+++ b/knapweedrail/admission.py
@@ -6,25 +6,35 @@
 
 import attrs
 
-from .work import Ended, Work
+from .corrections import Returns, Stretches
+from .estimates import Estimates
+from .fleets import Fleet
+from .outcomes import Ran, Refusal
+from .queues import Entry, FairQueue
+from .refusals import Refusals
+from .reserves import ShortReserve
+
+ADMIT_SHARE = 0.5
+"""Share of the time to the deadline that the estimated wait may fill at admission.
+The rest is for the error of the estimate; whoever is let in should not be refused
+later."""
 
-PROMPT_SHARE = 0.05
-"""Cost of a prompt token against one of the answer. Prompts are read in batches of
-hundreds, answers written one token at a time; the ratio needs only to be of the
-right order, since the observed seconds scale it."""
+KEEP_SHARE = 1.0
+"""The same share for work that waits already. Higher, so that a small change of the
+estimate doesn't refuse what has just been let in."""
 
-SMOOTHING = 0.05
-"""Weight of one observation. About the last 20 count, a few seconds of one router's
-traffic: fewer make admission follow single answers, more miss a change of load."""
+MAX_WAITING = 5000
+"""Requests that wait in one router for one endpoint. At the target a node gets 76
+requests a second, so this is over a minute of them; it bounds memory when service
+times are misjudged, and is not what refuses work in ordinary overload."""
 
-OUTLIER = 4.0
-"""An observation counts for no more than this many times the present estimate, so
-that one stuck run doesn't make the next callers be refused."""
+LEAST_SHARE = 16
+"""A router reckons with this fraction of all slots at least, even if others hold them
+all: slots come free, and it gets its part of them."""
 
-ADMIT_SHARE = 0.8
-"""Share of the time to the deadline that the estimated wait may fill at admission.
-The rest is for the error of the estimate; whoever is let in should not be refused
-later."""
+USUAL_OVERRUN = 1.25
+"""Ratio of the runs under way to what they were expected to take that is no sign of
+slowness: some answers are longer than the mean, and these are still running."""
 
 MIN_RETRY_SECONDS = 0.5
 """Shortest time that a refused caller is told to wait: less brings it back into the
@@ -34,58 +44,21 @@
 """Random share added to the time, so that callers refused together don't return
 together."""
 
-
-@attrs.define
-class _Observed:
-    seconds_per_unit: float
-    first_seconds: float
-    run_seconds: float = 0.0
-    runs: int = 0
+NO_RUNNER_SECONDS = 5.0
+"""When to come back if no runner is known to return."""
 
 
-class Estimates:
-    """What runs are expected to take, by what was seen of runs of the same class.
+@attrs.frozen
+class Estimate:
+    """When a piece of work is expected to begin and to have its first byte.
 
-    Args:
-        unit_seconds: Seconds for one unit before anything was seen: a token of an
-            engine's answer, or a call of a plain service.
+    Attributes:
+        wait: Seconds until it starts; infinite when nothing will serve it.
+        first: Seconds from start to the first byte.
     """
 
-    def __init__(self, unit_seconds: float = 0.02) -> None:
-        self._classes = {short: _Observed(unit_seconds, 0.0) for short in (True, False)}
-
-    def expected_seconds(self, work: Work) -> float:
-        """Return the seconds for which the work is expected to hold a slot."""
-        return count_units(work) * self._classes[work.short].seconds_per_unit
-
-    def expected_first_seconds(self, work: Work) -> float:
-        """Return the seconds expected from start to the first byte."""
-        return self._classes[work.short].first_seconds
-
-    def mean_seconds(self, short: bool) -> float:
-        """Return the mean seconds of a run of one class."""
-        return self._classes[short].run_seconds
-
-    def knows(self, work: Work) -> bool:
-        """Return whether a run of this class has been seen."""
-        return self._classes[work.short].runs > 0
-
-    def note(self, work: Work, ended: Ended) -> None:
-        """Learn from a run that went well on a runner that isn't under suspicion."""
-        observed = self._classes[work.short]
-        first = ended.first_token_seconds
-        if first is None:
-            first = ended.seconds
-        per_unit = ended.seconds / count_units(work)
-        if observed.runs == 0:
-            observed.seconds_per_unit = per_unit
-            observed.first_seconds = first
-            observed.run_seconds = ended.seconds
-        else:
-            observed.seconds_per_unit = _smooth(observed.seconds_per_unit, per_unit)
-            observed.first_seconds = _smooth(observed.first_seconds, first)
-            observed.run_seconds = _smooth(observed.run_seconds, ended.seconds)
-        observed.runs += 1
+    wait: float
+    first: float
 
 
 @attrs.frozen
@@ -94,44 +67,20 @@
 
     Attributes:
         slots: Slots that serve this router's work.
-        opens_in: Seconds until the first runner may be tried, when none is usable
-            now; ``None`` when there is no runner to wait for.
+        opens_in: Seconds until a runner may be tried, when none is usable now;
+            infinite when there is none to wait for.
     """
 
     slots: float
-    opens_in: float | None = 0.0
+    opens_in: float = 0.0
 
+    def estimate_wait(self, ahead: float) -> float:
+        """Return the seconds until work starts that has ``ahead`` before it.
 
-@attrs.frozen
-class Estimate:
-    """When a piece of work is expected to begin and to have its first byte.
-
-    Attributes:
-        wait: Seconds until it starts; infinite when nothing will serve it.
-        first: Seconds from start to the first byte.
-    """
-
-    wait: float
-    first: float
-
-    @property
-    def total(self) -> float:
-        """Seconds until the first byte."""
-        return self.wait + self.first
-
-
-def estimate_wait(ahead: float, room: Room) -> float:
-    """Return the seconds until work starts that has ``ahead`` slot seconds before it.
-
-    Args:
-        ahead: Slot seconds that are served first.
-        room: What serves them.
-    """
-    if room.slots > 0:
-        return ahead / room.slots
-    if room.opens_in is None:
-        return float("inf")
-    return room.opens_in
+        Args:
+            ahead: Slot seconds that are served first.
+        """
+        return ahead / self.slots if self.slots > 0 else self.opens_in
 
 
 def fits(estimate: Estimate, deadline: float, now: float, share: float) -> bool:
@@ -150,35 +99,146 @@
         share: Share of the time left that the wait may fill.
     """
     left = deadline - now - estimate.first
-    if left < 0:
-        return False
-    return estimate.wait == 0.0 or estimate.wait <= share * left
+    return left >= 0 and estimate.wait <= share * left
 
 
-def compute_retry_after(
-    estimate: Estimate, deadline: float, now: float, rng: random.Random
-) -> float | None:
-    """Return the seconds after which the same request is expected to be let in.
+class Admission:
+    """Judges new and waiting work by what is expected to be served before it.
 
-    The backlog drains one second a second, so the time by which the wait is too long
-    is the time to stay away.
-
-    Returns:
-        ``None`` when coming back can't help: an idle system would be too slow too.
+    Args:
+        estimates: What runs take.
+        fleet: The runners.
+        queue: The waiting work.
+        refusals: Maker of refusals.
+        rng: Source of the spread of the time to come back.
     """
-    left = deadline - now - estimate.first
-    if left < 0:
-        return None
-    late = estimate.wait - ADMIT_SHARE * left
-    seconds = max(MIN_RETRY_SECONDS, late)
-    return seconds * (1.0 + RETRY_SPREAD * rng.random())
-
-
-def count_units(work: Work) -> float:
-    """Return the size of a run in units: answer tokens, or one for a plain call."""
-    return max(1.0, PROMPT_SHARE * work.prompt_tokens + work.max_answer_tokens)
-
 
-def _smooth(old: float, new: float) -> float:
-    new = min(new, OUTLIER * old) if old > 0 else new
-    return old + SMOOTHING * (new - old)
+    def __init__(
+        self,
+        estimates: Estimates,
+        fleet: Fleet,
+        queue: FairQueue,
+        refusals: Refusals,
+        rng: random.Random,
+    ) -> None:
+        self._estimates = estimates
+        self._fleet = fleet
+        self._queue = queue
+        self._refusals = refusals
+        self._rng = rng
+        self._stretches = Stretches()
+        self._returns = Returns()
+        self._slowdown = 1.0
+        self.reserve = ShortReserve(estimates, fleet)
+
+    def judge_new(self, entry: Entry, in_flight: int, now: float) -> Refusal | None:
+        """Return why work that has just come must be refused, if it must.
+
+        Args:
+            entry: The work.
+            in_flight: This router's work that runs now.
+            now: Absolute seconds.
+        """
+        if len(self._queue) >= MAX_WAITING:
+            return self._refusals.queue_full()
+        room = self.measure_room(in_flight, now)
+        entry.promised = self._wait_of_new(entry, in_flight, room, now)
+        wait = self._stretches.apply(entry, entry.promised)
+        return self._judge(entry, wait, ADMIT_SHARE, room, now)
+
+    def judge_waiting(self, in_flight: int, now: float) -> list[tuple[Entry, Refusal]]:
+        """Return the waiting work that can't have its first byte in time any more.
+
+        The load it is for: service that has grown slower, or another account that
+        came back, after work was let in. Its caller is told as soon as it is known,
+        and not when the deadline is near.
+        """
+        room = self.measure_room(in_flight, now)
+        waits = [
+            (
+                entry,
+                self._stretches.apply(entry, room.estimate_wait(ahead + entry.cost)),
+            )
+            for entry, ahead in self._queue.list_waits()
+        ]
+        self._stretches.learn(waits, now)
+        judged = [(e, self._judge_kept(e, wait, room, now)) for e, wait in waits]
+        return [(entry, refusal) for entry, refusal in judged if refusal is not None]
+
+    def note_progress(self, running: list[Entry], now: float) -> None:
+        """Compare the runs under way with what they were expected to take.
+
+        The load it is for: runners that grow slow or stall all at once. Averages of
+        runs that ended would show it only when these end; the age of those that
+        should have ended shows it within seconds. Runs on runners that get nothing
+        more are left out: what waits goes elsewhere.
+        """
+        took = expected = 0.0
+        for entry in running:
+            state = self._fleet.runners.get(entry.runner)
+            if state is not None and state.usable(now):
+                took += max(entry.cost, now - entry.started)
+                expected += entry.cost
+        ratio = took / expected if expected > 0 else 1.0
+        self._slowdown = max(1.0, ratio / USUAL_OVERRUN)
+
+    def judge_turn(self, entry: Entry, in_flight: int, now: float) -> Refusal | None:
+        """Return why work whose turn it is must be refused, if it must."""
+        room = self.measure_room(in_flight, now)
+        return self._judge_kept(entry, room.estimate_wait(0.0), room, now)
+
+    def measure_room(self, in_flight: int, now: float) -> Room:
+        """Return what serves this router's work: what it has, and what is free."""
+        slots = self._fleet.slots
+        if slots == 0:
+            return Room(0.0, self._fleet.opens_in(now))
+        own = max(1.0, slots / LEAST_SHARE, in_flight + self._fleet.free)
+        return Room(own / self._slowdown)
+
+    def _wait_of_new(
+        self, entry: Entry, in_flight: int, room: Room, now: float
+    ) -> float:
+        if self._fleet.free > 0:
+            if entry.work.short and not self._queue.short_count:
+                return 0.0
+            if not self._queue and not self.reserve.holds_back(in_flight, now):
+                return 0.0
+        ahead = self._queue.measure_ahead(entry.work, entry.cost)
+        # A slot must come free first, also for the first in the queue.
+        return room.estimate_wait(ahead + entry.cost)
+
+    def _judge_kept(
+        self, entry: Entry, wait: float, room: Room, now: float
+    ) -> Refusal | None:
+        if entry.begun:
+            # Its caller has had the first byte; what is left is to go on.
+            return None
+        return self._judge(entry, wait, KEEP_SHARE, room, now)
+
+    def _judge(
+        self, entry: Entry, wait: float, share: float, room: Room, now: float
+    ) -> Refusal | None:
+        first = self._estimates.expect_first_seconds(entry.work)
+        estimate = Estimate(wait, first)
+        if fits(estimate, entry.work.deadline, now, share):
+            return None
+        ran = Ran.UNKNOWN if entry.touched else Ran.NOT_RUN
+        if wait == float("inf"):
+            return self._refusals.no_runner(ran, NO_RUNNER_SECONDS)
+        whole = entry.work.deadline - entry.submitted - first
+        if whole < 0:
+            return self._refusals.too_slow(ran, first)
+        after = self._plan_return(entry, wait - ADMIT_SHARE * whole, room, now)
+        if room.slots == 0:
+            return self._refusals.no_runner(ran, after)
+        return self._refusals.busy(ran, wait, after)
+
+    def _plan_return(self, entry: Entry, late: float, room: Room, now: float) -> float:
+        """Return the seconds after which the same request is expected to be let in.
+
+        The backlog drains one second a second, so the time by which the wait is too
+        long is the time to stay away.
+        """
+        seconds = max(MIN_RETRY_SECONDS, late)
+        seconds *= 1.0 + RETRY_SPREAD * self._rng.random()
+        return self._returns.plan(seconds, entry.cost, room.slots, now)
--- a/knapweedrail/fleets.py
+++ b/knapweedrail/fleets.py
@@ -13,15 +13,22 @@
 Reports lag by a second or two; one that is older than this is as good as none.
 """
 
-REPORT_SECONDS = 10.0
-"""Age at which a report says nothing more of what other routers sent."""
-
-SPILL_SHARE = 0.75
+SPILL_SHARE = 0.9
 """Share of its slots up to which a runner takes work from other data centres.
 
 When a data centre's own runners are full, its neighbours' are asked before a caller
-is refused. The remaining quarter stays free for the neighbours' own callers, so
-that one overloaded data centre doesn't fill the others.
+is refused. The rest, one slot in eight, stays free for the neighbours' own callers,
+so that one overloaded data centre doesn't fill the others.
+"""
+
+
+FOOTHOLD_SHARE = 0.25
+"""Share of a runner's slots up to which a router may hold it although it is full.
+
+In a full system a slot that comes free is seen first by the router whose request
+ended, which fills it again; a router that came late gets none for minutes, and
+refuses callers that another router would serve. So one that holds less than this may
+send as much again into the runner's own queue, where it gets the next free slot.
 """
 
 
@@ -40,14 +47,16 @@
         "own_data_centre",
         "others",
         "report_as_of",
-        "report_seen",
         "running",
         "ended",
         "leaving",
         "present",
+        "blocked_since",
         "blocked_until",
+        "full_until",
         "on_trial",
         "backoff",
+        "full_backoff",
         "suspects",
     )
 
@@ -57,14 +66,16 @@
         self.own_data_centre = own_data_centre
         self.others = 0
         self.report_as_of = float("-inf")
-        self.report_seen = float("-inf")
         self.running: dict[str, float] = {}
         self.ended: deque[tuple[float, float]] = deque()
         self.leaving = False
         self.present = True
+        self.blocked_since = float("-inf")
         self.blocked_until = float("-inf")
+        self.full_until = float("-inf")
         self.on_trial = False
         self.backoff = 0.0
+        self.full_backoff = 0.0
         self.suspects = 0
 
     @property
@@ -79,7 +90,7 @@
             # One request of this router at a time shows whether it works again.
             return self.others + 1 if self.others < self.slots else 0
         if self.own_data_centre:
-            return self.slots
+            return self.slots + self._count_foothold()
         return max(1, int(self.slots * SPILL_SHARE))
 
     @property
@@ -115,19 +126,15 @@
         if report.as_of <= self.report_as_of:
             return False
         self.report_as_of = report.as_of
-        self.report_seen = now
         self.slots = max(1, report.slots)
         self.leaving = report.leaving
         own = self._count_own(min(report.as_of, now))
         self.others = max(0, report.running + report.queued - own)
         return True
 
-    def forget_report(self, now: float) -> bool:
-        """Drop what an old report said of others; return whether it changed."""
-        if self.others and self.report_seen < now - REPORT_SECONDS:
-            self.others = 0
-            return True
-        return False
+    def _count_foothold(self) -> int:
+        foothold = int(self.slots * FOOTHOLD_SHARE)
+        return foothold if len(self.running) < foothold else 0
 
     def _count_own(self, moment: float) -> int:
         open_now = sum(1 for start in self.running.values() if start <= moment)
@@ -181,15 +188,15 @@
         """Slots over all usable runners."""
         self._counted: dict[str, tuple[int, int]] = {}
 
-    def set_runners(
-        self, wanted: dict[str, tuple[int, bool]], now: float
-    ) -> list[RunnerState]:
-        """Take over the list of runners: name to slots and whether it is near.
+    def set_runners(self, wanted: dict[str, bool], slots: int, now: float) -> None:
+        """Take over the list of runners; runs at those off the list go on.
 
-        Returns:
-            The runners that are gone from the list; runs there go on.
+        Args:
+            wanted: Names, and whether each stands in the router's data centre.
+            slots: Slots of a runner that hasn't reported yet.
+            now: Absolute seconds.
         """
-        for name, (slots, near) in wanted.items():
+        for name, near in wanted.items():
             runner = self.runners.get(name)
             if runner is None:
                 runner = RunnerState(name, slots, near)
@@ -202,7 +209,6 @@
             runner.present = False
             self.refresh(runner, now)
             self.drop_if_unused(runner)
-        return gone
 
     def drop_if_unused(self, runner: RunnerState) -> None:
         """Forget a runner that is off the list and has no more runs."""
@@ -212,8 +218,9 @@
 
     def refresh(self, runner: RunnerState, now: float) -> None:
         """Bring the sets up to date after a change of this runner."""
-        free = runner.free if runner.usable(now) else 0
-        slots = runner.slots if runner.usable(now) and not runner.on_trial else 0
+        usable = runner.usable(now)
+        free = runner.free if usable and runner.full_until <= now else 0
+        slots = runner.slots if usable and not runner.on_trial else 0
         counted_free = 0 if runner.on_trial else free
         old_free, old_slots = self._counted.get(runner.name, (0, 0))
         self.free += counted_free - old_free
@@ -238,6 +245,15 @@
         """Return those that are to be tried with one request."""
         return self._trial.items
 
+    def opens_in(self, now: float) -> float:
+        """Return the seconds until a runner may be tried, when none is usable."""
+        times = [
+            runner.blocked_until
+            for runner in self.runners.values()
+            if runner.present and not runner.leaving
+        ]
+        return max(0.0, min(times, default=float("inf")) - now)
+
     def draw(self, rng: random.Random, runners: list[RunnerState]) -> RunnerState:
         """Draw one at random."""
         return runners[int(rng.random() * len(runners))]
--- a/knapweedrail/placement.py
+++ b/knapweedrail/placement.py
@@ -19,8 +19,8 @@
     ) -> RunnerState | None:
         """Return a runner with room, or ``None`` when none has any."""
 
-    def set_runners(self, names: tuple[str, ...]) -> None:
-        """Take note of a new list of runners."""
+    def set_runners(self, near: tuple[str, ...], far: tuple[str, ...]) -> None:
+        """Take note of a new list of runners: the data centre's own, and others."""
 
 
 PLACEMENTS = Registry(Placement)
--- a/knapweedrail/plugins/placements.py
+++ b/knapweedrail/plugins/placements.py
@@ -14,10 +14,6 @@
 """Points of one runner on the ring; evens out the arcs enough, since load bounds
 what an arc that is too long brings."""
 
-RING_CANDIDATES = 2
-"""Runners that are home to one prefix. One would drop the cached prefix whenever
-that runner is busy; each further one holds a copy in the runners' limited memory."""
-
 AFFINITY_EXCESS = 0.25
 """How much fuller, in share of its slots, the prefix's home may be than the runner
 that load alone would choose. A cached prefix saves its prefill; beyond this the
@@ -50,7 +46,7 @@
 
     The load it is for: follow-up questions that share a long history. Sent anywhere,
     each would prefill the whole history again and push other prefixes out of the
-    cache. A hash ring gives each prefix its few home runners without any exchange
+    cache. A hash ring gives each prefix its home runner without any exchange
     between routers, and moves few prefixes when a runner comes or goes. The bound
     on load keeps a popular prefix from felling its home: what exceeds it goes by
     load alone.
@@ -58,10 +54,31 @@
 
     def __init__(self) -> None:
         self._balanced = BalancedPlacement()
-        self._hashes: list[int] = []
-        self._names: list[str] = []
+        self._near = _Ring(())
+        self._far = _Ring(())
+
+    def set_runners(self, near: tuple[str, ...], far: tuple[str, ...]) -> None:
+        self._near = _Ring(near)
+        self._far = _Ring(far)
+
+    def choose(
+        self, work: Work, fleet: Fleet, rng: random.Random
+    ) -> RunnerState | None:
+        by_load = self._balanced.choose(work, fleet, rng)
+        if by_load is None or not work.prefix_hash:
+            return by_load
+        ring = self._near if by_load.own_data_centre else self._far
+        home = fleet.runners.get(ring.find(work.prefix_hash))
+        if home is None or not fleet.has_room(home):
+            return by_load
+        bound = share(by_load) + AFFINITY_EXCESS
+        return home if share(home) <= bound else by_load
 
-    def set_runners(self, names: tuple[str, ...]) -> None:
+
+class _Ring:
+    """Consistent hashing of prefixes to runners."""
+
+    def __init__(self, names: tuple[str, ...]) -> None:
         points = sorted(
             (hash_point(f"{name}#{number}"), name)
             for name in names
@@ -70,30 +87,12 @@
         self._hashes = [point for point, _ in points]
         self._names = [name for _, name in points]
 
-    def choose(
-        self, work: Work, fleet: Fleet, rng: random.Random
-    ) -> RunnerState | None:
-        by_load = self._balanced.choose(work, fleet, rng)
-        if by_load is None or not work.prefix_hash or not self._names:
-            return by_load
-        bound = share(by_load) + AFFINITY_EXCESS
-        for name in self.homes(work.prefix_hash):
-            runner = fleet.runners.get(name)
-            if runner is not None and fleet.has_room(runner) and share(runner) <= bound:
-                return runner
-        return by_load
-
-    def homes(self, prefix_hash: int) -> list[str]:
-        """Return the runners at which this prefix is kept, the first choice first."""
-        start = bisect_right(self._hashes, hash_point(str(prefix_hash)))
-        found: list[str] = []
-        for step in range(len(self._names)):
-            name = self._names[(start + step) % len(self._names)]
-            if name not in found:
-                found.append(name)
-            if len(found) == RING_CANDIDATES:
-                break
-        return found
+    def find(self, prefix_hash: int) -> str | None:
+        """Return the runner that is home to a prefix."""
+        if not self._names:
+            return None
+        place = bisect_right(self._hashes, hash_point(str(prefix_hash)))
+        return self._names[place % len(self._names)]
 
 
 def share(runner: RunnerState) -> float:
--- a/knapweedrail/queues.py
+++ b/knapweedrail/queues.py
@@ -1,8 +1,9 @@
-"""Queue that is fair between client accounts, and between long and short work."""
+"""Queue that is fair between long and short work, and between client accounts."""
 
 from __future__ import annotations
 
 import heapq
+from bisect import bisect_right
 from collections import deque
 
 from .work import Work
@@ -33,7 +34,9 @@
         "attempts",
         "runner",
         "started",
+        "begun",
         "first_byte",
+        "promised",
         "suspect",
         "crash_noted",
     )
@@ -48,248 +51,166 @@
         self.attempts = 0
         self.runner: str | None = None
         self.started = now
+        self.begun = False
+        """Whether the caller has had the first byte, of this run or an earlier one."""
         self.first_byte = False
+        """Whether this run has given its first byte."""
+        self.promised = 0.0
+        """Seconds of wait that the queue alone let expect when it came."""
         self.suspect = False
         self.crash_noted = False
 
 
-class _Flow:
-    """Work of one class (long or short) of one account."""
+class _Account:
+    """Waiting work of one class of one account."""
 
-    __slots__ = ("entries", "tag", "backlog")
+    __slots__ = ("name", "weight", "tag", "offered", "entries", "backlog")
 
-    def __init__(self) -> None:
-        self.entries: deque[Entry] = deque()
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.weight = 1.0
         self.tag = 0.0
+        self.offered: float | None = None
+        self.entries: deque[Entry] = deque()
         self.backlog = 0.0
 
+    @property
+    def level(self) -> float:
+        """Slot seconds of its backlog, divided by its weight."""
+        return self.backlog / self.weight
+
     def drop_gone(self) -> None:
+        """Drop removed entries from the front; clear rounding errors when empty."""
         while self.entries and not self.entries[0].waiting:
             self.entries.popleft()
+        if not self.entries:
+            self.backlog = 0.0
 
 
-class _Account:
-    __slots__ = (
-        "name",
-        "weight",
-        "tag",
-        "virtual",
-        "short",
-        "long",
-        "offered",
-        "offered_short",
-    )
-
-    def __init__(self, name: str, weight: float) -> None:
-        self.name = name
-        self.weight = weight
-        self.tag = 0.0
-        self.virtual = 0.0
-        self.short = _Flow()
-        self.long = _Flow()
-        self.offered: float | None = None
-        self.offered_short: float | None = None
+class AccountQueue:
+    """Start-time fair queueing between accounts, for work of one class.
 
-    @property
-    def backlog(self) -> float:
-        return self.short.backlog + self.long.backlog
-
-    def flow(self, short: bool) -> _Flow:
-        return self.short if short else self.long
-
-    def withdraw(self, tag: float, short: bool) -> None:
-        """Note that a turn at ``tag`` no longer stands in the heap."""
-        if short and self.offered_short == tag:
-            self.offered_short = None
-        if not short and self.offered == tag:
-            self.offered = None
-
-    def next_flow(self, only_short: bool) -> _Flow | None:
-        """Return the flow whose turn it is."""
-        self.short.drop_gone()
-        self.long.drop_gone()
-        if only_short or not self.long.entries:
-            return self.short if self.short.entries else None
-        if not self.short.entries:
-            return self.long
-        return self.short if self.short.tag <= self.long.tag else self.long
-
-
-class FairQueue:
-    """Start-time fair queueing over accounts, and over two classes within each.
-
-    The load it is for: one account sends a morning's rosters at once while others ask
-    single questions. First come first served would make everyone wait for the whole
+    The load it is for: one account sends a morning's rosters at once while others
+    send one each. First come first served would make everyone wait for the whole
     batch. Here each account advances by the slot seconds that it was given, divided
-    by its weight, and the account that is furthest behind goes next, so a newcomer
+    by its weight, and the account that is furthest behind goes next. So a newcomer
     waits for one turn of each backlogged account and not for their backlogs.
-
-    Within an account, long and short work take equal slot seconds when both wait. A
-    short question costs a small part of a roster, so it goes first almost always; and
-    a flood of questions can't hold rosters back for ever, because it gets no more
-    than half. An account that sends both gets no more than one that sends one kind.
     """
 
     def __init__(self) -> None:
         self._accounts: dict[str, _Account] = {}
+        self._backlogged: dict[str, _Account] = {}
         self._turns: list[tuple[float, int, _Account]] = []
-        self._short_turns: list[tuple[float, int, _Account]] = []
         self._virtual = 0.0
         self._sequence = 0
         self._count = 0
+        self.backlog = 0.0
+        """Slot seconds of all waiting work."""
 
     def __len__(self) -> int:
         return self._count
 
     def push(self, entry: Entry) -> None:
-        """Add an entry at the end of its flow."""
-        account = self._account_of(entry)
-        self._wake(account, entry)
-        account.flow(entry.work.short).entries.append(entry)
+        """Add an entry at the end of its account's work."""
+        account = self._wake(entry)
+        account.entries.append(entry)
         self._count_in(account, entry)
 
     def push_front(self, entry: Entry) -> None:
-        """Give an entry its turn back: it was taken out but couldn't start."""
-        account = self._account_of(entry)
-        self._wake(account, entry)
-        flow = account.flow(entry.work.short)
-        flow.entries.appendleft(entry)
-        flow.tag -= entry.cost
+        """Give an entry its turn back: it was taken out but didn't run."""
+        account = self._wake(entry)
+        account.entries.appendleft(entry)
         account.tag -= entry.cost / account.weight
         self._count_in(account, entry)
 
-    def pop(self, only_short: bool = False) -> Entry | None:
+    def pop(self) -> Entry | None:
         """Take out the entry whose turn it is."""
-        turns = self._short_turns if only_short else self._turns
-        while turns:
-            tag, _, account = turns[0]
-            flow = account.next_flow(only_short) if tag == account.tag else None
-            if flow is None:
-                # Out of date: the account has moved on, or has nothing to give.
-                heapq.heappop(turns)
-                account.withdraw(tag, only_short)
-                continue
-            return self._take(account, flow)
+        while self._turns:
+            tag, _, account = self._turns[0]
+            if tag == account.tag and account.entries:
+                return self._take(account)
+            # Out of date: the account has moved on, or has nothing more.
+            heapq.heappop(self._turns)
+            if account.offered == tag:
+                account.offered = None
         return None
 
     def remove(self, entry: Entry) -> None:
-        """Take out an entry out of turn: cancelled, or refused while it waited."""
-        if not entry.waiting:
-            return
+        """Take out an entry out of turn."""
         self._count_out(self._accounts[entry.work.account], entry)
 
-    def entries(self) -> list[Entry]:
-        """Return all waiting entries, flow by flow."""
-        found: list[Entry] = []
-        for account in self._accounts.values():
-            found.extend(entry for entry in account.short.entries if entry.waiting)
-            found.extend(entry for entry in account.long.entries if entry.waiting)
-        return found
-
-    def work_ahead(self, work: Work, cost: float) -> float:
-        """Return the slot seconds that are served before a new piece of work.
+    def measure_ahead(self, work: Work, cost: float) -> float:
+        """Return the slot seconds served before a new piece of work.
 
         Each backlogged account is served in proportion to its weight until this
         work's turn, and no more than its backlog.
         """
-        own = self._accounts.get(work.account)
-        ahead_own = self._ahead_in_account(own, work.short, cost)
-        level = (ahead_own + cost) / work.weight
-        ahead = ahead_own
-        for account in self._accounts.values():
+        own = self._backlogged.get(work.account)
+        before = own.backlog if own is not None else 0.0
+        level = (before + cost) / work.weight
+        ahead = before
+        for account in self._backlogged.values():
             if account is not own:
                 ahead += min(account.backlog, account.weight * level)
         return ahead
 
-    def waits(self) -> list[tuple[Entry, float]]:
+    def list_waits(self) -> list[tuple[Entry, float]]:
         """Return all waiting entries, each with the slot seconds served before it."""
+        curve = _Curve(list(self._backlogged.values()))
         found: list[tuple[Entry, float]] = []
-        for account in self._accounts.values():
-            if account.backlog > 0.0:
-                self._add_waits(account, True, found)
-                self._add_waits(account, False, found)
+        for account in self._backlogged.values():
+            before = 0.0
+            for entry in account.entries:
+                if entry.waiting:
+                    level = (before + entry.cost) / account.weight
+                    served = min(account.backlog, account.weight * level)
+                    ahead = before + max(0.0, curve.measure(level) - served)
+                    found.append((entry, ahead))
+                    before += entry.cost
         return found
 
-    def _add_waits(
-        self, account: _Account, short: bool, found: list[tuple[Entry, float]]
-    ) -> None:
-        before = 0.0
-        other = account.flow(not short).backlog
-        for entry in account.flow(short).entries:
-            if not entry.waiting:
-                continue
-            own = before + min(other, before + entry.cost)
-            found.append((entry, own + self._ahead_of(account, own + entry.cost)))
-            before += entry.cost
-
-    def _ahead_of(self, own: _Account | None, seconds: float) -> float:
-        """Return what other accounts are served while ``own`` is served ``seconds``."""
-        ahead = 0.0
-        level = seconds / own.weight
-        for account in self._accounts.values():
-            if account is not own:
-                ahead += min(account.backlog, account.weight * level)
-        return ahead
-
-    def _ahead_in_account(
-        self, account: _Account | None, short: bool, cost: float
-    ) -> float:
-        if account is None:
-            return 0.0
-        same = account.flow(short).backlog
-        other = account.flow(not short).backlog
-        return same + min(other, same + cost)
-
-    def _account_of(self, entry: Entry) -> _Account:
+    def _wake(self, entry: Entry) -> _Account:
         work = entry.work
         account = self._accounts.get(work.account)
         if account is None:
             self._forget_idle()
-            account = _Account(work.account, work.weight)
+            account = _Account(work.account)
             self._accounts[work.account] = account
         account.weight = work.weight
-        return account
-
-    def _wake(self, account: _Account, entry: Entry) -> None:
-        flow = account.flow(entry.work.short)
         if account.backlog == 0.0:
             # An idle account neither saves up turns nor is punished for old ones.
             account.tag = max(account.tag, self._virtual)
-        if flow.backlog == 0.0:
-            flow.tag = max(flow.tag, account.virtual)
+        return account
 
     def _count_in(self, account: _Account, entry: Entry) -> None:
         entry.waiting = True
-        account.flow(entry.work.short).backlog += entry.cost
+        account.backlog += entry.cost
+        self.backlog += entry.cost
         self._count += 1
+        self._backlogged[account.name] = account
         self._offer(account)
 
     def _count_out(self, account: _Account, entry: Entry) -> None:
         entry.waiting = False
-        flow = account.flow(entry.work.short)
-        flow.backlog = max(0.0, flow.backlog - entry.cost)
-        flow.drop_gone()
-        if not flow.entries:
-            flow.backlog = 0.0
         self._count -= 1
+        self.backlog = max(0.0, self.backlog - entry.cost) if self._count else 0.0
+        account.backlog = max(0.0, account.backlog - entry.cost)
+        account.drop_gone()
+        if not account.entries:
+            self._backlogged.pop(account.name, None)
 
     def _offer(self, account: _Account) -> None:
-        """Put the account's turn into the heaps, once for each tag."""
+        """Put the account's turn into the heap, once for each tag."""
+        if not account.entries or account.offered == account.tag:
+            return
         self._sequence += 1
-        turn = (account.tag, self._sequence, account)
-        if account.backlog > 0.0 and account.offered != account.tag:
-            account.offered = account.tag
-            heapq.heappush(self._turns, turn)
-        if account.short.backlog > 0.0 and account.offered_short != account.tag:
-            account.offered_short = account.tag
-            heapq.heappush(self._short_turns, turn)
-
-    def _take(self, account: _Account, flow: _Flow) -> Entry:
-        entry = flow.entries[0]
+        account.offered = account.tag
+        heapq.heappush(self._turns, (account.tag, self._sequence, account))
+
+    def _take(self, account: _Account) -> Entry:
+        entry = account.entries[0]
         self._virtual = max(self._virtual, account.tag)
-        account.virtual = max(account.virtual, flow.tag)
         account.tag += entry.cost / account.weight
-        flow.tag += entry.cost
         self._count_out(account, entry)
         self._offer(account)
         return entry
@@ -300,5 +221,107 @@
         self._accounts = {
             name: account
             for name, account in self._accounts.items()
-            if account.backlog > 0.0 or account.tag > self._virtual
+            if account.entries or account.tag > self._virtual
         }
+
+
+class FairQueue:
+    """Two queues, of short and of long work, that take turns by slot seconds.
+
+    The load it is for: questions that take a second beside rosters that take twenty.
+    A question costs a small part of a roster, so short work goes first almost
+    always; but once it has had as many slot seconds as long work while both
+    waited, it is long work's turn. So neither can hold the other back for ever, and
+    whichever asks for less than half gets all that it asks for.
+
+    Accounts are kept fair within each class and not over both: an account that has
+    just had its roster would else wait for the others' rosters with its questions.
+    """
+
+    def __init__(self) -> None:
+        self._classes = {True: AccountQueue(), False: AccountQueue()}
+        self._tags = {True: 0.0, False: 0.0}
+
+    def __len__(self) -> int:
+        return len(self._classes[True]) + len(self._classes[False])
+
+    @property
+    def short_count(self) -> int:
+        """Short work that waits."""
+        return len(self._classes[True])
+
+    def push(self, entry: Entry) -> None:
+        """Add an entry at the end of its account's work."""
+        self._wake(entry.work.short)
+        self._classes[entry.work.short].push(entry)
+
+    def push_front(self, entry: Entry) -> None:
+        """Give an entry its turn back: it was taken out but didn't run."""
+        self._wake(entry.work.short)
+        self._classes[entry.work.short].push_front(entry)
+        self._tags[entry.work.short] -= entry.cost
+
+    def pop(self, only_short: bool = False) -> Entry | None:
+        """Take out the entry whose turn it is."""
+        short = only_short or self._is_turn_of_short()
+        entry = self._classes[short].pop()
+        if entry is not None:
+            self._tags[short] += entry.cost
+        return entry
+
+    def remove(self, entry: Entry) -> None:
+        """Take out an entry out of turn: cancelled, or refused while it waited."""
+        if entry.waiting:
+            self._classes[entry.work.short].remove(entry)
+
+    def measure_ahead(self, work: Work, cost: float) -> float:
+        """Return the slot seconds that are served before a new piece of work."""
+        same = self._classes[work.short].measure_ahead(work, cost)
+        return same + self._measure_other(work.short, same + cost)
+
+    def list_waits(self) -> list[tuple[Entry, float]]:
+        """Return all waiting entries, each with the slot seconds served before it."""
+        return [
+            (entry, ahead + self._measure_other(short, ahead + entry.cost))
+            for short, queue in self._classes.items()
+            for entry, ahead in queue.list_waits()
+        ]
+
+    def _measure_other(self, short: bool, seconds: float) -> float:
+        """Return what the other class is served while this one gets ``seconds``."""
+        lead = max(0.0, self._tags[short] - self._tags[not short])
+        return min(self._classes[not short].backlog, seconds + lead)
+
+    def _is_turn_of_short(self) -> bool:
+        if not self._classes[True] or not self._classes[False]:
+            return bool(self._classes[True])
+        return self._tags[True] <= self._tags[False]
+
+    def _wake(self, short: bool) -> None:
+        if not self._classes[short]:
+            # While a class had no work, it neither saved up turns nor lost any.
+            self._tags[short] = max(self._tags[short], self._tags[not short])
+
+
+class _Curve:
+    """Slot seconds served over all accounts while each advances by the same level.
+
+    Args:
+        accounts: The backlogged accounts.
+    """
+
+    def __init__(self, accounts: list[_Account]) -> None:
+        ordered = sorted(accounts, key=lambda account: account.level)
+        self._levels = [account.level for account in ordered]
+        self._drained = [0.0]
+        for account in ordered:
+            self._drained.append(self._drained[-1] + account.backlog)
+        self._weights = [0.0]
+        for account in reversed(ordered):
+            self._weights.append(self._weights[-1] + account.weight)
+        self._weights.reverse()
+
+    def measure(self, level: float) -> float:
+        """Return the slot seconds served until each has advanced by ``level``."""
+        place = bisect_right(self._levels, level)
+        return self._drained[place] + level * self._weights[place]
--- a/knapweedrail/retries.py
+++ b/knapweedrail/retries.py
@@ -1,9 +1,12 @@
-"""Retry budget: how often failed work may start again, and after what delay."""
+"""Retries: how often failed work may start again, and after what delay."""
 
 from __future__ import annotations
 
+import heapq
 import random
 
+from .queues import Entry
+
 RETRY_SHARE = 0.1
 """Retries for each fresh request. When runners fail because they are overloaded,
 each retry adds to what fells them; at a tenth, the load stays at 1.1 times what
@@ -39,6 +42,44 @@
         return True
 
 
+class Delays:
+    """Work that starts again after a delay.
+
+    Args:
+        rng: Source of the jitter.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._sequence = 0
+        self._due: list[tuple[float, int, Entry]] = []
+
+    def __len__(self) -> int:
+        return len(self._due)
+
+    def add(self, entry: Entry, now: float) -> None:
+        """Keep work until its retry is due."""
+        self._sequence += 1
+        due = now + compute_delay(entry.attempts, self._rng)
+        heapq.heappush(self._due, (due, self._sequence, entry))
+
+    def remove(self, entry: Entry) -> None:
+        """Drop work that was cancelled."""
+        self._due = [item for item in self._due if item[2] is not entry]
+        heapq.heapify(self._due)
+
+    def next_due(self) -> float | None:
+        """Return when the next retry is due."""
+        return self._due[0][0] if self._due else None
+
+    def take_due(self, now: float) -> list[Entry]:
+        """Return the work whose delay is over."""
+        found = []
+        while self._due and self._due[0][0] <= now:
+            found.append(heapq.heappop(self._due)[2])
+        return found
+
+
 def compute_delay(attempts: int, rng: random.Random) -> float:
     """Return the seconds to wait before a retry: random up to a doubling bound.
 
--- /dev/null
+++ b/knapweedrail/standins/virtual.py
@@ -0,0 +1,416 @@
+"""Runners, callers and routers in virtual time, to judge decisions under load.
+
+No sockets and no cluster: a heap of events, runners that serve in slots, and routers
+that are anything with the methods of `Dispatcher`. What counts is what callers got.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from functools import lru_cache
+from itertools import accumulate
+from typing import Any
+
+import attrs
+
+from ..models import Runner
+from ..outcomes import Refusal
+from ..work import Ended, EndedKind, LoadReport, Refuse, Start, Work
+
+PREFILL_TOKENS_PER_SECOND = 5000.0
+SECONDS_PER_TOKEN = 0.025
+CACHED_PREFIXES = 20
+REPORT_INTERVAL_SECONDS = 0.5
+REPORT_LAG_SECONDS = 1.0
+NETWORK_SECONDS = 0.001
+CRASH_AFTER_SECONDS = 0.2
+
+
+@attrs.define
+class Request:
+    """One request of a caller and what became of it.
+
+    Attributes:
+        arrival: Seconds at which it reaches its router.
+        router: Index of the router.
+        work: What the router knows of it.
+        answer_tokens: Tokens that the answer will have.
+        poison: Whether it crashes the runner that runs it.
+        first: Seconds at which the first byte came.
+        done: Seconds at which the whole answer had come.
+        refusal: The refusal, if that was the answer.
+        answered: Seconds at which the refusal came.
+        runs: Runs that began at a runner.
+    """
+
+    arrival: float
+    router: int
+    work: Work
+    answer_tokens: int
+    poison: bool = False
+    first: float | None = None
+    done: float | None = None
+    refusal: Refusal | None = None
+    answered: float | None = None
+    runs: int = 0
+
+    @property
+    def good(self) -> bool:
+        """Whether the whole answer came and its first byte was in time."""
+        return self.done is not None and self.first <= self.work.deadline
+
+
+@attrs.define(eq=False)
+class _Run:
+    request: Request
+    router: int
+    runner: VirtualRunner
+    sent: float
+    priority: int = 0
+    began: float | None = None
+    over: bool = False
+
+
+class VirtualRunner:
+    """A model engine with slots, a queue and a cache of prefixes.
+
+    Args:
+        name: Its name.
+        slots: Requests that it runs at once.
+        queue: Requests that wait in it; beyond them it refuses as full.
+    """
+
+    def __init__(self, name: str, slots: int = 8, queue: int = 16) -> None:
+        self.name = name
+        self.slots = slots
+        self.queue = queue
+        self.slowness = 1.0
+        self.down = False
+        self.leaving = False
+        self.running: set[_Run] = set()
+        self.waiting: deque[_Run] = deque()
+        self.cache: OrderedDict[int, None] = OrderedDict()
+        self.hits = 0
+        self.crashes = 0
+        self.taken_leaving = 0
+
+    def serve_seconds(self, request: Request) -> tuple[float, float]:
+        """Return the seconds to the first token and to the end, alone in a slot."""
+        work = request.work
+        prompt = work.prompt_tokens
+        if work.prefix_hash in self.cache:
+            self.hits += 1
+            prompt = prompt // 10
+        self.cache[work.prefix_hash] = None
+        self.cache.move_to_end(work.prefix_hash)
+        if len(self.cache) > CACHED_PREFIXES:
+            self.cache.popitem(last=False)
+        first = prompt / PREFILL_TOKENS_PER_SECOND + SECONDS_PER_TOKEN
+        rest = (request.answer_tokens - 1) * SECONDS_PER_TOKEN
+        return self.slowness * first, self.slowness * (first + rest)
+
+
+class World:
+    """Runs requests through routers and runners in virtual time.
+
+    Args:
+        runners: The runners, by data centre.
+        routers: Anything with the methods of `Dispatcher`, one for each router.
+        gives_up: Whether callers go at their deadline when no byte has come.
+        report_lag: Seconds by which load reports lag.
+    """
+
+    def __init__(
+        self,
+        runners: dict[str, list[VirtualRunner]],
+        routers: list[Any],
+        gives_up: bool = True,
+        report_lag: float = REPORT_LAG_SECONDS,
+    ) -> None:
+        self.now = 0.0
+        self.routers = routers
+        self.gives_up = gives_up
+        self.report_lag = report_lag
+        self.runners = {r.name: r for group in runners.values() for r in group}
+        self.listed = tuple(
+            Runner(runner.name, "", data_centre)
+            for data_centre, group in runners.items()
+            for runner in group
+        )
+        self.requests: dict[str, Request] = {}
+        self.decisions = 0
+        self.on_refusal: Callable[[Request], None] = lambda request: None
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._runs: dict[str, _Run] = {}
+        self._ticks: dict[int, float] = {}
+        for index, router in enumerate(routers):
+            router.set_runners(self.listed, 0.0)
+            self._plan_tick(index)
+        for runner in self.runners.values():
+            self.at(0.0, lambda runner=runner: self._report(runner))
+
+    def at(self, time: float, call: Callable[[], None]) -> None:
+        """Plan a call."""
+        self._sequence += 1
+        heapq.heappush(self._events, (time, self._sequence, call))
+
+    def add(self, request: Request) -> None:
+        """Plan the arrival of a request."""
+        self.requests[request.work.id] = request
+        self.at(request.arrival, lambda: self._arrive(request))
+
+    def run(self, until: float) -> None:
+        """Run all events up to a time."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, call = heapq.heappop(self._events)
+            call()
+        self.now = until
+
+    def crash(self, runner: VirtualRunner, down_seconds: float = 10.0) -> None:
+        """End a runner's process; it comes back empty after a time."""
+        runner.crashes += 1
+        runner.down = True
+        lost = list(runner.running) + list(runner.waiting)
+        runner.running.clear()
+        runner.waiting.clear()
+        runner.cache.clear()
+        for run in lost:
+            self._end(run, EndedKind.CRASHED)
+        self.at(self.now + down_seconds, lambda: setattr(runner, "down", False))
+
+    def _arrive(self, request: Request) -> None:
+        router = self.routers[request.router]
+        self._apply(request.router, router.submit(request.work, self.now))
+        if self.gives_up:
+            self.at(request.work.deadline, lambda: self._give_up(request))
+
+    def _give_up(self, request: Request) -> None:
+        if request.first is not None or request.refusal is not None:
+            return
+        self.routers[request.router].cancel(request.work.id, self.now)
+        run = self._runs.get(request.work.id)
+        if run is not None:
+            self._leave(run)
+            self._end(run, EndedKind.CANCELLED)
+
+    def _apply(self, index: int, decisions: list) -> None:
+        for decision in decisions:
+            self.decisions += 1
+            request = self.requests[decision.work_id]
+            if isinstance(decision, Refuse):
+                request.refusal = decision.refusal
+                request.answered = self.now
+                self.on_refusal(request)
+            elif isinstance(decision, Start):
+                runner = self.runners[decision.runner]
+                run = _Run(request, index, runner, self.now, decision.priority)
+                self._runs[request.work.id] = run
+                self.at(self.now + NETWORK_SECONDS, lambda r=run: self._receive(r))
+        self._plan_tick(index)
+
+    def _plan_tick(self, index: int) -> None:
+        due = self.routers[index].next_tick()
+        if due is None:
+            return
+        due = max(due, self.now)
+        if self._ticks.get(index, float("inf")) <= due:
+            return
+        self._ticks[index] = due
+        self.at(due, lambda: self._tick(index, due))
+
+    def _tick(self, index: int, due: float) -> None:
+        if self._ticks.get(index) != due:
+            return
+        del self._ticks[index]
+        self._apply(index, self.routers[index].tick(self.now))
+
+    def _receive(self, run: _Run) -> None:
+        runner = run.runner
+        if run.over:
+            return
+        full = len(runner.waiting) >= runner.queue
+        if runner.down or runner.leaving or full:
+            runner.taken_leaving += runner.leaving
+            if runner.down:
+                self.routers[run.router].unreachable(runner.name, self.now)
+            self._end(run, EndedKind.REFUSED)
+        elif len(runner.running) < runner.slots:
+            self._begin(run)
+        else:
+            runner.waiting.append(run)
+
+    def _begin(self, run: _Run) -> None:
+        run.began = self.now
+        run.request.runs += 1
+        run.runner.running.add(run)
+        if run.request.poison:
+            runner = run.runner
+            self.at(self.now + CRASH_AFTER_SECONDS, lambda: self._poison(run, runner))
+            return
+        first, whole = run.runner.serve_seconds(run.request)
+        self.at(self.now + first, lambda: self._first_byte(run))
+        self.at(self.now + whole, lambda: self._complete(run))
+
+    def _poison(self, run: _Run, runner: VirtualRunner) -> None:
+        if not run.over:
+            self.crash(runner)
+
+    def _first_byte(self, run: _Run) -> None:
+        if run.over or run.request.first is not None:
+            return
+        run.request.first = self.now
+        self.routers[run.router].answering(run.request.work.id, self.now)
+
+    def _complete(self, run: _Run) -> None:
+        if run.over:
+            return
+        run.request.done = self.now
+        self._leave(run)
+        self._end(run, EndedKind.OK)
+
+    def _leave(self, run: _Run) -> None:
+        runner = run.runner
+        runner.running.discard(run)
+        if run in runner.waiting:
+            runner.waiting.remove(run)
+        while runner.waiting and len(runner.running) < runner.slots:
+            following = min(runner.waiting, key=lambda waiting: waiting.priority)
+            runner.waiting.remove(following)
+            self._begin(following)
+
+    def _end(self, run: _Run, kind: EndedKind) -> None:
+        run.over = True
+        request = run.request
+        if self._runs.get(request.work.id) is run:
+            del self._runs[request.work.id]
+        first = None
+        if request.first is not None:
+            first = request.first - run.sent
+        outcome = Ended(kind, first, self.now - run.sent)
+        router = self.routers[run.router]
+        name = run.runner.name
+        self._apply(
+            run.router, router.finished(request.work.id, name, outcome, self.now)
+        )
+        if kind in (EndedKind.CRASHED, EndedKind.FAILED, EndedKind.SILENT):
+            self._apply(run.router, router.retry(request.work.id, self.now))
+
+    def _report(self, runner: VirtualRunner) -> None:
+        if not runner.down:
+            report = LoadReport(
+                len(runner.running),
+                len(runner.waiting),
+                runner.slots,
+                self.now,
+                runner.leaving,
+            )
+            later = self.now + self.report_lag
+            self.at(later, lambda: self._deliver(runner.name, report))
+        later = self.now + REPORT_INTERVAL_SECONDS
+        self.at(later, lambda: self._report(runner))
+
+    def _deliver(self, name: str, report: LoadReport) -> None:
+        for index, router in enumerate(self.routers):
+            router.report(name, report, self.now)
+            self._plan_tick(index)
+
+
+@attrs.frozen
+class Mix:
+    """What callers send.
+
+    Attributes:
+        accounts: Accounts; the share of each falls as one over its rank.
+        first_account_share: Share of the first account, if it is to differ.
+        routers: Routers over which the balancer spreads requests.
+        long_share: Share of long work among the requests.
+        long_deadline: Seconds for the first byte of long work.
+        short_deadline: The same of short work.
+        histories: Different prompt prefixes; some are asked about more often, with
+            a share that falls as one over the rank.
+    """
+
+    accounts: int = 10
+    first_account_share: float | None = None
+    routers: int = 6
+    long_share: float = 0.25
+    long_deadline: float = 30.0
+    short_deadline: float = 10.0
+    histories: int = 200
+
+    def build(self, rng: random.Random, number: int, arrival: float) -> Request:
+        """Make one request."""
+        short = rng.random() >= self.long_share
+        rank = self._draw_account(rng)
+        history = draw_rank(rng, self.histories)
+        largest = 160 if short else 1024
+        answer = max(1, int(largest * rng.uniform(0.2, 0.9)))
+        deadline = self.short_deadline if short else self.long_deadline
+        work = Work(
+            id=f"w{number}",
+            account=f"account-{rank}",
+            fingerprint=f"f{number}",
+            prefix_hash=history,
+            prompt_tokens=3000 if short else 6000,
+            max_answer_tokens=largest,
+            deadline=arrival + deadline,
+            short=short,
+        )
+        return Request(arrival, rng.randrange(self.routers), work, answer)
+
+    def _draw_account(self, rng: random.Random) -> int:
+        if self.first_account_share is None:
+            return draw_rank(rng, self.accounts)
+        if rng.random() < self.first_account_share:
+            return 1
+        return rng.randrange(2, self.accounts + 1)
+
+    def mean_seconds(self) -> float:
+        """Return the mean slot seconds of one request, with nothing cached."""
+        short = 3000 / PREFILL_TOKENS_PER_SECOND + 0.55 * 160 * SECONDS_PER_TOKEN
+        long = 6000 / PREFILL_TOKENS_PER_SECOND + 0.55 * 1024 * SECONDS_PER_TOKEN
+        return self.long_share * long + (1 - self.long_share) * short
+
+
+def draw_rank(rng: random.Random, count: int) -> int:
+    """Draw from 1 to ``count``, each with a weight of one over its rank."""
+    ranks = range(1, count + 1)
+    return rng.choices(ranks, cum_weights=_cumulate(count))[0]
+
+
+@lru_cache
+def _cumulate(count: int) -> list[float]:
+    return list(accumulate(1 / rank for rank in range(1, count + 1)))
+
+
+def build_arrivals(
+    mix: Mix, rng: random.Random, rate: float, start: float, seconds: float
+) -> list[Request]:
+    """Make open-loop arrivals: callers don't wait for one another's answers.
+
+    Args:
+        mix: What they send.
+        rng: Source of all choices; the same seed gives the same arrivals.
+        rate: Requests a second.
+        start: Seconds of the first.
+        seconds: For how long they come.
+    """
+    requests: list[Request] = []
+    time = start + rng.expovariate(rate)
+    while time < start + seconds:
+        number = int(time * 1_000_000)
+        requests.append(mix.build(rng, number, time))
+        time += rng.expovariate(rate)
+    return requests
+
+
+def find_quantile(values: list[float], share: float) -> float:
+    """Return a quantile; NaN for no values."""
+    if not values:
+        return float("nan")
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
--- /dev/null
+++ b/knapweedrail/tests/test_quarantine.py
@@ -0,0 +1,111 @@
+"""Tests of the quarantine of requests that fell runners."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ..benches.policies import SHAPES, build_world
+from ..dispatch import Dispatcher
+from ..outcomes import RefusalKind
+from ..quarantine import MAX_FINGERPRINTS, QUARANTINE_SECONDS, Quarantine
+from ..standins.virtual import Mix, build_arrivals
+
+
+class HastyQuarantine(Quarantine):
+    """Holds each loss against everything that ran there, suspects or not."""
+
+    def note_loss(self, runner, fingerprints, now):
+        for fingerprint in fingerprints:
+            super().note_loss(runner, [fingerprint], now)
+
+
+class HastyDispatcher(Dispatcher):
+    """Doesn't run suspects apart, and condemns all that ran on a lost runner."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self._quarantine = HastyQuarantine(2, args[-1])
+
+    def _place_suspect(self, entry):
+        return self._placement.choose(entry.work, self._fleet, self._rng)
+
+
+def count_condemned(policy):
+    """Send one poisonous request, again and again, among others."""
+    world = build_world(SHAPES[0], policy, 3)
+    mix = Mix(long_deadline=60.0, short_deadline=60.0)
+    requests = build_arrivals(mix, random.Random(3), 4.0, 0.0, 60.0)
+    poison = build_arrivals(mix, random.Random(4), 0.2, 10.0, 40.0)
+    for number, request in enumerate(poison):
+        request.poison = True
+        request.router = 0
+        request.work = type(request.work)(
+            f"p{number}", "account-1", request.arrival + 60.0, fingerprint="poison"
+        )
+    for request in requests + poison:
+        world.add(request)
+    world.run(200.0)
+    innocent = [
+        request
+        for request in requests
+        if request.refusal and request.refusal.kind is RefusalKind.QUARANTINED
+    ]
+    crashes = sum(runner.crashes for runner in world.runners.values())
+    return len(poison), crashes, len(innocent), sum(r.good for r in requests)
+
+
+def test_poison_fells_two_runners_and_the_innocent_come_through():
+    """One request crashes every runner that runs it and comes again and again. Those
+    that run beside it lose their answers, and are not to be condemned with it."""
+    sent, crashes, innocent, good = count_condemned(Dispatcher)
+    assert sent > 4
+    assert crashes == 2
+    assert innocent == 0
+    hasty = count_condemned(HastyDispatcher)
+    assert hasty[2] > 0
+
+
+def test_a_good_answer_clears_a_suspect():
+    quarantine = Quarantine(2, "a")
+    quarantine.note_loss("r0", ["x", "y"], 0.0)
+    quarantine.clear("x", 1.0)
+    quarantine.note_loss("r1", ["x"], 2.0)
+    assert not quarantine.blocks("x", 2.0)
+    quarantine.note_loss("r1", ["y"], 3.0)
+    assert quarantine.blocks("y", 3.0)
+    assert not quarantine.blocks("y", 3.0 + QUARANTINE_SECONDS)
+
+
+def test_memory_is_bounded():
+    """Callers send ever new content that crashes runners."""
+    quarantine = Quarantine(2, "a")
+    for number in range(MAX_FINGERPRINTS + 10):
+        quarantine.note_loss("r0", [f"x{number}"], number)
+    assert len(quarantine.tell()) == MAX_FINGERPRINTS
+
+
+@given(st.data())
+def test_routers_agree_in_whatever_order_they_hear(data):
+    """Routers tell each other of lost runners; messages come late, twice and crossed.
+    If the order mattered, a request refused by one router would be let in by another
+    for good."""
+    routers = [Quarantine(2, f"router-{n}") for n in range(3)]
+    messages = []
+    for step in range(data.draw(st.integers(1, 12))):
+        router = data.draw(st.sampled_from(routers))
+        fingerprint = data.draw(st.sampled_from("xy"))
+        if data.draw(st.booleans()):
+            router.note_loss(f"r{step}", [fingerprint], 0.0)
+        else:
+            router.clear(fingerprint, 0.0)
+        messages.append(router.tell())
+        if data.draw(st.booleans()):
+            old = data.draw(st.sampled_from(messages))
+            data.draw(st.sampled_from(routers)).hear(old, 0.0)
+    last = [router.tell() for router in routers]
+    for router in routers:
+        for told in data.draw(st.permutations(last)):
+            router.hear(told, 0.0)
+    blocked = [[r.blocks(f, 0.0) for f in "xy"] for r in routers]
+    assert blocked[0] == blocked[1] == blocked[2]
--- a/knapweedrail/work.py
+++ b/knapweedrail/work.py
@@ -93,10 +93,17 @@
 
 @attrs.frozen
 class Start:
-    """Start the work at this runner now."""
+    """Start the work at this runner now.
+
+    Attributes:
+        work_id: The work.
+        runner: The runner's name.
+        priority: Order in the runner's own queue; a lower number runs first.
+    """
 
     work_id: str
     runner: str
+    priority: int = 0
 
 
 @attrs.frozen
