--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -20,6 +20,31 @@
     TASK_FAILED = (104, "a task ended with an unexpected error")
     PLATFORM_AWAY = (201, "a call to the platform failed")
     PLATFORM_BACK = (202, "the platform answers again")
+    HOLDER_FENCED = (301, "this router finds itself fenced and takes no new requests")
+    HOLDER_RECOVERED = (
+        302,
+        "a fence round has ended; `waits_for` names silent routers",
+    )
+    RESERVATION_EXCEEDED = (303, "a request used more tokens than it had reserved")
+    BILL_STANDS = (304, "a request was billed before; its tokens stay unbilled")
+    TEXT_MISSING = (401, "a configuration's text can't be read from the platform")
+    TEXT_REFUSED = (402, "a proposed configuration doesn't pass this router's checks")
+    ACKNOWLEDGED = (403, "this router acknowledged a proposal for its data centre")
+    DECIDED = (404, "this router put a proposal in force")
+    PROPOSAL_WITHDRAWN = (405, "this router withdrew a proposal")
+    AUDIT_LATE = (406, "an entry of the audit trail couldn't be written yet")
+    CONFIGURATION_IN_FORCE = (407, "a configuration is in force at this router")
+    CONFIGURATION_STAGED = (408, "this router holds the text of a proposal")
+
+    MEMBER_REGISTERED = (501, "the router has begun a life under a new incarnation")
+    MEMBER_NOT_REGISTERED = (502, "registration failed; it is tried again")
+    MEMBER_FENCED = (503, "this life is fenced; the router begins a new one")
+    MEMBER_SUPERSEDED = (504, "another process registered under this router's name")
+    MEMBER_CLOSED = (505, "the router's life is closed in the registry")
+    MEMBER_HEARD = (506, "a member of the data centre answers")
+    MEMBER_SILENT = (507, "a member of the data centre has stopped answering")
+
+    JOB_FAILED = (601, "a request's run ended with an unexpected error")
 
     @property
     def number(self) -> int:
