Split the budget task; end the life of a fenced router by itself

Ruled out: asking only fenced(): a reclaimed holder leaves that list. Change: Neighbours.is_over; both sides of a transfer check it; a holder that finds itself fenced settles, returns its allowance and closes; a share with anything unspent stays until a fence round. Holdings, claims, transfers, flushes and recoveries are modules of their own. Conclusion: the new case is a test.

--- a/knapweedrail/neighbourhoods.py
+++ b/knapweedrail/neighbourhoods.py
@@ -91,6 +91,9 @@
     def fenced(self) -> frozenset[Holder]:
         return self._membership.fenced()
 
+    def is_over(self, holder: Holder) -> bool:
+        return self._membership.is_over(holder)
+
 
 class ConfigurationPeers(Peers):
     """All routers, as the configuration needs them.
--- a/knapweedrail/neighbours.py
+++ b/knapweedrail/neighbours.py
@@ -87,3 +87,11 @@
     @abstractmethod
     def fenced(self) -> frozenset[Holder]:
         """Return the holders known to be fenced: the registry's, and those told."""
+
+    def is_over(self, holder: Holder) -> bool:
+        """Return whether a holder is known to be fenced, closed or reclaimed.
+
+        Nothing is traded with it any more. A router that registered after the fence
+        round of a holder wasn't asked in it; it has to know by this.
+        """
+        return holder in self.fenced()
--- a/knapweedrail/postings.py
+++ b/knapweedrail/postings.py
@@ -389,9 +389,9 @@
     def _drop_share(self, budget: str, name: str) -> None:
         record = self.budgets[budget]
         share = record.shares[name]
-        if share.handed > _sum_received(record, name):
-            # The answer of a hand-over may have been lost. Until a fence round has
-            # asked everybody, its tokens count as held.
+        if share.unspent > 0 or share.handed > _sum_received(record, name):
+            # Something was left, or the answer of a hand-over may have been lost.
+            # Until a fence round has asked everybody, the tokens count as held.
             self._put_share(budget, name, attrs.evolve(share, demand=0, want=0))
             return
         self._remove_share(budget, name)
--- a/knapweedrail/recoveries.py
+++ b/knapweedrail/recoveries.py
@@ -9,17 +9,21 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
 
 import anyio
 import attrs
 
-from .entries import Entry, Outcome, Reclaim, Release
+from .batches import Look, Post, Posted
+from .budget_messages import Recovered
+from .entries import Entry, Reclaim, Release
+from .events import Event, log_event
+from .holdings import Holdings
 from .ledgers import FENCED, Ledger
 from .models import Holder
 from .neighbours import Neighbours, Received, Total
 from .outcomes import Unavailable
 from .registrations import Registry
+from .shards import Shard
 
 
 class Evidence(ABC):
@@ -28,11 +32,11 @@
     @abstractmethod
     async def prove(
         self, holder: Holder, budgets: tuple[str, ...]
-    ) -> tuple[Total, ...]:
+    ) -> tuple[Total, ...] | Unavailable:
         """Make further use impossible, then return the use of the budgets proved.
 
         Called only after the holder's fence round. A budget that can't be proved is
-        left out.
+        left out; `Unavailable` when it may be proved later.
         """
 
 
@@ -114,32 +118,74 @@
     }
 
 
-PostOne = Callable[[int, Entry], Awaitable[tuple[Outcome, Ledger]]]
-"""Posts one entry to a shard; returns its outcome and the ledger afterwards."""
-
-
-async def release_proved(
-    kinds: tuple[Evidence, ...],
-    holder: Holder,
-    shard: int,
-    ledger: Ledger,
-    post: PostOne,
-) -> Ledger:
-    """Ask each kind of evidence, and release what it proves."""
-    for name, kind in zip(map(_name, kinds), kinds):
-        budgets = tuple(list_left(ledger, holder))
-        if not budgets:
-            break
-        used = await kind.prove(holder, budgets)
-        if used:
-            _, ledger = await post(shard, Release(holder, used, name))
-    return ledger
-
-
-def make_reclaim(holder: Holder, answers: Round) -> Reclaim:
-    """Return the entry that ends a round."""
-    return Reclaim(holder, answers.received, answers.handed)
+class Recovery:
+    """Runs fence rounds for one router.
 
+    Args:
+        holdings: The router's holdings.
+        evidence: Kinds of evidence asked after a round.
+    """
 
-def _name(kind: Evidence) -> str:
-    return type(kind).__name__
+    def __init__(self, holdings: Holdings, evidence: tuple[Evidence, ...]) -> None:
+        self.holdings = holdings
+        self.neighbours = holdings.neighbours
+        self.evidence = evidence
+
+    async def run(self, holder: Holder) -> Recovered:
+        """Mark a holder fenced, ask everybody, and return what nobody took."""
+        registered = await self.neighbours.mark_fenced(holder)
+        if isinstance(registered, Unavailable):
+            return Recovered(0, 0, f"{registered.step}: {registered.detail}")
+        mine = self.holdings.fence(holder)
+        me = self.holdings.holder
+        answers = await ask_all(self.neighbours, me, mine, holder, registered)
+        tokens = stranded = 0
+        waits_for: set[str] = set()
+        for shard in self.holdings.shards:
+            part = await self._recover_shard(shard, holder, answers)
+            tokens += part.tokens
+            stranded += part.stranded
+            waits_for.update(filter(None, [part.waits_for]))
+        recovered = Recovered(tokens, stranded, ", ".join(sorted(waits_for)))
+        log_event(
+            Event.HOLDER_RECOVERED,
+            holder=str(holder),
+            tokens=tokens,
+            stranded=stranded,
+            waits_for=recovered.waits_for,
+        )
+        return recovered
+
+    async def _recover_shard(
+        self, shard: Shard, holder: Holder, answers: Round
+    ) -> Recovered:
+        ledger = await shard.task.ask(Look())
+        if isinstance(ledger, Unavailable):
+            return Recovered(0, 0, "platform")
+        before = _sum_left(ledger, holder)
+        blocking = find_blocking(ledger, answers.silent)
+        if blocking:
+            return Recovered(0, before, ", ".join(map(str, blocking)))
+        if str(holder) in ledger.ended:
+            return Recovered(0, 0)
+        entry = Reclaim(holder, answers.received, answers.handed)
+        ledger = await self._post(shard, entry)
+        waits_for = ""
+        for kind in self.evidence:
+            budgets = tuple(list_left(ledger, holder))
+            used = await kind.prove(holder, budgets) if budgets else ()
+            if isinstance(used, Unavailable):
+                waits_for = f"evidence: {used.detail}"
+            elif used:
+                entry = Release(holder, used, type(kind).__name__)
+                ledger = await self._post(shard, entry)
+        left = _sum_left(ledger, holder)
+        return Recovered(max(0, before - left), left, waits_for)
+
+    async def _post(self, shard: Shard, entry: Entry) -> Ledger:
+        posted: Posted = await shard.task.ask(Post((entry,)))
+        return posted.ledger
+
+
+def _sum_left(ledger: Ledger, holder: Holder) -> int:
+    return sum(list_left(ledger, holder).values())
--- a/knapweedrail/shards.py
+++ b/knapweedrail/shards.py
@@ -78,6 +78,7 @@
         look_wanted: Whether a request waits for a fresh view.
         next_flush: When to post what has gathered.
         next_look: When the next look may begin.
+        budgets: Budgets of the shard that this router has met.
         dirty: Budgets whose totals have changed since the last post.
         bills: Bills to write.
         claims: Claims to write.
@@ -97,6 +98,7 @@
     look_wanted: bool = False
     next_flush: float = 0.0
     next_look: float = 0.0
+    budgets: set[str] = attrs.field(factory=set)
     dirty: set[str] = attrs.field(factory=set)
     bills: deque[AddBill] = attrs.field(factory=deque)
     claims: deque[PendingClaim] = attrs.field(factory=deque)
--- a/knapweedrail/tests/test_budgets.py
+++ b/knapweedrail/tests/test_budgets.py
@@ -13,6 +13,7 @@
     Drain,
     Drained,
     FinishClaim,
+    HandOver,
     MakeClaim,
     Recover,
     Reservation,
@@ -275,7 +276,33 @@
         fleet.platform.cut.clear()
         await spend(one, "meadow", 1, "late")
         await wait_for(lambda: one.fenced)
+        await wait_for(lambda: "r1/1" not in fleet.read().budgets["meadow"].shares)
         check_sums(fleet.read())
+        spent = fleet.read().budgets["meadow"].spent
+        assert await two.ask(Drain(5.0)) == Drained()
+        assert fleet.read().budgets["meadow"].available == 10_000 - spent
+
+
+@pytest.mark.anyio
+async def test_new_router_trades_nothing_with_a_fenced_one():
+    """A router starts after another was fenced, and that one wakes and asks it.
+
+    It wasn't asked in the fence round. Were it to hand tokens over, they would be
+    spent by one and given back to the budget on behalf of the other.
+    """
+    async with run_fleet() as fleet:
+        one, two = await fleet.add("r1"), await fleet.add("r2")
+        for number in range(5):
+            await spend(two, "meadow", 50, f"two-{number}")
+        fleet.registry.silent.add(one.holder)
+        assert (await two.ask(Recover(one.holder))).waits_for == ""
+        three = await fleet.add("r3")
+        for number in range(5):
+            await spend(three, "meadow", 50, f"three-{number}")
+        answer = await three.ask(HandOver(one.holder, "meadow", 10, "1"))
+        assert answer.tokens == 0
+        answer = await three.ask(HandOver(two.holder, "meadow", 10, "1"))
+        assert answer.tokens == 10
 
 
 @pytest.mark.anyio
