Let the demonstration check what it shows

Ruled out: renaming the firm's route. Change: the firm's own route; exit code 1 unless the same identity gives the same answer. Before: 404 unseen. Conclusion: the check stands first.

--- a/knapweedrail/tools/demo.py
+++ b/knapweedrail/tools/demo.py
@@ -16,22 +16,27 @@
 import time
 from collections.abc import Sequence
 
+import attrs
 import httpx
 
 from .. import __version__
 
 EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
 
+
+@attrs.frozen
+class Firm:
+    """An example firm: routes of its engine and of its confirmations, and places."""
+
+    engine: str
+    confirmation: str
+    data_centres: tuple[str, ...]
+
+
 FIRMS = {
-    "striga": ("gang-llm", "booking-api", "booking", ("split-a", "split-b", "zadar-c")),
-    "kurogane": (
-        "plan-llm",
-        "booking-app",
-        "booking",
-        ("fukuoka-a", "fukuoka-b", "kumamoto"),
-    ),
+    "striga": Firm("gang-llm", "booking", ("split-a", "split-b", "zadar-c")),
+    "kurogane": Firm("plan-llm", "confirm", ("fukuoka-a", "fukuoka-b", "kumamoto")),
 }
-"""Of each firm: engine, plain service, route of the service, data centres."""
 
 START_SECONDS = 60.0
 """Longest wait for a process to be ready; generous for a busy machine."""
@@ -176,46 +181,53 @@
     return f"{answer.status_code} {answer.text}"
 
 
-def show_firm(firm: str, folder: pathlib.Path) -> bool:
+def show_firm(name: str, folder: pathlib.Path) -> bool:
     """Run the demonstration for one firm; say whether all went well."""
-    engine, _, route, data_centres = FIRMS[firm]
-    key = f"{firm}-demo-key-1"
+    example = FIRMS[name]
+    key = f"{name}-demo-key-1"
     fleet = Fleet(folder)
     try:
         platform = f"http://127.0.0.1:{fleet.start_standin('platform')}"
-        text = place_runners((EXAMPLES / f"{firm}.jsonc").read_text(), fleet)
-        path = folder / f"{firm}.jsonc"
+        text = place_runners((EXAMPLES / f"{name}.jsonc").read_text(), fleet)
+        path = folder / f"{name}.jsonc"
         path.write_text(text)
-        fleet.start_routers(platform, data_centres)
+        fleet.start_routers(platform, example.data_centres)
         hosts = [
             {"name": f"{place}-{number}", "data_centre": place, "state": "live"}
-            for place in data_centres
+            for place in example.data_centres
             for number in (1, 2)
         ]
         httpx.post(f"{platform}/hosts", json={"hosts": hosts}).raise_for_status()
-        print(f"== {firm}: {len(fleet.routers)} routers in {len(data_centres)}")
+        places = ", ".join(example.data_centres)
+        print(f"== {name}: {len(fleet.routers)} routers in {places}")
         print(run_operator(platform, "apply", str(path), "--author", "demo"))
         fleet.wait_ready()
-        show_requests(fleet, key, engine, route)
+        good = show_requests(fleet, key, example)
         print(run_operator(platform, "budgets"))
         print(run_operator(platform, "audit"))
         codes = fleet.stop_routers()
         print(f"routers stopped with exit codes {codes}")
         print(run_operator(platform, "budgets"))
-        return not any(codes)
+        return good and not any(codes)
     finally:
         fleet.close()
 
 
-def show_requests(fleet: Fleet, key: str, engine: str, route: str) -> None:
-    """Send requests to several routers and print the answers."""
-    first, second = fleet.callers[0], fleet.callers[-1]
-    print("streamed:", ask(first, key, engine, True, "plan-1"))
-    print("whole:   ", ask(second, key, engine, False, "plan-2"))
-    print("again:   ", ask(fleet.callers[1], key, engine, False, "plan-1"))
-    print("wrong key:", ask(first, "no-such-key", engine, False, "plan-3"))
-    print("confirm: ", confirm(first, key, route, "slot-17"))
-    print("again:   ", confirm(second, key, route, "slot-17"))
+def show_requests(fleet: Fleet, key: str, firm: Firm) -> bool:
+    """Send requests to several routers; say whether they came out as they should."""
+    first, second, last = fleet.callers[0], fleet.callers[1], fleet.callers[-1]
+    streamed = ask(first, key, firm.engine, True, "plan-1")
+    again = ask(second, key, firm.engine, False, "plan-1")
+    confirmed = confirm(first, key, firm.confirmation, "slot-17")
+    repeated = confirm(last, key, firm.confirmation, "slot-17")
+    print("streamed:      ", streamed)
+    print("the same again:", again)
+    print("another, whole:", ask(last, key, firm.engine, False, "plan-2"))
+    print("wrong key:     ", ask(first, "no-such-key", firm.engine, False, "plan-3"))
+    print("confirmation:  ", confirmed)
+    print("the same again:", repeated)
+    same = streamed.split("'")[1] == again.split("'")[1]
+    return same and confirmed == repeated
 
 
 def main(argv: Sequence[str] | None = None) -> int:
