Count only a runner that is gone as felled by a request

Cause: a request sent on an idle connection that something on the way had forgotten fell silent; its resume found no run, and that counted as a crash of the runner. Ruled out: raising the limit of the quarantine (a request that fells runners would fell more); doubting every idle connection (a new connection for each request). Change: Silent is an outcome of its own; a run is a crash only if its runner can't be reached any more or has forgotten a run that it had begun to answer. A failing router ends its servers without grace, so that the process ends and is restarted. Conclusion: crashes are told from lost connections.

--- a/knapweedrail/endpoints.py
+++ b/knapweedrail/endpoints.py
@@ -114,6 +114,11 @@
     leaving: bool = False
 
 
+@dataclass(frozen=True)
+class Silent(Unknown):
+    """Nothing came for longer than the bound on silence."""
+
+
 @dataclass(frozen=True)
 class RunLost(Unknown):
     """The runner has no memory of the run that was to be resumed."""
@@ -224,6 +229,8 @@
                     yield item
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             yield Unavailable("engine.connect", address, repr(error))
+        except httpx.TimeoutException as error:
+            yield Silent("engine.stream", address, repr(error))
         except (httpx.HTTPError, httpx_sse.SSEError) as error:
             yield Unknown("engine.stream", address, repr(error))
 
@@ -296,6 +303,8 @@
             )
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             return Unavailable("service.connect", address, repr(error))
+        except httpx.TimeoutException as error:
+            return Silent("service.call", address, repr(error))
         except httpx.HTTPError as error:
             return Unknown("service.call", address, repr(error))
         echoed = response.headers.get(IDENTITY_HEADER)
--- a/knapweedrail/generations.py
+++ b/knapweedrail/generations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
 from typing import Any
 
 import anyio
@@ -19,6 +20,7 @@
     Invalid,
     Piece,
     RunLost,
+    Silent,
     Usage,
 )
 from .jobs import RETURN_SECONDS, Job, replace_ran
@@ -36,6 +38,11 @@
 """Priorities given to engines: someone waits in person for a short answer."""
 
 
+@dataclass(frozen=True)
+class Gone(Unknown):
+    """The runner of a run that had begun can't be reached any more."""
+
+
 @attrs.define
 class Attempt:
     """One run at one runner, as it goes.
@@ -46,6 +53,7 @@
         first: Seconds until its first chunk, once it came.
         pieces: Chunks so far.
         usage: The engine's count, once it came.
+        broke: How its first connection ended, when that wasn't the run's end.
     """
 
     runner: Runner
@@ -53,6 +61,7 @@
     first: float | None = None
     pieces: int = 0
     usage: Usage | None = None
+    broke: Unknown | None = None
 
     def describe_end(self, kind: EndedKind) -> Ended:
         """Return the end as the scheduler wants it."""
@@ -87,7 +96,7 @@
             end = await self._attempt(work, attempt, reservation)
             if isinstance(end, Completed | Refusal):
                 return
-            ended = attempt.describe_end(_classify(end))
+            ended = attempt.describe_end(_classify(end, attempt))
             if isinstance(end, Unknown):
                 # The broken run may have used all that was reserved for it, so a
                 # new one needs a reservation of its own.
@@ -134,7 +143,7 @@
         if isinstance(end, Completed):
             await self._complete(work, attempt, reservation)
             return end
-        ended = attempt.describe_end(_classify(end))
+        ended = attempt.describe_end(_classify(end, attempt))
         if isinstance(end, Invalid):
             await self.report(work, attempt.runner, ended)
             await self.cancel(reservation)
@@ -158,12 +167,12 @@
             # itself is mostly fine, and what was lost is the connection.
             if not isinstance(end, Unknown) or isinstance(end, RunLost):
                 return end
+            attempt.broke = attempt.broke or end
             end = await self._stream(attempt, attempt.pieces)
             if isinstance(end, Unavailable):
                 # The run had begun; that its runner can't be reached now leaves
                 # open what it used.
-                end = Unknown(end.step, end.peer, end.detail)
-                return end
+                return Gone(end.step, end.peer, end.detail)
         return end
 
     async def _stream(
@@ -286,13 +295,27 @@
         return refusal
 
 
-def _classify(end: Failure) -> EndedKind:
+def _classify(end: Failure, attempt: Attempt) -> EndedKind:
+    """Say what an end tells of the runner.
+
+    A crash counts against the request's content, and a few crashes have it refused
+    everywhere. So a runner counts as crashed only if it can't be reached any more, or
+    has forgotten a run that it had begun to answer. A run of which it knows nothing
+    after a silence never reached it: something between the two ends had lost track of
+    the connection, which happens to all requests on such connections at once.
+    """
     match end:
         case Unavailable():
             return EndedKind.REFUSED
+        case Gone():
+            return EndedKind.CRASHED
+        case RunLost() if isinstance(attempt.broke, Silent):
+            return EndedKind.SILENT
+        case RunLost():
+            return EndedKind.CRASHED if attempt.pieces else EndedKind.FAILED
+        case Silent():
+            return EndedKind.SILENT
         case Crossed():
             return EndedKind.FAILED
-        case Unknown(detail=detail) if "Timeout" in detail:
-            return EndedKind.SILENT
         case _:
             return EndedKind.CRASHED
--- a/knapweedrail/servers.py
+++ b/knapweedrail/servers.py
@@ -88,6 +88,22 @@
 
     async def _serve(self, config: Config) -> None:
         try:
-            await serve(self.app, config, shutdown_trigger=self._stop.wait)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._hasten, config)
+                await serve(self.app, config, shutdown_trigger=self._stop.wait)
+                group.cancel_scope.cancel()
         finally:
             self._stopped.set()
+
+    async def _hasten(self, config: Config) -> None:
+        """End without grace when the server is cancelled rather than closed.
+
+        The router is then failing: a task has ended with an error. With the grace of
+        an orderly stop the process would stay for a minute, unready and deaf to
+        signals, and its host would not restart it.
+        """
+        try:
+            await anyio.sleep_forever()
+        finally:
+            if not self._stop.is_set():
+                config.graceful_timeout = 0
--- a/knapweedrail/tests/test_jobs.py
+++ b/knapweedrail/tests/test_jobs.py
@@ -16,6 +16,7 @@
     Piece,
     Rejected,
     RunLost,
+    Silent,
     Usage,
 )
 from ..generations import GenerationJob
@@ -24,7 +25,7 @@
 from ..runs import End, RunTable
 from ..schedulers import Scheduler
 from ..tasks import Task
-from ..work import LoadReport
+from ..work import EndedKind, LoadReport
 
 ACCOUNT = ClientAccount("desk", "budget", ())
 ROUTE = Route("llm", "llm", deadline_seconds=20.0)
@@ -92,6 +93,8 @@
 
 WHOLE = [*pieces(), Completed()]
 BROKEN = Unknown("engine.stream", "llm", "reset")
+SILENT = Silent("engine.stream", "llm", "nothing came")
+LOST = RunLost("engine.resume", "llm", "status 404")
 
 
 async def run_script(script, streamed=True, act=None, purse=None):
@@ -106,6 +109,14 @@
     async with anyio.create_task_group() as group:
         await purse.start(group)
         await scheduler.start(group)
+        job.ends = []
+        finished = dispatcher.finished
+
+        def note(work_id, runner, outcome, now):
+            job.ends.append(outcome.kind)
+            return finished(work_id, runner, outcome, now)
+
+        dispatcher.finished = note
         with anyio.fail_after(15):
             if act is None:
                 await job.execute()
@@ -172,8 +183,7 @@
     The caller gets a whole answer from another runner and one bill. What the dead
     runner may have used is settled in full, so the budget can't be overspent.
     """
-    lost = [RunLost("engine.resume", "llm", "status 404")]
-    script = [[*pieces(0, 2), BROKEN], lost, WHOLE]
+    script = [[*pieces(0, 2), BROKEN], [LOST], WHOLE]
     job, purse, _ = anyio.run(run_script, script, False)
     assert read(job) == ([0, 1, 2, 3], True)
     first, second = purse.settled
@@ -182,14 +192,34 @@
     assert second.bill.tokens == 7
 
 
+@pytest.mark.parametrize(
+    "broke, first, then, kind",
+    [
+        (SILENT, 0, LOST, EndedKind.SILENT),
+        (BROKEN, 0, LOST, EndedKind.FAILED),
+        (BROKEN, 2, LOST, EndedKind.CRASHED),
+        (BROKEN, 2, Unavailable("engine.connect", "llm", "no"), EndedKind.CRASHED),
+    ],
+)
+def test_only_a_runner_that_is_gone_counts_as_felled(broke, first, then, kind):
+    """Something on the way forgets all open connections; requests sent on them vanish.
+
+    Their runners live and know nothing of these runs. If that counted as crashes, two
+    such moments would have every innocent request in flight refused as one that fells
+    runners, for an hour.
+    """
+    script = [[*pieces(0, first), broke], [then], WHOLE]
+    job, _, _ = anyio.run(run_script, script, False)
+    assert job.ends[0] is kind
+
+
 def test_a_lost_run_of_a_stream_ends_with_an_error_and_no_bill():
     """A runner dies when a part of its answer has reached the caller.
 
     Another run would give another answer's rest; so the stream ends with an error,
     not with the end mark, and the caller's retry gets a whole answer.
     """
-    lost = [RunLost("engine.resume", "llm", "status 404")]
-    job, purse, _ = anyio.run(run_script, [[*pieces(0, 2), BROKEN], lost])
+    job, purse, _ = anyio.run(run_script, [[*pieces(0, 2), BROKEN], [LOST]])
     assert read(job) == ([0, 1], False)
     assert job.refusal.kind is RefusalKind.ENDPOINT_FAILED
     assert job.refusal.ran is Ran.UNKNOWN
@@ -202,8 +232,7 @@
     The refusal must not say "not run": a part of the request did run.
     """
     refused = [Unavailable("engine.connect", "llm", "refused")]
-    lost = [RunLost("engine.resume", "llm", "status 404")]
-    script = [[*pieces(0, 1), BROKEN], lost, *[refused] * 50]
+    script = [[*pieces(0, 1), BROKEN], [LOST], *[refused] * 50]
 
     async def shorten(job, engines):
         while len(engines.asked) < 4:
--- a/knapweedrail/visits.py
+++ b/knapweedrail/visits.py
@@ -21,7 +21,7 @@
     Reservation,
 )
 from .calls import Visit
-from .endpoints import Crossed, ServiceAnswer, ServiceCall, ServiceClient
+from .endpoints import Crossed, ServiceAnswer, ServiceCall, ServiceClient, Silent
 from .jobs import RETURN_SECONDS, Job, replace_ran
 from .models import Bill, Runner
 from .outcomes import Ran, Refusal, RefusalKind, Unavailable, Unknown
@@ -240,7 +240,7 @@
             return EndedKind.REFUSED
         case Crossed():
             return EndedKind.FAILED
-        case Unknown(detail=detail) if "Timeout" in detail:
+        case Silent():
             return EndedKind.SILENT
         case _:
             return EndedKind.CRASHED
