Name the life of a router that isn't registered in the memory fleet

Cause: a fake router without a life reported with no holder, which the real membership never does. Ruled out: a check in the task for what can't come. Change: the fake gives incarnation 0, as the membership does.

--- a/knapweedrail/tests/routers_in_memory.py
+++ b/knapweedrail/tests/routers_in_memory.py
@@ -9,6 +9,7 @@
 
 from knapweedrail.centres import REGISTRY_PREFIX
 from knapweedrail.changes import ConfigurationTask, Peers, Times
+from knapweedrail.models import Holder
 from knapweedrail.registries import (
     Registry,
     decode_registry,
@@ -55,7 +56,7 @@
                 report.digest,
                 report.staged_number,
                 report.staged_digest,
-                self.router.holder,
+                self.router.holder or Holder(self.router.name, 0),
             )
 
     def neighbours(self):
