Keep an HTTP server's end from ending the router's other tasks

Cause: at its end hypercorn cancels the task that handles the application's lifespan and awaits it; when that task hadn't ended, a CancelledError came out of serve(), and the task group took it for a cancellation and ended all tasks without an error. Tokens were then not given back, though the process could exit with code 0. Ruled out: a signal sent twice; an error in router.close (a trace showed the cancellation inside wait_idle). Change: the application gets no lifespan messages; serve() is shielded and ended through its own trigger, without grace when the router is failing. Conclusion: the library is only ever ended the way it expects.

--- a/knapweedrail/servers.py
+++ b/knapweedrail/servers.py
@@ -66,7 +66,9 @@
         listener.bind((host, port))
         listener.listen(BACKLOG)
         self.address = f"{host}:{listener.getsockname()[1]}"
-        group.start_soon(self._serve, self._configure(listener))
+        config = self._configure(listener)
+        group.start_soon(self._serve, config)
+        group.start_soon(self._hasten, config)
 
     async def close(self) -> None:
         """Take no new connection, let answers under way end, and return."""
@@ -87,13 +89,16 @@
         return config
 
     async def _serve(self, config: Config) -> None:
-        try:
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._hasten, config)
-                await serve(self.app, config, shutdown_trigger=self._stop.wait)
-                group.cancel_scope.cancel()
-        finally:
-            self._stopped.set()
+        # Shielded, since the library doesn't end well when it is cancelled;
+        # `_hasten` ends it then.
+        with anyio.CancelScope(shield=True):
+            await serve(
+                _without_lifespan(self.app), config, shutdown_trigger=self._wait
+            )
+        self._stopped.set()
+
+    async def _wait(self) -> None:
+        await self._stop.wait()
 
     async def _hasten(self, config: Config) -> None:
         """End without grace when the server is cancelled rather than closed.
@@ -103,7 +108,23 @@
         signals, and its host would not restart it.
         """
         try:
-            await anyio.sleep_forever()
+            await self._stopped.wait()
         finally:
-            if not self._stop.is_set():
+            if not self._stopped.is_set():
                 config.graceful_timeout = 0
+                self._stop.set()
+
+
+def _without_lifespan(app: Any) -> Any:
+    """Return the application without the start and stop messages of its server.
+
+    At its end the library cancels the task that handles them and waits for it; when
+    that task hadn't quite ended, the cancellation came out of the library and ended
+    all other tasks of the router with it, before tokens were given back.
+    """
+
+    async def answer(scope: dict, receive: Any, send: Any) -> None:
+        if scope["type"] != "lifespan":
+            await app(scope, receive, send)
+
+    return answer
--- /dev/null
+++ b/knapweedrail/tests/test_servers.py
@@ -0,0 +1,104 @@
+"""Tests of the HTTP servers' ends, orderly and not."""
+
+import anyio
+import httpx
+import pytest
+from starlette.applications import Starlette
+from starlette.responses import PlainTextResponse, StreamingResponse
+from starlette.routing import Route
+
+from ..servers import HttpServer, ServerLimits
+
+PARTS = 5
+
+
+class Tap:
+    """An application whose stream goes on when it is told to."""
+
+    def __init__(self):
+        self.open = anyio.Event()
+        self.app = Starlette(
+            routes=[Route("/stream", self.stream), Route("/", self.answer)]
+        )
+
+    async def answer(self, request):
+        return PlainTextResponse("ok")
+
+    async def stream(self, request):
+        async def parts():
+            yield b"0"
+            await self.open.wait()
+            for number in range(1, PARTS):
+                yield b"%d" % number
+
+        return StreamingResponse(parts())
+
+
+async def read_while_closing(server, tap):
+    """Read a stream whose server is closed after its first byte."""
+    async with httpx.AsyncClient() as client:
+        async with client.stream("GET", f"http://{server.address}/stream") as answer:
+            bytes_read = b""
+            async for part in answer.aiter_raw():
+                bytes_read += part
+                if bytes_read == b"0":
+                    server._stop.set()
+                    tap.open.set()
+            return bytes_read
+
+
+@pytest.mark.parametrize("turn", range(5))
+def test_an_orderly_end_cuts_nothing_and_ends_nothing_else(turn):
+    """A host is replaced while an answer streams.
+
+    The answer arrives whole. And the router's other tasks go on: they still have to
+    give tokens back; the library's own cancellation would end them all in silence.
+    """
+
+    async def run():
+        tap = Tap()
+        server = HttpServer(tap.app, "127.0.0.1:0", ServerLimits())
+        went_on = False
+        async with anyio.create_task_group() as group:
+            await server.start(group)
+            assert await read_while_closing(server, tap) == b"01234"
+            await server.close()
+            await anyio.sleep(0.01)
+            went_on = True
+        return went_on
+
+    assert anyio.run(run)
+
+
+def test_a_failing_router_ends_at_once_in_spite_of_open_streams():
+    """A task of the router fails while a caller's stream is open.
+
+    The process has to end so that its host restarts it. With the grace of an orderly
+    stop it would stay for a minute and answer nobody.
+    """
+
+    async def run():
+        tap = Tap()
+        limits = ServerLimits(stopping_seconds=3600.0)
+        server = HttpServer(tap.app, "127.0.0.1:0", limits)
+        async with httpx.AsyncClient() as client:
+            async with anyio.create_task_group() as group:
+                await server.start(group)
+                url = f"http://{server.address}/stream"
+                async with client.stream("GET", url) as answer:
+                    await anext(answer.aiter_raw())
+                    raise RuntimeError("a task failed")
+
+    with pytest.raises(ExceptionGroup) as caught:
+        with_limit(run)
+    assert [str(error) for error in caught.value.exceptions] == ["a task failed"]
+
+
+def with_limit(function):
+    """Run a coroutine function that must end long before a stop's grace."""
+
+    async def bounded():
+        with anyio.fail_after(60):
+            await function()
+
+    anyio.run(bounded)
