Answer a settlement once its bill stands in the ledger

Cause: a router killed between an answer's end and the next flush lost the bill, and a confirmation repeated within that time at another router heard 'unknown'. Ruled out: a write for each bill (nine routers at six requests a second each are more than half of what the platform takes). Change: Settle with a bill, FinishClaim and DropClaim are answered with Settled(written) once the entry stands, or unwritten as soon as the platform is known away; posts go at once after quiet, else at least commit_seconds apart.

--- a/knapweedrail/budget_messages.py
+++ b/knapweedrail/budget_messages.py
@@ -45,7 +45,7 @@
 
 @attrs.frozen
 class Settle:
-    """Settle a reservation with what was really used. Answer: ``None``.
+    """Settle a reservation with what was really used. Answer: `Settled`.
 
     Attributes:
         reservation: The reservation; a second settlement changes nothing.
@@ -61,11 +61,23 @@
 
 @attrs.frozen
 class Cancel:
-    """Give a reservation back whole, when nothing was sent. Answer: ``None``."""
+    """Give a reservation back whole, when nothing was sent. Answer: `Settled`."""
 
     reservation: Reservation
 
 
+@attrs.frozen
+class Settled:
+    """Answer to what has to outlive this router.
+
+    Attributes:
+        written: Whether it stands in the ledger. When not, it is kept and written
+            as soon as that can be, and is lost if this router dies before.
+    """
+
+    written: bool
+
+
 @attrs.frozen
 class Claim:
     """The record that a request that may not be repeated was begun.
@@ -120,7 +132,7 @@
 
 @attrs.frozen
 class FinishClaim:
-    """Record what came of a claimed request. Answer: ``None``, at once."""
+    """Record what came of a claimed request. Answer: `Settled`."""
 
     account: str
     identity: str
@@ -132,7 +144,7 @@
 
 @attrs.frozen
 class DropClaim:
-    """Remove a claim whose request certainly never left. Answer: ``None``."""
+    """Remove a claim whose request certainly never left. Answer: `Settled`."""
 
     account: str
     identity: str
--- a/knapweedrail/budgets.py
+++ b/knapweedrail/budgets.py
@@ -23,6 +23,7 @@
     Recover,
     Reserve,
     Settle,
+    Settled,
 )
 from .claims import Claims
 from .entries import AddBill, CloseHolder
@@ -62,11 +63,12 @@
         opening_tokens_source: Returns a budget's opening tokens, or ``None`` when the
             configuration in force doesn't have it.
         shards: Number of ledger shards; the same in every router, for ever.
-        flush_seconds: Time between two writes that carry bills and totals. A router
-            that dies loses the bills of this time at most.
+        flush_seconds: Time between two writes that carry totals alone.
+        commit_seconds: Least time between two writes that carry bills or outcomes of
+            claims, whose senders wait for them.
         poll_seconds: Time between two looks at a shard in which this router holds
             tokens.
-        claim_seconds: Longest wait for a claim.
+        claim_seconds: Longest wait for a claim, or for a bill to be written.
         evidence: Kinds of evidence asked about holders that are gone.
         now: Returns seconds of a clock that only rises.
         seed: Seed of the jitter.
@@ -85,6 +87,7 @@
         *,
         shards: int = 1,
         flush_seconds: float = 2.0,
+        commit_seconds: float = 0.25,
         poll_seconds: float = 1.0,
         claim_seconds: float = 2.0,
         evidence: tuple[Evidence, ...] = (),
@@ -103,7 +106,14 @@
         self.report_fenced = report_fenced
         self._shards = [self._make_shard(number) for number in range(shards)]
         self._holdings = Holdings(
-            holder, self._shards, neighbours, rules_source, now, flush_seconds
+            holder,
+            self._shards,
+            neighbours,
+            rules_source,
+            now,
+            flush_seconds,
+            commit_seconds,
+            claim_seconds,
         )
         self._claims = Claims(self._holdings, claim_seconds)
         self._recovery = Recovery(self._holdings, evidence)
@@ -183,12 +193,12 @@
         self._flusher.pump(shard, now)
 
     def _settle(self, message: Settle, reply: Reply) -> None:
-        reply.set(None)
         holdings = self._holdings
         reservation = message.reservation
         used = message.used_tokens
         allowance = holdings.get(reservation.budget)
         if not allowance.settle(reservation.id, used, self.now()):
+            reply.set(Settled(written=False))
             return
         if used > reservation.tokens:
             log_event(
@@ -197,12 +207,13 @@
                 reserved=reservation.tokens,
                 used=used,
             )
-        if message.bill is not None:
-            shard = holdings.shard_of(message.bill.budget)
-            holdings.plan_flush(shard)
-            shard.bills.append(AddBill(message.bill))
         holdings.mark(reservation.budget)
         holdings.serve(reservation.budget)
+        if message.bill is None:
+            reply.set(Settled(written=False))
+            return
+        shard = holdings.add_bill(AddBill(message.bill), reply)
+        self._flusher.pump(shard, self.now())
 
     def _cancel(self, message: Cancel, reply: Reply) -> None:
         self._settle(Settle(message.reservation, 0), reply)
@@ -226,12 +237,12 @@
             self._flusher.pump(shard, self.now())
 
     def _finish_claim(self, message: FinishClaim, reply: Reply) -> None:
-        self._claims.finish(message)
-        reply.set(None)
+        shard = self._claims.finish(message, reply)
+        self._flusher.pump(shard, self.now())
 
     def _drop_claim(self, message: DropClaim, reply: Reply) -> None:
-        self._claims.drop(message)
-        reply.set(None)
+        shard = self._claims.drop(message, reply)
+        self._flusher.pump(shard, self.now())
 
     # Neighbours
 
@@ -259,6 +270,7 @@
                 self._check_waiters(budget, now)
             for shard in self._shards:
                 self._claims.refuse(shard, lambda pending: now >= pending.deadline)
+                shard.answer_unwritten(now)
                 self._flusher.pump(shard, now)
 
     def _check_waiters(self, budget: str, now: float) -> None:
@@ -279,6 +291,7 @@
         if not away:
             return
         self._claims.refuse(shard, lambda pending: True)
+        shard.answer_unwritten(self.now())
         for budget in list(self._holdings.waiters):
             if self._holdings.shard_of(budget) is shard:
                 self._transfers.seek(budget)
--- a/knapweedrail/claims.py
+++ b/knapweedrail/claims.py
@@ -53,7 +53,7 @@
         shard.claims.append(PendingClaim(AddClaim(claim), reply, deadline))
         return shard
 
-    def finish(self, message: FinishClaim) -> None:
+    def finish(self, message: FinishClaim, reply: Reply) -> Shard:
         """Queue what came of a claimed request."""
         claim = Claim(
             message.account,
@@ -66,12 +66,12 @@
             message.content_type,
             message.body,
         )
-        self._end(message.account, EndClaim(claim))
+        return self.holdings.add_end(message.account, EndClaim(claim), reply)
 
-    def drop(self, message: DropClaim) -> None:
+    def drop(self, message: DropClaim, reply: Reply) -> Shard:
         """Queue the removal of a claim whose request never left."""
         entry = RemoveClaim(message.account, message.identity)
-        self._end(message.account, entry)
+        return self.holdings.add_end(message.account, entry, reply)
 
     def refuse(self, shard: Shard, is_due: Callable[[PendingClaim], bool]) -> None:
         """Refuse claims at once whose write is in doubt; their requests never leave.
@@ -91,18 +91,14 @@
         if pending.abandoned:
             if isinstance(outcome, ClaimMade):
                 claim = pending.entry.claim
-                shard.ends.append(RemoveClaim(claim.account, claim.identity))
+                entry = RemoveClaim(claim.account, claim.identity)
+                self.holdings.add_end(claim.account, entry, Reply())
             return
         if isinstance(outcome, ClaimMade | ClaimStands):
             pending.reply.set(outcome)
         else:
             pending.reply.set(_refuse(f"not taken: {outcome}"))
 
-    def _end(self, account: str, entry: EndClaim | RemoveClaim) -> None:
-        shard = self.holdings.shard_of(account)
-        self.holdings.plan_flush(shard)
-        shard.ends.append(entry)
-
 
 def _refuse(detail: str) -> Refusal:
     return Refusal(
--- a/knapweedrail/flushes.py
+++ b/knapweedrail/flushes.py
@@ -7,11 +7,11 @@
 import anyio.abc
 
 from .batches import Look, Post, Posted
+from .budget_messages import Settled
 from .claims import Claims
 from .entries import (
     CLOSED,
     FENCED,
-    AddBill,
     BillStands,
     Denied,
     Grant,
@@ -24,7 +24,7 @@
 from .holdings import Holdings, Waiter
 from .ledgers import Ledger
 from .outcomes import Refusal, Unavailable
-from .shards import Shard, Work, ignore, list_budget_work
+from .shards import PendingRecord, Shard, Work, ignore, list_budget_work
 from .transfers import Transfers
 from .verdicts import decide_refusal
 
@@ -79,6 +79,7 @@
         if shard.is_due(now):
             self._begin_view(shard, now)
             shard.posting = True
+            shard.last_post = now
             self._group.start_soon(self._post, shard, self._compose(shard, now))
             return
         if shard.view_began is None and self._is_look_due(shard, now):
@@ -127,7 +128,7 @@
             work += self._compose_budget(shard, budget, now)
         shard.dirty.clear()
         for bill in shard.take_bills():
-            work.append(Work(bill, lambda outcome, b=bill: _note_bill(b, outcome)))
+            work.append(Work(bill.entry, lambda outcome, b=bill: _end_bill(b, outcome)))
         for claim in shard.take_claims():
             work.append(
                 Work(
@@ -135,7 +136,8 @@
                     lambda outcome, c=claim: self.claims.handle(shard, c, outcome),
                 )
             )
-        work += [Work(end, ignore) for end in shard.take_ends()]
+        for end in shard.take_ends():
+            work.append(Work(end.entry, lambda outcome, e=end: _end_record(e)))
         return work
 
     def _compose_budget(self, shard: Shard, budget: str, now: float) -> list[Work]:
@@ -183,6 +185,7 @@
             if isinstance(outcome, Denied) and outcome.reason in (FENCED, CLOSED):
                 self.note_fenced(outcome.reason)
             item.handle(outcome)
+        shard.answer_unwritten(self.holdings.now())
         self._end_view(shard, posted.ledger)
 
     async def _look(self, shard: Shard) -> None:
@@ -252,9 +255,14 @@
             shard.urgent = True
 
 
-def _note_bill(entry: AddBill, outcome: Outcome) -> None:
+def _end_record(pending: PendingRecord) -> None:
+    pending.reply.set(Settled(written=True))
+
+
+def _end_bill(pending: PendingRecord, outcome: Outcome) -> None:
+    _end_record(pending)
     if isinstance(outcome, BillStands):
-        bill = entry.bill
+        bill = pending.entry.bill
         log_event(
             Event.BILL_STANDS,
             account=bill.account,
--- a/knapweedrail/holdings.py
+++ b/knapweedrail/holdings.py
@@ -2,18 +2,20 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 
 import attrs
 
 from .allowances import Allowance
-from .budget_messages import Reservation, Reserve
+from .budget_messages import Reservation, Reserve, Settled
+from .entries import AddBill, EndClaim, RemoveClaim
 from .grants import Target, find_target
 from .ledgers import find_shard
 from .models import Holder, Rules
 from .neighbours import Neighbours, Received, Total
 from .outcomes import Refusal
-from .shards import Shard
+from .shards import PendingRecord, Shard
 from .tasks import Reply
 from .verdicts import Standing, find_standing
 
@@ -44,7 +46,9 @@
         neighbours: The other routers of the data centre.
         rules_source: Returns the rules in force.
         now: Returns seconds of a clock that only rises.
-        flush_seconds: Time between two writes that carry totals.
+        flush_seconds: Time between two writes that carry totals alone.
+        commit_seconds: Least time between two writes that carry bills.
+        answer_seconds: Longest wait of a sender for a bill to stand in the ledger.
     """
 
     def __init__(
@@ -55,6 +59,8 @@
         rules_source: Callable[[], Rules],
         now: Callable[[], float],
         flush_seconds: float,
+        commit_seconds: float,
+        answer_seconds: float,
     ) -> None:
         self.holder = holder
         self.shards = shards
@@ -62,6 +68,8 @@
         self.rules_source = rules_source
         self.now = now
         self.flush_seconds = flush_seconds
+        self.commit_seconds = commit_seconds
+        self.answer_seconds = answer_seconds
         self.fenced = False
         self.draining = False
         self.allowances: dict[str, Allowance] = {}
@@ -129,6 +137,43 @@
         if not shard.has_work:
             shard.next_flush = self.now() + self.flush_seconds
 
+    def add_bill(self, entry: AddBill, reply: Reply) -> Shard:
+        """Queue a bill; return its shard."""
+        shard = self.shard_of(entry.bill.budget)
+        self._add_record(shard, shard.bills, entry, reply)
+        return shard
+
+    def add_end(
+        self, account: str, entry: EndClaim | RemoveClaim, reply: Reply
+    ) -> Shard:
+        """Queue what came of a claim; return its shard."""
+        shard = self.shard_of(account)
+        self._add_record(shard, shard.ends, entry, reply)
+        return shard
+
+    def _add_record(
+        self,
+        shard: Shard,
+        queue: deque[PendingRecord],
+        entry: AddBill | EndClaim | RemoveClaim,
+        reply: Reply,
+    ) -> None:
+        """Queue what must outlive this router: at once after quiet, else in groups.
+
+        For thousands of answers a second in all: each answer's end waits for its
+        bill, and a write for each would be more than the platform takes.
+        """
+        now = self.now()
+        self.plan_flush(shard)
+        due = max(now, shard.last_post + self.commit_seconds)
+        shard.next_flush = min(shard.next_flush, due)
+        pending = PendingRecord(entry, reply, now + self.answer_seconds)
+        queue.append(pending)
+        if shard.away:
+            reply.set(Settled(written=False))
+        else:
+            shard.unanswered.append(pending)
+
     def waiting_tokens(self, budget: str) -> int:
         """Return the tokens that waiting requests need."""
         waiters = self.waiters.get(budget, ())
--- a/knapweedrail/shards.py
+++ b/knapweedrail/shards.py
@@ -8,6 +8,7 @@
 import attrs
 
 from .batches import ShardTask
+from .budget_messages import Settled
 from .entries import (
     AddBill,
     AddClaim,
@@ -21,6 +22,10 @@
 from .ledgers import Ledger
 from .tasks import Reply
 
+CLAIM_GAP_SECONDS = 0.1
+"""Least time between two posts for claims alone. A claim waits no longer than this
+before its request leaves; claims that come meanwhile share one write."""
+
 BILLS_AT_ONCE = 500
 """Bills in one batch: after a long outage thousands wait, and a batch with all of
 them would outgrow the object."""
@@ -49,6 +54,21 @@
     abandoned: bool = False
 
 
+@attrs.define(eq=False)
+class PendingRecord:
+    """A bill or a claim's outcome on its way to the ledger.
+
+    Attributes:
+        entry: What to write.
+        reply: Where the answer goes: `Settled`.
+        deadline: When it is answered as not written yet.
+    """
+
+    entry: AddBill | EndClaim | RemoveClaim
+    reply: Reply
+    deadline: float
+
+
 @attrs.frozen
 class Work:
     """An entry and what to do with its outcome."""
@@ -80,10 +100,12 @@
         next_look: When the next look may begin.
         budgets: Budgets of the shard that this router has met.
         dirty: Budgets whose totals have changed since the last post.
+        last_post: When the last batch was begun.
         bills: Bills to write.
         claims: Claims to write.
         claims_sent: Claims in the batch under way.
         ends: Outcomes and removals of claims to write.
+        unanswered: Bills and outcomes whose senders wait for their answer.
     """
 
     task: ShardTask
@@ -100,10 +122,12 @@
     next_look: float = 0.0
     budgets: set[str] = attrs.field(factory=set)
     dirty: set[str] = attrs.field(factory=set)
-    bills: deque[AddBill] = attrs.field(factory=deque)
+    last_post: float = -1e9
+    bills: deque[PendingRecord] = attrs.field(factory=deque)
     claims: deque[PendingClaim] = attrs.field(factory=deque)
     claims_sent: list[PendingClaim] = attrs.field(factory=list)
-    ends: deque[EndClaim | RemoveClaim] = attrs.field(factory=deque)
+    ends: deque[PendingRecord] = attrs.field(factory=deque)
+    unanswered: list[PendingRecord] = attrs.field(factory=list)
 
     @property
     def has_work(self) -> bool:
@@ -114,11 +138,23 @@
         """Return whether to post now."""
         if self.posting or self.view_began is not None:
             return False
-        if self.urgent or self.claims:
+        if self.urgent:
+            return True
+        if self.claims and now >= self.last_post + CLAIM_GAP_SECONDS:
             return True
         return self.has_work and now >= self.next_flush
 
-    def take_bills(self) -> list[AddBill]:
+    def answer_unwritten(self, now: float) -> None:
+        """Answer what is due as not written yet; it is written later all the same."""
+        left = []
+        for pending in self.unanswered:
+            if self.away or now >= pending.deadline:
+                pending.reply.set(Settled(written=False))
+            else:
+                left.append(pending)
+        self.unanswered = left
+
+    def take_bills(self) -> list[PendingRecord]:
         """Take the bills of the next batch."""
         count = min(BILLS_AT_ONCE, len(self.bills))
         return [self.bills.popleft() for _ in range(count)]
@@ -129,7 +165,7 @@
         self.claims_sent = [self.claims.popleft() for _ in range(count)]
         return self.claims_sent
 
-    def take_ends(self) -> list[EndClaim | RemoveClaim]:
+    def take_ends(self) -> list[PendingRecord]:
         """Take the outcomes of claims of the next batch."""
         count = min(ENDS_AT_ONCE, len(self.ends))
         return [self.ends.popleft() for _ in range(count)]
--- a/knapweedrail/tests/test_budgets.py
+++ b/knapweedrail/tests/test_budgets.py
@@ -19,6 +19,7 @@
     Reservation,
     Reserve,
     Settle,
+    Settled,
 )
 from ..budgets import BudgetTask
 from ..ledgers import decode_ledger
@@ -49,6 +50,7 @@
             lambda: RULES,
             OPENING.get,
             flush_seconds=0.05,
+            commit_seconds=0.02,
             poll_seconds=0.1,
             seed=1,
             **settings,
@@ -98,16 +100,27 @@
 
 
 @pytest.mark.anyio
-async def test_request_is_billed_and_counted():
+async def test_bill_stands_before_the_answer_ends():
+    """A router is killed right after the end of an answer.
+
+    The bill stands in the ledger by then, else the request would be free. With the
+    platform away the answer isn't held up; its bill is written when that is back.
+    """
     async with run_fleet() as fleet:
         task = await fleet.add("r1")
-        answer = await spend(task, "meadow", 300, "roster-1", used=120)
-        assert isinstance(answer, Reservation)
-        await wait_for(lambda: fleet.read().bills)
+        first = await task.ask(Reserve("meadow", 300))
+        second = await task.ask(Reserve("meadow", 300))
+        bill = Bill("desk", "roster-1", "meadow", 120, "rosters")
+        assert await task.ask(Settle(first, 120, bill)) == Settled(written=True)
         ledger = fleet.read()
-        assert ledger.budgets["meadow"].spent == 120
-        assert ledger.budgets["meadow"].billed == 120
-        check_sums(ledger)
+        assert ledger.bills["desk:roster-1"] == bill
+        assert ledger.budgets["meadow"].spent == ledger.budgets["meadow"].billed == 120
+        fleet.platform.away = True
+        bill = Bill("desk", "roster-2", "meadow", 80, "rosters")
+        assert await task.ask(Settle(second, 80, bill)) == Settled(written=False)
+        fleet.platform.away = False
+        await wait_for(lambda: fleet.read().budgets["meadow"].billed == 200)
+        check_sums(fleet.read())
 
 
 @pytest.mark.anyio
@@ -207,12 +220,8 @@
         assert kinds == ["ClaimMade", "ClaimStands"]
         winner = fleet.read().claims["meadow-desk:slot-7"].holder
         task = one if winner == "r1/1" else two
-        await task.ask(
-            FinishClaim("meadow-desk", "slot-7", "done", 200, "", b"\xff ok")
-        )
-        await wait_for(
-            lambda: fleet.read().claims["meadow-desk:slot-7"].state == "done"
-        )
+        done = FinishClaim("meadow-desk", "slot-7", "done", 200, "", b"\xff ok")
+        assert await task.ask(done) == Settled(written=True)
         answer = await one.ask(CLAIM)
         assert isinstance(answer, ClaimStands)
         assert answer.claim == Claim(
