--- a/knapweedrail/peers.py
+++ b/knapweedrail/peers.py
@@ -99,6 +99,10 @@
         # A peer that vanished without a word leaves its connection open here. The
         # probes end it; without them each replaced host would cost a socket.
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        # The event loop sets this only on sockets that name their protocol, which
+        # those accepted here don't: an answer's second frame would then wait 40 ms
+        # for the acknowledgement of the first.
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
         host, port = listener.getsockname()[:2]
--- a/knapweedrail/platforms.py
+++ b/knapweedrail/platforms.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Any
 
 import attrs
 import httpx
@@ -154,7 +156,8 @@
         response = await self._get("platform.list", "/objects", {"prefix": prefix})
         if isinstance(response, Unavailable):
             return response
-        return _parse_changes(response).changes
+        changes = self._parse("platform.list", response, _parse_changes)
+        return changes if isinstance(changes, Unavailable) else changes.changes
 
     async def watch(
         self, prefix: str, revision: int, seconds: float
@@ -165,13 +168,27 @@
         response = await self._get("platform.watch", "/watch", query, timeout)
         if isinstance(response, Unavailable):
             return response
-        return _parse_changes(response)
+        return self._parse("platform.watch", response, _parse_changes)
 
     async def list_hosts(self) -> tuple[Host, ...] | Unavailable:
         response = await self._get("platform.hosts", "/hosts")
         if isinstance(response, Unavailable):
             return response
-        return tuple(Host(**item) for item in orjson.loads(response.content)["hosts"])
+        return self._parse("platform.hosts", response, _parse_hosts)
+
+    def _parse(
+        self, step: str, response: httpx.Response, parse: Callable
+    ) -> Any | Unavailable:
+        """Read an answer's body; one that isn't the platform's counts as none.
+
+        A gateway before the platform, or another process that has got its port,
+        answers with a body of its own. Raised here, the error would end the task that
+        follows the platform, and the router with it.
+        """
+        try:
+            return parse(response)
+        except (ValueError, KeyError, TypeError) as error:
+            return self._fail(step, f"status {response.status_code}: {error!r}")
 
     async def _get(
         self,
@@ -198,6 +215,10 @@
     return int(response.headers.get("ETag", '"0"').strip('"'))
 
 
+def _parse_hosts(response: httpx.Response) -> tuple[Host, ...]:
+    return tuple(Host(**item) for item in orjson.loads(response.content)["hosts"])
+
+
 def _parse_changes(response: httpx.Response) -> Changes:
     body = orjson.loads(response.content)
     changes = tuple(Change(item["key"], item["version"]) for item in body["changes"])
--- a/knapweedrail/registrars.py
+++ b/knapweedrail/registrars.py
@@ -28,8 +28,10 @@
 routers start at once, each loses to at most all others; a pause that grows with the
 losses spreads them, so that twenty attempts are rarely used up."""
 
-CONFLICT_PAUSE_SECONDS = 0.02
-"""Upper end of the first random pause after a lost conditional write."""
+CONFLICT_PAUSE_SECONDS = 0.1
+"""Upper end of the first random pause after a lost conditional write. Wide enough for
+thirty routers that start at once to write one after another: each needs a few
+milliseconds for reading and writing."""
 
 CONFLICT_PAUSE_LIMIT_SECONDS = 1.0
 """Upper end of any pause."""
@@ -87,7 +89,7 @@
         """Read a registry and its version; an empty one when it doesn't exist."""
         outcome = await self._platform.read(_key(data_centre))
         if isinstance(outcome, Found):
-            return Seen(decode_registry(outcome.value), outcome.version)
+            return _decode(outcome, data_centre)
         if isinstance(outcome, Missing):
             return Seen(Registry(), CREATE)
         return outcome
@@ -173,6 +175,15 @@
         await anyio.sleep(self._rng.uniform(0, limit))
 
 
+def _decode(found: Found, data_centre: str) -> Seen | Unavailable:
+    try:
+        return Seen(decode_registry(found.value), found.version)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        # A gateway's page in place of the object, or damage. Nothing may be written
+        # over it: the numbers in it must not be lost.
+        return Unavailable("registry.decode", data_centre, repr(error))
+
+
 def _check_over(outcome: Seen | Failure, holder: Holder) -> Seen | Failure:
     """Doubt a registry in which a life isn't over after it was ended.
 
--- a/knapweedrail/tests/test_members.py
+++ b/knapweedrail/tests/test_members.py
@@ -3,8 +3,10 @@
 import random
 
 import anyio
+import httpx
 
 from ..outcomes import Unavailable
+from ..platforms import HttpPlatform
 from ..registrars import Registrar
 from .fakes import MemoryPlatform
 from .memberships import Router, running, until
@@ -196,3 +198,27 @@
                 assert back.task.holder.incarnation == 2
 
     anyio.run(check)
+
+
+def test_an_answer_that_is_not_the_platforms_ends_no_task():
+    """A gateway before the platform answers with a page of its own, or another process
+    has got the platform's port. An error raised on it would end the task that follows
+    the registry, and with it the router and all its streams."""
+
+    def answer(request):
+        return httpx.Response(200, text="<html>busy</html>")
+
+    async def check():
+        platform = HttpPlatform("http://platform")
+        transport = httpx.MockTransport(answer)
+        platform._client = httpx.AsyncClient(
+            transport=transport, base_url=platform.base
+        )
+        assert isinstance(await platform.watch("registry/", 0, 0.0), Unavailable)
+        assert isinstance(await platform.list("registry/"), Unavailable)
+        assert isinstance(await platform.list_hosts(), Unavailable)
+        registrar = Registrar(platform, random.Random(1))
+        assert isinstance(await registrar.read("split-a"), Unavailable)
+        await platform.close()
+
+    anyio.run(check)
--- a/knapweedrail/watches.py
+++ b/knapweedrail/watches.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 
@@ -22,6 +23,11 @@
 centre restarts, its registry changes thirty times; 500 routers that read it each time
 would use up the platform's reads for everyone else."""
 
+OWN_READ_SECONDS = 0.5
+"""Least time between two reads of the own data centre's registry. The first change is
+read at once; when all routers of the data centre start together, the rest of their
+changes is read in a few rounds in place of one by one. No watch waits meanwhile."""
+
 RETRY_SECONDS = 0.2
 """Upper end of the first random pause after a failed call to the platform."""
 
@@ -80,6 +86,7 @@
         self._rng = rng
         self._unread: dict[str, _Unread] = {}
         self._known: set[str] = set()
+        self._own_read = -math.inf
 
     async def run(self) -> None:
         """Follow the registries until cancelled."""
@@ -87,6 +94,10 @@
         attempt = 0
         while True:
             seconds = self._find_seconds()
+            if self._unread and seconds < OWN_READ_SECONDS:
+                await anyio.sleep(seconds)
+                await self._read_due()
+                continue
             outcome = await self._platform.watch(REGISTRY_PREFIX, revision, seconds)
             if isinstance(outcome, Changes):
                 attempt = 0
@@ -107,7 +118,9 @@
     def _note(self, change: Change) -> None:
         name = change.key.removeprefix(REGISTRY_PREFIX)
         now = anyio.current_time()
-        if name == self._data_centre or name not in self._known:
+        if name == self._data_centre:
+            due = max(now, self._own_read + OWN_READ_SECONDS)
+        elif name not in self._known:
             due = now
         elif name in self._unread:
             due = self._unread[name].due
@@ -120,6 +133,8 @@
             item = self._unread[name]
             if item.due > anyio.current_time():
                 continue
+            if name == self._data_centre:
+                self._own_read = anyio.current_time()
             outcome = await self._registrar.read(name)
             if isinstance(outcome, Unavailable) or outcome.version < item.version:
                 # A read may give an older value than the watch has told of. Taken
