--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -43,6 +43,7 @@
     MEMBER_CLOSED = (505, "the router's life is closed in the registry")
     MEMBER_HEARD = (506, "a member of the data centre answers")
     MEMBER_SILENT = (507, "a member of the data centre has stopped answering")
+    EXCHANGE_FAILED = (508, "an exchange with a peer couldn't be taken in")
 
     JOB_FAILED = (601, "a request's run ended with an unexpected error")
 
--- a/knapweedrail/members.py
+++ b/knapweedrail/members.py
@@ -324,12 +324,16 @@
     async def _trade_with(self, address: str, name: str) -> None:
         try:
             outcome = await self._clients.trade(address, self.make_exchange())
+            if isinstance(outcome, Exchange):
+                self._hear(outcome)
+            elif isinstance(outcome, Unavailable) and name:
+                self._beliefs.note_refused(name)
+        except Exception as error:
+            # What one peer says, or one part makes of it, must not end the task and
+            # with it the router; the next round asks again.
+            log_event(Event.EXCHANGE_FAILED, peer=address, error=repr(error))
         finally:
             self._asking.discard(address)
-        if isinstance(outcome, Exchange):
-            self._hear(outcome)
-        elif isinstance(outcome, Unavailable) and name:
-            self._beliefs.note_refused(name)
 
     def _hear(self, message: Exchange) -> None:
         sender = Holder.parse(message.sender.holder)
--- a/knapweedrail/peers.py
+++ b/knapweedrail/peers.py
@@ -5,13 +5,15 @@
 import asyncio
 import socket
 import time
+import weakref
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 from typing import Any
 
 import anyio
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.protocol import H2Protocol
 from grpclib.server import Server, Stream
 
 from .outcomes import Unavailable, Unknown
@@ -39,9 +41,6 @@
 KEEPALIVE_SECONDS = 30
 """Idle time before a connection is probed, and between probes."""
 
-CONNECTION_ERRORS = (OSError, ProtocolError, StreamTerminatedError)
-"""What a broken connection raises in a call."""
-
 
 class PeerHandler(ABC):
     """What a router does on each message of a peer."""
@@ -73,6 +72,30 @@
         """Give the text of a configuration."""
 
 
+class _Server(Server):
+    """A server whose end also ends its connections.
+
+    The library's own leaves them open and answers new calls on them. A router that
+    has left would go on saying that it is alive to all that were connected to it.
+    """
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self._protocols: weakref.WeakSet[H2Protocol] = weakref.WeakSet()
+
+    def _protocol_factory(self) -> H2Protocol:
+        protocol = super()._protocol_factory()
+        self._protocols.add(protocol)
+        return protocol
+
+    def close_connections(self) -> None:
+        """Close all connections."""
+        for protocol in list(self._protocols):
+            # A connection that is just being accepted has no state yet.
+            if hasattr(protocol, "connection"):
+                protocol.connection.close()
+
+
 class PeerServer:
     """The peer service of one router.
 
@@ -82,7 +105,7 @@
     """
 
     def __init__(self, handler: PeerHandler, address: str) -> None:
-        self._server = Server([_Service(handler)])
+        self._server = _Server([_Service(handler)])
         self._bind = address
         self._listener: socket.socket | None = None
         self.address = address
@@ -122,6 +145,7 @@
     async def close(self) -> None:
         """Stop listening and end all calls."""
         self._server.close()
+        self._server.close_connections()
         await self._server.wait_closed()
 
 
@@ -280,12 +304,15 @@
                         await stream.cancel()
                         return
             yield Unknown(step, address, "the stream ended before the answer")
-        except (TimeoutError, *CONNECTION_ERRORS) as error:
+        except GRPCError as error:
+            yield _fail(step, address, error, sent)
+        except Exception as error:
+            # Besides the errors of connections, grpclib raises AttributeError for one
+            # that is lost between its check and its use. Let through, any of them
+            # would end a task of a router that is in good order.
             _undo_cancellation(error, cancellations)
             self._doubt(address, connection)
             yield _fail(step, address, error, sent)
-        except GRPCError as error:
-            yield _fail(step, address, error, sent)
         finally:
             connection.release()
 
@@ -308,12 +335,15 @@
             if reply is None:
                 return Unknown(step, address, "the answer was empty")
             return reply
-        except (TimeoutError, *CONNECTION_ERRORS) as error:
+        except GRPCError as error:
+            return _fail(step, address, error, sent)
+        except Exception as error:
+            # Besides the errors of connections, grpclib raises AttributeError for one
+            # that is lost between its check and its use. Let through, any of them
+            # would end a task of a router that is in good order.
             _undo_cancellation(error, cancellations)
             self._doubt(address, connection)
             return _fail(step, address, error, sent)
-        except GRPCError as error:
-            return _fail(step, address, error, sent)
         finally:
             connection.release()
 
--- a/knapweedrail/tests/test_members.py
+++ b/knapweedrail/tests/test_members.py
@@ -5,6 +5,7 @@
 import anyio
 import httpx
 
+from ..members import ExchangePart
 from ..outcomes import Unavailable
 from ..platforms import HttpPlatform
 from ..registrars import Registrar
@@ -200,6 +201,37 @@
     anyio.run(check)
 
 
+class Stumbling(ExchangePart):
+    """A part that can't take in what it hears."""
+
+    def __init__(self):
+        self.heard = 0
+
+    def fill(self, message):
+        pass
+
+    def hear(self, sender, message):
+        self.heard += 1
+        raise ValueError("not understood")
+
+
+def test_a_message_that_is_not_understood_ends_no_task():
+    """A peer of another version says something that a part of this router can't take
+    in. The error must stay with that one exchange; it would else end the membership,
+    and with it a router that serves callers."""
+
+    async def check():
+        platform = MemoryPlatform()
+        one, two = Router(platform, "r1"), Router(platform, "r2")
+        async with running(one, two):
+            part = Stumbling()
+            one.task.on_exchange(part)
+            await until(lambda: part.heard > 5)
+            assert one.alive() == {"r2"}
+
+    anyio.run(check)
+
+
 def test_an_answer_that_is_not_the_platforms_ends_no_task():
     """A gateway before the platform answers with a page of its own, or another process
     has got the platform's port. An error raised on it would end the task that follows
--- a/knapweedrail/tests/test_peers.py
+++ b/knapweedrail/tests/test_peers.py
@@ -154,6 +154,43 @@
     anyio.run(check)
 
 
+def test_a_connection_lost_between_check_and_use_is_an_outcome():
+    """A neighbour is killed while it is being called. The library raises an error of
+    its own making for a connection that is lost at that moment; let through, it ended
+    the task of the router that was in good order, and all its streams with it."""
+
+    async def check():
+        async with linked() as link:
+            await link.clients.trade(link.address, Exchange())
+            connection = link.clients._connections[link.address]
+            del connection.channel._protocol.connection._transport
+            outcome = await link.clients.trade(link.address, Exchange())
+            assert isinstance(outcome, Unavailable)
+            assert isinstance(
+                await link.clients.trade(link.address, Exchange()), Exchange
+            )
+
+    anyio.run(check)
+
+
+def test_a_peer_that_has_closed_answers_no_more():
+    """A router leaves. If it went on answering over connections that were open, its
+    neighbours would believe it alive and send it what it will never do."""
+
+    async def check():
+        handler = Handler()
+        server = PeerServer(handler, "127.0.0.1:0")
+        clients = PeerClients(5.0)
+        await server.start()
+        assert isinstance(await clients.trade(server.address, Exchange()), Exchange)
+        await server.close()
+        assert isinstance(await clients.trade(server.address, Exchange()), Unavailable)
+        assert handler.trades == 1
+        await clients.close()
+
+    anyio.run(check)
+
+
 def test_a_peer_whose_handler_fails_gives_an_unknown_outcome():
     """A fault in a neighbour's code ends its call with an error. What it did before is
     not known, and its connection still works."""
