Hold the cover for the whole data centre; stop tokens moving to and fro

Ruled out: longer waits for requests (the writers starved, not the budget). Change: equal parts of the data centre's cover, weight by own and common demand, returns begin at 1.5 times the fair part and ride on the next flush, short pauses after a conflict; with the platform away idle allowance can be handed over too, in the ledger's sums; rows encode without attrs.astuple. State machine: pytest test_ledgers.py 10 passed.

--- a/knapweedrail/allowances.py
+++ b/knapweedrail/allowances.py
@@ -118,11 +118,21 @@
     def free(self) -> int:
         """Tokens that a reservation can take now."""
         came = self.granted + sum(self.received.values())
-        return came - self.returned - self.spent - self._reserved_tokens
+        gone = self.returned + self.spent + self._overdrawn
+        return came - gone - self._reserved_tokens
 
     @property
     def reserve(self) -> int:
         """Tokens held for neighbours."""
+        return max(0, self._reserve_balance)
+
+    @property
+    def _overdrawn(self) -> int:
+        """Tokens handed over beyond the reserve, out of what could be spent."""
+        return max(0, -self._reserve_balance)
+
+    @property
+    def _reserve_balance(self) -> int:
         handed = sum(self.handed.values())
         return self.reserve_granted - self.reserve_returned - handed
 
@@ -160,8 +170,14 @@
         self.reserve_returned += reserve
         return allowance + reserve > 0
 
-    def hand_over(self, recipient: Holder, tokens: int, number: int) -> HandedOver:
-        """Hand reserve to a neighbour: debited first, and once for each number.
+    def hand_over(
+        self, recipient: Holder, tokens: int, number: int, spare: int = 0
+    ) -> HandedOver:
+        """Hand tokens to a neighbour: debited first, and once for each number.
+
+        The reserve goes first, then of the own free tokens what is spare. The other
+        way, spending the reserve, is never allowed: a fence round gives the reserve
+        back without asking its keeper.
 
         A lost answer makes the neighbour ask again. Another debit would then lose the
         first tokens; so the last answer is kept and given again. A lower number is a
@@ -172,7 +188,7 @@
             return HandedOver(given)
         if number < last:
             return HandedOver(0)
-        given = max(0, min(tokens, self.reserve))
+        given = max(0, min(tokens, self.reserve + max(0, min(spare, self.free))))
         self._answers[recipient] = (number, given)
         if given:
             self.handed[recipient] = self.handed.get(recipient, 0) + given
--- a/knapweedrail/archives.py
+++ b/knapweedrail/archives.py
@@ -17,7 +17,7 @@
 from .ledgers import Ledger, decode_claim, encode_claim
 from .models import Bill
 
-BILL_PAGES_KEPT = 64
+BILL_PAGES_KEPT = 96
 """Pages of bills that a router keeps in mind. Older identities count as new requests;
 docs/BUDGETS.md says how long that is. It bounds the memory to a few megabytes."""
 
--- a/knapweedrail/batches.py
+++ b/knapweedrail/batches.py
@@ -19,17 +19,22 @@
 from .tasks import Task
 
 FIRST_DELAY = 0.02
-"""Seconds before the first retry. Longer than a write takes, so that two writers
-who met once seldom meet again."""
+"""Bound on the seconds before the first retry. Longer than a write takes, so that two
+writers who met once seldom meet again."""
+
+CONFLICT_DELAY = 0.08
+"""Bound on the seconds between retries while the platform answers: some tens of
+writers on one ledger spread over it."""
 
 LONGEST_DELAY = 1.0
 """Bound on the seconds between retries: how late a platform that is back is noticed.
 At 500 routers it makes at most 500 calls a second, which the platform bears."""
 
 
-LARGE_BYTES = 250_000
-"""A ledger above this size has its older half of bills and claims moved out. A quarter
-of what an object holds: a batch adds at most another quarter."""
+LARGE_BYTES = 128_000
+"""A ledger above this size has its older half of bills and claims moved out. Each batch
+encodes the ledger whole, which costs milliseconds by then; a page much smaller would
+make many pages for a starting router to read."""
 
 WRITES_FAILED = 3
 """Writes of one batch that fail, with reads answered between them, before the platform
@@ -116,8 +121,12 @@
             if posted is not None:
                 return posted
             # Jitter keeps writers that failed together from coming back together.
-            await anyio.sleep(delay * self.rng.uniform(0.5, 1.0))
-            delay = min(LONGEST_DELAY, delay * 2)
+            await anyio.sleep(delay * self.rng.uniform(0.0, 1.0))
+            # Whoever met another writer tries on soon: each meeting means that one
+            # of them got through, and a pause that doubled would starve the others.
+            is_failing = self._failed_reads + self._failed_writes > 0
+            longest = LONGEST_DELAY if is_failing else CONFLICT_DELAY
+            delay = min(longest, delay * 2)
 
     async def _try(self, batch: Batch) -> Posted | None:
         if self._ledger is None and isinstance(await self._read(), Unavailable):
--- a/knapweedrail/budgets.py
+++ b/knapweedrail/budgets.py
@@ -107,6 +107,7 @@
         self._shards = [self._make_shard(number) for number in range(shards)]
         self._holdings = Holdings(
             holder,
+            data_centre,
             self._shards,
             neighbours,
             rules_source,
--- a/knapweedrail/entries.py
+++ b/knapweedrail/entries.py
@@ -36,6 +36,8 @@
         reserve: Tokens wanted to hold for the data centre's other routers.
         least: The part of ``allowance`` that waiting requests need now.
         demand: The holder's demand in tokens a second.
+        weight: The part of all demand, in tokens a second, by which its fair part of
+            what is left is found.
     """
 
     budget: str
@@ -43,6 +45,7 @@
     reserve: int
     least: int
     demand: int
+    weight: int = 1
 
 
 @attrs.frozen
@@ -54,7 +57,7 @@
         spent: Tokens used, billed or not.
         returned: Allowance given back.
         reserve_returned: Reserve given back.
-        handed: Reserve handed over to neighbours.
+        handed: Tokens handed over to neighbours.
         received: Tokens received from each neighbour.
     """
 
--- a/knapweedrail/flushes.py
+++ b/knapweedrail/flushes.py
@@ -20,7 +20,7 @@
     Outcome,
 )
 from .events import Event, log_event
-from .grants import View, decide_return, find_fair_part
+from .grants import View, decide_return, find_fair_part, needs_more
 from .holdings import Holdings, Waiter
 from .ledgers import Ledger
 from .outcomes import Refusal, Unavailable
@@ -39,7 +39,7 @@
 """Time between looks at a shard where a budget that this router holds has nearly
 nothing available: there another's requests may be waiting for these tokens."""
 
-TIGHT_RESERVATIONS = 4
+TIGHT_RESERVATIONS = 2
 """A budget with less available than this many of the largest reservations is tight."""
 
 
@@ -100,11 +100,9 @@
             return bool(shard.budgets)
         if now < shard.seen_at + min(self.poll_seconds, TIGHT_POLL_SECONDS):
             return False
-        held = [budget for budget in shard.budgets if self._has_idle(budget)]
-        if not held:
+        if not shard.tight and now < shard.seen_at + self.poll_seconds:
             return False
-        is_tight = any(self._is_tight(budget) for budget in held)
-        return is_tight or now >= shard.seen_at + self.poll_seconds
+        return any(self._has_idle(budget) for budget in shard.budgets)
 
     def _has_idle(self, budget: str) -> bool:
         allowance = self.holdings.get(budget)
@@ -112,7 +110,7 @@
 
     def _is_tight(self, budget: str) -> bool:
         standing = self.holdings.find_standing(budget)
-        if standing is None:
+        if standing is None or not self._has_idle(budget):
             return False
         largest = self.holdings.get(budget).demand.largest(self.holdings.now())
         return standing.available < TIGHT_RESERVATIONS * largest
@@ -174,7 +172,8 @@
         if not wanted and not reserve and not has_want:
             return None
         demand = int(allowance.demand.estimate(now))
-        return Grant(budget, wanted, reserve, least, demand)
+        weight = int(holdings.find_weight(budget))
+        return Grant(budget, wanted, reserve, least, demand, weight)
 
     async def _post(self, shard: Shard, work: list[Work]) -> None:
         entries = tuple(item.entry for item in work)
@@ -203,10 +202,13 @@
         shard.viewed = shard.started
         shard.ledger = ledger
         shard.seen_at = now
+        if not self.holdings.fenced and not self.holdings.draining:
+            self.holdings.adopt(shard, ledger)
         for budget in sorted(shard.budgets):
             self.holdings.serve(budget)
             self._judge(shard, budget)
-            self._give_back(shard, budget)
+            self._adjust(shard, budget)
+        shard.tight = any(self._is_tight(budget) for budget in shard.budgets)
         self.pump(shard, now)
 
     def _judge(self, shard: Shard, budget: str) -> None:
@@ -232,27 +234,32 @@
             shard.look_wanted = True
         self.transfers.seek(budget)
 
-    def _give_back(self, shard: Shard, budget: str) -> None:
+    def _adjust(self, shard: Shard, budget: str) -> None:
+        """Give back what others need or what is too much; ask for what is lacking."""
         holdings = self.holdings
         standing = holdings.find_standing(budget)
         if standing is None or holdings.fenced:
             return
         allowance = holdings.get(budget)
-        demand = allowance.demand.estimate(holdings.now())
+        weight = holdings.find_weight(budget)
         view = View(
             free=allowance.free,
             reserve=allowance.reserve,
             target=holdings.find_target(budget),
             waiting=holdings.waiting_tokens(budget),
-            fair_part=find_fair_part(standing.left, demand, standing.total_demand),
+            fair_part=find_fair_part(standing.left, weight, standing.total_demand),
             available=standing.available,
             wants=standing.wants,
             first=standing.first,
         )
+        if needs_more(view) and not holdings.draining:
+            holdings.mark(budget)
+            return
         back = decide_return(view)
         if allowance.give_back(back.allowance, back.reserve):
-            shard.dirty.add(budget)
-            shard.urgent = True
+            holdings.mark(budget)
+            # What nobody waits for goes back with the next flush.
+            shard.urgent = shard.urgent or standing.wants > 0
 
 
 def _end_record(pending: PendingRecord) -> None:
--- a/knapweedrail/holdings.py
+++ b/knapweedrail/holdings.py
@@ -10,8 +10,8 @@
 from .allowances import Allowance
 from .budget_messages import Reservation, Reserve, Settled
 from .entries import AddBill, EndClaim, RemoveClaim
-from .grants import Target, find_target
-from .ledgers import find_shard
+from .grants import Target, find_target, find_weight
+from .ledgers import Ledger, find_shard
 from .models import Holder, Rules
 from .neighbours import Neighbours, Received, Total
 from .outcomes import Refusal
@@ -42,6 +42,7 @@
 
     Args:
         holder: The router in its present life.
+        data_centre: Where it stands.
         shards: Its shards.
         neighbours: The other routers of the data centre.
         rules_source: Returns the rules in force.
@@ -54,6 +55,7 @@
     def __init__(
         self,
         holder: Holder,
+        data_centre: str,
         shards: list[Shard],
         neighbours: Neighbours,
         rules_source: Callable[[], Rules],
@@ -63,6 +65,7 @@
         answer_seconds: float,
     ) -> None:
         self.holder = holder
+        self.data_centre = data_centre
         self.shards = shards
         self.neighbours = neighbours
         self.rules_source = rules_source
@@ -184,14 +187,35 @@
         rules = self.rules_source()
         now = self.now()
         demand = self.get(budget).demand
+        standing = self.find_standing(budget)
         return find_target(
             demand.estimate(now),
+            standing.centre_demand if standing is not None else 0,
             demand.largest(now),
             len(self.neighbours.list()),
             rules.allowance_seconds,
             rules.cover_seconds,
         )
 
+    def find_weight(self, budget: str) -> float:
+        """Return the part of a budget's demand that counts for this router."""
+        demand = self.get(budget).demand.estimate(self.now())
+        standing = self.find_standing(budget)
+        centre_demand = standing.centre_demand if standing is not None else 0
+        return find_weight(demand, centre_demand, len(self.neighbours.list()))
+
+    def adopt(self, shard: Shard, ledger: Ledger) -> None:
+        """Meet the budgets on which neighbours draw, to hold a reserve for them."""
+        mine = {
+            name
+            for name, record in ledger.holders.items()
+            if record.data_centre == self.data_centre
+        }
+        for budget, record in ledger.budgets.items():
+            if budget not in shard.budgets and not mine.isdisjoint(record.shares):
+                self.get(budget)
+                self.mark(budget)
+
     def find_shortage(self, budget: str) -> int:
         """Return the tokens missing to the target or to what waits."""
         needed = max(self.waiting_tokens(budget), self.find_target(budget).allowance)
@@ -204,7 +228,9 @@
             return None
         item = self.get(budget)
         own = item.free + item.reserved + item.reserve
-        return find_standing(ledger, budget, self.holder, own, item.spent)
+        return find_standing(
+            ledger, budget, self.holder, self.data_centre, own, item.spent
+        )
 
     def fence(self, holder: Holder) -> Received:
         """Trade nothing more with a holder, for ever; return what was traded."""
--- a/knapweedrail/ledgers.py
+++ b/knapweedrail/ledgers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Callable
+from operator import attrgetter
 
 import attrs
 import orjson
@@ -30,7 +32,7 @@
         reserve: Tokens granted to hold for neighbours.
         returned: Allowance given back.
         reserve_returned: Reserve given back or reclaimed.
-        handed: Reserve handed over to neighbours.
+        handed: Tokens handed over to neighbours, of the reserve first.
         spent: Tokens used.
         demand: Demand last reported, tokens a second.
         want: Tokens that requests wait for and the budget couldn't give.
@@ -54,14 +56,18 @@
 
     @property
     def unspent_allowance(self) -> int:
-        """Allowance that the holder may still spend, by its last report."""
+        """Allowance that the holder may still spend, by its last report.
+
+        What it handed over beyond its reserve came out of its allowance.
+        """
         received = sum(self.received.values())
-        return self.allowance + received - self.returned - self.spent
+        overdrawn = max(0, self.handed + self.reserve_returned - self.reserve)
+        return self.allowance + received - self.returned - self.spent - overdrawn
 
     @property
     def unspent_reserve(self) -> int:
         """Reserve that the holder may still hand over, by its last report."""
-        return self.reserve - self.reserve_returned - self.handed
+        return max(0, self.reserve - self.reserve_returned - self.handed)
 
     @property
     def unspent(self) -> int:
@@ -225,7 +231,9 @@
 
 
 def _make_row(value: object) -> tuple:
-    return attrs.astuple(value, recurse=False)
+    # Not attrs.astuple: it looks the fields up for each row, and a ledger with a few
+    # hundred rows is encoded several times a second.
+    return _ROWS[type(value)](value)
 
 
 def _decode_budget(row: list) -> BudgetRecord:
@@ -260,3 +268,26 @@
 
 _OUTCOMES = {kind.__name__: kind for kind in (Done, Granted, Denied, BillStands)}
 _OUTCOMES["ClaimMade"] = ClaimMade
+
+
+def _make_getter(kind: type) -> Callable[[object], tuple]:
+    names = [field.name for field in attrs.fields(kind)]
+    if len(names) == 1:
+        return lambda value: (getattr(value, names[0]),)
+    return attrgetter(*names) if names else lambda value: ()
+
+
+_ROWS = {
+    kind: _make_getter(kind)
+    for kind in (
+        Share,
+        BudgetRecord,
+        Bill,
+        Claim,
+        Done,
+        Granted,
+        Denied,
+        BillStands,
+        ClaimMade,
+    )
+}
--- a/knapweedrail/pages.py
+++ b/knapweedrail/pages.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import anyio
+
 from . import archives
 from .archives import BILLS, CLAIMS, Archive
 from .ledgers import Ledger
 from .outcomes import Found, Unavailable, Written
 from .platforms import CREATE, Platform
 
+READS_AT_ONCE = 8
+"""Pages that a starting router reads at once: a hundred pages one after another would
+hold up its first grant for half a second, all at once would burden the platform when
+many routers start together."""
+
 
 class Pages:
     """The pages of one shard.
@@ -29,21 +36,36 @@
             Whether all of them are known now. A batch may not be applied before: a
             bill or a claim on an unread page would be taken for a new one.
         """
-        first = ledger.bill_pages - archives.BILL_PAGES_KEPT
-        for number in range(max(first, self.archive.bill_pages, 0), ledger.bill_pages):
-            value = await self._read(BILLS, number)
+        first = max(0, ledger.bill_pages - archives.BILL_PAGES_KEPT)
+        numbers = range(max(first, self.archive.bill_pages), ledger.bill_pages)
+        values = await self._read_all(BILLS, numbers)
+        for number, value in zip(numbers, values):
             if value is None:
                 return False
             bills = archives.decode_bills(value)
             self.archive = archives.add_bills(self.archive, number, bills)
-        for number in range(self.archive.claim_pages, ledger.claim_pages):
-            value = await self._read(CLAIMS, number)
+        numbers = range(self.archive.claim_pages, ledger.claim_pages)
+        values = await self._read_all(CLAIMS, numbers)
+        for number, value in zip(numbers, values):
             if value is None:
                 return False
             claims = archives.decode_claims(value)
             self.archive = archives.add_claims(self.archive, number, claims)
         return True
 
+    async def _read_all(self, kind: str, numbers: range) -> list[bytes | None]:
+        values: list[bytes | None] = [None] * len(numbers)
+        limiter = anyio.CapacityLimiter(READS_AT_ONCE)
+
+        async def read(place: int, number: int) -> None:
+            async with limiter:
+                values[place] = await self._read(kind, number)
+
+        async with anyio.create_task_group() as group:
+            for place, number in enumerate(numbers):
+                group.start_soon(read, place, number)
+        return values
+
     async def move(self, ledger: Ledger) -> Ledger:
         """Write what is old to pages; return the ledger without it, not yet written.
 
--- a/knapweedrail/postings.py
+++ b/knapweedrail/postings.py
@@ -174,7 +174,7 @@
         share = attrs.evolve(share, demand=max(1, entry.demand))
         total = sum(other.demand for other in record.shares.values())
         total += share.demand - record.shares.get(self.name, Share()).demand
-        fair_part = find_fair_part(record.left, share.demand, total)
+        fair_part = find_fair_part(record.left, max(1, entry.weight), total)
         given = split_grant(
             record.available,
             fair_part - share.unspent,
@@ -201,27 +201,19 @@
             sender = str(total.holder)
             received[sender] = max(received.get(sender, 0), total.tokens)
         # What was used is a fact, whatever else the report says.
-        share = attrs.evolve(
-            share, spent=max(share.spent, entry.spent), received=received
-        )
-        outcome: Outcome = Done(share.spent)
-        returned = max(share.returned, entry.returned)
-        limit = share.allowance + sum(received.values()) - share.spent
-        if returned <= max(limit, share.returned):
-            share = attrs.evolve(share, returned=returned)
-        else:
-            outcome = Denied(INCONSISTENT)
+        spent = max(share.spent, entry.spent)
+        fact = attrs.evolve(share, spent=spent, received=received)
+        told = attrs.evolve(fact, returned=max(share.returned, entry.returned))
         if self.record.state == OPEN:
-            handed = max(share.handed, entry.handed)
-            reserve_returned = max(share.reserve_returned, entry.reserve_returned)
-            if handed + reserve_returned <= share.reserve:
-                share = attrs.evolve(
-                    share, handed=handed, reserve_returned=reserve_returned
-                )
-            else:
-                outcome = Denied(INCONSISTENT)
-        self._put_share(entry.budget, self.name, share)
-        return outcome
+            told = attrs.evolve(
+                told,
+                handed=max(share.handed, entry.handed),
+                reserve_returned=max(share.reserve_returned, entry.reserve_returned),
+            )
+        is_consistent = told.unspent_allowance >= min(0, fact.unspent_allowance)
+        is_consistent = is_consistent and told.reserve_returned <= told.reserve
+        self._put_share(entry.budget, self.name, told if is_consistent else fact)
+        return Done(spent) if is_consistent else Denied(INCONSISTENT)
 
     def add_bill(self, entry: AddBill) -> Outcome:
         bill = entry.bill
@@ -322,7 +314,7 @@
             share,
             received=received,
             reserve_returned=reserve_returned,
-            handed=share.reserve - reserve_returned,
+            handed=taken,
             demand=0,
             want=0,
         )
@@ -342,10 +334,10 @@
                 continue
             share = record.shares[fenced]
             spent = max(share.spent, total.tokens)
-            limit = share.allowance + sum(share.received.values()) - spent
-            returned = max(share.returned, limit)
-            back += returned - share.returned
-            share = attrs.evolve(share, spent=spent, returned=returned)
+            share = attrs.evolve(share, spent=spent)
+            unused = max(0, share.unspent_allowance)
+            back += unused
+            share = attrs.evolve(share, returned=share.returned + unused)
             self._put_share(total.budget, fenced, share)
             self._remove_share(total.budget, fenced)
         if not any(fenced in record.shares for record in self.budgets.values()):
--- a/knapweedrail/shards.py
+++ b/knapweedrail/shards.py
@@ -95,6 +95,7 @@
         posting: Whether a batch is under way.
         away: Whether the platform failed to answer the last call.
         urgent: Whether to post without waiting for the next flush.
+        tight: Whether a budget held here had nearly nothing available when last seen.
         look_wanted: Whether a request waits for a fresh view.
         next_flush: When to post what has gathered.
         next_look: When the next look may begin.
@@ -117,6 +118,7 @@
     posting: bool = False
     away: bool = False
     urgent: bool = False
+    tight: bool = False
     look_wanted: bool = False
     next_flush: float = 0.0
     next_look: float = 0.0
--- a/knapweedrail/tests/test_ledgers.py
+++ b/knapweedrail/tests/test_ledgers.py
@@ -195,15 +195,21 @@
 
     # Hand-overs
 
-    @rule(slot=slots, step=st.integers(1, 2), tokens=amounts, fate=fates)
-    def ask_neighbour(self, slot, step, tokens, fate):
+    @rule(
+        slot=slots,
+        step=st.integers(1, 2),
+        tokens=amounts,
+        spare=st.integers(0, 10),
+        fate=fates,
+    )
+    def ask_neighbour(self, slot, step, tokens, spare, fate):
         router = self.routers[slot]
         keeper = self.routers[(slot + step) % len(NAMES)]
         if keeper.holder in router.fenced or router.holder in keeper.fenced:
             return
         transfer = router.allowance.ask(keeper.holder, tokens)
         answer = keeper.allowance.hand_over(
-            router.holder, transfer.tokens, transfer.number
+            router.holder, transfer.tokens, transfer.number, spare
         )
         item = (router, keeper, transfer, answer.tokens)
         if fate == OK:
--- a/knapweedrail/transfers.py
+++ b/knapweedrail/transfers.py
@@ -58,11 +58,27 @@
             return HandedOver(0)
         allowance = holdings.get(message.budget)
         number = int(message.transfer)
-        answer = allowance.hand_over(message.sender, message.tokens, number)
+        spare = self._find_spare(message.budget)
+        answer = allowance.hand_over(message.sender, message.tokens, number, spare)
         if answer.tokens:
             holdings.mark(message.budget)
         return answer
 
+    def _find_spare(self, budget: str) -> int:
+        """Return how many own free tokens a neighbour may have besides the reserve.
+
+        With the platform away nothing can be recalled through it, and tokens would
+        lie idle in one router while the one beside it refuses. Half is kept, so that
+        two routers in need don't pass the same tokens to and fro.
+        """
+        if not self.holdings.shard_of(budget).away:
+            return 0
+        allowance = self.holdings.get(budget)
+        idle = allowance.free - self.holdings.waiting_tokens(budget)
+        if allowance.demand.largest(self.holdings.now()) == 0:
+            return idle
+        return idle // 2
+
     def seek(self, budget: str) -> None:
         """Ask neighbours for what waits; refuse at once when they have nothing."""
         if budget in self._asking:
--- a/knapweedrail/verdicts.py
+++ b/knapweedrail/verdicts.py
@@ -36,6 +36,7 @@
         wants: Wants of other holders.
         first: Whether own name comes before those of all others who want.
         total_demand: Demand of all holders together, tokens a second.
+        centre_demand: Demand of the holders of the own data centre together.
     """
 
     left: int
@@ -47,21 +48,28 @@
     wants: int
     first: bool
     total_demand: int
+    centre_demand: int
 
 
 def find_standing(
-    ledger: Ledger, budget: str, holder: Holder, own: int, own_spent: int
+    ledger: Ledger,
+    budget: str,
+    holder: Holder,
+    data_centre: str,
+    own: int,
+    own_spent: int,
 ) -> Standing | None:
     """Return a budget's standing, or ``None`` when the ledger doesn't have it."""
     record = ledger.budgets.get(budget)
     if record is None:
         return None
     name = str(holder)
-    elsewhere = stranded = wants = recorded = want = 0
+    elsewhere = stranded = wants = recorded = want = centre_demand = 0
     first = True
     for other, share in record.shares.items():
         if other == name:
             recorded, want = share.spent, share.want
+            centre_demand += share.demand
             continue
         other_record = ledger.holders.get(other)
         if other_record is None or other_record.state != OPEN:
@@ -69,6 +77,8 @@
             continue
         elsewhere += share.unspent
         wants += share.want
+        if other_record.data_centre == data_centre:
+            centre_demand += share.demand
         if share.want and other < name:
             first = False
     return Standing(
@@ -81,6 +91,7 @@
         wants=wants,
         first=first,
         total_demand=sum(share.demand for share in record.shares.values()),
+        centre_demand=centre_demand,
     )
 
 
