Give the recovery of lives that are over a task of its own

Ruled out: fewer looks for all (a fresh death should be seen soon). Before: a waiting life cost a round every 2 s. Conclusion: the kernel only wires.

--- a/knapweedrail/routers.py
+++ b/knapweedrail/routers.py
@@ -8,8 +8,7 @@
 import anyio.abc
 
 from .answers import Answers
-from .beliefs import choose_by_hash
-from .budget_messages import Drain, Drained, Recover, Recovered
+from .budget_messages import Drain, Drained
 from .budgets import BudgetTask
 from .changes import ConfigurationTask, Times
 from .console import Console
@@ -27,24 +26,17 @@
 from .platforms import HttpPlatform
 from .pools import Pools
 from .registrations import load_plugins
+from .retirements import RetirementTask
 from .runs import RunTable
 from .servers import HttpServer, ServerLimits
 from .settings import RouterSettings
+from .tasks import Task
 from .views import View
 
 VIEW_SECONDS = 0.1
 """Time between two looks at the configuration for the endpoints. A change is in force
 for callers at once; its endpoints follow within this."""
 
-RECOVER_SECONDS = 2.0
-"""Time between two looks for members that seem gone. A recovery costs a write and a
-call to each neighbour, and is safe to try at any time."""
-
-SILENT_SECONDS = 10.0
-"""Silence of a member after which its tokens are recovered. Recovery is right at any
-time, but it ends the life of a member that was only paused or cut off and strands its
-allowance; most pauses are shorter."""
-
 DRAIN_SECONDS = 10.0
 """Bound on giving tokens back and writing bills at the end; the platform may be away
 just then."""
@@ -89,8 +81,9 @@
         await self._start_peers(group)
         await self._start_requests(group)
         await self._start_servers(group)
+        self.retirement = RetirementTask(self.membership, self._live_budgets)
         group.start_soon(self._follow_view)
-        group.start_soon(self._recover_gone)
+        await self.retirement.start(group)
         group.start_soon(self.intake.forget)
         log_event(
             Event.ROUTER_STARTED,
@@ -105,16 +98,16 @@
         self.membership.leaving = True
         await anyio.sleep(BALANCER_SECONDS)
         began = time.monotonic()
-        await self.caller_server.close()
+        await self.caller_server.close(self._rules().stopping_seconds)
         bound = self._rules().stopping_seconds - (time.monotonic() - began)
         with anyio.move_on_after(max(bound, 0.0)):
             await self.intake.wait_idle()
         left = await self._drain()
         under_way = self.intake.under_way
         await self.membership.leave()
-        await self.admin_server.close()
+        await self.admin_server.close(0.0)
         await self.peer_server.close()
-        for task in (self.configuration, self.membership):
+        for task in (self.retirement, self.configuration, self.membership):
             await task.close()
         await self.pools.close()
         await self.clients.close()
@@ -201,7 +194,6 @@
         limits = ServerLimits(
             self.settings.max_header_bytes,
             self.settings.keep_alive_seconds,
-            self._rules().stopping_seconds,
         )
         self.caller_server = HttpServer(
             self.gateway, self.settings.caller_address, limits
@@ -225,6 +217,9 @@
                 return item.opening_tokens
         return None
 
+    def _live_budgets(self) -> Task | None:
+        return self.life.budgets if self.life and not self.stopping else None
+
     def _registered_holder(self) -> Holder | None:
         return self.membership.holder if self.membership.registered else None
 
@@ -260,50 +255,6 @@
                 self._shown = view
             await anyio.sleep(VIEW_SECONDS)
 
-    async def _recover_gone(self) -> None:
-        silent_since: dict[Holder, float] = {}
-        while True:
-            await anyio.sleep(RECOVER_SECONDS)
-            silent_since = self._note_silent(silent_since)
-            if self.life is None or self.stopping:
-                continue
-            limit = time.monotonic() - SILENT_SECONDS
-            gone = [item for item, since in silent_since.items() if since < limit]
-            for holder in [*gone, *self.membership.registry().fenced()]:
-                if self._is_first_for(holder):
-                    await self._recover(holder)
-
-    def _note_silent(self, before: dict[Holder, float]) -> dict[Holder, float]:
-        now = time.monotonic()
-        return {
-            member.holder: before.get(member.holder, now)
-            for member in self.membership.suspects()
-        }
-
-    def _is_first_for(self, holder: Holder) -> bool:
-        # One router of the data centre does it; which one only spares writes.
-        names = [
-            member.holder.name
-            for member in self.membership.own_data_centre_members()
-            if member.alive
-        ]
-        own = self.settings.name
-        return choose_by_hash(str(holder), [*names, own]) == own
-
-    async def _recover(self, holder: Holder) -> None:
-        if self.life is None:
-            return
-        recovered: Recovered = await self.life.budgets.ask(Recover(holder))
-        log_event(
-            Event.HOLDER_RECOVERED,
-            holder=str(holder),
-            tokens=recovered.tokens,
-            stranded=recovered.stranded,
-            waits_for=recovered.waits_for,
-        )
-        if not recovered.waits_for:
-            await self.membership.mark_reclaimed(holder)
-
     async def _drain(self) -> Drained:
         left = Drained()
         lives = [*self._earlier, self.life] if self.life else self._earlier
--- a/knapweedrail/servers.py
+++ b/knapweedrail/servers.py
@@ -29,12 +29,10 @@
         max_header_bytes: Largest request line and headers together.
         keep_alive_seconds: An idle connection, or one whose headers are not
             complete, is closed after this time.
-        stopping_seconds: Longest wait for answers under way at the end.
     """
 
     max_header_bytes: int = 16_384
     keep_alive_seconds: float = 75.0
-    stopping_seconds: float = 60.0
 
 
 class HttpServer:
@@ -66,12 +64,18 @@
         listener.bind((host, port))
         listener.listen(BACKLOG)
         self.address = f"{host}:{listener.getsockname()[1]}"
-        config = self._configure(listener)
-        group.start_soon(self._serve, config)
-        group.start_soon(self._hasten, config)
+        self._config = self._configure(listener)
+        group.start_soon(self._serve)
+        group.start_soon(self._hasten)
 
-    async def close(self) -> None:
-        """Take no new connection, let answers under way end, and return."""
+    async def close(self, grace: float) -> None:
+        """Take no new connection, and let answers under way end.
+
+        Args:
+            grace: Seconds after which answers under way are cut off. The library's
+                own default of 3 seconds is shorter than an answer's stream.
+        """
+        self._config.graceful_timeout = grace
         self._stop.set()
         await self._stopped.wait()
 
@@ -84,23 +88,21 @@
         config.h11_max_incomplete_size = self.limits.max_header_bytes
         config.keep_alive_timeout = self.limits.keep_alive_seconds
         config.keep_alive_max_requests = REQUESTS_PER_CONNECTION
-        # The library's default of 3 seconds is shorter than an answer's stream.
-        config.graceful_timeout = self.limits.stopping_seconds
         return config
 
-    async def _serve(self, config: Config) -> None:
+    async def _serve(self) -> None:
         # Shielded, since the library doesn't end well when it is cancelled;
         # `_hasten` ends it then.
         with anyio.CancelScope(shield=True):
             await serve(
-                _without_lifespan(self.app), config, shutdown_trigger=self._wait
+                _without_lifespan(self.app), self._config, shutdown_trigger=self._wait
             )
         self._stopped.set()
 
     async def _wait(self) -> None:
         await self._stop.wait()
 
-    async def _hasten(self, config: Config) -> None:
+    async def _hasten(self) -> None:
         """End without grace when the server is cancelled rather than closed.
 
         The router is then failing: a task has ended with an error. With the grace of
@@ -111,7 +113,7 @@
             await self._stopped.wait()
         finally:
             if not self._stopped.is_set():
-                config.graceful_timeout = 0
+                self._config.graceful_timeout = 0
                 self._stop.set()
 
 
--- a/knapweedrail/tests/test_servers.py
+++ b/knapweedrail/tests/test_servers.py
@@ -34,7 +34,7 @@
         return StreamingResponse(parts())
 
 
-async def read_while_closing(server, tap):
+async def read_while_closing(server, tap, group):
     """Read a stream whose server is closed after its first byte."""
     async with httpx.AsyncClient() as client:
         async with client.stream("GET", f"http://{server.address}/stream") as answer:
@@ -42,7 +42,7 @@
             async for part in answer.aiter_raw():
                 bytes_read += part
                 if bytes_read == b"0":
-                    server._stop.set()
+                    group.start_soon(server.close, 3600.0)
                     tap.open.set()
             return bytes_read
 
@@ -61,8 +61,8 @@
         went_on = False
         async with anyio.create_task_group() as group:
             await server.start(group)
-            assert await read_while_closing(server, tap) == b"01234"
-            await server.close()
+            assert await read_while_closing(server, tap, group) == b"01234"
+            await server.close(3600.0)
             await anyio.sleep(0.01)
             went_on = True
         return went_on
@@ -79,8 +79,7 @@
 
     async def run():
         tap = Tap()
-        limits = ServerLimits(stopping_seconds=3600.0)
-        server = HttpServer(tap.app, "127.0.0.1:0", limits)
+        server = HttpServer(tap.app, "127.0.0.1:0", ServerLimits())
         async with httpx.AsyncClient() as client:
             async with anyio.create_task_group() as group:
                 await server.start(group)
