Split the checks of requests from the gateway

Ruled out: nothing. Change: checks.py; the gateway refuses with 'stopping' what still comes over open connections while the router stops (it was never told so before). Conclusion: one job each.

--- a/knapweedrail/routers.py
+++ b/knapweedrail/routers.py
@@ -11,9 +11,10 @@
 from .budget_messages import Drain, Drained
 from .budgets import BudgetTask
 from .changes import ConfigurationTask, Times
+from .checks import GatewayLimits
 from .console import Console
 from .events import Event, log_event
-from .gateway import Gateway, GatewayLimits
+from .gateway import Gateway
 from .handlers import ConfigurationPart, QuarantinePart, RouterHandler
 from .homes import HomeTable, RunFinder
 from .intake import Intake, Life
@@ -97,6 +98,7 @@
         self.stopping = True
         self.membership.leaving = True
         await anyio.sleep(BALANCER_SECONDS)
+        self.gateway.stopping = True
         began = time.monotonic()
         await self.caller_server.close(self._rules().stopping_seconds)
         bound = self._rules().stopping_seconds - (time.monotonic() - began)
--- a/knapweedrail/tests/test_gateway.py
+++ b/knapweedrail/tests/test_gateway.py
@@ -10,9 +10,10 @@
 from hypothesis import strategies as st
 
 from ..calls import bound_prompt, build_generation, parse_document
+from ..checks import GatewayLimits
 from ..configuration import Undecided
 from ..followers import Head
-from ..gateway import Gateway, GatewayLimits
+from ..gateway import Gateway
 from ..measures import Measures
 from ..models import (
     ENGINE,
