Let later fence rounds end after two routers died together

Ruled out: taking a silent router for empty after a time (it may spend what it took); ending the two rounds themselves (cut off together they may still serve each other), so what the two hold stays written off.

--- a/knapweedrail/entries.py
+++ b/knapweedrail/entries.py
@@ -98,6 +98,26 @@
     identity: str
 
 
+@attrs.frozen
+class NoteFence:
+    """Record answers to a fence round that can't end yet.
+
+    What was answered is final: whoever answered trades nothing more with the fenced
+    holder. So later rounds needn't wait for the two to answer about each other.
+
+    Attributes:
+        holder: The fenced holder.
+        answered: Routers that have answered, or that registered after the fence.
+        received: What each of them took from the fenced holder.
+        handed: What each of them handed over to it.
+    """
+
+    holder: Holder
+    answered: tuple[Holder, ...]
+    received: tuple[Total, ...] = ()
+    handed: tuple[Total, ...] = ()
+
+
 @attrs.frozen
 class Reclaim:
     """End a fence round that every registered router has answered.
@@ -142,6 +162,7 @@
     | AddClaim
     | EndClaim
     | RemoveClaim
+    | NoteFence
     | Reclaim
     | Release
     | CloseHolder
--- a/knapweedrail/flushes.py
+++ b/knapweedrail/flushes.py
@@ -16,6 +16,7 @@
     Denied,
     Grant,
     Granted,
+    NoteFence,
     OpenBudget,
     Outcome,
 )
@@ -121,7 +122,7 @@
         shard.next_flush = now + self.holdings.flush_seconds
         names = self.holdings.waiters
         waiting = {name for name in names if self.holdings.shard_of(name) is shard}
-        work: list[Work] = []
+        work = self._compose_greeting(shard)
         for budget in sorted(shard.dirty | waiting):
             work += self._compose_budget(shard, budget, now)
         shard.dirty.clear()
@@ -138,6 +139,19 @@
             work.append(Work(end.entry, lambda outcome, e=end: _end_record(e)))
         return work
 
+    def _compose_greeting(self, shard: Shard) -> list[Work]:
+        """Note with the first batch which fences stood when this life began.
+
+        It stands before the first grant. Should this router die, the fence round for
+        it needn't wait for those that were fenced before it came.
+        """
+        if shard.greeted:
+            return []
+        shard.greeted = True
+        me = self.holdings.holder
+        fenced = sorted(self.holdings.neighbours.fenced() - {me}, key=str)
+        return [Work(NoteFence(holder, (me,)), ignore) for holder in fenced]
+
     def _compose_budget(self, shard: Shard, budget: str, now: float) -> list[Work]:
         allowance = self.holdings.get(budget)
         opening = None
--- a/knapweedrail/ledgers.py
+++ b/knapweedrail/ledgers.py
@@ -19,7 +19,7 @@
 FENCED = "fenced"
 """Holder state: its fence round has ended; its reserve is back in the budget."""
 
-FORMAT = 1
+FORMAT = 2
 """Number of the encoding; a reader refuses any other."""
 
 
@@ -126,12 +126,14 @@
         data_centre: Where it stands.
         state: `OPEN` or `FENCED`.
         outcomes: Outcomes of its last batch, for a writer that lost the answer.
+        answered: Routers that trade nothing more with it, their totals recorded.
     """
 
     number: int = 0
     data_centre: str = ""
     state: str = OPEN
     outcomes: tuple[Outcome, ...] = ()
+    answered: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -181,6 +183,7 @@
                 record.data_centre,
                 record.state,
                 [_encode_outcome(outcome) for outcome in record.outcomes],
+                record.answered,
             ]
             for name, record in ledger.holders.items()
         },
@@ -243,9 +246,9 @@
 
 
 def _decode_holder(row: list, claims: dict[str, Claim]) -> HolderRecord:
-    number, data_centre, state, outcomes = row
+    number, data_centre, state, outcomes, answered = row
     decoded = tuple(_decode_outcome(outcome, claims) for outcome in outcomes)
-    return HolderRecord(number, data_centre, state, decoded)
+    return HolderRecord(number, data_centre, state, decoded, tuple(answered))
 
 
 def _encode_outcome(outcome: Outcome) -> list:
--- a/knapweedrail/recoveries.py
+++ b/knapweedrail/recoveries.py
@@ -15,7 +15,7 @@
 
 from .batches import Look, Post, Posted
 from .budget_messages import Recovered
-from .entries import Entry, Reclaim, Release
+from .entries import Entry, NoteFence, Reclaim, Release
 from .events import Event, log_event
 from .holdings import Holdings
 from .ledgers import FENCED, Ledger
@@ -49,11 +49,13 @@
     """What a fence round's answers came to.
 
     Attributes:
-        received: What the answering routers took from the fenced holder.
+        answered: Routers that answered.
+        received: What they took from the fenced holder.
         handed: What they handed over to it.
         silent: Routers that didn't answer.
     """
 
+    answered: tuple[Holder, ...]
     received: tuple[Total, ...]
     handed: tuple[Total, ...]
     silent: tuple[Holder, ...]
@@ -86,24 +88,32 @@
         # Which router took the tokens is said by the one asked, not by its answer.
         received += [Total(asked, item.budget, item.tokens) for item in answer.received]
         handed += [Total(asked, item.budget, item.tokens) for item in answer.handed]
-    return Round(tuple(received), tuple(handed), tuple(silent))
+    answered = tuple(item for item in answers if item not in silent)
+    return Round(answered, tuple(received), tuple(handed), tuple(silent))
 
 
-def find_blocking(ledger: Ledger, silent: tuple[Holder, ...]) -> tuple[Holder, ...]:
+def find_blocking(
+    ledger: Ledger, fenced: Holder, silent: tuple[Holder, ...]
+) -> tuple[Holder, ...]:
     """Return the silent routers that may have taken tokens nobody knows of.
 
     One whose own fence round has ended took nothing since: every router of the data
     centre, the one now fenced among them, said then what it had handed over to it,
-    and hands over no more. One that closed in order isn't registered any more; its
-    totals are in the ledger.
+    and hands over no more. The same holds when only these two have answered about
+    each other: rounds of two routers that died together wait for each other, and
+    without this every later round would wait for both. One that closed in order isn't
+    registered any more; its totals are in the ledger.
     """
+    own = ledger.holders.get(str(fenced))
+    answered = own.answered if own is not None else ()
     blocking = []
     for holder in silent:
         record = ledger.holders.get(str(holder))
-        if record is not None and record.state == FENCED:
-            continue
-        if str(holder) in ledger.ended:
+        if str(holder) in ledger.ended or str(holder) in answered:
             continue
+        if record is not None:
+            if record.state == FENCED or str(fenced) in record.answered:
+                continue
         blocking.append(holder)
     return tuple(blocking)
 
@@ -163,8 +173,9 @@
         if isinstance(ledger, Unavailable):
             return Recovered(0, 0, "platform")
         before = _sum_left(ledger, holder)
-        blocking = find_blocking(ledger, answers.silent)
+        blocking = find_blocking(ledger, holder, answers.silent)
         if blocking:
+            await self._note(shard, ledger, holder, answers)
             return Recovered(0, before, ", ".join(map(str, blocking)))
         if str(holder) in ledger.ended:
             return Recovered(0, 0)
@@ -182,6 +193,16 @@
         left = _sum_left(ledger, holder)
         return Recovered(max(0, before - left), left, waits_for)
 
+    async def _note(
+        self, shard: Shard, ledger: Ledger, holder: Holder, answers: Round
+    ) -> None:
+        record = ledger.holders.get(str(holder))
+        known = record.answered if record is not None else ()
+        if all(str(item) in known for item in answers.answered):
+            return
+        entry = NoteFence(holder, answers.answered, answers.received, answers.handed)
+        await self._post(shard, entry)
+
     async def _post(self, shard: Shard, entry: Entry) -> Ledger:
         posted: Posted = await shard.task.ask(Post((entry,)))
         return posted.ledger
--- a/knapweedrail/shards.py
+++ b/knapweedrail/shards.py
@@ -92,6 +92,7 @@
         started: Number of the view that was begun last; each post or look is one.
         viewed: Number of the view that ended last.
         view_began: When the view under way began; ``None`` when there is none.
+        greeted: Whether the fences that stood when this life began are noted.
         posting: Whether a batch is under way.
         away: Whether the platform failed to answer the last call.
         urgent: Whether to post without waiting for the next flush.
@@ -115,6 +116,7 @@
     started: int = 0
     viewed: int = 0
     view_began: float | None = None
+    greeted: bool = False
     posting: bool = False
     away: bool = False
     urgent: bool = False
