Count a lost runner once, and set load reports on the dispatcher's clock

Ruled out: telling losses apart by time (needs one clock over hosts); counting distinct runners only (an endpoint with one runner would never refuse). Change: a loss is named by the runner and a number one above the highest known for the content; the scheduler converts a report's time by its age; the origin argument goes. Before: two routers with the same content on one lost runner reached the limit of two.

--- a/knapweedrail/benches/policies.py
+++ b/knapweedrail/benches/policies.py
@@ -112,7 +112,6 @@
             centres[index % len(centres)],
             Rules(),
             random.Random(f"{seed}/{index}"),
-            f"router-{index}",
         )
         for index in range(shape.routers)
     ]
@@ -379,7 +378,7 @@
     """Make a dispatcher before so many runners, and let it learn service times."""
     listed = tuple(Runner(f"r{n}", "", "a") for n in range(runners))
     endpoint = Endpoint("llm", ENGINE, listed, SLOTS)
-    dispatcher = Dispatcher(endpoint, "a", Rules(), random.Random(1), "router")
+    dispatcher = Dispatcher(endpoint, "a", Rules(), random.Random(1))
     dispatcher.set_runners(listed, 0.0)
     for short in (True, False):
         work = make_work("learn", 0, short)
--- a/knapweedrail/dispatch.py
+++ b/knapweedrail/dispatch.py
@@ -59,7 +59,6 @@
         data_centre: Where this router stands.
         rules: The operators' choices.
         rng: Source of all random choices.
-        origin: Name that no other router uses, such as the holder's.
         placement: Kind of placing policy; by the endpoint's kind when empty.
     """
 
@@ -69,7 +68,6 @@
         data_centre: str,
         rules: Rules,
         rng: random.Random,
-        origin: str = "",
         placement: str = "",
     ) -> None:
         load_plugins()
@@ -88,7 +86,7 @@
         )
         self._budget = RetryBudget()
         self._delays = Delays(rng)
-        self._quarantine = Quarantine(rules.quarantine_runners, origin or str(id(self)))
+        self._quarantine = Quarantine(rules.quarantine_runners)
         self._entries: dict[str, Entry] = {}
         self._running: dict[str, Entry] = {}
         self._failed: dict[str, Entry] = {}
--- a/knapweedrail/pools.py
+++ b/knapweedrail/pools.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
 
 import anyio.abc
 import attrs
@@ -37,7 +36,6 @@
     Args:
         group: Task group in which schedulers run.
         data_centre: Where this router stands.
-        origin: Gives the name of the router's present life.
         placement: Kind of placing policy; empty for the endpoint kind's own.
     """
 
@@ -45,12 +43,10 @@
         self,
         group: anyio.abc.TaskGroup,
         data_centre: str,
-        origin: Callable[[], str],
         placement: str = "",
     ) -> None:
         self.data_centre = data_centre
         self._group = group
-        self._origin = origin
         self._placement = placement
         self._pools: dict[str, Pool] = {}
         self._retired: list[Pool] = []
@@ -103,7 +99,6 @@
             self.data_centre,
             rules,
             random.Random(),
-            origin=self._origin(),
             placement=self._placement,
         )
         scheduler = Scheduler(endpoint, dispatcher, client)
--- a/knapweedrail/quarantine.py
+++ b/knapweedrail/quarantine.py
@@ -55,13 +55,10 @@
 
     Args:
         limit: Lost runners after which a request is refused.
-        origin: Name that no other router uses, for the names of losses.
     """
 
-    def __init__(self, limit: int, origin: str) -> None:
+    def __init__(self, limit: int) -> None:
         self.limit = limit
-        self._origin = origin
-        self._sequence = 0
         self._records: OrderedDict[str, _Record] = OrderedDict()
 
     def blocks(self, fingerprint: str, now: float) -> bool:
@@ -95,11 +92,9 @@
         """
         known = {text for text in fingerprints if text}
         suspects = {text for text in known if self.suspects(text)}
-        self._sequence += 1
-        loss = f"{runner}#{self._origin}#{self._sequence}"
         for fingerprint in suspects or known:
             record = self._touch(fingerprint, now)
-            record.losses.add(loss)
+            record.losses.add(_name_loss(runner, record.losses))
 
     def clear(self, fingerprint: str, now: float) -> None:
         """Drop the suspicion: the request has been answered whole."""
@@ -141,6 +136,24 @@
         return record
 
 
+def _name_loss(runner: str, known: set[str]) -> str:
+    """Return the name of a further loss of a runner.
+
+    One runner's end is seen by every router that had the content on it. Named by the
+    router, it would count once for each of them, and refuse content that felled one
+    runner. So it is named by the runner and a number one higher than the highest
+    known: routers that see the same loss before they hear of one another's give it
+    the same name, and a later loss gets a higher number, since its router has heard
+    of the first. No clock is needed to tell them apart.
+    """
+    numbers = [
+        int(number)
+        for name, _, number in (loss.rpartition("#") for loss in known)
+        if name == runner
+    ]
+    return f"{runner}#{max(numbers, default=0) + 1}"
+
+
 def _format(fingerprint: str, record: _Record) -> str:
     losses = ",".join(sorted(record.losses))
     cleared = ",".join(sorted(record.cleared))
--- a/knapweedrail/routers.py
+++ b/knapweedrail/routers.py
@@ -174,11 +174,7 @@
         await self.membership.start(group)
 
     async def _start_requests(self, group: anyio.abc.TaskGroup) -> None:
-        self.pools = Pools(
-            group,
-            self.settings.data_centre,
-            lambda: str(self.membership.holder),
-        )
+        self.pools = Pools(group, self.settings.data_centre)
         self.membership.on_exchange(QuarantinePart(self.pools))
         self.intake = Intake(
             group, self.table, self.finder, self.pools, lambda: self.life
--- a/knapweedrail/schedulers.py
+++ b/knapweedrail/schedulers.py
@@ -203,6 +203,11 @@
         if not isinstance(news, LoadReport):
             self.dispatcher.unreachable(runner.name, now)
             return
+        # The report tells Unix time by the runner's clock; the dispatcher lives by this
+        # process's monotonic one. Mixed, each report would seem to be from now, and
+        # hide what was sent since it was true.
+        age = max(0.0, time.time() - news.as_of)
+        news = attrs.evolve(news, as_of=now - age)
         self.dispatcher.report(runner.name, news, now)
 
     async def place(self, work: Work) -> Placed | Refusal:
--- a/knapweedrail/standins/baselines.py
+++ b/knapweedrail/standins/baselines.py
@@ -20,7 +20,6 @@
         data_centre: str,
         rules: Rules,
         rng: random.Random,
-        origin: str = "",
     ) -> None:
         self.endpoint = endpoint
         self.rng = rng
--- a/knapweedrail/tests/test_dispatch.py
+++ b/knapweedrail/tests/test_dispatch.py
@@ -19,7 +19,7 @@
 
 def make_dispatcher(slots=2, runners=RUNNERS):
     endpoint = Endpoint("llm", ENGINE, runners, slots)
-    dispatcher = Dispatcher(endpoint, "a", Rules(), random.Random(1), "router")
+    dispatcher = Dispatcher(endpoint, "a", Rules(), random.Random(1))
     dispatcher.set_runners(runners, 0.0)
     return dispatcher
 
--- a/knapweedrail/tests/test_quarantine.py
+++ b/knapweedrail/tests/test_quarantine.py
@@ -26,7 +26,7 @@
 
     def __init__(self, *args):
         super().__init__(*args)
-        self._quarantine = HastyQuarantine(2, args[-1])
+        self._quarantine = HastyQuarantine(2)
 
     def _place_suspect(self, entry):
         return self._placement.choose(entry.work, self._fleet, self._rng)
@@ -73,7 +73,7 @@
 
 
 def test_a_good_answer_clears_a_suspect():
-    quarantine = Quarantine(2, "a")
+    quarantine = Quarantine(2)
     quarantine.note_loss("r0", ["x", "y"], 0.0)
     quarantine.clear("x", 1.0)
     quarantine.note_loss("r1", ["x"], 2.0)
@@ -83,9 +83,23 @@
     assert not quarantine.blocks("y", 3.0 + QUARANTINE_SECONDS)
 
 
+def test_one_lost_runner_counts_once_however_many_routers_saw_it():
+    """Two callers send the same words through two routers, to one runner, and it dies.
+    Counted twice, that one loss would have the words refused everywhere."""
+    one, other = Quarantine(2), Quarantine(2)
+    one.note_loss("r0", ["x"], 0.0)
+    other.note_loss("r0", ["x"], 0.0)
+    one.hear(other.tell(), 1.0)
+    other.hear(one.tell(), 1.0)
+    assert not one.blocks("x", 1.0)
+    other.note_loss("r0", ["x"], 2.0)
+    one.hear(other.tell(), 3.0)
+    assert one.blocks("x", 3.0)
+
+
 def test_memory_is_bounded():
     """Callers send ever new content that crashes runners."""
-    quarantine = Quarantine(2, "a")
+    quarantine = Quarantine(2)
     for number in range(MAX_FINGERPRINTS + 10):
         quarantine.note_loss("r0", [f"x{number}"], number)
     assert len(quarantine.tell()) == MAX_FINGERPRINTS
@@ -96,7 +110,7 @@
     """Routers tell each other of lost runners; messages come late, twice and crossed.
     If the order mattered, a request refused by one router would be let in by another
     for good."""
-    routers = [Quarantine(2, f"router-{n}") for n in range(3)]
+    routers = [Quarantine(2) for _ in range(3)]
     messages = []
     for step in range(data.draw(st.integers(1, 12))):
         router = data.draw(st.sampled_from(routers))
--- a/knapweedrail/tests/test_under_load.py
+++ b/knapweedrail/tests/test_under_load.py
@@ -268,7 +268,7 @@
     """Calls of the booking service have no tokens; its slots are what is short."""
     runners = {"a": [VirtualRunner(f"a{n}", 4) for n in range(3)]}
     endpoint = Endpoint("booking", SERVICE, (), 4)
-    router = Dispatcher(endpoint, "a", Rules(), random.Random(SEED), "router")
+    router = Dispatcher(endpoint, "a", Rules(), random.Random(SEED))
     world = World(runners, [router])
     requests = [
         Request(n / 100, 0, Work(f"s{n}", f"a{n % 5}", n / 100 + 2.0), 4)
--- a/knapweedrail/work.py
+++ b/knapweedrail/work.py
@@ -80,7 +80,8 @@
         running: Requests that run.
         queued: Requests that wait in the runner.
         slots: Requests that it runs at once.
-        as_of: Unix seconds at which this held, by the runner's clock.
+        as_of: Seconds at which this held: on the wire Unix time by the runner's
+            clock, for the dispatcher on the same clock as its events.
         leaving: Whether it takes no new work.
     """
 
