Bring runners back by their reports, not by a caller's request; split dispatch

Ruled out: a trial of away runners when nothing else is left (the same hang instead of a refusal at once); taking a runner out at the first missed poll (a busy runner that answers late would idle); comparing a report's time with this host's clock (a runner whose clock is late would stay away by as much).

--- a/knapweedrail/dispatch.py
+++ b/knapweedrail/dispatch.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 
 from .admission import Admission
 from .estimates import Estimates
 from .fleets import Fleet, RunnerState
+from .isolation import Isolation
 from .models import ENGINE, Endpoint, Rules, Runner
 from .outcomes import Ran, Refusal
 from .placement import PLACEMENTS
@@ -43,10 +43,6 @@
 """Waiting work up to which it is looked through that often. A look at a longer queue
 takes milliseconds, and comes so much less often that its share of a core stays."""
 
-SUSPECT_DRAWS = 8
-"""Runners looked at to find one without a suspect."""
-
-
 SHORT_PRIORITY = 0
 LONG_PRIORITY = 1
 
@@ -87,17 +83,17 @@
         self._budget = RetryBudget()
         self._delays = Delays(rng)
         self._quarantine = Quarantine(rules.quarantine_runners)
+        self._isolation = Isolation(self._quarantine, self._fleet, rng)
         self._entries: dict[str, Entry] = {}
         self._running: dict[str, Entry] = {}
         self._failed: dict[str, Entry] = {}
-        self._held: deque[Entry] = deque()
         self._next_check: float | None = None
         self._due: float | None = None
 
     @property
     def waiting(self) -> int:
         """Work that hasn't started, retries included."""
-        return len(self._queue) + len(self._held) + len(self._delays)
+        return len(self._queue) + len(self._isolation) + len(self._delays)
 
     @property
     def in_flight(self) -> int:
@@ -176,8 +172,7 @@
         self._failed.pop(work_id, None)
         self._queue.remove(entry)
         self._delays.remove(entry)
-        if entry in self._held:
-            self._held.remove(entry)
+        self._isolation.remove(entry)
 
     # Runners
 
@@ -260,45 +255,41 @@
     def _pump(self, now: float) -> list[Decision]:
         """Start waiting work while there is room."""
         decisions: list[Decision] = []
-        self._start_held(decisions, now)
+        for entry in self._isolation.take_held():
+            self._try(entry, decisions, now)
         while self._fleet.free > 0 or self._fleet.trial_runners():
             entry = self._queue.pop(self._fleet.free > 0 and self._holds_back(now))
             if entry is None:
                 break
-            refusal = self._judge_turn(entry, now)
-            if refusal is not None:
-                decisions.append(self._refuse(entry, refusal))
-                continue
             entry.suspect = self._quarantine.suspects(entry.work.fingerprint)
-            state = self._place(entry, now)
-            if state is not None:
-                decisions.append(self._start(entry, state, now))
-            elif entry.suspect:
-                self._held.append(entry)
-            else:
-                self._queue.push_front(entry)
+            if not self._try(entry, decisions, now):
                 break
-        if self._next_check is None and self._entries:
-            stretch = max(1.0, len(self._queue) / CHECKED_AT_FULL_RATE)
-            self._next_check = now + CHECK_SECONDS * stretch
+        self._plan_check(now)
         return decisions
 
+    def _try(self, entry: Entry, decisions: list[Decision], now: float) -> bool:
+        """Start or refuse work whose turn it is; return whether others may follow."""
+        refusal = self._judge_turn(entry, now)
+        if refusal is not None:
+            decisions.append(self._refuse(entry, refusal))
+            return True
+        state = self._place(entry, now)
+        if state is not None:
+            decisions.append(self._start(entry, state, now))
+            return True
+        if entry.suspect:
+            self._isolation.hold(entry)
+            return True
+        self._queue.push_front(entry)
+        return False
+
     def _holds_back(self, now: float) -> bool:
         return self._admission.reserve.holds_back(self.in_flight, now)
 
-    def _start_held(self, decisions: list[Decision], now: float) -> None:
-        """Start suspects that waited for a runner without one."""
-        for _ in range(len(self._held)):
-            entry = self._held.popleft()
-            refusal = self._judge_turn(entry, now)
-            if refusal is not None:
-                decisions.append(self._refuse(entry, refusal))
-                continue
-            state = self._place(entry, now)
-            if state is None:
-                self._held.append(entry)
-            else:
-                decisions.append(self._start(entry, state, now))
+    def _plan_check(self, now: float) -> None:
+        if self._next_check is None and self._entries:
+            stretch = max(1.0, len(self._queue) / CHECKED_AT_FULL_RATE)
+            self._next_check = now + CHECK_SECONDS * stretch
 
     def _judge_turn(self, entry: Entry, now: float) -> Refusal | None:
         """Judge work again at its turn: it may have waited longer than was expected,
@@ -310,7 +301,7 @@
 
     def _place(self, entry: Entry, now: float) -> RunnerState | None:
         if entry.suspect:
-            return self._place_suspect(entry)
+            return self._isolation.place(entry, self._running)
         trials = self._fleet.trial_runners()
         if trials and self._may_try(entry, now):
             return self._fleet.draw(self._rng, trials)
@@ -328,24 +319,6 @@
         short = entry.work.short or not self._admission.reserve.sees_short(now)
         return entry.work.repeatable and short
 
-    def _place_suspect(self, entry: Entry) -> RunnerState | None:
-        """Choose a runner on which no other suspect of this router runs."""
-        fingerprint = entry.work.fingerprint
-        if any(
-            other.suspect and other.work.fingerprint == fingerprint
-            for other in self._running.values()
-        ):
-            # Two copies at once would fell two runners for the one that is allowed.
-            return None
-        runners = self._fleet.open_runners()
-        if not runners and self._fleet.slots == 0:
-            runners = self._fleet.trial_runners()
-        for _ in range(SUSPECT_DRAWS if runners else 0):
-            state = self._fleet.draw(self._rng, runners)
-            if state.suspects == 0:
-                return state
-        return None
-
     def _start(self, entry: Entry, state: RunnerState, now: float) -> Start:
         entry.runner = state.name
         entry.started = now
@@ -372,28 +345,13 @@
             self._quarantine.clear(entry.work.fingerprint, now)
             self._supervisor.note_answer(state, entry, outcome, now)
         elif outcome.kind is EndedKind.CRASHED:
-            self._note_crash(state, entry, now)
+            if self._isolation.note_crash(state, entry, self._running, now):
+                self._supervisor.note_lost(state, now)
         elif outcome.kind is EndedKind.REFUSED:
             self._supervisor.note_full(state, now)
         elif outcome.kind in (EndedKind.FAILED, EndedKind.SILENT):
             self._supervisor.note_failure(state, now)
 
-    def _note_crash(self, state: RunnerState, entry: Entry, now: float) -> None:
-        """Hold a runner's loss against what ran on it, once for all of it.
-
-        Each connection that the runner's end breaks is told on its own. Counted one
-        by one, eight requests on one runner would look like eight lost runners.
-        """
-        if entry.crash_noted:
-            return
-        there = [self._running.get(work_id) for work_id in state.running]
-        lost = [other for other in there if other is not None] + [entry]
-        for other in lost:
-            other.crash_noted = True
-        fingerprints = [other.work.fingerprint for other in lost]
-        self._quarantine.note_loss(state.name, fingerprints, now)
-        self._supervisor.note_unreachable(state, now)
-
     def _settle(self, entry: Entry, outcome: Ended) -> None:
         """Decide what becomes of the work itself."""
         work_id = entry.work.id
--- a/knapweedrail/fleets.py
+++ b/knapweedrail/fleets.py
@@ -13,6 +13,9 @@
 Reports lag by a second or two; one that is older than this is as good as none.
 """
 
+MAX_LAG_SECONDS = 3.0
+"""A report that seems older than this is taken to be this old."""
+
 SPILL_SHARE = 0.9
 """Share of its slots up to which a runner takes work from other data centres.
 
@@ -53,7 +56,9 @@
         "ended",
         "leaving",
         "present",
-        "blocked_since",
+        "away",
+        "misses",
+        "blocked_after",
         "blocked_until",
         "full_until",
         "on_trial",
@@ -74,7 +79,11 @@
         self.ended: deque[tuple[float, float]] = deque()
         self.leaving = False
         self.present = True
-        self.blocked_since = float("-inf")
+        self.away = False
+        """Whether it can't be reached; only a report ends that."""
+        self.misses = 0
+        self.blocked_after = float("-inf")
+        """A report of a later time shows it as it was after it was found away."""
         self.blocked_until = float("-inf")
         self.full_until = float("-inf")
         self.on_trial = False
@@ -104,7 +113,8 @@
 
     def usable(self, now: float) -> bool:
         """Return whether it may get new work at all."""
-        return self.present and not self.leaving and self.blocked_until <= now
+        here = self.present and not self.leaving and not self.away
+        return here and self.blocked_until <= now
 
     def note_start(self, work_id: str, now: float) -> None:
         """Count a run of this router's."""
@@ -133,7 +143,9 @@
         self.report_seen = now
         self.slots = max(1, report.slots)
         self.leaving = report.leaving
-        own = self._count_own(min(report.as_of, now))
+        # A wrong clock must not make this router's own runs look like others'.
+        moment = min(now, max(report.as_of, now - MAX_LAG_SECONDS))
+        own = self._count_own(moment)
         self.others = max(0, report.running + report.queued - own)
         return True
 
@@ -247,15 +259,25 @@
         return runner in (self._near if len(self._near) else self._far)
 
     def trial_runners(self) -> list[RunnerState]:
-        """Return those that are to be tried with one request."""
-        return self._trial.items
+        """Return those that are to be tried with one request.
+
+        Those of other data centres only when no own runner has room: a trial may
+        hang on a link that is cut, and the caller's request with it.
+        """
+        near = [runner for runner in self._trial.items if runner.own_data_centre]
+        return near or ([] if len(self._near) else self._trial.items)
 
     def opens_in(self, now: float) -> float:
-        """Return the seconds until a runner may be tried, when none is usable."""
+        """Return the seconds until a runner may be tried, when none is usable.
+
+        A runner that is away is hoped for until its first time away is over, which a
+        restart takes; after that, nobody waits for it any more.
+        """
         times = [
             runner.blocked_until
             for runner in self.runners.values()
             if runner.present and not runner.leaving
+            if not runner.away or runner.blocked_until > now
         ]
         return max(0.0, min(times, default=float("inf")) - now)
 
--- a/knapweedrail/supervision.py
+++ b/knapweedrail/supervision.py
@@ -26,6 +26,13 @@
 """Time without a report after which the last one no longer counts. Were it kept, a
 runner whose reports stopped while others filled it would stay full for ever."""
 
+MISSES = 2
+"""Failed connections one after another until a runner with runs under way counts as
+away. A single report that a busy runner didn't give in time would else shut it."""
+
+LAG_SECONDS = 1.0
+"""Age that a report may have when it comes; what it says may be from so long before."""
+
 JITTER = 0.5
 """Share by which each such time varies, so that routers don't try a runner together."""
 
@@ -71,24 +78,39 @@
             self._fleet.refresh(state, now)
 
     def note_unreachable(self, state: RunnerState, now: float) -> None:
-        """Give a runner nothing for a while after a lost or failed connection."""
-        state.backoff = _double(state.backoff, DOWN_SECONDS, MAX_DOWN_SECONDS)
+        """Take note of a failed connection."""
+        state.misses += 1
+        if not state.running or state.misses >= MISSES:
+            self.note_lost(state, now)
+
+    def note_lost(self, state: RunnerState, now: float) -> None:
+        """Give a runner nothing until it reports again.
+
+        Time alone doesn't bring it back: behind a cut link it never answers, and the
+        caller whose request is the trial would wait until its silence is noticed.
+        """
+        state.blocked_after = _find_horizon(state, now)
+        if state.away:
+            return
+        state.away = True
         state.on_trial = True
-        state.blocked_since = now
+        state.backoff = _double(state.backoff, DOWN_SECONDS, MAX_DOWN_SECONDS)
         state.blocked_until = self._plan_wake(state, state.backoff, now)
 
     def note_full(self, state: RunnerState, now: float) -> None:
         """Give a runner nothing for a moment after it refused."""
         state.full_backoff = _double(state.full_backoff, FULL_SECONDS, MAX_FULL_SECONDS)
-        state.blocked_since = now
+        state.blocked_after = _find_horizon(state, now)
         state.full_until = self._plan_wake(state, state.full_backoff, now)
 
     def note_report(self, state: RunnerState, as_of: float, now: float) -> None:
-        """Use a runner again that says it is there, later than it was found away."""
+        """Use a runner again that shows that it is there."""
         self._plan_expiry(state)
-        if as_of <= state.blocked_since:
+        state.misses = 0
+        if as_of <= state.blocked_after:
             return
         state.full_until = min(state.full_until, now)
+        state.away = False
         if not self._ejector.is_ejected(state.name):
             state.blocked_until = min(state.blocked_until, now)
 
@@ -192,5 +214,16 @@
         return until
 
 
+def _find_horizon(state: RunnerState, now: float) -> float:
+    """Return the time, by the runner's clock, after which a report is news.
+
+    The last report's time and what has passed since: the runner's clock and this
+    router's may differ by any amount, the seconds that they count hardly do.
+    """
+    if state.report_seen == float("-inf"):
+        return state.report_seen
+    return state.report_as_of + (now - state.report_seen) + LAG_SECONDS
+
+
 def _double(last: float, least: float, most: float) -> float:
     return min(most, max(least, 2 * last))
--- a/knapweedrail/tests/test_under_load.py
+++ b/knapweedrail/tests/test_under_load.py
@@ -22,8 +22,9 @@
 from ..models import SERVICE, Endpoint, Rules
 from ..outcomes import Ran, RefusalKind
 from ..placement import Placement
+from ..standins.arrivals import Mix, Request, build_arrivals
 from ..standins.baselines import FirstCome
-from ..standins.virtual import Mix, Request, VirtualRunner, World, build_arrivals
+from ..standins.virtual import VirtualRunner, World
 from ..work import Work
 from .test_queues import FirstComeQueue
 
