--- a/knapweedrail/batches.py
+++ b/knapweedrail/batches.py
@@ -36,6 +36,10 @@
 encodes the ledger whole, which costs milliseconds by then; a page much smaller would
 make many pages for a starting router to read."""
 
+READS_FAILED = 2
+"""Reads that fail one after another before the platform counts as away. A single lost
+answer would else refuse requests and claims at once with the platform there."""
+
 WRITES_FAILED = 3
 """Writes of one batch that fail, with reads answered between them, before the platform
 counts as away. One lost answer must not make a whole data centre refuse; a platform
@@ -169,8 +173,23 @@
             return self._ledger
         assert isinstance(outcome, Found)
         if self._ledger is None or outcome.version > self._version:
-            self._ledger = decode_ledger(outcome.value)
-            self._version = outcome.version
+            return self._decode(outcome)
+        return self._ledger
+
+    def _decode(self, found: Found) -> Ledger | Unavailable:
+        """Take over a ledger; one that can't be decoded is as good as out of reach.
+
+        It may be of a newer program's format. Raising would end the router and with
+        it all requests; as it is, only those that need this shard are refused.
+        """
+        try:
+            self._ledger = decode_ledger(found.value)
+        except (ValueError, KeyError, TypeError, IndexError) as error:
+            log_event(Event.LEDGER_UNREADABLE, key=self.key, error=repr(error))
+            self._failed_reads += 1
+            self._judge()
+            return Unavailable("ledger.decode", self.key, repr(error))
+        self._version = found.version
         return self._ledger
 
     def _note_write(self, answered: bool) -> None:
@@ -180,7 +199,8 @@
         self._judge()
 
     def _judge(self) -> None:
-        away = self._failed_reads > 0 or self._failed_writes >= WRITES_FAILED
+        is_silent = self._failed_reads >= READS_FAILED
+        away = is_silent or self._failed_writes >= WRITES_FAILED
         if away == self._away:
             return
         self._away = away
--- a/knapweedrail/benches/budgets.py
+++ b/knapweedrail/benches/budgets.py
@@ -105,18 +105,26 @@
 
 def print_schemes(seeds: list[int]) -> list[Result]:
     """Print the grants beside the plainest correct schemes, same requests."""
-    print("Schemes side by side: an hour's cut of all data centres; then no cut\n")
-    print_header("scheme", "cut (min)", "left", "false refusals (%)", "overspend")
+    print("Schemes side by side: an hour's cut of all data centres; then no cut.")
+    print("Skew: requests of one data centre as a multiple of each other one's\n")
+    print_header(
+        "scheme", "skew", "cut (min)", "left", "false refusals (%)", "overspend"
+    )
     results = []
-    for minutes, left in ((60, 0.5), (60, 0.1), (0, 0.1), (0, 0.05)):
+    for skew, minutes, left in (
+        (1, 60, 0.5),
+        (4, 60, 0.5),
+        (4, 60, 0.25),
+        (1, 0, 0.1),
+        (4, 0, 0.1),
+    ):
         for scheme in (GRANTS, EQUAL, WRITES):
-            runs = [
-                run_cut(scheme, make_load(seed, left), ALL, minutes / 60 * HOUR)
-                for seed in seeds
-            ]
+            loads = [attrs.evolve(make_load(seed, left), skew=skew) for seed in seeds]
+            runs = [run_cut(scheme, load, ALL, minutes / 60 * HOUR) for load in loads]
             results += runs
             overspend = sum(item.overspend for item in runs)
-            print_row(scheme, minutes, f"{left:.0%}", show_percent(runs), overspend)
+            percent = show_percent(runs)
+            print_row(scheme, skew, minutes, f"{left:.0%}", percent, overspend)
     print()
     return results
 
--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -26,6 +26,7 @@
         "a fence round has ended; `waits_for` names silent routers",
     )
     RESERVATION_EXCEEDED = (303, "a request used more tokens than it had reserved")
+    LEDGER_UNREADABLE = (305, "a ledger or one of its pages can't be decoded")
     BILL_STANDS = (304, "a request was billed before; its tokens stay unbilled")
     TEXT_MISSING = (401, "a configuration's text can't be read from the platform")
     TEXT_REFUSED = (402, "a proposed configuration doesn't pass this router's checks")
--- a/knapweedrail/flushes.py
+++ b/knapweedrail/flushes.py
@@ -24,6 +24,8 @@
 from .grants import View, decide_return, find_fair_part, needs_more
 from .holdings import Holdings, Waiter
 from .ledgers import Ledger
+from .models import Holder
+from .neighbours import Total
 from .outcomes import Refusal, Unavailable
 from .shards import PendingRecord, Shard, Work, ignore, list_budget_work
 from .transfers import Transfers
@@ -150,7 +152,18 @@
         shard.greeted = True
         me = self.holdings.holder
         fenced = sorted(self.holdings.neighbours.fenced() - {me}, key=str)
-        return [Work(NoteFence(holder, (me,)), ignore) for holder in fenced]
+        return [Work(self._note_fence(me, holder), ignore) for holder in fenced]
+
+    def _note_fence(self, me: Holder, fenced: Holder) -> NoteFence:
+        # From here on nothing is traded with it. Something may have been before: a
+        # life can trade before its first batch, and hear of a later fence.
+        answer = self.holdings.fence(fenced)
+        return NoteFence(
+            fenced,
+            (me,),
+            tuple(Total(me, item.budget, item.tokens) for item in answer.received),
+            tuple(Total(me, item.budget, item.tokens) for item in answer.handed),
+        )
 
     def _compose_budget(self, shard: Shard, budget: str, now: float) -> list[Work]:
         allowance = self.holdings.get(budget)
--- a/knapweedrail/standins/spending.py
+++ b/knapweedrail/standins/spending.py
@@ -56,6 +56,7 @@
         requests: Requests a second, over the whole fleet.
         budget_seconds: Seconds of its own demand that each budget holds.
         seed: Seed of the arrivals.
+        skew: Requests of the first data centre as a multiple of another's.
     """
 
     data_centres: int = 3
@@ -64,6 +65,7 @@
     requests: float = 6.0
     budget_seconds: float = 1440.0
     seed: int = 1
+    skew: float = 1.0
 
     @property
     def request_tokens(self) -> float:
@@ -324,13 +326,17 @@
         names = list(self.load.list_limits())
         weights = [1 / (number + 1) for number in range(len(names))]
         routers = [name for _, name in list_routers(self.load)]
+        first = self.load.routers
+        shares = [self.load.skew] * first + [1.0] * (len(routers) - first)
         end = anyio.current_time() + seconds
         while True:
             await anyio.sleep(rng.expovariate(self.load.requests))
             if anyio.current_time() >= end:
                 return
             budget = rng.choices(names, weights)[0]
-            router = rng.choice([name for name in routers if name not in self.dead])
+            router = rng.choices(routers, shares)[0]
+            if router in self.dead:
+                router = rng.choice([name for name in routers if name not in self.dead])
             tokens = rng.randint(*RESERVED_TOKENS)
             used = int(tokens * rng.uniform(*USED_PART))
             group.start_soon(
--- a/knapweedrail/tests/test_budgets.py
+++ b/knapweedrail/tests/test_budgets.py
@@ -22,7 +22,7 @@
     Settled,
 )
 from ..budgets import BudgetTask
-from ..ledgers import decode_ledger
+from ..ledgers import Ledger, decode_ledger, encode_ledger
 from ..models import Bill, Rules
 from ..outcomes import Ran, Refusal, RefusalKind
 from .fakes import MemoryNeighbours, MemoryPlatform, MemoryRegistry, make_holder
@@ -336,6 +336,25 @@
         assert recovered.waits_for == ""
 
 
+@pytest.mark.anyio
+async def test_unreadable_ledger_refuses_and_recovers():
+    """A newer program has written the ledger in a format that this one can't read.
+
+    Requests that need it are refused as out of reach; the router goes on, and serves
+    again once the ledger can be read.
+    """
+    async with run_fleet() as fleet:
+        task = await fleet.add("r1")
+        fleet.platform.objects["ledger/0"] = (b'{"format": 99}', 1)
+        refusal = await task.ask(Reserve("meadow", 10))
+        assert refusal.kind is RefusalKind.BUDGET_OUT_OF_REACH
+        fleet.platform.objects["ledger/0"] = (encode_ledger(Ledger()), 1)
+        fleet.platform.revision = 1
+        with anyio.fail_after(10):
+            while isinstance(await task.ask(Reserve("meadow", 10)), Refusal):
+                await anyio.sleep(0.05)
+
+
 @pytest.mark.anyio
 async def test_drain_gives_everything_back():
     """A router is replaced, as hundreds are each day.
