--- a/knapweedrail/quarantine.py
+++ b/knapweedrail/quarantine.py
@@ -48,15 +48,17 @@
     innocent come through with one retry each, and the guilty one has lost its
     allowed number of runners.
 
+    This holds within one router. Two suspects of different routers may meet on a
+    runner, and then neither router can tell whose fault its end was: an innocent
+    one may be condemned, until its time is over. Waiting for a further loss before
+    refusing would cost everybody on one more runner their answers.
+
     Args:
         limit: Lost runners after which a request is refused.
-        origin: Name that no other router uses, for the names of losses.
     """
 
-    def __init__(self, limit: int, origin: str) -> None:
+    def __init__(self, limit: int) -> None:
         self.limit = limit
-        self._origin = origin
-        self._sequence = 0
         self._records: OrderedDict[str, _Record] = OrderedDict()
 
     def blocks(self, fingerprint: str, now: float) -> bool:
@@ -70,6 +72,11 @@
             return False
         return True
 
+    def measure_rest(self, fingerprint: str, now: float) -> float:
+        """Return the seconds until a blocked request may be tried again."""
+        record = self._records.get(fingerprint)
+        return record.changed + QUARANTINE_SECONDS - now if record else 0.0
+
     def suspects(self, fingerprint: str) -> bool:
         """Return whether a loss is held against this request."""
         record = self._records.get(fingerprint)
@@ -85,11 +92,9 @@
         """
         known = {text for text in fingerprints if text}
         suspects = {text for text in known if self.suspects(text)}
-        self._sequence += 1
-        loss = f"{runner}#{self._origin}#{self._sequence}"
         for fingerprint in suspects or known:
             record = self._touch(fingerprint, now)
-            record.losses.add(loss)
+            record.losses.add(_name_loss(runner, record.losses))
 
     def clear(self, fingerprint: str, now: float) -> None:
         """Drop the suspicion: the request has been answered whole."""
@@ -131,6 +136,24 @@
         return record
 
 
+def _name_loss(runner: str, known: set[str]) -> str:
+    """Return the name of a further loss of a runner.
+
+    One runner's end is seen by every router that had the content on it. Named by the
+    router, it would count once for each of them, and refuse content that felled one
+    runner. So it is named by the runner and a number one higher than the highest
+    known: routers that see the same loss before they hear of one another's give it
+    the same name, and a later loss gets a higher number, since its router has heard
+    of the first. No clock is needed to tell them apart.
+    """
+    numbers = [
+        int(number)
+        for name, _, number in (loss.rpartition("#") for loss in known)
+        if name == runner
+    ]
+    return f"{runner}#{max(numbers, default=0) + 1}"
+
+
 def _format(fingerprint: str, record: _Record) -> str:
     losses = ",".join(sorted(record.losses))
     cleared = ",".join(sorted(record.cleared))
