Bound the wait for tokens to 3 s

Cause: callers of a data centre cut off with a nearly spent budget got no answer for 15 to 29 s (seen by a trial of the fault harness): a request could wait for tokens until its deadline of 30 s. Ruled out: no wait at all (tokens that another holds idly come back within about a second). Change: TOKENS_SECONDS. Before: up to the deadline. After: 3 s at most by construction; the trial has not been run again. Conclusion: a final answer at once, with when to come back.

--- a/knapweedrail/jobs.py
+++ b/knapweedrail/jobs.py
@@ -28,6 +28,12 @@
 its connection finds its answer when it comes back under the same identity."""
 
 
+TOKENS_SECONDS = 3.0
+"""Longest wait for tokens. Those that another router holds idly come back within its
+next look at the ledger, about a second, and its write; a request that has none by
+then is told when to come back rather than held until near its deadline."""
+
+
 class Job(ABC):
     """One request's run: reserve, place, run, settle; once for all its callers.
 
@@ -138,7 +144,8 @@
         caller that has gone would stay so for ever.
         """
         with anyio.CancelScope(shield=True):
-            reservation = await self.budgets.ask(Reserve(budget, tokens, wait_seconds))
+            wait = min(wait_seconds, TOKENS_SECONDS)
+            reservation = await self.budgets.ask(Reserve(budget, tokens, wait))
         try:
             await anyio.lowlevel.checkpoint_if_cancelled()
         except anyio.get_cancelled_exc_class():
