Search longer for the wrong variants

Cause: Hypothesis draws constants from every imported module, so its fixed examples change whenever any module changes; test_checker_catches[AcceptLateAnswer] missed its variant in a full run with the new modules and passed alone. Ruled out: leaving the search as it was, which would fail at random landings. Change: 4000 instead of 400 examples at most for the ledger's variants, 6000 for the protocol's; a search ends at the first failure, so the checks are as strict as before. Conclusion: a rule that leads to that variant sooner would make the test faster.

--- a/knapweedrail/tests/test_ledgers.py
+++ b/knapweedrail/tests/test_ledgers.py
@@ -467,7 +467,7 @@
 def test_checker_catches(wrong, check):
     """Each wrong way shows within the same kind of run, so the checks can fail."""
     with pytest.raises(AssertionError) as caught:
-        run_machine(wrong, 400)
+        run_machine(wrong, 4000)
     assert check in {entry.name for entry in caught.traceback}
 
 
--- a/knapweedrail/tests/test_proposals.py
+++ b/knapweedrail/tests/test_proposals.py
@@ -383,7 +383,7 @@
 
 HUNT = settings(
     RUNS,
-    max_examples=1500,
+    max_examples=6000,
     phases=[Phase.generate],
     report_multiple_bugs=False,
     print_blob=False,
