--- a/knapweedrail/flushes.py
+++ b/knapweedrail/flushes.py
@@ -16,6 +16,7 @@
     Denied,
     Grant,
     Granted,
+    NoteFence,
     OpenBudget,
     Outcome,
 )
@@ -23,6 +24,8 @@
 from .grants import View, decide_return, find_fair_part, needs_more
 from .holdings import Holdings, Waiter
 from .ledgers import Ledger
+from .models import Holder
+from .neighbours import Total
 from .outcomes import Refusal, Unavailable
 from .shards import PendingRecord, Shard, Work, ignore, list_budget_work
 from .transfers import Transfers
@@ -121,7 +124,7 @@
         shard.next_flush = now + self.holdings.flush_seconds
         names = self.holdings.waiters
         waiting = {name for name in names if self.holdings.shard_of(name) is shard}
-        work: list[Work] = []
+        work = self._compose_greeting(shard)
         for budget in sorted(shard.dirty | waiting):
             work += self._compose_budget(shard, budget, now)
         shard.dirty.clear()
@@ -138,6 +141,30 @@
             work.append(Work(end.entry, lambda outcome, e=end: _end_record(e)))
         return work
 
+    def _compose_greeting(self, shard: Shard) -> list[Work]:
+        """Note with the first batch which fences stood when this life began.
+
+        It stands before the first grant. Should this router die, the fence round for
+        it needn't wait for those that were fenced before it came.
+        """
+        if shard.greeted:
+            return []
+        shard.greeted = True
+        me = self.holdings.holder
+        fenced = sorted(self.holdings.neighbours.fenced() - {me}, key=str)
+        return [Work(self._note_fence(me, holder), ignore) for holder in fenced]
+
+    def _note_fence(self, me: Holder, fenced: Holder) -> NoteFence:
+        # From here on nothing is traded with it. Something may have been before: a
+        # life can trade before its first batch, and hear of a later fence.
+        answer = self.holdings.fence(fenced)
+        return NoteFence(
+            fenced,
+            (me,),
+            tuple(Total(me, item.budget, item.tokens) for item in answer.received),
+            tuple(Total(me, item.budget, item.tokens) for item in answer.handed),
+        )
+
     def _compose_budget(self, shard: Shard, budget: str, now: float) -> list[Work]:
         allowance = self.holdings.get(budget)
         opening = None
--- a/knapweedrail/standins/virtual.py
+++ b/knapweedrail/standins/virtual.py
@@ -7,69 +7,32 @@
 from __future__ import annotations
 
 import heapq
-import random
 from collections import OrderedDict, deque
 from collections.abc import Callable
-from functools import lru_cache
-from itertools import accumulate
 from typing import Any
 
 import attrs
 
 from ..models import Runner
-from ..outcomes import Refusal
-from ..work import Ended, EndedKind, LoadReport, Refuse, Start, Work
+from ..work import Ended, EndedKind, LoadReport, Refuse, Start
+from .arrivals import PREFILL_TOKENS_PER_SECOND, SECONDS_PER_TOKEN, Request
 
-PREFILL_TOKENS_PER_SECOND = 5000.0
-SECONDS_PER_TOKEN = 0.025
 CACHED_PREFIXES = 20
 REPORT_INTERVAL_SECONDS = 0.5
 REPORT_LAG_SECONDS = 1.0
 NETWORK_SECONDS = 0.001
 CRASH_AFTER_SECONDS = 0.2
-
-
-@attrs.define
-class Request:
-    """One request of a caller and what became of it.
-
-    Attributes:
-        arrival: Seconds at which it reaches its router.
-        router: Index of the router.
-        work: What the router knows of it.
-        answer_tokens: Tokens that the answer will have.
-        poison: Whether it crashes the runner that runs it.
-        first: Seconds at which the first byte came.
-        done: Seconds at which the whole answer had come.
-        refusal: The refusal, if that was the answer.
-        answered: Seconds at which the refusal came.
-        runs: Runs that began at a runner.
-    """
-
-    arrival: float
-    router: int
-    work: Work
-    answer_tokens: int
-    poison: bool = False
-    first: float | None = None
-    done: float | None = None
-    refusal: Refusal | None = None
-    answered: float | None = None
-    runs: int = 0
-
-    @property
-    def good(self) -> bool:
-        """Whether the whole answer came and its first byte was in time."""
-        return self.done is not None and self.first <= self.work.deadline
+HEDGE = "/hedge"
+"""Ends the work's id of a second run that was started beside the first."""
 
 
 @attrs.define(eq=False)
 class _Run:
     request: Request
+    start: Start
     router: int
     runner: VirtualRunner
     sent: float
-    priority: int = 0
     began: float | None = None
     over: bool = False
 
@@ -182,6 +145,13 @@
             self._end(run, EndedKind.CRASHED)
         self.at(self.now + down_seconds, lambda: setattr(runner, "down", False))
 
+    def break_connections(self) -> None:
+        """Fail all runs under way by a fault of the network."""
+        for run in list(self._runs.values()):
+            if not run.over:
+                self._leave(run)
+                self._end(run, EndedKind.FAILED)
+
     def _arrive(self, request: Request) -> None:
         router = self.routers[request.router]
         self._apply(request.router, router.submit(request.work, self.now))
@@ -192,23 +162,24 @@
         if request.first is not None or request.refusal is not None:
             return
         self.routers[request.router].cancel(request.work.id, self.now)
-        run = self._runs.get(request.work.id)
-        if run is not None:
-            self._leave(run)
-            self._end(run, EndedKind.CANCELLED)
+        for work_id in (request.work.id, request.work.id + HEDGE):
+            run = self._runs.get(work_id)
+            if run is not None:
+                self._leave(run)
+                self._end(run, EndedKind.CANCELLED)
 
     def _apply(self, index: int, decisions: list) -> None:
         for decision in decisions:
             self.decisions += 1
-            request = self.requests[decision.work_id]
+            request = self._find(decision.work_id)
             if isinstance(decision, Refuse):
                 request.refusal = decision.refusal
                 request.answered = self.now
                 self.on_refusal(request)
             elif isinstance(decision, Start):
                 runner = self.runners[decision.runner]
-                run = _Run(request, index, runner, self.now, decision.priority)
-                self._runs[request.work.id] = run
+                run = _Run(request, decision, index, runner, self.now)
+                self._runs[decision.work_id] = run
                 self.at(self.now + NETWORK_SECONDS, lambda r=run: self._receive(r))
         self._plan_tick(index)
 
@@ -263,7 +234,21 @@
         if run.over or run.request.first is not None:
             return
         run.request.first = self.now
-        self.routers[run.router].answering(run.request.work.id, self.now)
+        self.routers[run.router].answering(run.start.work_id, self.now)
+        self._cancel_twin(run)
+
+    def _cancel_twin(self, run: _Run) -> None:
+        """Cancel the other run of a hedged request."""
+        name = run.request.work.id
+        for work_id in (name, name + HEDGE):
+            twin = self._runs.get(work_id)
+            if twin is not None and twin is not run:
+                self.routers[run.router].cancel(work_id, self.now)
+                self._leave(twin)
+                self._end(twin, EndedKind.CANCELLED)
+
+    def _find(self, work_id: str) -> Request:
+        return self.requests[work_id.removesuffix(HEDGE)]
 
     def _complete(self, run: _Run) -> None:
         if run.over:
@@ -278,26 +263,24 @@
         if run in runner.waiting:
             runner.waiting.remove(run)
         while runner.waiting and len(runner.running) < runner.slots:
-            following = min(runner.waiting, key=lambda waiting: waiting.priority)
+            following = min(runner.waiting, key=lambda waiting: waiting.start.priority)
             runner.waiting.remove(following)
             self._begin(following)
 
     def _end(self, run: _Run, kind: EndedKind) -> None:
         run.over = True
-        request = run.request
-        if self._runs.get(request.work.id) is run:
-            del self._runs[request.work.id]
+        work_id = run.start.work_id
+        if self._runs.get(work_id) is run:
+            del self._runs[work_id]
         first = None
-        if request.first is not None:
-            first = request.first - run.sent
+        if run.request.first is not None:
+            first = run.request.first - run.sent
         outcome = Ended(kind, first, self.now - run.sent)
         router = self.routers[run.router]
-        name = run.runner.name
-        self._apply(
-            run.router, router.finished(request.work.id, name, outcome, self.now)
-        )
+        ended = router.finished(work_id, run.runner.name, outcome, self.now)
+        self._apply(run.router, ended)
         if kind in (EndedKind.CRASHED, EndedKind.FAILED, EndedKind.SILENT):
-            self._apply(run.router, router.retry(request.work.id, self.now))
+            self._apply(run.router, router.retry(work_id, self.now))
 
     def _report(self, runner: VirtualRunner) -> None:
         if not runner.down:
@@ -317,100 +300,3 @@
         for index, router in enumerate(self.routers):
             router.report(name, report, self.now)
             self._plan_tick(index)
-
-
-@attrs.frozen
-class Mix:
-    """What callers send.
-
-    Attributes:
-        accounts: Accounts; the share of each falls as one over its rank.
-        first_account_share: Share of the first account, if it is to differ.
-        routers: Routers over which the balancer spreads requests.
-        long_share: Share of long work among the requests.
-        long_deadline: Seconds for the first byte of long work.
-        short_deadline: The same of short work.
-        histories: Different prompt prefixes; some are asked about more often, with
-            a share that falls as one over the rank.
-    """
-
-    accounts: int = 10
-    first_account_share: float | None = None
-    routers: int = 6
-    long_share: float = 0.25
-    long_deadline: float = 30.0
-    short_deadline: float = 10.0
-    histories: int = 200
-
-    def build(self, rng: random.Random, number: int, arrival: float) -> Request:
-        """Make one request."""
-        short = rng.random() >= self.long_share
-        rank = self._draw_account(rng)
-        history = draw_rank(rng, self.histories)
-        largest = 160 if short else 1024
-        answer = max(1, int(largest * rng.uniform(0.2, 0.9)))
-        deadline = self.short_deadline if short else self.long_deadline
-        work = Work(
-            id=f"w{number}",
-            account=f"account-{rank}",
-            fingerprint=f"f{number}",
-            prefix_hash=history,
-            prompt_tokens=3000 if short else 6000,
-            max_answer_tokens=largest,
-            deadline=arrival + deadline,
-            short=short,
-        )
-        return Request(arrival, rng.randrange(self.routers), work, answer)
-
-    def _draw_account(self, rng: random.Random) -> int:
-        if self.first_account_share is None:
-            return draw_rank(rng, self.accounts)
-        if rng.random() < self.first_account_share:
-            return 1
-        return rng.randrange(2, self.accounts + 1)
-
-    def mean_seconds(self) -> float:
-        """Return the mean slot seconds of one request, with nothing cached."""
-        short = 3000 / PREFILL_TOKENS_PER_SECOND + 0.55 * 160 * SECONDS_PER_TOKEN
-        long = 6000 / PREFILL_TOKENS_PER_SECOND + 0.55 * 1024 * SECONDS_PER_TOKEN
-        return self.long_share * long + (1 - self.long_share) * short
-
-
-def draw_rank(rng: random.Random, count: int) -> int:
-    """Draw from 1 to ``count``, each with a weight of one over its rank."""
-    ranks = range(1, count + 1)
-    return rng.choices(ranks, cum_weights=_cumulate(count))[0]
-
-
-@lru_cache
-def _cumulate(count: int) -> list[float]:
-    return list(accumulate(1 / rank for rank in range(1, count + 1)))
-
-
-def build_arrivals(
-    mix: Mix, rng: random.Random, rate: float, start: float, seconds: float
-) -> list[Request]:
-    """Make open-loop arrivals: callers don't wait for one another's answers.
-
-    Args:
-        mix: What they send.
-        rng: Source of all choices; the same seed gives the same arrivals.
-        rate: Requests a second.
-        start: Seconds of the first.
-        seconds: For how long they come.
-    """
-    requests: list[Request] = []
-    time = start + rng.expovariate(rate)
-    while time < start + seconds:
-        number = int(time * 1_000_000)
-        requests.append(mix.build(rng, number, time))
-        time += rng.expovariate(rate)
-    return requests
-
-
-def find_quantile(values: list[float], share: float) -> float:
-    """Return a quantile; NaN for no values."""
-    if not values:
-        return float("nan")
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
