--- a/knapweedrail/budget_messages.py
+++ b/knapweedrail/budget_messages.py
@@ -26,7 +26,8 @@
     Attributes:
         budget: Name of the budget.
         tokens: Prompt and largest answer, or the price of a call.
-        wait_seconds: Longest wait for tokens to come from elsewhere.
+        wait_seconds: Longest wait for tokens to come from elsewhere; the task bounds
+            it further.
     """
 
     budget: str
--- a/knapweedrail/budgets.py
+++ b/knapweedrail/budgets.py
@@ -43,6 +43,11 @@
 TICK_SECONDS = 0.02
 """How late a due flush, look or refusal may be noticed."""
 
+LONGEST_WAIT_SECONDS = 1.5
+"""Bound on a request's wait for tokens, whatever it allows. Tokens that open routers
+hold idle come within about a second while these reach the platform. Whoever doesn't
+give them back by then is cut off, and more waiting would only hold the refusal back."""
+
 SLOW_SECONDS = 0.25
 """A platform's answer later than this makes waiting requests ask neighbours too."""
 
@@ -176,7 +181,7 @@
         budget = message.budget
         holdings.get(budget).demand.note_reservation(message.tokens, now)
         shard = holdings.shard_of(budget)
-        deadline = now + message.wait_seconds
+        deadline = now + min(message.wait_seconds, LONGEST_WAIT_SECONDS)
         waiter = Waiter(message, reply, deadline, shard.started)
         if holdings.give(waiter):
             self._transfers.seek_ahead(budget)
--- a/knapweedrail/grants.py
+++ b/knapweedrail/grants.py
@@ -39,12 +39,13 @@
 after it cost a write; at 1 a router whose demand varies would write all the time.
 """
 
-TIGHT_RESERVATIONS = 2
-"""A budget with less available than this many of the largest reservations is tight."""
+TIGHT_RESERVATIONS = 1
+"""A budget with less available than this many of the largest reservations is tight: the
+next request of a router that holds none may have to wait for what others hold."""
 
-TIGHT_PART = 0.05
-"""So is one with less than this part of what is left available: half of what holdings
-ahead of need leave there, so that requests have begun to draw on the rest."""
+TIGHT_PART = 0.02
+"""So is one with less than this part of what is left available: a fifth of what
+holdings ahead of need leave there, so requests have begun to draw on the rest."""
 
 LOW_WATER = 0.5
 """A holding below this part of its target asks for more with the next flush, also when
--- a/knapweedrail/tests/test_budgets.py
+++ b/knapweedrail/tests/test_budgets.py
@@ -142,6 +142,28 @@
         await wait_for(lambda: fleet.read().budgets["ridge"].billed == 500)
 
 
+@pytest.mark.anyio
+async def test_tokens_with_a_cut_off_router_are_not_waited_for():
+    """The last tokens are with a router that is cut off, and a caller allows 30 s.
+
+    It is told within a second or two that they are out of reach, and when to come
+    back; held to its deadline it would hear the same half a minute later.
+    """
+    async with run_fleet() as fleet:
+        one, two = await fleet.add("r1"), await fleet.add("r2")
+        await spend(one, "ridge", 100, "a")
+        await spend(two, "ridge", 100, "b")
+        fleet.platform.cut.add("r1")
+        fleet.registry.silent.add(one.holder)
+        with anyio.fail_after(10):
+            while True:
+                answer = await two.ask(Reserve("ridge", 100, 30.0))
+                if isinstance(answer, Refusal):
+                    break
+        assert answer.kind is RefusalKind.BUDGET_OUT_OF_REACH
+        assert answer.retry_after
+
+
 @pytest.mark.anyio
 async def test_platform_away_serves_on_from_neighbours_and_refuses_at_once():
     """The platform is away while callers go on asking.
