Cover an outage that begins right after an account's first requests

Ruled out: a larger allowance (it is what a death writes off). Change: a reserve covers eight of the largest requests at least; a neighbour that is asked hands half of its idle allowance over whether it has noticed or not. Figures: the new test fails before and passes after; pytest test_budgets.py and test_ledgers.py pass.

--- a/knapweedrail/grants.py
+++ b/knapweedrail/grants.py
@@ -26,6 +26,13 @@
 the largest accounts, so it is no more than the next request and one beside it.
 """
 
+LEAST_COVER_RESERVATIONS = 8
+"""A reserve covers this many of the largest reservations seen, whatever the demand.
+
+For an outage that begins within seconds of an account's first requests, when its
+demand isn't known yet. It costs little: a reserve comes back when its keeper dies.
+"""
+
 KNOWN_SECONDS = 300.0
 """Time over which a demand has been seen when the cover is worked out."""
 
@@ -94,7 +101,10 @@
     cover = whole * cover_seconds * (1.0 + find_doubt(whole, largest))
     if neighbours == 0:
         return Target(int(max(allowance, cover)), 0)
-    return Target(int(allowance), int(cover / (neighbours + 1)))
+    reserve = cover / (neighbours + 1)
+    if cover_seconds > 0:
+        reserve = max(reserve, LEAST_COVER_RESERVATIONS * largest)
+    return Target(int(allowance), int(reserve))
 
 
 def find_doubt(demand: float, largest: int) -> float:
--- a/knapweedrail/tests/test_budgets.py
+++ b/knapweedrail/tests/test_budgets.py
@@ -142,6 +142,30 @@
         await wait_for(lambda: fleet.read().budgets["ridge"].billed == 500)
 
 
+@pytest.mark.anyio
+async def test_outage_right_after_the_first_requests():
+    """The platform goes away a moment after an account's first requests.
+
+    Its demand isn't known yet and the neighbour hasn't noticed the outage. Eight
+    callers at once are served all the same, as the budget is nearly untouched.
+    """
+    async with run_fleet() as fleet:
+        one, two = await fleet.add("r1"), await fleet.add("r2")
+        for task in (one, two):
+            answer = await task.ask(Reserve("meadow", 200, 5.0))
+            assert isinstance(answer, Reservation)
+        fleet.platform.away = True
+        answers = []
+
+        async def ask():
+            answers.append(await one.ask(Reserve("meadow", 200, 5.0)))
+
+        async with anyio.create_task_group() as group:
+            for _ in range(8):
+                group.start_soon(ask)
+        assert [type(answer) for answer in answers] == [Reservation] * 8
+
+
 @pytest.mark.anyio
 async def test_tokens_with_a_cut_off_router_are_not_waited_for():
     """The last tokens are with a router that is cut off, and a caller allows 30 s.
--- a/knapweedrail/transfers.py
+++ b/knapweedrail/transfers.py
@@ -67,14 +67,11 @@
     def _find_spare(self, budget: str) -> int:
         """Return how many own free tokens a neighbour may have besides the reserve.
 
-        With the platform away nothing can be recalled through it, and on a budget that
-        runs low that takes long; tokens would lie idle in one router while the one
-        beside it refuses. Half is kept, so that
-        two routers in need don't pass the same tokens to and fro.
+        It is asked by a router whose requests have nothing else: with the platform
+        away, which this router may not have noticed yet, or on a budget that runs
+        low. Half is kept, so that two routers in need don't pass the same tokens to
+        and fro.
         """
-        shard = self.holdings.shard_of(budget)
-        if not shard.away and not shard.tight:
-            return 0
         allowance = self.holdings.get(budget)
         idle = allowance.free - self.holdings.waiting_tokens(budget)
         if allowance.demand.largest(self.holdings.now()) == 0:
