--- a/knapweedrail/benches/decisions.py
+++ b/knapweedrail/benches/decisions.py
@@ -10,8 +10,9 @@
 
 from ..dispatch import Dispatcher
 from ..models import ENGINE, Endpoint, Rules, Runner
+from ..standins.trials import SLOTS
 from ..work import Ended, EndedKind, LoadReport, Start, Work
-from .policies import SLOTS, print_table
+from .policies import print_table
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
--- a/knapweedrail/tests/test_quarantine.py
+++ b/knapweedrail/tests/test_quarantine.py
@@ -5,12 +5,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ..benches.policies import SHAPES, Shape, build_world
 from ..dispatch import Dispatcher
 from ..isolation import Isolation
 from ..outcomes import RefusalKind
 from ..quarantine import MAX_FINGERPRINTS, QUARANTINE_SECONDS, Quarantine
 from ..standins.arrivals import Mix, build_arrivals
+from ..standins.trials import SHAPES, Shape, build_world
 from ..work import Work
 
 
--- a/knapweedrail/tests/test_under_load.py
+++ b/knapweedrail/tests/test_under_load.py
@@ -8,7 +8,14 @@
 
 import pytest
 
-from ..benches.policies import (
+from ..dispatch import Dispatcher
+from ..ejection import Ejector
+from ..models import SERVICE, Endpoint, Rules
+from ..outcomes import Ran, RefusalKind
+from ..placement import Placement
+from ..standins.arrivals import Mix, Request, build_arrivals
+from ..standins.baselines import FirstCome
+from ..standins.trials import (
     SHAPES,
     Shape,
     build_world,
@@ -17,13 +24,6 @@
     run_trial,
     slow_down_first,
 )
-from ..dispatch import Dispatcher
-from ..ejection import Ejector
-from ..models import SERVICE, Endpoint, Rules
-from ..outcomes import Ran, RefusalKind
-from ..placement import Placement
-from ..standins.arrivals import Mix, Request, build_arrivals
-from ..standins.baselines import FirstCome
 from ..standins.virtual import VirtualRunner, World
 from ..work import Work
 from .test_queues import FirstComeQueue
