--- a/knapweedrail/standins/virtual.py
+++ b/knapweedrail/standins/virtual.py
@@ -53,7 +53,8 @@
         self.slowness = 1.0
         self.down = False
         self.leaving = False
-        self.running: set[_Run] = set()
+        # A dictionary, for its order: a set of objects is ordered by their addresses.
+        self.running: dict[_Run, None] = {}
         self.waiting: deque[_Run] = deque()
         self.cache: OrderedDict[int, None] = OrderedDict()
         self.hits = 0
@@ -217,7 +218,7 @@
     def _begin(self, run: _Run) -> None:
         run.began = self.now
         run.request.runs += 1
-        run.runner.running.add(run)
+        run.runner.running[run] = None
         if run.request.poison:
             runner = run.runner
             self.at(self.now + CRASH_AFTER_SECONDS, lambda: self._poison(run, runner))
@@ -259,7 +260,7 @@
 
     def _leave(self, run: _Run) -> None:
         runner = run.runner
-        runner.running.discard(run)
+        runner.running.pop(run, None)
         if run in runner.waiting:
             runner.waiting.remove(run)
         while runner.waiting and len(runner.running) < runner.slots:
