--- a/knapweedrail/beliefs.py
+++ b/knapweedrail/beliefs.py
@@ -108,6 +108,12 @@
         self._registries[data_centre] = registry
         self._versions[data_centre] = version
         self._own_until = -math.inf
+        # Hosts come under new names every day; what was heard of lives that are over
+        # would pile up for as long as this process runs.
+        for name, news in list(self._news.items()):
+            if news.data_centre == data_centre and not self._may_live(news):
+                del self._news[name]
+                self._heard.pop(name, None)
         return True
 
     def knows(self, data_centre: str) -> bool:
@@ -138,6 +144,8 @@
         name = news.holder.name
         if name == self.name or news.holder.incarnation < self.highest(name):
             return False
+        if not self._may_live(news):
+            return False
         if news != self._news.get(name) or name not in self._heard:
             self._own_until = -math.inf
         self._news[name] = news
