--- a/knapweedrail/ejection.py
+++ b/knapweedrail/ejection.py
@@ -113,7 +113,9 @@
         health = self._get(name)
         if health.failures >= FAILURES_IN_ROW or late_runs >= LATE_RUNS:
             return True
-        if health.runs < MIN_RUNS:
+        if health.runs < MIN_RUNS or self._seen <= 1:
+            # Slow is slower than others: with nothing seen of others, a few answers'
+            # noise would do.
             return False
         return health.ratio > SLOW_FACTOR * self.compute_norm(name)
 
--- a/knapweedrail/supervision.py
+++ b/knapweedrail/supervision.py
@@ -199,9 +199,23 @@
     def _judge(self, state: RunnerState, late_runs: int, now: float) -> None:
         if self._ejector.is_ejected(state.name):
             return
-        if self._ejector.is_bad(state.name, late_runs) and self._ejector.may_eject():
+        if not self._ejector.is_bad(state.name, late_runs):
+            return
+        if self._ejector.may_eject() and self._has_other(state, now):
             self._eject(state, now)
 
+    def _has_other(self, state: RunnerState, now: float) -> bool:
+        """Return whether another runner is usable: the last one is never ejected.
+
+        In a data centre that is cut off its own runners are all there is. Ejected on
+        a few answers' noise, the last of them would leave callers refused beside an
+        idle runner until its trial.
+        """
+        return any(
+            other is not state and other.usable(now)
+            for other in self._fleet.runners.values()
+        )
+
     def _eject(self, state: RunnerState, now: float) -> None:
         seconds = self._ejector.eject(state.name)
         state.on_trial = False
--- a/knapweedrail/tests/test_dispatch.py
+++ b/knapweedrail/tests/test_dispatch.py
@@ -328,3 +328,21 @@
     for start in starts:
         dispatcher.finished(start.work_id, start.runner, CRASHED, 1.0)
     assert dispatcher.retry("w0", 1.0) == []
+
+
+def test_the_last_usable_runner_is_never_ejected():
+    """The other runner is out of reach, and the own one fails six requests in a row.
+
+    Its failures may be the requests' own fault. Ejected, it would leave callers
+    refused for as long as the cut lasts.
+    """
+    dispatcher = make_dispatcher(runners=RUNNERS[:2])
+    first, second = RUNNERS[0].name, RUNNERS[1].name
+    dispatcher.unreachable(second, 0.0)
+    for number in range(6):
+        work = make_work(number)
+        (start,) = dispatcher.submit(work, float(number))
+        assert (start.work_id, start.runner) == (work.id, first)
+        failed = Ended(EndedKind.FAILED, None, 0.1)
+        dispatcher.finished(work.id, first, failed, number + 0.1)
+        dispatcher.cancel(work.id, number + 0.1)
--- a/knapweedrail/tests/test_ejection.py
+++ b/knapweedrail/tests/test_ejection.py
@@ -82,3 +82,15 @@
     assert ejector.limit == 2
     ejector.set_runners(set(NAMES[2:]))
     assert ejector.may_eject()
+
+
+def test_a_runner_without_others_to_compare_with_is_not_slow():
+    """A data centre is cut off; its one runner's answers vary, as short ones do.
+
+    Judged against nothing, it was ejected after three of them, and every caller was
+    refused beside an idle runner.
+    """
+    ejector = make_ejector()
+    for ratio in (9.0, 4.0, 7.0, 5.0):
+        ejector.note_answer("r0", ratio)
+    assert not ejector.is_bad("r0")
--- a/knapweedrail/tests/test_faults_configuration.py
+++ b/knapweedrail/tests/test_faults_configuration.py
@@ -241,3 +241,13 @@
     # The budget was never gone: what it had is what it has.
     rows = json.loads(fleet.operate("budgets", "--json").stdout)
     assert [row["tokens"] for row in rows] == [1_000_000]
+
+
+def test_cut_off_data_centre_goes_on_serving(fleet):
+    """A data centre is cut off from the other and from the platform, which fall silent.
+    Its callers are served by its own runners, from the tokens that it holds; a request
+    sent to the other data centre's runner would hang."""
+    west = fleet.routers["west-router-0"]
+    assert ask(west, ENGINE_ROUTE) == (200, "")
+    cut_off(fleet, "west", "hold")
+    assert [ask(west, ENGINE_ROUTE) for _ in range(3)] == [(200, "")] * 3
