--- a/knapweedrail/servers.py
+++ b/knapweedrail/servers.py
@@ -61,6 +61,10 @@
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         listener = socket.socket(family, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted sockets inherit it. The event loop sets it only on sockets that
+        # name their protocol, which those accepted here don't: a token would then
+        # wait up to 40 ms for the acknowledgement of the one before.
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         listener.bind((host, port))
         listener.listen(BACKLOG)
         self.address = f"{host}:{listener.getsockname()[1]}"
--- a/knapweedrail/standins/serving.py
+++ b/knapweedrail/standins/serving.py
@@ -73,6 +73,8 @@
     """Listen, print the port, and serve until the process is ended."""
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted sockets inherit it; the event loop doesn't set it on them.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     listener.bind((LOCALHOST, port))
     listener.listen(BACKLOG)
     config = Config()
