--- a/knapweedrail/checks.py
+++ b/knapweedrail/checks.py
@@ -44,6 +44,21 @@
     max_connections: int
 
 
+@attrs.frozen
+class _Terms:
+    """What a caller's headers say of a request.
+
+    Attributes:
+        identity: The request's identity; made here when the caller gave none.
+        named: Whether the caller gave it.
+        deadline_seconds: Time for the first byte.
+    """
+
+    identity: str
+    named: bool
+    deadline_seconds: float
+
+
 class RequestChecker:
     """Checks requests against the configuration served now; costs nothing else.
 
@@ -72,15 +87,16 @@
         route = self._find_route(document.get("model"), ENGINE)
         if isinstance(route, Refusal):
             return route
-        named = self._read_identity(request)
-        if isinstance(named, Refusal):
-            return named
-        deadline = parse_deadline(request.headers.get(DEADLINE_HEADER), route)
-        if isinstance(deadline, Refusal):
-            return deadline
-        identity = named or uuid.uuid4().hex
+        terms = _read_terms(request, route)
+        if isinstance(terms, Refusal):
+            return terms
         return build_generation(
-            account, route, document, identity, named is not None, deadline
+            account,
+            route,
+            document,
+            terms.identity,
+            terms.named,
+            terms.deadline_seconds,
         )
 
     async def check_visit(self, request: Request) -> Visit | Refusal:
@@ -94,14 +110,11 @@
         body = await self._read_body(request)
         if isinstance(body, Refusal):
             return body
-        named = self._read_identity(request)
-        if isinstance(named, Refusal):
-            return named
-        deadline = parse_deadline(request.headers.get(DEADLINE_HEADER), route)
-        if isinstance(deadline, Refusal):
-            return deadline
+        terms = _read_terms(request, route)
+        if isinstance(terms, Refusal):
+            return terms
         repeatable = self._read_repeatable(request, route)
-        if not repeatable and named is None:
+        if not repeatable and not terms.named:
             # Without an identity a retry can't be told from a new call, and the
             # promise of at most one run would be empty.
             return refuse_request(
@@ -112,8 +125,8 @@
             path += "?" + request.url.query
         return Visit(
             account=account,
-            identity=named or uuid.uuid4().hex,
-            named=named is not None,
+            identity=terms.identity,
+            named=terms.named,
             route=route,
             method=request.method,
             path=path,
@@ -125,7 +138,7 @@
             body=body,
             repeatable=repeatable,
             fingerprint=fingerprint_visit(route.name, request.method, path, body),
-            deadline_seconds=deadline,
+            deadline_seconds=terms.deadline_seconds,
         )
 
     def authenticate(self, request: Request) -> ClientAccount | Refusal:
@@ -163,12 +176,6 @@
             return _refuse_undecided("a change of this route is under way")
         return refuse_request(f"no route {name!r}", RefusalKind.UNKNOWN_ROUTE)
 
-    def _read_identity(self, request: Request) -> str | Refusal | None:
-        identity = request.headers.get(IDENTITY_HEADER)
-        if identity is None:
-            return None
-        return check_identity(identity) or identity
-
     def _read_repeatable(self, request: Request, route: Route) -> bool:
         marked = request.headers.get(ONCE_HEADER, "false").strip().lower() == "true"
         return route.repeatable and not marked
@@ -197,6 +204,18 @@
         return b"".join(parts)
 
 
+def _read_terms(request: Request, route: Route) -> _Terms | Refusal:
+    identity = request.headers.get(IDENTITY_HEADER)
+    fault = check_identity(identity) if identity is not None else None
+    if fault is not None:
+        return fault
+    deadline = parse_deadline(request.headers.get(DEADLINE_HEADER), route)
+    if isinstance(deadline, Refusal):
+        return deadline
+    named = identity is not None
+    return _Terms(identity if named else uuid.uuid4().hex, named, deadline)
+
+
 def _refuse_undecided(detail: str) -> Refusal:
     return Refusal(
         "gateway.configuration",
