Leave the end mark out of the time between tokens

Cause: the load program counted the end mark as a piece, and it waits for the bill; one gap in fifty showed the bill's wait and not a token's. Change: a piece without a chunk is no gap.

--- a/knapweedrail/tools/load.py
+++ b/knapweedrail/tools/load.py
@@ -178,12 +178,14 @@
         end = b""
         async for piece in response.aiter_raw():
             now = time.perf_counter()
+            chunks = piece.count(b"\ndata: {")
             if previous is None:
                 _record(self.tally.first, now - start)
-            else:
+            elif chunks:
+                # The end mark by itself is no token: it waits for the bill.
                 _record(self.tally.gaps, now - previous)
             previous = now
-            self.tally.chunks += piece.count(b"\ndata: {")
+            self.tally.chunks += chunks
             end = (end + piece)[-64:]
         if END_MARK not in end:
             return "cut off"
