--- a/knapweedrail/tests/test_faults_platform.py
+++ b/knapweedrail/tests/test_faults_platform.py
@@ -1,5 +1,7 @@
 """The platform away, slow, limited and losing answers, under real routers."""
 
+import functools
+
 import anyio
 import pytest
 
@@ -91,3 +93,34 @@
     assert check_outcomes(later) == []
     chats = [call for call in later.calls if call.kind == "chat"]
     assert [call for call in chats if not call.answered] == []
+
+
+def test_a_budget_is_not_overspent_whatever_the_platform_does(fleet):
+    """A small budget is used up while writes fail, get lost and come late.
+
+    What the engines counted never exceeds it, and at the end it is told as spent.
+    """
+    fleet.apply(**add_budget(fleet, "small", 1_500))
+    callers = Callers(fleet, tries=4)
+    chat = functools.partial(callers.chat, account="small", max_tokens=32)
+
+    async def run():
+        async with anyio.create_task_group() as group:
+            for index in range(50):
+                group.start_soon(chat, f"small-{index}", f"where is shed {index}")
+            for faults in ({"lose": 5}, {"delay": 0.6}, {"outage": True}):
+                fleet.platform.set_faults(**faults)
+                await anyio.sleep(0.5)
+                fleet.heal()
+        return await chat("small-last", "and where is the last shed")
+
+    last = anyio.run(run)
+    assert check_outcomes(callers) == []
+    assert last.refusal in ("budget-spent", "budget-too-low")
+
+
+def add_budget(fleet, name, tokens):
+    """Add an account with a budget of its own; return the changed sections."""
+    fleet.plan.accounts[name] = tokens
+    configuration = fleet.make_configuration()
+    return {key: configuration[key] for key in ("accounts", "budgets")}
