Let an error of one connection end nothing else while a router stops

Cause: while it ends, hypercorn gathers its connections' tasks and passes on the error of any one; that would end the router with code 1, before bills are written and tokens given back. It may be what test_a_stopping_router_cuts_no_stream_off showed once at 21:33 (exit code 1, its error wasn't kept); that isn't proved. Ruled out: ignoring errors of a server that wasn't told to stop (they still end the router). Change: such an error is event 105; the router then waits for its answers under way, as the library no longer does. Before: the new test fails. Conclusion: an orderly stop no longer depends on each caller's connection.

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -18,6 +18,7 @@
     ROUTER_STOPPING = (102, "the router takes no new requests")
     ROUTER_STOPPED = (103, "the router has stopped; `left` says what was unfinished")
     TASK_FAILED = (104, "a task ended with an unexpected error")
+    SERVER_ENDED_BADLY = (105, "an HTTP server met an error while it was closed")
     PLATFORM_AWAY = (201, "a call to the platform failed")
     PLATFORM_BACK = (202, "the platform answers again")
     OBJECT_MALFORMED = (203, "an object on the platform can't be decoded")
--- a/knapweedrail/gateway.py
+++ b/knapweedrail/gateway.py
@@ -55,6 +55,7 @@
     ) -> None:
         self.stopping = False
         self.under_way = 0
+        self._idle = anyio.Event()
         self._answers = answers
         self._view = view
         self._measures = measures
@@ -81,6 +82,14 @@
             await app(scope, receive, send)
         finally:
             self.under_way -= 1
+            if not self.under_way:
+                self._idle.set()
+
+    async def wait_idle(self) -> None:
+        """Wait until no answer is under way."""
+        while self.under_way:
+            self._idle = anyio.Event()
+            await self._idle.wait()
 
     async def _generate(self, request: Request) -> Response:
         answer = await self._answer_generation(request)
--- a/knapweedrail/routers.py
+++ b/knapweedrail/routers.py
@@ -103,6 +103,7 @@
         await self.caller_server.close(self._rules().stopping_seconds)
         bound = self._rules().stopping_seconds - (time.monotonic() - began)
         with anyio.move_on_after(max(bound, 0.0)):
+            await self.gateway.wait_idle()
             await self.intake.wait_idle()
         left = await self._drain()
         under_way = self.intake.under_way
--- a/knapweedrail/servers.py
+++ b/knapweedrail/servers.py
@@ -11,6 +11,7 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from .events import Event, log_event
 from .peers import split_address
 
 BACKLOG = 1024
@@ -97,10 +98,19 @@
     async def _serve(self) -> None:
         # Shielded, since the library doesn't end well when it is cancelled;
         # `_hasten` ends it then.
-        with anyio.CancelScope(shield=True):
-            await serve(
-                _without_lifespan(self.app), self._config, shutdown_trigger=self._wait
-            )
+        try:
+            with anyio.CancelScope(shield=True):
+                await serve(
+                    _without_lifespan(self.app),
+                    self._config,
+                    shutdown_trigger=self._wait,
+                )
+        except Exception as error:
+            # While it ends, the library passes on the error of any one connection.
+            # The router must still write its bills and give its tokens back.
+            if not self._stop.is_set():
+                raise
+            log_event(Event.SERVER_ENDED_BADLY, error=repr(error))
         self._stopped.set()
 
     async def _wait(self) -> None:
--- a/knapweedrail/tests/test_servers.py
+++ b/knapweedrail/tests/test_servers.py
@@ -7,6 +7,7 @@
 from starlette.responses import PlainTextResponse, StreamingResponse
 from starlette.routing import Route
 
+from .. import servers
 from ..servers import HttpServer, ServerLimits
 
 PARTS = 5
@@ -93,6 +94,29 @@
     assert [str(error) for error in caught.value.exceptions] == ["a task failed"]
 
 
+def test_an_error_of_one_connection_at_the_end_stops_nothing_else(monkeypatch):
+    """A caller's connection breaks in an unforeseen way just while the router stops.
+
+    The library passes that error on. If it ended the router, tokens would not be
+    given back and bills not written.
+    """
+
+    async def serve(app, config, shutdown_trigger):
+        await shutdown_trigger()
+        raise RuntimeError("one connection")
+
+    async def run():
+        server = HttpServer(Tap().app, "127.0.0.1:0", ServerLimits())
+        async with anyio.create_task_group() as group:
+            await server.start(group)
+            await server.close(1.0)
+            await anyio.sleep(0)
+            return True
+
+    monkeypatch.setattr(servers, "serve", serve)
+    assert anyio.run(run)
+
+
 def with_limit(function):
     """Run a coroutine function that must end long before a stop's grace."""
 
