--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -60,6 +60,9 @@
     RUNNER_UNLISTED = (702, "a runner's entry is gone")
     RUNNER_EJECTED = (703, "a runner gets no work for some seconds after failures")
 
+    TOKENS_GIVEN = (310, "this relay handed tokens to another that had too few")
+    NEIGHBOUR_SILENT = (510, "another relay didn't answer a call")
+
     @property
     def number(self) -> int:
         """The event's number in the catalogue."""
--- a/knapweedrail/peers.py
+++ b/knapweedrail/peers.py
@@ -108,16 +108,16 @@
                 protocol.connection.close()
 
 
-class PeerServer:
-    """The peer service of one router.
+class RpcServer:
+    """A server of calls between the system's own processes.
 
     Args:
-        handler: Answers the messages.
+        services: Answer the messages.
         address: ``host:port`` to listen on; port 0 lets the kernel choose.
     """
 
-    def __init__(self, handler: PeerHandler, address: str) -> None:
-        self._server = _Server([_Service(handler)])
+    def __init__(self, services: list[Any], address: str) -> None:
+        self._server = _Server(services)
         self._bind = address
         self._listener: socket.socket | None = None
         self.address = address
@@ -161,6 +161,18 @@
         await self._server.wait_closed()
 
 
+class PeerServer(RpcServer):
+    """The peer service of one router.
+
+    Args:
+        handler: Answers the messages.
+        address: ``host:port`` to listen on; port 0 lets the kernel choose.
+    """
+
+    def __init__(self, handler: PeerHandler, address: str) -> None:
+        super().__init__([_Service(handler)], address)
+
+
 class _Service(PeersBase):
     """Adapts the generated service to `PeerHandler`."""
 
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -17,6 +17,8 @@
 from .followers import ConfigurationFollower, RunnerFollower
 from .gateway import Gateway
 from .holdings import Holdings
+from .ledgers import Member, name_holder
+from .neighbours import Neighbours, make_server
 from .options import RelaySettings
 from .retries import RetryShare
 from .stores import Store
@@ -59,12 +61,20 @@
         self._configuration = configuration
         self._runners = runners
         self._pool = ConnectionPool()
+        self._neighbours = Neighbours(settings.data_centre)
+        member = Member(
+            name_holder(settings.host, secrets.token_hex(4)),
+            settings.peer_address,
+            settings.data_centre,
+        )
         self._holdings = Holdings(
             store,
+            self._neighbours,
             settings.host,
-            secrets.token_hex(4),
+            member,
             lambda: configuration.configuration,
         )
+        self._peer_server = make_server(self._holdings.give, settings.peer_address)
         services = Services(
             codec=codec,
             pool=self._pool,
@@ -90,6 +100,7 @@
         """Start all tasks in ``group``."""
         await self._ready_server.start(group)
         await self._caller_server.start(group)
+        await self._peer_server.start()
         for task in (self._configuration, self._runners, self._holdings):
             await task.start(group)
         group.start_soon(self._prune)
@@ -116,6 +127,8 @@
         await self._holdings.close()
         with anyio.move_on_after(RELEASE_SECONDS):
             await self._holdings.release()
+        await self._neighbours.close()
+        await self._peer_server.close()
         await self._ready_server.close(0.1)
         log_event(Event.ROUTER_STOPPED, left=self._gateway.under_way)
 
--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -9,8 +9,6 @@
 
 import attrs
 
-from .ledgers import AccountLedger, Grant
-
 HOLD_SECONDS = 10.0
 """How long a relay that can't reach the store serves out of what it holds. All relays
 may be cut off at once for some eight seconds, and the time until the next refill
@@ -113,26 +111,33 @@
     return int(min(max(need, start), bound))
 
 
-def plan_grant(
-    account: AccountLedger,
-    holder: str,
-    prepaid: int,
-    position: Position,
-    demand: Demand,
-    relays: int,
-    now: float,
-) -> Grant | None:
-    """Return the holder's new grant, or ``None`` if its present one will do."""
-    free = prepaid - account.committed
+def plan_change(
+    free: int, prepaid: int, position: Position, demand: Demand, relays: int, now: float
+) -> int:
+    """Return by how much the relay's grant should change; below 0 gives back."""
     target = compute_target(free, prepaid, position, demand, relays, now)
     available = position.available
     wanted = max(target, available + demand.unmet if demand.unmet else 0)
     if demand.unmet or available < REFILL_SHARE * target:
-        change = min(max(0, free), wanted - available)
-    elif available > RETURN_FACTOR * target and free < SCARCE_SHARE * prepaid:
-        change = target - available
-    else:
-        change = 0
-    if change == 0:
-        return None
-    return Grant(position.granted + change, position.spent)
+        return max(0, min(max(0, free), wanted - available))
+    scarce = free < SCARCE_SHARE * prepaid
+    if scarce and available > RETURN_FACTOR * target:
+        return target - available
+    return 0
+
+
+def plan_gift(available: int, needed: int, wanted: int) -> int:
+    """Return the tokens that a relay hands to another that has too few.
+
+    The load it is for: all relays are cut off from the store, and callers come
+    unevenly. One request that waits now goes before requests that may come here
+    later, so it gets what it needs even if that is all. Beyond that, half of what is
+    left stays: who will be asked for more next isn't known.
+
+    Args:
+        needed: For requests that wait.
+        wanted: To last for a while.
+    """
+    if available < needed:
+        return 0
+    return max(needed, min(wanted, available // 2))
--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -13,17 +13,18 @@
 
 from ..events import Event, log_event
 from ..tasks import Task
-from .grants import Demand, Position, plan_grant
+from .allowances import Allowance
+from .grants import plan_change, plan_gift
 from .ledgers import (
-    Grant,
     Ledger,
+    Member,
     decode_ledger,
     encode_ledger,
-    name_holder,
-    register_holder,
+    register_member,
     release_holder,
 )
 from .models import Account, Configuration
+from .neighbours import Gift, Neighbours
 from .stores import Conflict, Missing, Store, StoredObject, Written
 
 LEDGER_KIND = "token-ledgers"
@@ -51,6 +52,11 @@
 """How old a view of the ledger may be to refuse by it without looking again."""
 
 
+ASK_FACTOR = 4
+"""How many times the tokens that are missing other relays are asked for: the next
+requests of the same account then find theirs."""
+
+
 class Shortage(enum.Enum):
     """Why tokens can't be reserved."""
 
@@ -59,21 +65,6 @@
     OUT_OF_REACH = "the ledger can't be reached"
 
 
-@attrs.define
-class Allowance:
-    """What this relay holds of one account."""
-
-    granted: int = 0
-    spent: int = 0
-    reserved: int = 0
-    demand: Demand = attrs.field(factory=Demand)
-
-    @property
-    def position(self) -> Position:
-        """The present figures."""
-        return Position(granted=self.granted, spent=self.spent, reserved=self.reserved)
-
-
 @attrs.define
 class Reservation:
     """Tokens set aside for one request; `settle` ends it, once."""
@@ -83,11 +74,9 @@
 
     def settle(self, used: int) -> None:
         """Count what was used and free the rest."""
-        if self.allowance is None:
-            return
-        self.allowance.reserved -= self.tokens
-        self.allowance.spent += min(used, self.tokens)
-        self.allowance = None
+        if self.allowance is not None:
+            self.allowance.settle(self.tokens, used)
+            self.allowance = None
 
 
 class Holdings(Task):
@@ -95,22 +84,25 @@
 
     Args:
         store: The platform's store.
+        neighbours: The other relays, for tokens that the ledger can't give.
         host: Name of this host.
-        life: Unique to this process.
+        member: This relay, as it enters itself in the ledger.
         read_configuration: Returns the configuration in force, if one is known.
     """
 
     def __init__(
         self,
         store: Store,
+        neighbours: Neighbours,
         host: str,
-        life: str,
+        member: Member,
         read_configuration: Callable[[], Configuration | None],
     ) -> None:
         super().__init__("holdings")
         self._store = store
+        self._neighbours = neighbours
         self._host = host
-        self._holder = name_holder(host, life)
+        self._member = member
         self._read_configuration = read_configuration
         self._allowances: dict[str, Allowance] = {}
         self._ledger = Ledger()
@@ -118,16 +110,16 @@
         self._seen_at = float("-inf")
         self._reachable = False
         self._released = False
+        self._asking: set[str] = set()
         self._wake = anyio.Event()
         self._changed = anyio.Event()
 
     @property
     def relays(self) -> int:
         """Number of relays that take part, as far as known."""
-        return max(1, len(self._ledger.holders))
+        return max(1, len(self._ledger.members))
 
     async def run(self) -> None:
-        last = 0.0
         while True:
             await self._update()
             last = time.monotonic()
@@ -140,42 +132,107 @@
     async def reserve(self, account: Account, tokens: int) -> Reservation | Shortage:
         """Set tokens aside for a request, at its most.
 
-        A request that finds too few waits for one refill, then is refused.
+        A request that finds too few waits for one refill, or for what other relays
+        hand over, and is refused when neither brings enough.
         """
         if account.prepaid is None:
             return Reservation(None, 0)
         if self._released:
             return Shortage.OUT_OF_REACH
-        allowance = self._allowances.setdefault(account.name, Allowance())
-        now = time.monotonic()
-        allowance.demand.note_request(tokens, now)
-        if allowance.position.available < tokens:
-            shortage = self._find_shortage(account, tokens, now)
-            if shortage is not None:
+        allowance = self._get(account.name)
+        allowance.demand.note_request(tokens, time.monotonic())
+        if allowance.reserve(tokens):
+            return Reservation(allowance, tokens)
+        allowance.demand.unmet += tokens
+        try:
+            with anyio.move_on_after(WAIT_SECONDS):
+                shortage = await self._collect(account, allowance, tokens)
+                if shortage is None:
+                    return Reservation(allowance, tokens)
                 return shortage
-            await self._wait_for_tokens(allowance, tokens)
-        if allowance.position.available < tokens:
-            now = time.monotonic()
-            return self._find_shortage(account, tokens, now) or Shortage.OUT_OF_REACH
-        allowance.reserved += tokens
-        return Reservation(allowance, tokens)
+        finally:
+            allowance.demand.unmet -= tokens
+        return Shortage.OUT_OF_REACH
+
+    def give(self, account: str, receiver: str, needed: int, wanted: int) -> Gift:
+        """Hand tokens to another relay that has too few."""
+        allowance = self._get(account)
+        available = 0 if self._released else allowance.position.available
+        tokens = plan_gift(available, needed, wanted)
+        total = allowance.give(receiver, tokens)
+        if tokens:
+            log_event(
+                Event.TOKENS_GIVEN, account=account, receiver=receiver, tokens=tokens
+            )
+        return Gift(self._member.holder, total)
 
     async def release(self) -> None:
         """Give all tokens back; call when no request is under way any more."""
-        spent = {name: a.spent for name, a in self._allowances.items()}
-        for allowance in self._allowances.values():
-            allowance.granted = 0
         self._released = True
         for _ in range(CONFLICTS):
             ledger = copy.deepcopy(self._ledger)
-            release_holder(ledger, self._host, self._holder, spent)
+            if ledger.members.get(self._host) == self._member:
+                del ledger.members[self._host]
+            for name, allowance in self._allowances.items():
+                entry = ledger.get_account(name)
+                allowance.record(entry)
+                spent = allowance.compute_own_spending(entry)
+                release_holder(entry, self._member.holder, spent)
             if await self._write(ledger):
                 return
 
+    def _get(self, account: str) -> Allowance:
+        if account not in self._allowances:
+            self._allowances[account] = Allowance(self._member.holder)
+            self._allowances[account].learn(self._ledger.get_account(account))
+        return self._allowances[account]
+
+    async def _collect(
+        self, account: Account, allowance: Allowance, tokens: int
+    ) -> Shortage | None:
+        """Reserve tokens as they come from the ledger or from other relays."""
+        shortage = self._find_shortage(account, tokens, time.monotonic())
+        if shortage is None:
+            self._wake.set()
+            await self._changed.wait()
+            if allowance.reserve(tokens):
+                return None
+            shortage = self._find_shortage(account, tokens, time.monotonic())
+        if shortage is Shortage.SPENT:
+            return shortage
+        await self._ask_neighbours(account.name, allowance)
+        if allowance.reserve(tokens):
+            return None
+        return shortage or Shortage.OUT_OF_REACH
+
+    async def _ask_neighbours(self, account: str, allowance: Allowance) -> None:
+        """Ask the other relays in turn until what waits here can be served."""
+        if account in self._asking:
+            await self._changed.wait()
+            return
+        self._asking.add(account)
+        try:
+            for member in self._neighbours.order(self._ledger.members, self._host):
+                needed = allowance.demand.unmet - allowance.position.available
+                if needed <= 0:
+                    break
+                gift = await self._neighbours.ask(
+                    member, account, self._member.holder, needed, ASK_FACTOR * needed
+                )
+                if gift is not None:
+                    allowance.receive(gift.holder, gift.total)
+        finally:
+            self._asking.discard(account)
+            self._tell()
+
+    def _tell(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
     def _find_shortage(
         self, account: Account, tokens: int, now: float
     ) -> Shortage | None:
-        """Return why a request can't have tokens, or ``None`` if a look may help."""
+        """Return why the ledger has no tokens, or ``None`` if a look may help."""
         prepaid = account.prepaid or 0
         entry = self._ledger.get_account(account.name)
         if not self._reachable:
@@ -187,18 +244,6 @@
             return Shortage.HELD_ELSEWHERE
         return None
 
-    async def _wait_for_tokens(self, allowance: Allowance, tokens: int) -> None:
-        allowance.demand.unmet += tokens
-        try:
-            with anyio.move_on_after(WAIT_SECONDS):
-                while allowance.position.available < tokens:
-                    self._wake.set()
-                    await self._changed.wait()
-                    if not self._reachable:
-                        return
-        finally:
-            allowance.demand.unmet -= tokens
-
     async def _update(self) -> None:
         for _ in range(CONFLICTS):
             planned = self._plan()
@@ -207,46 +252,41 @@
             if not self._reachable:
                 break
             await anyio.sleep(random.random() * CONFLICT_SECONDS)
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._tell()
 
     def _plan(self) -> Ledger | None:
         """Return the ledger as it should be, or ``None`` if it will do as it is."""
         configuration = self._read_configuration()
         if configuration is None:
             return None
-        now = time.monotonic()
         ledger = copy.deepcopy(self._ledger)
-        changed = ledger.holders.get(self._host) != self._holder
-        register_holder(ledger, self._host, self._holder)
+        changed = ledger.members.get(self._host) != self._member
+        register_member(ledger, self._host, self._member)
         for account in (configuration.accounts or {}).values():
-            if account.prepaid is None:
-                continue
-            allowance = self._allowances.setdefault(account.name, Allowance())
-            entry = ledger.get_account(account.name)
-            grant = plan_grant(
-                entry,
-                self._holder,
-                account.prepaid,
-                allowance.position,
-                allowance.demand,
-                max(1, len(ledger.holders)),
-                now,
-            )
-            if grant is not None:
-                entry.grants[self._holder] = grant
-                changed = True
-        if not changed:
-            return None
-        self._report_spending(ledger)
-        return ledger
+            if account.prepaid is not None:
+                changed |= self._plan_account(ledger, account)
+        return ledger if changed else None
 
-    def _report_spending(self, ledger: Ledger) -> None:
-        for name, allowance in self._allowances.items():
-            grants = ledger.get_account(name).grants
-            if self._holder in grants:
-                tokens = grants[self._holder].tokens
-                grants[self._holder] = Grant(tokens, allowance.spent)
+    def _plan_account(self, ledger: Ledger, account: Account) -> bool:
+        """Plan one account's entry; return whether that is worth a write."""
+        prepaid = account.prepaid or 0
+        entry = ledger.get_account(account.name)
+        allowance = self._get(account.name)
+        known = self._member.holder in entry.grants
+        allowance.record(entry)
+        change = plan_change(
+            prepaid - entry.committed,
+            prepaid,
+            allowance.position,
+            allowance.demand,
+            max(1, len(ledger.members)),
+            time.monotonic(),
+        )
+        grant = entry.grants[self._member.holder]
+        entry.grants[self._member.holder] = attrs.evolve(
+            grant, tokens=grant.tokens + change
+        )
+        return bool(change) or not known
 
     async def _write(self, planned: Ledger) -> bool:
         """Write the ledger if it hasn't changed; return whether that took effect.
@@ -258,9 +298,7 @@
         more, or it fails and brings the ledger as it is.
         """
         for name, allowance in self._allowances.items():
-            grant = planned.get_account(name).grants.get(self._holder)
-            if grant is not None:
-                allowance.granted = min(allowance.granted, grant.tokens)
+            allowance.prepare(planned.get_account(name))
         spec = encode_ledger(planned)
         if self._revision is None:
             outcome = await self._store.create(LEDGER_KIND, LEDGER_NAME, spec)
@@ -292,9 +330,7 @@
         self._revision = revision
         self._seen_at = time.monotonic()
         for name, allowance in self._allowances.items():
-            entry = ledger.get_account(name)
-            grant = entry.grants.get(self._holder, Grant(0, 0))
-            allowance.granted = grant.tokens
+            allowance.learn(ledger.get_account(name))
 
     def _note_reach(self, reached: bool) -> None:
         if reached != self._reachable:
--- a/knapweedrail/relay/ledgers.py
+++ b/knapweedrail/relay/ledgers.py
@@ -8,6 +8,11 @@
 A holder is one life of a relay process. What a dead holder was granted stays granted,
 since nobody can know what it spent after its last report; the next life of the same
 host writes it off as used.
+
+Holders also hand tokens to each other while the store is out of reach. The giver's
+grant covers them until either of the two records the move. Both count what was moved
+between them in all, and the ledger has how much of that is recorded; so it doesn't
+matter who records it, how often, or in which order messages arrive.
 """
 
 from __future__ import annotations
@@ -37,10 +42,13 @@
     Attributes:
         used: Tokens used by holders that are over.
         grants: Grants by holder.
+        moved: Tokens handed over in all, by giver and receiver, as far as recorded
+            in the grants.
     """
 
     used: int = 0
     grants: dict[str, Grant] = attrs.field(factory=dict)
+    moved: dict[tuple[str, str], int] = attrs.field(factory=dict)
 
     @property
     def committed(self) -> int:
@@ -53,16 +61,27 @@
         return self.used + sum(grant.spent for grant in self.grants.values())
 
 
-@attrs.define
-class Ledger:
-    """All accounts, and the relays that take part.
+@attrs.frozen
+class Member:
+    """A relay that takes part.
 
     Attributes:
-        holders: The present holder of each host.
+        holder: Its present holder.
+        address: Where it answers other relays; empty if it doesn't.
+        data_centre: Where its host stands.
     """
 
+    holder: str
+    address: str = ""
+    data_centre: str = ""
+
+
+@attrs.define
+class Ledger:
+    """All accounts, and the relays that take part, by host."""
+
     accounts: dict[str, AccountLedger] = attrs.field(factory=dict)
-    holders: dict[str, str] = attrs.field(factory=dict)
+    members: dict[str, Member] = attrs.field(factory=dict)
 
     def get_account(self, name: str) -> AccountLedger:
         """Return an account, empty if it has no entries yet."""
@@ -79,38 +98,76 @@
     return f"{host}/{life}"
 
 
-def register_holder(ledger: Ledger, host: str, holder: str) -> None:
-    """Enter a holder, and write off what earlier lives of its host left.
+def register_member(ledger: Ledger, host: str, member: Member) -> None:
+    """Enter a relay, and write off what earlier lives of its host left.
 
     A host runs one process of a role, so an earlier life of the host is over. Its
     grant counts as spent in full.
     """
-    ledger.holders[host] = holder
+    ledger.members[host] = member
     for account in ledger.accounts.values():
         for name in list(account.grants):
-            if name.rpartition("/")[0] == host and name != holder:
+            if name.rpartition("/")[0] == host and name != member.holder:
                 account.used += account.grants.pop(name).tokens
+                _forget_moves(account, name)
 
 
-def release_holder(
-    ledger: Ledger, host: str, holder: str, spent: dict[str, int]
+def record_move(
+    account: AccountLedger, giver: str, receiver: str, total: int, known: int
 ) -> None:
+    """Record what one holder handed to another, in all.
+
+    If the giver is over, its grant was written off with what it handed over, so the
+    receiver's tokens are counted already. If the receiver is over, nobody knows
+    whether it spent them, and they count as used.
+
+    Args:
+        known: How much of it the caller has seen recorded. The entry goes with its
+            receiver, and must not be counted again by the giver.
+    """
+    change = total - max(known, account.moved.get((giver, receiver), 0))
+    grant = account.grants.get(giver)
+    if change <= 0 or grant is None:
+        return
+    account.moved[giver, receiver] = total
+    account.grants[giver] = attrs.evolve(grant, tokens=grant.tokens - change)
+    other = account.grants.get(receiver)
+    if other is None:
+        account.used += change
+    else:
+        tokens = other.tokens + change
+        account.grants[receiver] = attrs.evolve(other, tokens=tokens)
+
+
+def release_holder(account: AccountLedger, holder: str, spent: int) -> None:
     """Take a holder out that spends nothing any more.
 
     Args:
-        spent: What it spent in all, by account.
+        spent: What it spent in all, without what others' write-offs cover.
     """
-    if ledger.holders.get(host) == holder:
-        del ledger.holders[host]
-    for name, account in ledger.accounts.items():
-        if account.grants.pop(holder, None) is not None:
-            account.used += spent.get(name, 0)
+    if account.grants.pop(holder, None) is not None:
+        account.used += spent
+    _forget_moves(account, holder)
+
+
+def _forget_moves(account: AccountLedger, holder: str) -> None:
+    """Drop the moves that no living holder needs.
+
+    A receiver must find what was recorded for it, also after the giver's end: it
+    would otherwise count its tokens twice, as granted and as not recorded yet.
+    """
+    for giver, receiver in list(account.moved):
+        if receiver == holder or receiver not in account.grants:
+            del account.moved[giver, receiver]
 
 
 def encode_ledger(ledger: Ledger) -> dict[str, Any]:
     """Return the ledger as it is stored."""
     return {
-        "holders": ledger.holders,
+        "members": {
+            host: [member.holder, member.address, member.data_centre]
+            for host, member in ledger.members.items()
+        },
         "accounts": {
             name: {
                 "used": account.used,
@@ -118,6 +175,7 @@
                     holder: [grant.tokens, grant.spent]
                     for holder, grant in account.grants.items()
                 },
+                "moved": [[*pair, total] for pair, total in account.moved.items()],
             }
             for name, account in ledger.accounts.items()
         },
@@ -138,9 +196,11 @@
                     holder: Grant(int(tokens), int(spent))
                     for holder, (tokens, spent) in entry["grants"].items()
                 },
+                {(a, b): int(total) for a, b, total in entry["moved"]},
             )
             for name, entry in spec["accounts"].items()
         }
-        return Ledger(accounts, dict(spec["holders"]))
+        members = {host: Member(*entry) for host, entry in spec["members"].items()}
+        return Ledger(accounts, members)
     except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(f"not a ledger: {error!r}") from error
--- a/knapweedrail/relay/options.py
+++ b/knapweedrail/relay/options.py
@@ -34,6 +34,9 @@
     ready_address: str = setting(
         "address", "Where the balancer asks for readiness.", "127.0.0.1:8081", address=0
     )
+    peer_address: str = setting(
+        "address", "Where other relays are answered.", "127.0.0.1:8083", address=0
+    )
     metrics_address: str = setting(
         "address", "Where metrics are served; empty: nowhere.", "", address=0
     )
