--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -63,6 +63,12 @@
     TOKENS_GIVEN = (310, "this relay handed tokens to another that had too few")
     NEIGHBOUR_SILENT = (510, "another relay didn't answer a call")
 
+    GRANT_PLANNED = (311, "this relay asks for tokens of a budget, or returns some")
+
+    TOKENS_LEFT = (312, "a relay that stops has left its tokens to this one")
+
+    TOKENS_SHORT = (313, "a request found too few tokens of its account")
+
     @property
     def number(self) -> int:
         """The event's number in the catalogue."""
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -74,7 +74,7 @@
             member,
             lambda: configuration.configuration,
         )
-        self._peer_server = make_server(self._holdings.give, settings.peer_address)
+        self._peer_server = make_server(self._holdings, settings.peer_address)
         services = Services(
             codec=codec,
             pool=self._pool,
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -265,6 +265,14 @@
         if account is None:
             return Reservation(None, 0)
         found = await self._holdings.reserve(account, request.most_tokens)
+        if isinstance(found, Shortage):
+            log_event(
+                Event.TOKENS_SHORT,
+                request=request.identity,
+                account=account.name,
+                tokens=request.most_tokens,
+                **self._holdings.describe(account),
+            )
         match found:
             case Shortage.SPENT:
                 return _refuse(RefusalKind.BUDGET_SPENT, found.value, None)
--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -9,33 +9,45 @@
 
 import attrs
 
-HOLD_SECONDS = 10.0
-"""How long a relay that can't reach the store serves out of what it holds. All relays
-may be cut off at once for some eight seconds, and the time until the next refill
-comes on top. What is held is lost when the relay dies, so longer isn't better."""
+HOLD_SECONDS = 16.0
+"""How long relays that can't reach the store serve out of what they hold, while much is
+left: half as long again as most cuts, as the callers of a cut come unevenly."""
+
+HOLD_SHARE = 0.55
+"""Part of what is left of a budget that all relays together may hold. What is held is
+lost when its relay dies, so as a budget runs low less of it may be at risk. Each relay
+may have an even share, and beyond it what the others leave: callers of an account may
+all come to one relay, and with even shares only, that one had to refuse a third of
+them in a cut while the others held tokens that nobody asked for."""
 
 HOLD_REQUESTS = 2.0
-"""Largest requests held beyond that. At a few requests in ten seconds chance doubles
-the demand now and then, and one request may be a tenth of all."""
+"""Largest requests that all relays together hold beyond that, as demand comes by
+chance. Relays hand tokens to each other, so one margin serves all of them; with a
+margin at each of nine relays, a seventh of all prepaid tokens was lost when all lost
+power."""
 
 START_SHARE = 0.08
 """Part of what was prepaid that all relays together hold before they know the demand:
-enough for the first seconds of a day, which may begin with a cut."""
+enough for the first seconds of traffic, which may begin with a cut."""
+
+START_SECONDS = 8.0
+"""How long after its first request a relay holds that: until its demand is known."""
 
-REFILL_SHARE = 0.7
+REFILL_SHARE = 0.8
 """Part of the target below which a refill is asked for. Refilling at every request
 would cost a write each time; at a third below, one write serves some three seconds."""
 
-RETURN_FACTOR = 1.5
-"""How many times the target must be held before tokens go back."""
+RETURN_FACTOR = 1.4
+"""How many times the target must be held before tokens go back. Demand comes in
+bursts; without it, each relay keeps what its highest one called for, and on a day
+with kills of all relays at once twice what was needed was lost with them."""
 
-SCARCE_SHARE = 0.15
-"""Part of what was prepaid below which free tokens are scarce. Above it nobody needs
-what others hold, and giving it back costs a write."""
+RETURN_SHARE = 0.004
+"""Part of what was prepaid that must be too much at least: less isn't worth a write."""
 
-MEMORY_SECONDS = 5.0
-"""Time over which demand is averaged: a burst of some seconds shows, single requests
-don't."""
+MEMORY_SECONDS = 8.0
+"""Time over which demand is averaged: as long as what is held has to last. Shorter, it
+follows single large requests up and down, at a write each time."""
 
 
 @attrs.define
@@ -71,6 +83,25 @@
         return decayed / (MEMORY_SECONDS * (1 - math.exp(-seen / MEMORY_SECONDS)))
 
 
+@attrs.frozen(kw_only=True)
+class Budget:
+    """What the ledger says of one account, and who shares it.
+
+    Attributes:
+        prepaid: Tokens in all.
+        free: Tokens that nobody was granted.
+        held: Tokens that other relays were granted and haven't reported as spent.
+        relays: Number of relays.
+        starting: Whether this relay has seen too little traffic to know its demand.
+    """
+
+    prepaid: int
+    free: int
+    held: int
+    relays: int
+    starting: bool = False
+
+
 @attrs.frozen(kw_only=True)
 class Position:
     """What a relay has of one account.
@@ -92,37 +123,28 @@
 
 
 def compute_target(
-    free: int, prepaid: int, position: Position, demand: Demand, relays: int, now: float
+    budget: Budget, position: Position, demand: Demand, now: float
 ) -> int:
-    """Return the tokens that a relay should have available.
+    """Return the tokens that a relay should have available."""
+    margin = HOLD_REQUESTS * demand.largest / budget.relays
+    need = demand.estimate_rate(now) * HOLD_SECONDS + margin
+    if budget.starting:
+        need = max(need, START_SHARE * budget.prepaid / budget.relays)
+    left = max(0, budget.free) + budget.held + max(0, position.available)
+    even = HOLD_SHARE * left / budget.relays
+    return int(min(need, max(even, HOLD_SHARE * left - budget.held)))
 
-    Enough to serve through a cut; but of what is left no more than about two relays'
-    even shares. As a budget runs low its last tokens would otherwise lie with relays
-    that don't need them, and callers elsewhere be refused although tokens are left.
 
-    Args:
-        free: Tokens that nobody was granted.
-        relays: Number of relays.
-    """
-    need = demand.estimate_rate(now) * HOLD_SECONDS + HOLD_REQUESTS * demand.largest
-    start = START_SHARE * prepaid / max(1, relays)
-    left = max(0, free) + max(0, position.available)
-    bound = left * 2 / (max(1, relays) + 1)
-    return int(min(max(need, start), bound))
-
-
-def plan_change(
-    free: int, prepaid: int, position: Position, demand: Demand, relays: int, now: float
-) -> int:
+def plan_change(budget: Budget, position: Position, demand: Demand, now: float) -> int:
     """Return by how much the relay's grant should change; below 0 gives back."""
-    target = compute_target(free, prepaid, position, demand, relays, now)
+    target = compute_target(budget, position, demand, now)
     available = position.available
     wanted = max(target, available + demand.unmet if demand.unmet else 0)
     if demand.unmet or available < REFILL_SHARE * target:
-        return max(0, min(max(0, free), wanted - available))
-    scarce = free < SCARCE_SHARE * prepaid
-    if scarce and available > RETURN_FACTOR * target:
-        return target - available
+        return max(0, min(max(0, budget.free), wanted - available))
+    excess = available - target
+    if available > RETURN_FACTOR * target and excess > RETURN_SHARE * budget.prepaid:
+        return -excess
     return 0
 
 
@@ -138,6 +160,5 @@
         needed: For requests that wait.
         wanted: To last for a while.
     """
-    if available < needed:
-        return 0
-    return max(needed, min(wanted, available // 2))
+    available = max(0, available)
+    return max(min(needed, available), min(wanted, available // 2))
--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -7,6 +7,7 @@
 import random
 import time
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 import attrs
@@ -14,7 +15,7 @@
 from ..events import Event, log_event
 from ..tasks import Task
 from .allowances import Allowance
-from .grants import plan_change, plan_gift
+from .grants import START_SECONDS, Budget, plan_change, plan_gift
 from .ledgers import (
     Ledger,
     Member,
@@ -24,7 +25,7 @@
     release_holder,
 )
 from .models import Account, Configuration
-from .neighbours import Gift, Neighbours
+from .neighbours import Gift, Neighbours, TokenHolder
 from .stores import Conflict, Missing, Store, StoredObject, Written
 
 LEDGER_KIND = "token-ledgers"
@@ -79,7 +80,7 @@
             self.allowance = None
 
 
-class Holdings(Task):
+class Holdings(Task, TokenHolder):
     """Keeps tokens at hand by conditional updates of the ledger.
 
     Args:
@@ -108,8 +109,11 @@
         self._ledger = Ledger()
         self._revision: int | None = None
         self._seen_at = float("-inf")
-        self._reachable = False
+        # Until the first call has failed; a relay that has just started would otherwise
+        # refuse its first callers instead of letting them wait some milliseconds.
+        self._reachable = True
         self._released = False
+        self._first_request_at: float | None = None
         self._asking: set[str] = set()
         self._wake = anyio.Event()
         self._changed = anyio.Event()
@@ -140,6 +144,8 @@
         if self._released:
             return Shortage.OUT_OF_REACH
         allowance = self._get(account.name)
+        if self._first_request_at is None:
+            self._first_request_at = time.monotonic()
         allowance.demand.note_request(tokens, time.monotonic())
         if allowance.reserve(tokens):
             return Reservation(allowance, tokens)
@@ -166,6 +172,20 @@
             )
         return Gift(self._member.holder, total)
 
+    def describe(self, account: Account) -> dict[str, Any]:
+        """Return what is known of an account, and since when, for a log line."""
+        entry = self._ledger.get_account(account.name)
+        allowance = self._get(account.name)
+        return {
+            "available": allowance.position.available,
+            "reserved": allowance.reserved,
+            "prepaid": account.prepaid,
+            "free": (account.prepaid or 0) - entry.committed,
+            "held_elsewhere": entry.count_held(but=self._member.holder),
+            "revision": self._revision,
+            "age": round(time.monotonic() - self._seen_at, 2),
+        }
+
     async def release(self) -> None:
         """Give all tokens back; call when no request is under way any more."""
         self._released = True
@@ -180,6 +200,15 @@
                 release_holder(entry, self._member.holder, spent)
             if await self._write(ledger):
                 return
+            if not self._reachable:
+                await self._hand_over_all()
+                return
+
+    def take_over(self, giver: str, totals: dict[str, int]) -> None:
+        """Take what a relay that stops has left to this one, in all, by account."""
+        for account, total in totals.items():
+            self._get(account).receive(giver, total)
+        log_event(Event.TOKENS_LEFT, giver=giver, accounts=len(totals))
 
     def _get(self, account: str) -> Allowance:
         if account not in self._allowances:
@@ -200,6 +229,10 @@
             shortage = self._find_shortage(account, tokens, time.monotonic())
         if shortage is Shortage.SPENT:
             return shortage
+        while account.name in self._asking:
+            await self._changed.wait()
+            if allowance.reserve(tokens):
+                return None
         await self._ask_neighbours(account.name, allowance)
         if allowance.reserve(tokens):
             return None
@@ -207,9 +240,6 @@
 
     async def _ask_neighbours(self, account: str, allowance: Allowance) -> None:
         """Ask the other relays in turn until what waits here can be served."""
-        if account in self._asking:
-            await self._changed.wait()
-            return
         self._asking.add(account)
         try:
             for member in self._neighbours.order(self._ledger.members, self._host):
@@ -225,6 +255,27 @@
             self._asking.discard(account)
             self._tell()
 
+    async def _hand_over_all(self) -> None:
+        """Leave all tokens to another relay, as the store can't take them back.
+
+        A relay that is restarted while the store is out of reach would otherwise
+        lose what it holds: some seconds of its accounts' demand.
+        """
+        for member in self._neighbours.order(self._ledger.members, self._host):
+            left = {
+                name: allowance.position.available
+                for name, allowance in self._allowances.items()
+                if allowance.position.available > 0
+            }
+            if not left:
+                return
+            totals = {
+                name: self._allowances[name].give(member.holder, tokens)
+                for name, tokens in left.items()
+            }
+            if await self._neighbours.leave(member, self._member.holder, totals):
+                return
+
     def _tell(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
@@ -274,20 +325,47 @@
         allowance = self._get(account.name)
         known = self._member.holder in entry.grants
         allowance.record(entry)
-        change = plan_change(
-            prepaid - entry.committed,
-            prepaid,
-            allowance.position,
-            allowance.demand,
-            max(1, len(ledger.members)),
-            time.monotonic(),
+        budget = Budget(
+            prepaid=prepaid,
+            free=prepaid - entry.committed,
+            held=entry.count_held(but=self._member.holder),
+            relays=max(1, len(ledger.members)),
+            starting=self._is_starting(),
         )
+        # How many relays share isn't known before this one has entered itself.
+        entered = self._ledger.members.get(self._host) == self._member
+        change = 0
+        if entered or allowance.demand.unmet:
+            change = plan_change(
+                budget, allowance.position, allowance.demand, time.monotonic()
+            )
+        if change:
+            self._log_change(account.name, allowance, change, prepaid, entry.committed)
         grant = entry.grants[self._member.holder]
         entry.grants[self._member.holder] = attrs.evolve(
             grant, tokens=grant.tokens + change
         )
         return bool(change) or not known
 
+    def _is_starting(self) -> bool:
+        first = self._first_request_at
+        return first is None or time.monotonic() - first < START_SECONDS
+
+    def _log_change(
+        self, account: str, held: Allowance, change: int, prepaid: int, committed: int
+    ) -> None:
+        log_event(
+            Event.GRANT_PLANNED,
+            account=account,
+            change=change,
+            available=held.position.available,
+            rate=round(held.demand.estimate_rate(time.monotonic())),
+            unmet=held.demand.unmet,
+            prepaid=prepaid,
+            free=prepaid - committed,
+            revision=self._revision,
+        )
+
     async def _write(self, planned: Ledger) -> bool:
         """Write the ledger if it hasn't changed; return whether that took effect.
 
--- a/knapweedrail/relay/ledgers.py
+++ b/knapweedrail/relay/ledgers.py
@@ -60,6 +60,14 @@
         """Tokens that are used for certain."""
         return self.used + sum(grant.spent for grant in self.grants.values())
 
+    def count_held(self, but: str) -> int:
+        """Return the tokens that holders other than one have not reported as spent."""
+        return sum(
+            max(0, grant.tokens - grant.spent)
+            for holder, grant in self.grants.items()
+            if holder != but
+        )
+
 
 @attrs.frozen
 class Member:
--- a/knapweedrail/relay/neighbours.py
+++ b/knapweedrail/relay/neighbours.py
@@ -4,7 +4,8 @@
 
 import random
 import time
-from collections.abc import Callable
+from abc import ABC, abstractmethod
+from typing import Any
 
 import anyio
 import attrs
@@ -16,7 +17,7 @@
 from ..events import Event, log_event
 from ..peers import RpcServer
 from ..wire.relays_grpc import RelaysBase, RelaysStub
-from ..wire.relays_pb2 import TokenReply, TokenRequest
+from ..wire.relays_pb2 import LeaveReply, LeaveRequest, TokenReply, TokenRequest, Total
 from .ledgers import Member
 
 CALL_SECONDS = 0.08
@@ -45,8 +46,16 @@
     total: int
 
 
-GiveTokens = Callable[[str, str, int, int], Gift]
-"""Takes account, receiver, needed and wanted tokens."""
+class TokenHolder(ABC):
+    """Holds tokens, and answers other relays about them."""
+
+    @abstractmethod
+    def give(self, account: str, receiver: str, needed: int, wanted: int) -> Gift:
+        """Hand tokens to another relay that has too few."""
+
+    @abstractmethod
+    def take_over(self, giver: str, totals: dict[str, int]) -> None:
+        """Take what a relay that stops has left to this one, in all, by account."""
 
 
 class Neighbours:
@@ -79,7 +88,7 @@
         request = TokenRequest(
             account=account, receiver=receiver, needed=needed, wanted=wanted
         )
-        reply = await self._call(member, request)
+        reply = await self._call(member, "HandOver", request)
         if reply is None:
             self._avoided[member.holder, ""] = now + AVOID_SECONDS
             return None
@@ -88,6 +97,18 @@
         self._totals[reply.holder, account] = reply.total
         return Gift(reply.holder, reply.total)
 
+    async def leave(self, member: Member, giver: str, totals: dict[str, int]) -> bool:
+        """Leave tokens to another relay; return whether it has said that it has them.
+
+        Args:
+            totals: Tokens handed to it in all, by account.
+        """
+        request = LeaveRequest(
+            holder=giver,
+            totals=[Total(account=name, tokens=n) for name, n in totals.items()],
+        )
+        return await self._call(member, "Leave", request) is not None
+
     async def close(self) -> None:
         """Close all connections."""
         for channel in self._channels.values():
@@ -97,14 +118,14 @@
     def _get(self, pair: tuple[str, str]) -> float:
         return self._avoided.get(pair, 0.0)
 
-    async def _call(self, member: Member, request: TokenRequest) -> TokenReply | None:
+    async def _call(self, member: Member, method: str, request: Any) -> Any:
         channel = self._channels.get(member.address)
         if channel is None:
             channel = Channel(*split_address(member.address))
             self._channels[member.address] = channel
         try:
             with anyio.fail_after(CALL_SECONDS):
-                return await RelaysStub(channel).HandOver(request)
+                return await getattr(RelaysStub(channel), method)(request)
         except (OSError, TimeoutError, GRPCError, StreamTerminatedError) as error:
             log_event(
                 Event.NEIGHBOUR_SILENT, neighbour=member.holder, error=repr(error)
@@ -118,19 +139,27 @@
 class _Service(RelaysBase):
     """Answers other relays."""
 
-    def __init__(self, give: GiveTokens) -> None:
-        self._give = give
+    def __init__(self, holder: TokenHolder) -> None:
+        self._holder = holder
 
     async def HandOver(self, stream: Stream) -> None:
         request = await stream.recv_message()
         if request is None:
             return
-        gift = self._give(
+        gift = self._holder.give(
             request.account, request.receiver, request.needed, request.wanted
         )
         await stream.send_message(TokenReply(holder=gift.holder, total=gift.total))
 
+    async def Leave(self, stream: Stream) -> None:
+        request = await stream.recv_message()
+        if request is None:
+            return
+        totals = {total.account: total.tokens for total in request.totals}
+        self._holder.take_over(request.holder, totals)
+        await stream.send_message(LeaveReply())
+
 
-def make_server(give: GiveTokens, address: str) -> RpcServer:
+def make_server(holder: TokenHolder, address: str) -> RpcServer:
     """Return the server that answers other relays, not started yet."""
-    return RpcServer([_Service(give)], address)
+    return RpcServer([_Service(holder)], address)
--- a/knapweedrail/wire/relays_grpc.py
+++ b/knapweedrail/wire/relays_grpc.py
@@ -18,6 +18,10 @@
     async def HandOver(self, stream: 'grpclib.server.Stream[relays_pb2.TokenRequest, relays_pb2.TokenReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Leave(self, stream: 'grpclib.server.Stream[relays_pb2.LeaveRequest, relays_pb2.LeaveReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/knapweedrail.relays.Relays/HandOver': grpclib.const.Handler(
@@ -26,6 +30,12 @@
                 relays_pb2.TokenRequest,
                 relays_pb2.TokenReply,
             ),
+            '/knapweedrail.relays.Relays/Leave': grpclib.const.Handler(
+                self.Leave,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                relays_pb2.LeaveRequest,
+                relays_pb2.LeaveReply,
+            ),
         }
 
 
@@ -38,3 +48,9 @@
             relays_pb2.TokenRequest,
             relays_pb2.TokenReply,
         )
+        self.Leave = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/knapweedrail.relays.Relays/Leave',
+            relays_pb2.LeaveRequest,
+            relays_pb2.LeaveReply,
+        )
