--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -69,6 +69,8 @@
 
     TOKENS_SHORT = (313, "a request found too few tokens of its account")
 
+    TOKENS_WRITTEN_OFF = (314, "what an earlier life of this host held counts as used")
+
     @property
     def number(self) -> int:
         """The event's number in the catalogue."""
--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -312,7 +312,9 @@
             return None
         ledger = copy.deepcopy(self._ledger)
         changed = ledger.members.get(self._host) != self._member
-        register_member(ledger, self._host, self._member)
+        lost = register_member(ledger, self._host, self._member)
+        if lost:
+            log_event(Event.TOKENS_WRITTEN_OFF, tokens=lost, revision=self._revision)
         for account in (configuration.accounts or {}).values():
             if account.prepaid is not None:
                 changed |= self._plan_account(ledger, account)
--- a/knapweedrail/relay/ledgers.py
+++ b/knapweedrail/relay/ledgers.py
@@ -106,18 +106,25 @@
     return f"{host}/{life}"
 
 
-def register_member(ledger: Ledger, host: str, member: Member) -> None:
+def register_member(ledger: Ledger, host: str, member: Member) -> int:
     """Enter a relay, and write off what earlier lives of its host left.
 
     A host runs one process of a role, so an earlier life of the host is over. Its
     grant counts as spent in full.
+
+    Returns:
+        Tokens written off beyond what those lives had reported as spent.
     """
+    lost = 0
     ledger.members[host] = member
     for account in ledger.accounts.values():
         for name in list(account.grants):
             if name.rpartition("/")[0] == host and name != member.holder:
-                account.used += account.grants.pop(name).tokens
+                grant = account.grants.pop(name)
+                account.used += grant.tokens
+                lost += grant.tokens - grant.spent
                 _forget_moves(account, name)
+    return lost
 
 
 def record_move(
