--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -71,6 +71,8 @@
 
     TOKENS_WRITTEN_OFF = (314, "what an earlier life of this host held counts as used")
 
+    DATA_CENTRE_SILENT = (704, "runners of a data centre get no work for a moment")
+
     @property
     def number(self) -> int:
         """The event's number in the catalogue."""
--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -21,13 +21,13 @@
 RECEIVE_BYTES = 65_536
 """Most bytes of one read."""
 
-CONNECT_SECONDS = 0.5
+CONNECT_SECONDS = 0.25
 """Longest wait for a connection: a runner is a few milliseconds away at the most, and
 the first packet that is lost is sent again only after a second."""
 
-UNACKNOWLEDGED_MILLISECONDS = 2000
+UNACKNOWLEDGED_MILLISECONDS = 1200
 """How long written bytes may stay unacknowledged before the kernel gives the
-connection up; ten round trips even between distant regions."""
+connection up; two repetitions of a lost packet fit in."""
 
 KEEPALIVE_SECONDS = 1
 """Pause before and between the kernel's probes of a quiet connection."""
@@ -56,12 +56,14 @@
         step: What was being done.
         detail: What was seen.
         sent: Whether any byte of the request may have reached the peer.
+        silent: Whether the peer said nothing at all, not even that it is closed.
     """
 
     peer: str
     step: str
     detail: str
     sent: bool
+    silent: bool = False
 
 
 class RunnerConnection:
@@ -195,7 +197,10 @@
         with anyio.fail_after(CONNECT_SECONDS):
             stream = await anyio.connect_tcp(host, int(port))
     except (OSError, TimeoutError, ValueError) as error:
-        raise ConnectionFailed(address, "connect", repr(error), False) from error
+        silent = isinstance(error, TimeoutError)
+        raise ConnectionFailed(
+            address, "connect", repr(error), False, silent
+        ) from error
     set_timeouts(stream.extra(anyio.abc.SocketAttribute.raw_socket))
     return RunnerConnection(stream, address)
 
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -30,9 +30,20 @@
 PRUNE_SECONDS = 1.0
 """Pause between looks for idle connections and runners to forget."""
 
-OUT_OF_ROTATION_SECONDS = 3.5
-"""How long a stopping relay goes on taking requests: the balancer asks once a second
-and takes a host out after two misses, and its last connections come after that."""
+OUT_OF_ROTATION_SECONDS = 2.2
+"""How long a stopping relay takes requests at least: the balancer asks once a second
+and takes a host out after two misses."""
+
+QUIET_SECONDS = 1.0
+"""Time without a new request after which the balancer seems to send none any more. It
+goes on sending when most hosts of a data centre are out, and a closed door then costs
+each caller an attempt."""
+
+STREAM_SECONDS = 2.6
+"""Kept of the time to stop for requests under way; an answer seldom takes longer."""
+
+STEP_SECONDS = 0.1
+"""Pause between looks whether requests still come."""
 
 RELEASE_SECONDS = 0.6
 """Kept of the time to stop for giving tokens back."""
@@ -120,7 +131,7 @@
         began_at = time.monotonic()
         self._gateway.stopping = True
         log_event(Event.ROUTER_STOPPING, under_way=self._gateway.under_way)
-        await anyio.sleep(min(OUT_OF_ROTATION_SECONDS, self._settings.stop_seconds / 2))
+        await self._wait_until_quiet(began_at)
         spent = time.monotonic() - began_at
         left = self._settings.stop_seconds - spent - RELEASE_SECONDS
         await self._caller_server.close(max(0.1, left))
@@ -132,6 +143,17 @@
         await self._ready_server.close(0.1)
         log_event(Event.ROUTER_STOPPED, left=self._gateway.under_way)
 
+    async def _wait_until_quiet(self, began_at: float) -> None:
+        """Serve what the balancer still sends."""
+        most = self._settings.stop_seconds - STREAM_SECONDS
+        least = min(OUT_OF_ROTATION_SECONDS, most)
+        while time.monotonic() < began_at + most:
+            await anyio.sleep(STEP_SECONDS)
+            now = time.monotonic()
+            quiet = now - self._gateway.last_request_at > QUIET_SECONDS
+            if quiet and now > began_at + least:
+                return
+
     async def _prune(self) -> None:
         while True:
             await anyio.sleep(PRUNE_SECONDS)
--- a/knapweedrail/relay/exchanges.py
+++ b/knapweedrail/relay/exchanges.py
@@ -249,8 +249,9 @@
             outcome, kept = await self._converse(view, connection)
             return outcome
         except ConnectionFailed as error:
-            certain = not error.sent
-            self._note_failure(view, certain)
+            if error.silent:
+                self._note_silence(view)
+            self._note_failure(view, certain=not error.sent)
             failure = Failure.BROKEN if error.sent else Failure.NOT_SENT
             self._began |= error.sent
             return Failed(failure, f"{error.step}: {error.detail}")
@@ -295,6 +296,7 @@
                 first = await self._receive_events(chunks, splitter)
         if answer is None or scope.cancelled_caught:
             self._began = True
+            self._note_silence(view)
             self._note_failure(view, False)
             return Failed(Failure.SILENT, "no first byte in time"), False
         if answer.identity != self._request.identity:
@@ -307,7 +309,9 @@
             self._began = True
             self._note_failure(view, False)
             return Failed(Failure.SILENT, "the answer's body took too long"), False
-        services.runners.note_answer(view, time.monotonic() - began_at)
+        services.runners.note_answer(
+            view, time.monotonic() - began_at, time.monotonic()
+        )
         return await self._relay_stream(
             view, connection, answer, chunks, splitter, first
         )
@@ -347,7 +351,9 @@
             self._note_failure(view, False)
             detail = f"the runner failed with {answer.status}"
             return Failed(Failure.BROKEN, detail, answer, body), kept
-        self._services.runners.note_answer(view, time.monotonic() - began_at)
+        self._services.runners.note_answer(
+            view, time.monotonic() - began_at, time.monotonic()
+        )
         if self._started:
             return Failed(Failure.BROKEN, f"{answer.status} to a resumed run"), kept
         await self._pass_on(answer, body)
@@ -444,6 +450,15 @@
         else:
             self._services.runners.note_full(view, time.monotonic())
 
+    def _note_silence(self, view: RunnerView) -> None:
+        if self._services.runners.note_silence(view, time.monotonic()):
+            log_event(
+                Event.DATA_CENTRE_SILENT,
+                data_centre=view.runner.data_centre,
+                runner=view.runner.name,
+                request=self._request.identity,
+            )
+
     def _note_failure(self, view: RunnerView, certain: bool) -> None:
         ejected = self._services.runners.note_failure(view, time.monotonic(), certain)
         if ejected:
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -98,6 +98,7 @@
         self._configuration = configuration
         self._holdings = holdings
         self.under_way = 0
+        self.last_request_at = float("-inf")
         self.stopping = False
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
@@ -105,6 +106,7 @@
         if scope["type"] != "http":
             return
         self.under_way += 1
+        self.last_request_at = time.monotonic()
         try:
             await self._answer(scope, receive, Delivery(send, self))
         except CallerGone:
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -33,6 +33,15 @@
 store's list after some seconds; one that was restarted is back in about that time,
 and each trial costs a caller at most one retry."""
 
+CUT_SECONDS = 1.0
+"""How long the runners of a data centre get no work after one of them was silent and
+none answered. Then one request tries again; while it is cut off, that costs one caller
+a second some hundred milliseconds, instead of one for each of its runners."""
+
+ANSWER_SECONDS = 1.0
+"""How recent an answer from a data centre must be to show that it can be reached: some
+four of them come in that time from each of three, at twelve requests a second."""
+
 SLOW_FACTOR = 3.0
 """How many times slower than the median a runner must answer to be passed over
 where others have room. Runners of one service differ by up to about twice."""
@@ -95,6 +104,8 @@
         self._doubt = doubt
         self._views: dict[str, RunnerView] = {}
         self._by_endpoint: dict[str, dict[str, RunnerView]] = {}
+        self._answered_at: dict[str, float] = {}
+        self._cut_until: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._views)
@@ -165,8 +176,28 @@
         view.others = max(0.0, load - view.running)
         view.reported_at = now
 
-    def note_answer(self, view: RunnerView, seconds: float) -> None:
+    def is_rested(self, view: RunnerView, now: float) -> bool:
+        """Return whether nothing that was seen keeps work from a runner."""
+        cut = now < self._cut_until.get(view.runner.data_centre, float("-inf"))
+        return not cut and view.is_rested(now)
+
+    def note_silence(self, view: RunnerView, now: float) -> bool:
+        """Take in that nothing came from a runner; return whether it seems cut off.
+
+        A runner that has crashed refuses connections; one without power, or behind a
+        cut, says nothing. With answers from others of its data centre it is the
+        runner; without, it is most likely all of them.
+        """
+        data_centre = view.runner.data_centre
+        if now - self._answered_at.get(data_centre, float("-inf")) < ANSWER_SECONDS:
+            return False
+        self._cut_until[data_centre] = now + CUT_SECONDS
+        return True
+
+    def note_answer(self, view: RunnerView, seconds: float, now: float) -> None:
         """Take in a sound answer, and how long its first byte took."""
+        self._answered_at[view.runner.data_centre] = now
+        self._cut_until.pop(view.runner.data_centre, None)
         view.failing -= SMOOTHING * view.failing
         if view.failing < BAD_SHARE / 2:
             view.ejection = 0.0
--- a/knapweedrail/relay/selection.py
+++ b/knapweedrail/relay/selection.py
@@ -49,7 +49,7 @@
     ]
     if not untried:
         return None
-    rested = [view for view in untried if view.is_rested(now)]
+    rested = [view for view in untried if table.is_rested(view, now)]
     if not rested:
         return min(untried, key=lambda v: max(v.ejected_until, v.full_until))
     key = make_affinity_key(request.parts)
