--- a/knapweedrail/measures.py
+++ b/knapweedrail/measures.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.metrics import CallbackOptions, Counter, Histogram, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import REGISTRY, generate_latest
 
@@ -41,6 +41,21 @@
             "chunks", description="Chunks of answers relayed"
         )
 
+    def make_counter(self, name: str, description: str) -> Counter:
+        """Return a new counter."""
+        return self._meter.create_counter(name, description=description)
+
+    def make_histogram(
+        self, name: str, description: str, bounds: list[float]
+    ) -> Histogram:
+        """Return a new histogram of seconds."""
+        return self._meter.create_histogram(
+            name,
+            unit="s",
+            description=description,
+            explicit_bucket_boundaries_advisory=bounds,
+        )
+
     def add_gauge(
         self, name: str, description: str, read: Callable[[], dict[str, float]]
     ) -> None:
--- a/knapweedrail/platform/relays.py
+++ b/knapweedrail/platform/relays.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ..relay.daemons import DOUBT_SECONDS, Relay
 from ..relay.followers import ConfigurationFollower, RunnerFollower
+from ..relay.measures import CountedStore, RelayMeasures
 from ..relay.options import RelaySettings
 from ..relay.runners import RunnerTable
 from . import names
@@ -12,9 +15,14 @@
 from .store import PlatformStore
 
 
-def make_relay(settings: RelaySettings) -> Relay:
-    """Return a relay that isn't started yet."""
-    store = PlatformStore(settings.store_address)
+def make_relay(settings: RelaySettings, count_left_out: Callable[[], int]) -> Relay:
+    """Return a relay that isn't started yet.
+
+    Args:
+        count_left_out: Returns the log lines left out so far.
+    """
+    measures = RelayMeasures()
+    store = CountedStore(PlatformStore(settings.store_address), measures)
     configuration = ConfigurationFollower(
         store,
         names.CONFIGURATION_KIND,
@@ -29,4 +37,12 @@
         decode_runner,
         RunnerTable(DOUBT_SECONDS),
     )
-    return Relay(settings, store, configuration, runners, PlatformCodec())
+    return Relay(
+        settings,
+        store,
+        configuration,
+        runners,
+        PlatformCodec(),
+        measures,
+        count_left_out,
+    )
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 import time
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -18,6 +19,7 @@
 from .gateway import Gateway
 from .holdings import Holdings
 from .ledgers import Member, name_holder
+from .measures import RelayMeasures, limit_accounts
 from .neighbours import Neighbours, make_server
 from .options import RelaySettings
 from .retries import RetryShare
@@ -58,6 +60,8 @@
         configuration: Follower of the configuration.
         follow_runners: Makes the follower of the list of runners.
         codec: Translates headers.
+        measures: Metrics of the process.
+        count_left_out: Returns the log lines left out so far.
     """
 
     def __init__(
@@ -67,6 +71,8 @@
         configuration: ConfigurationFollower,
         runners: RunnerFollower,
         codec: Codec,
+        measures: RelayMeasures,
+        count_left_out: Callable[[], int],
     ) -> None:
         self._settings = settings
         self._configuration = configuration
@@ -97,12 +103,20 @@
             ),
             data_centre=settings.data_centre,
             rng=random.Random(),
+            measures=measures,
             count_relays=lambda: self._holdings.relays,
         )
         self._gateway = Gateway(services, configuration, self._holdings)
         self._caller_server = HttpServer(
             self._gateway, settings.caller_address, ServerLimits()
         )
+        self._measures = measures
+        self._add_gauges(count_left_out)
+        self._metrics_server: HttpServer | None = None
+        if settings.metrics_address:
+            self._metrics_server = HttpServer(
+                measures.answer, settings.metrics_address, ServerLimits()
+            )
         self._ready_server = HttpServer(
             self._answer_ready, settings.ready_address, ServerLimits()
         )
@@ -112,6 +126,9 @@
         await self._ready_server.start(group)
         await self._caller_server.start(group)
         await self._peer_server.start()
+        if self._metrics_server is not None:
+            await self._metrics_server.start(group)
+            group.start_soon(self._measures.watch_delay)
         for task in (self._configuration, self._runners, self._holdings):
             await task.start(group)
         group.start_soon(self._prune)
@@ -141,8 +158,34 @@
         await self._neighbours.close()
         await self._peer_server.close()
         await self._ready_server.close(0.1)
+        if self._metrics_server is not None:
+            await self._metrics_server.close(0.1)
+        self._measures.close()
         log_event(Event.ROUTER_STOPPED, left=self._gateway.under_way)
 
+    def _add_gauges(self, count_left_out: Callable[[], int]) -> None:
+        add = self._measures.add_gauge
+        add("ages_seconds", "Age of what is known", self._read_ages)
+        add("runners", "Runners listed, by endpoint", self._runners.table.count_listed)
+        add("tokens_available", "Tokens held and free, by account", self._read_tokens)
+        add(
+            "lines_left_out",
+            "Log lines left out",
+            lambda: {"all": float(count_left_out())},
+        )
+
+    def _read_ages(self) -> dict[str, float]:
+        now = time.monotonic()
+        return {
+            "configuration": now - self._configuration.confirmed_at,
+            "runners": now - self._runners.confirmed_at,
+        }
+
+    def _read_tokens(self) -> dict[str, float]:
+        configuration = self._configuration.configuration
+        accounts = (configuration.accounts if configuration else None) or {}
+        return limit_accounts(accounts, self._holdings.read_available)
+
     async def _wait_until_quiet(self, began_at: float) -> None:
         """Serve what the balancer still sends."""
         most = self._settings.stop_seconds - STREAM_SECONDS
--- a/knapweedrail/relay/exchanges.py
+++ b/knapweedrail/relay/exchanges.py
@@ -17,10 +17,11 @@
 from .codecs import Codec
 from .connections import ConnectionFailed, ConnectionPool, RunnerConnection
 from .holdings import Reservation
+from .measures import RelayMeasures
 from .models import CallerRequest, Endpoint, Route, RunnerAnswer
 from .retries import RetryShare
 from .runners import RunnerTable, RunnerView
-from .selection import choose_runner
+from .selection import choose_runner, find_shared_part
 from .streams import EventSplitter, StreamProgress
 
 FIRST_BYTE_FACTOR = 2.0
@@ -67,19 +68,26 @@
         detail: What was seen.
         answer: A runner's own failure, which may be passed on as it is.
         body: That answer's body.
+        runner: Name of the runner.
     """
 
     failure: Failure
     detail: str
     answer: RunnerAnswer | None = None
     body: bytes = b""
+    runner: str = ""
 
 
 @dataclass(frozen=True)
 class Answered:
-    """The caller has its answer."""
+    """The caller has its answer.
+
+    Attributes:
+        runner: Name of the runner that gave its end.
+    """
 
     status: int
+    runner: str
 
 
 @dataclass(frozen=True)
@@ -99,6 +107,7 @@
     retries: RetryShare
     data_centre: str
     rng: random.Random
+    measures: RelayMeasures
     count_relays: Callable[[], int]
 
 
@@ -148,7 +157,10 @@
         self._tried: set[str] = set()
         self._arrivals = 0
         self._began = False
+        self._unread = False
         self._started = False
+        self._first_byte_at: float | None = None
+        self._last_part_at = 0.0
 
     async def run(self) -> Answered | Broken | Refusal:
         """Send the request to runners until one answers, or none may any more."""
@@ -157,6 +169,16 @@
         finally:
             self._reservation.settle(self._count_tokens())
 
+    @property
+    def arrivals(self) -> int:
+        """Runners that the request was sent to."""
+        return self._arrivals
+
+    @property
+    def first_byte_at(self) -> float | None:
+        """When the first part of the answer went to the caller."""
+        return self._first_byte_at
+
     @property
     def started(self) -> bool:
         """Whether the caller has part of an answer."""
@@ -206,15 +228,16 @@
         if self._arrivals >= self._route.max_runners or self._left() <= 0:
             return False
         services = self._services
-        return services.retries.take(
-            self._endpoint.name, services.count_relays(), time.monotonic()
-        )
+        name = self._endpoint.name
+        taken = services.retries.take(name, services.count_relays(), time.monotonic())
+        services.measures.repeats.add(1, {"endpoint": name, "allowed": taken})
+        return taken
 
     async def _end(self, last: Failed, outcome: Failed) -> Answered | Broken | Refusal:
         """Give the final answer after an attempt that can't be followed by another."""
         if outcome.answer is not None and not self._started:
             await self._pass_on(outcome.answer, outcome.body)
-            return Answered(outcome.answer.status)
+            return Answered(outcome.answer.status, outcome.runner)
         return self._give_up(last)
 
     def _give_up(self, last: Failed | None) -> Broken | Refusal:
@@ -237,8 +260,8 @@
     async def _attempt(self, view: RunnerView) -> Answered | Failed:
         """Send the request to one runner and pass on what it answers."""
         services = self._services
-        tokens = self._request.most_tokens
-        services.runners.note_sent(view, tokens)
+        services.runners.note_sent(view, self._request.prompt_tokens)
+        self._unread = True
         runner = view.runner
         connection: RunnerConnection | None = None
         kept = False
@@ -256,7 +279,8 @@
             self._began |= error.sent
             return Failed(failure, f"{error.step}: {error.detail}")
         finally:
-            services.runners.note_ended(view, tokens)
+            self._note_begun(view)
+            services.runners.note_ended(view)
             if connection is not None and not kept:
                 with anyio.CancelScope(shield=True):
                     await services.pool.drop(runner.name, connection)
@@ -309,9 +333,12 @@
             self._began = True
             self._note_failure(view, False)
             return Failed(Failure.SILENT, "the answer's body took too long"), False
-        services.runners.note_answer(
-            view, time.monotonic() - began_at, time.monotonic()
-        )
+        now = time.monotonic()
+        services.runners.note_answer(view, now - began_at, now)
+        self._note_begun(view)
+        if self._request.parts:
+            shared = find_shared_part(self._request.parts)
+            services.runners.note_prefix(shared.name, view, now)
         return await self._relay_stream(
             view, connection, answer, chunks, splitter, first
         )
@@ -350,14 +377,15 @@
         if answer.status >= 500:
             self._note_failure(view, False)
             detail = f"the runner failed with {answer.status}"
-            return Failed(Failure.BROKEN, detail, answer, body), kept
+            failed = Failed(Failure.BROKEN, detail, answer, body, view.runner.name)
+            return failed, kept
         self._services.runners.note_answer(
             view, time.monotonic() - began_at, time.monotonic()
         )
         if self._started:
             return Failed(Failure.BROKEN, f"{answer.status} to a resumed run"), kept
         await self._pass_on(answer, body)
-        return Answered(answer.status), kept
+        return Answered(answer.status, view.runner.name), kept
 
     async def _receive_events(self, chunks: Any, splitter: EventSplitter) -> bytes:
         """Return the next events that the caller lacks; empty at the stream's end."""
@@ -392,7 +420,7 @@
             await self._pass_part(answer, splitter.rest)
             kept = self._keep(view, connection, answer)
             await self._send({"type": "http.response.body", "body": b""})
-            return Answered(answer.status), kept
+            return Answered(answer.status, view.runner.name), kept
         assert scope.cancelled_caught
         return Failed(Failure.SILENT, "the stream took too long"), False
 
@@ -403,8 +431,14 @@
         return max(STALL_SECONDS, STALL_FACTOR * self._route.gap)
 
     async def _pass_part(self, answer: RunnerAnswer, data: bytes) -> None:
+        now = time.monotonic()
+        if self._started:
+            gap = now - self._last_part_at
+            self._services.measures.gaps.record(gap, {"route": self._route.name})
+        self._last_part_at = now
         if not self._started:
             self._started = True
+            self._first_byte_at = now
             await self._send(
                 {
                     "type": "http.response.start",
@@ -419,6 +453,7 @@
 
     async def _pass_on(self, answer: RunnerAnswer, body: bytes) -> None:
         self._started = True
+        self._first_byte_at = time.monotonic()
         headers = [*answer.headers, (b"content-length", b"%d" % len(body))]
         await self._send(
             {
@@ -439,10 +474,16 @@
         )
         return True
 
+    def _note_begun(self, view: RunnerView) -> None:
+        if self._unread:
+            self._services.runners.note_begun(view, self._request.prompt_tokens)
+            self._unread = False
+
     def _note_load(self, view: RunnerView, answer: RunnerAnswer) -> None:
         if answer.running is not None and answer.waiting is not None:
-            load = answer.running + answer.waiting
-            self._services.runners.note_load(view, load, time.monotonic())
+            self._services.runners.note_load(
+                view, answer.running, answer.waiting, time.monotonic()
+            )
 
     def _note_rejection(self, view: RunnerView, answer: RunnerAnswer) -> None:
         if answer.status == 421:
@@ -471,6 +512,8 @@
             )
 
     def _log_failure(self, view: RunnerView, outcome: Failed) -> None:
+        labels = {"endpoint": self._endpoint.name, "outcome": outcome.failure.value}
+        self._services.measures.attempts.add(1, labels)
         log_event(
             Event.ATTEMPT_FAILED,
             request=self._request.identity,
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -250,7 +250,9 @@
             ends_at,
             send,
         )
+        began_at = time.monotonic()
         outcome = await exchange.run()
+        self._note_outcome(request, admission, table, exchange, outcome, began_at)
         match outcome:
             case Refusal():
                 await self._refuse(send, request.identity, outcome)
@@ -261,6 +263,41 @@
             case Answered():
                 pass
 
+    def _note_outcome(
+        self,
+        request: CallerRequest,
+        admission: Admission,
+        table: RouteTable,
+        exchange: Exchange,
+        outcome: Answered | Broken | Refusal,
+        began_at: float,
+    ) -> None:
+        measures = self._services.measures
+        route = admission.route.name
+        kind = type(outcome).__name__.lower()
+        measures.requests.add(1, {"route": route, "outcome": kind})
+        first = exchange.first_byte_at
+        if first is not None:
+            measures.first_byte.record(first - began_at, {"route": route})
+        if not isinstance(outcome, Answered):
+            return
+        now = time.monotonic()
+        log_event(
+            Event.REQUEST_ANSWERED,
+            request=request.identity,
+            route=route,
+            account=admission.account.name if admission.account else None,
+            runner=outcome.runner,
+            status=outcome.status,
+            sent_to=exchange.arrivals,
+            tokens=request.prompt_tokens,
+            prefix=[f"{part.name}:{part.tokens}" for part in request.parts],
+            first_byte=round((first or now) - began_at, 4),
+            seconds=round(now - began_at, 4),
+            configuration=table.configuration.version,
+            configuration_age=round(now - self._configuration.confirmed_at, 2),
+        )
+
     async def _reserve(
         self, account: Account | None, request: CallerRequest
     ) -> Reservation | Refusal:
@@ -295,6 +332,7 @@
             peer=refusal.peer,
             detail=refusal.detail,
         )
+        self._services.measures.refusals.add(1, {"kind": refusal.kind.value})
         status = STATUSES.get(refusal.kind, 503)
         if status == 503 and refusal.ran is not Ran.NOT_RUN:
             status = 502
--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -172,6 +172,11 @@
             )
         return Gift(self._member.holder, total)
 
+    def read_available(self, account: str) -> float:
+        """Return the tokens of an account that are free here."""
+        held = self._allowances.get(account)
+        return float(held.position.available) if held else 0.0
+
     def describe(self, account: Account) -> dict[str, Any]:
         """Return what is known of an account, and since when, for a log line."""
         entry = self._ledger.get_account(account.name)
--- /dev/null
+++ b/knapweedrail/relay/logs.py
@@ -0,0 +1,134 @@
+"""Log lines to standard output: bounded in number and length, and never waited for."""
+
+from __future__ import annotations
+
+import collections
+import queue
+import threading
+import time
+from typing import BinaryIO
+
+import orjson
+
+from ..events import Event
+
+LINES_PER_SECOND = 200
+"""Most lines of a second: some three for each of the requests that one relay sees in
+a heavy second. At 0.1 ms a line that is 2 % of a core."""
+
+KEPT_LINES_PER_SECOND = 100
+"""Further lines of a second for what is needed most to explain a failure."""
+
+KEPT = frozenset(
+    {
+        Event.ROUTER_STARTED,
+        Event.ROUTER_STOPPING,
+        Event.ROUTER_STOPPED,
+        Event.TASK_FAILED,
+        Event.PLATFORM_AWAY,
+        Event.PLATFORM_BACK,
+        Event.REQUEST_REFUSED,
+        Event.STREAM_BROKEN,
+        Event.TOKENS_WRITTEN_OFF,
+    }
+)
+"""Events that go on being written when others are left out."""
+
+LINE_BYTES = 2000
+"""Longest line; what is longer is cut and says so."""
+
+WAITING_LINES = 2000
+"""Lines that wait for a reader that is slow: 4 MB at the most."""
+
+CLOSE_SECONDS = 0.3
+"""How long an ending process waits for a slow reader."""
+
+_NEVER_NEEDED = ("task_uuid", "task_level")
+_KEPT_TYPES = frozenset(f"{event.number} {event.name.lower()}" for event in KEPT)
+
+
+class LogWriter:
+    """Destination of `eliot` messages.
+
+    What goes wrong without it: a reader that has stopped reading fills the pipe, the
+    next line blocks the process, and all its callers wait. Here a thread of its own
+    writes, and lines beyond the bounds are left out and counted.
+
+    Args:
+        stream: Where lines go.
+    """
+
+    def __init__(self, stream: BinaryIO) -> None:
+        self._stream = stream
+        self._queue: queue.Queue[bytes | None] = queue.Queue(WAITING_LINES)
+        self._thread = threading.Thread(target=self._write, daemon=True)
+        self._second = 0
+        self._lines = 0
+        self._left_out: collections.Counter[str] = collections.Counter()
+        self.left_out = 0
+
+    def start(self) -> None:
+        """Begin to write."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Write what waits, as far as a reader takes it in time."""
+        self._report()
+        try:
+            self._queue.put_nowait(None)
+        except queue.Full:
+            return
+        self._thread.join(CLOSE_SECONDS)
+
+    def __call__(self, message: dict) -> None:
+        """Take one message; never blocks."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second, self._lines = second, 0
+            self._report()
+        kind = message.get("message_type", "")
+        self._lines += 1
+        limit = LINES_PER_SECOND
+        if kind in _KEPT_TYPES:
+            limit += KEPT_LINES_PER_SECOND
+        if self._lines > limit:
+            self._leave_out(kind)
+        else:
+            self._put(kind, message)
+
+    def _report(self) -> None:
+        """Say how many lines were left out."""
+        if not self._left_out:
+            return
+        counts = dict(self._left_out)
+        self._left_out.clear()
+        event = Event.LINES_LEFT_OUT
+        kind = f"{event.number} {event.name.lower()}"
+        line = {"message_type": kind, "timestamp": time.time(), "counts": counts}
+        self._put(kind, line)
+
+    def _put(self, kind: str, message: dict) -> None:
+        shown = {k: v for k, v in message.items() if k not in _NEVER_NEEDED}
+        line = orjson.dumps(shown, default=repr)
+        if len(line) > LINE_BYTES:
+            head = line[: LINE_BYTES // 2].decode("utf-8", "replace")
+            line = orjson.dumps({"message_type": kind, "cut": head})
+        try:
+            self._queue.put_nowait(line + b"\n")
+        except queue.Full:
+            self._leave_out(kind)
+
+    def _leave_out(self, kind: str) -> None:
+        self._left_out[kind] += 1
+        self.left_out += 1
+
+    def _write(self) -> None:
+        try:
+            while (line := self._queue.get()) is not None:
+                self._stream.write(line)
+                if self._queue.empty():
+                    self._stream.flush()
+            self._stream.flush()
+        except OSError:
+            # The reader is gone. There is nowhere left to say so.
+            return
--- /dev/null
+++ b/knapweedrail/relay/measures.py
@@ -0,0 +1,113 @@
+"""Metrics of a relay, and a store that counts its calls."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from ..measures import Measures
+from .models import Account
+from .stores import Store
+
+GAP_BOUNDS = [0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5]
+"""Seconds between two parts of a stream; callers aim at a quarter of a second."""
+
+DELAY_BOUNDS = [0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1]
+"""Seconds by which the event loop is late; each adds to every answer under way."""
+
+MOST_ACCOUNTS = 50
+"""Accounts with a series of their own; an operator with more asks the ledger."""
+
+DELAY_PAUSE_SECONDS = 1.0
+"""Pause between two looks at the event loop's delay."""
+
+
+class RelayMeasures(Measures):
+    """All metrics of a relay.
+
+    Attributes:
+        refusals: Refusals by kind.
+        attempts: Attempts at runners by endpoint and outcome.
+        repeats: Attempts after the first, by endpoint, and whether the retry share
+            had one left.
+        gaps: Seconds between parts of streams, by route.
+        store_calls: Calls to the store by step and outcome.
+        delays: Seconds by which the event loop was late.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.refusals = self.make_counter("refusals", "Refusals by kind")
+        self.attempts = self.make_counter("attempts", "Attempts at runners")
+        self.repeats = self.make_counter("repeats", "Attempts after the first")
+        self.store_calls = self.make_counter("store_calls", "Calls to the store")
+        self.gaps = self.make_histogram(
+            "gap_seconds", "Seconds between parts of a stream", GAP_BOUNDS
+        )
+        self.delays = self.make_histogram(
+            "loop_delay_seconds", "Seconds the event loop was late", DELAY_BOUNDS
+        )
+
+    async def watch_delay(self) -> None:
+        """Measure the event loop's delay until cancelled."""
+        while True:
+            due = time.monotonic() + DELAY_PAUSE_SECONDS
+            await anyio.sleep(DELAY_PAUSE_SECONDS)
+            self.delays.record(max(0.0, time.monotonic() - due))
+
+    async def answer(self, scope: dict, receive: Any, send: Any) -> None:
+        """Serve the metrics as text, as an ASGI application."""
+        body = self.render()
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": [
+                    (b"content-type", b"text/plain; version=0.0.4"),
+                    (b"content-length", b"%d" % len(body)),
+                ],
+            }
+        )
+        await send({"type": "http.response.body", "body": body})
+
+
+def limit_accounts(
+    accounts: dict[str, Account], read: Callable[[str], float]
+) -> dict[str, float]:
+    """Return a figure of each account, of the first `MOST_ACCOUNTS`."""
+    return {name: read(name) for name in sorted(accounts)[:MOST_ACCOUNTS]}
+
+
+class CountedStore(Store):
+    """A store whose calls are counted by step and outcome.
+
+    Args:
+        store: The store that is called.
+        measures: Where calls are counted.
+    """
+
+    def __init__(self, store: Store, measures: RelayMeasures) -> None:
+        self._store = store
+        self._measures = measures
+
+    async def list_kind(self, kind: str) -> Any:
+        return self._count("list", await self._store.list_kind(kind))
+
+    async def watch_kind(self, kind: str, revision: int, seconds: float) -> Any:
+        outcome = await self._store.watch_kind(kind, revision, seconds)
+        return self._count("watch", outcome)
+
+    async def create(self, kind: str, name: str, spec: Any) -> Any:
+        return self._count("create", await self._store.create(kind, name, spec))
+
+    async def replace(self, kind: str, name: str, spec: Any, revision: int) -> Any:
+        outcome = await self._store.replace(kind, name, spec, revision)
+        return self._count("replace", outcome)
+
+    def _count(self, step: str, outcome: Any) -> Any:
+        name = type(outcome).__name__.lower()
+        self._measures.store_calls.add(1, {"step": step, "outcome": name})
+        return outcome
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -5,12 +5,20 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Iterable
 
 import attrs
 
 from .models import Runner, RunnerState
 
+PREFIX_SECONDS = 9.0
+"""How long a prefix that was sent to a runner counts as still in its memory. Runners
+drop what was used least recently, and are full after some ten seconds of heavy load."""
+
+MOST_PREFIXES = 10_000
+"""Prefixes remembered; the oldest go first. About 2 MB."""
+
 REPORT_SECONDS = 1.0
 """How long a runner's own word on its load counts. Work here lasts a second or less
 at the median, so an older report tells nothing of now."""
@@ -57,8 +65,10 @@
 
     Attributes:
         running: Requests of this relay that are there.
-        tokens: Tokens that these may need of its memory.
+        unread: Prompt tokens of these whose answer hasn't begun: the runner still has
+            to read them, one request after another.
         others: Requests of others, by its last report.
+        others_waiting: How many of these had not begun to be answered.
         reported_at: When it last reported; seconds.
         failing: Running share of failed answers.
         latency: Running mean of seconds to the first byte; 0 before any.
@@ -70,8 +80,9 @@
 
     runner: Runner
     running: int = 0
-    tokens: int = 0
+    unread: int = 0
     others: float = 0.0
+    others_waiting: float = 0.0
     reported_at: float = float("-inf")
     failing: float = 0.0
     latency: float = 0.0
@@ -82,9 +93,19 @@
 
     def estimate_load(self, now: float) -> float:
         """Return the requests it works on: ours exactly, others' by its report."""
-        age = now - self.reported_at
-        weight = max(0.0, 1.0 - age / REPORT_SECONDS)
-        return self.running + weight * self.others
+        return self.running + self._weigh_report(now) * self.others
+
+    def estimate_unread(self, mean_tokens: float, now: float) -> float:
+        """Return the prompt tokens that it has to read before a new request's.
+
+        Args:
+            mean_tokens: Prompt tokens of a request, as a mean, for those of others.
+        """
+        others = self._weigh_report(now) * self.others_waiting
+        return self.unread + others * mean_tokens
+
+    def _weigh_report(self, now: float) -> float:
+        return max(0.0, 1.0 - (now - self.reported_at) / REPORT_SECONDS)
 
     def is_rested(self, now: float) -> bool:
         """Return whether neither failures nor a rejection keep work from it."""
@@ -104,6 +125,8 @@
         self._doubt = doubt
         self._views: dict[str, RunnerView] = {}
         self._by_endpoint: dict[str, dict[str, RunnerView]] = {}
+        self.mean_tokens = 0.0
+        self._prefixes: OrderedDict[str, tuple[str, float]] = OrderedDict()
         self._answered_at: dict[str, float] = {}
         self._cut_until: dict[str, float] = {}
 
@@ -123,6 +146,18 @@
             return listed
         return [v for v in ready if now - (v.gone_at or 0.0) < self._doubt]
 
+    def count_listed(self) -> dict[str, float]:
+        """Return the number of runners that are ready, by endpoint."""
+        return {
+            endpoint: float(
+                sum(
+                    view.runner.state is RunnerState.READY and view.gone_at is None
+                    for view in views.values()
+                )
+            )
+            for endpoint, views in self._by_endpoint.items()
+        }
+
     def set_runner(self, runner: Runner) -> None:
         """Take in a runner's entry, new or changed."""
         view = self._views.get(runner.name)
@@ -162,18 +197,37 @@
         return gone
 
     def note_sent(self, view: RunnerView, tokens: int) -> None:
-        """Count a request that goes to a runner."""
+        """Count a request that goes to a runner, with its prompt tokens."""
         view.running += 1
-        view.tokens += tokens
+        view.unread += tokens
+        self.mean_tokens += SMOOTHING * (tokens - self.mean_tokens)
+
+    def note_begun(self, view: RunnerView, tokens: int) -> None:
+        """Count that a request's answer has begun, or that its attempt has failed."""
+        view.unread -= tokens
 
-    def note_ended(self, view: RunnerView, tokens: int) -> None:
+    def note_ended(self, view: RunnerView) -> None:
         """Count the end of a request at a runner."""
         view.running -= 1
-        view.tokens -= tokens
 
-    def note_load(self, view: RunnerView, load: int, now: float) -> None:
+    def note_prefix(self, prefix: str, view: RunnerView, now: float) -> None:
+        """Remember that a runner has a prefix in its memory."""
+        self._prefixes[prefix] = (view.runner.name, now)
+        self._prefixes.move_to_end(prefix)
+        if len(self._prefixes) > MOST_PREFIXES:
+            self._prefixes.popitem(last=False)
+
+    def find_prefix(self, prefix: str, now: float) -> str | None:
+        """Return the runner that a prefix was sent to lately."""
+        name, at = self._prefixes.get(prefix, ("", float("-inf")))
+        return name if now - at < PREFIX_SECONDS else None
+
+    def note_load(
+        self, view: RunnerView, running: int, waiting: int, now: float
+    ) -> None:
         """Take in a runner's own word on the requests it runs and keeps waiting."""
-        view.others = max(0.0, load - view.running)
+        view.others = max(0.0, running + waiting - view.running)
+        view.others_waiting = min(view.others, float(waiting))
         view.reported_at = now
 
     def is_rested(self, view: RunnerView, now: float) -> bool:
--- a/knapweedrail/relay/selection.py
+++ b/knapweedrail/relay/selection.py
@@ -12,14 +12,9 @@
 from .models import CallerRequest, PromptPart
 from .runners import MOST_SLOW_FACTOR, SLOW_FACTOR, RunnerTable, RunnerView
 
-EXCESS_FACTOR = 1.25
-"""How much more of this relay's work than the mean a prefix's own runner may have.
-Above it, prefill that was saved is lost again in waiting: with a quarter more the
-queue of a runner at two thirds of its capacity stays short."""
-
-EXCESS_REQUESTS = 2.0
-"""Requests that a prefix's own runner may have beyond that. A relay with little work
-sees means below one; without it, affinity would hold only when nothing runs."""
+RUNNING_TOKENS = 60.0
+"""Prompt tokens that one running request weighs. Every request that a runner generates
+for makes each of its steps a little longer; it matters where little is to be read."""
 
 
 def choose_runner(
@@ -52,39 +47,51 @@
     rested = [view for view in untried if table.is_rested(view, now)]
     if not rested:
         return min(untried, key=lambda v: max(v.ejected_until, v.full_until))
-    key = make_affinity_key(request.parts)
-    if key:
-        return _choose_by_prefix(rested, key, now)
+    if request.parts:
+        return _choose_by_prefix(table, rested, request.parts, now)
     return _choose_by_load(rested, data_centre, now, rng)
 
 
-def make_affinity_key(parts: tuple[PromptPart, ...]) -> str:
+def find_shared_part(parts: tuple[PromptPart, ...]) -> PromptPart:
     """Return the part of a prompt by which requests go to the same runner.
 
     The last part is the request's own. The one before it is the longest prefix that
     others share, such as a farm's history; its requests gain by meeting on one runner.
     The parts before that are shared by so many that every runner soon has them.
     """
-    if len(parts) >= 2:
-        return parts[-2].name
-    return parts[0].name if parts else ""
-
+    return parts[-2] if len(parts) >= 2 else parts[0]
 
-def _choose_by_prefix(views: list[RunnerView], key: str, now: float) -> RunnerView:
-    """Return the key's own runner, or the next in its order while that has too much.
 
-    Every relay works out the same order without talking (rendezvous hashing), and a
-    runner that comes or goes moves only its own keys.
+def _choose_by_prefix(
+    table: RunnerTable,
+    views: list[RunnerView],
+    parts: tuple[PromptPart, ...],
+    now: float,
+) -> RunnerView:
+    """Return the runner that has least to read before the answer can begin.
+
+    The load it is for: long prompts, a part of which others share, some of them asked
+    for by a third of all callers at once. What a runner has in its memory it needn't
+    read again; but its queue may be longer than that saves. Both are prompt tokens,
+    so they are added up. Every relay takes the same runner for a prefix's own without
+    talking (rendezvous hashing), and a runner that comes or goes moves only its own
+    prefixes; where this relay sent the prefix lately counts as much.
     """
-    loads = {view.runner.name: view.estimate_load(now) for view in views}
-    bound = EXCESS_FACTOR * statistics.fmean(loads.values()) + EXCESS_REQUESTS
+    shared = find_shared_part(parts)
+    home = min(views, key=lambda v: _hash_pair(shared.name, v.runner.name))
+    recent = table.find_prefix(shared.name, now)
     norm = _compute_norm(views)
-    ranked = sorted(views, key=lambda v: _hash_pair(key, v.runner.name))
-    for view in ranked:
-        slow = norm and view.latency > SLOW_FACTOR * norm
-        if loads[view.runner.name] <= bound and not slow:
-            return view
-    return min(views, key=lambda v: loads[v.runner.name])
+
+    def weigh(view: RunnerView) -> float:
+        tokens = view.estimate_unread(table.mean_tokens, now)
+        tokens += RUNNING_TOKENS * view.estimate_load(now)
+        if view is not home and view.runner.name != recent:
+            tokens += shared.tokens
+        if norm and view.latency > SLOW_FACTOR * norm:
+            tokens += table.mean_tokens * view.latency / norm
+        return tokens
+
+    return min(views, key=weigh)
 
 
 def _choose_by_load(
--- /dev/null
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -0,0 +1,347 @@
+"""Relays in one process: a store in memory, runners that follow a script, callers."""
+
+from __future__ import annotations
+
+import contextlib
+import copy
+import random
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import attrs
+
+from ..outcomes import Unavailable, Unknown
+from ..platform.requests import PlatformCodec
+from ..relay.connections import ConnectionPool
+from ..relay.exchanges import Services
+from ..relay.followers import ConfigurationFollower
+from ..relay.gateway import Gateway
+from ..relay.holdings import Holdings
+from ..relay.ledgers import Member
+from ..relay.measures import RelayMeasures
+from ..relay.models import (
+    Account,
+    CallerLimits,
+    Configuration,
+    Endpoint,
+    Repetition,
+    Route,
+    Runner,
+    RunnerState,
+    Share,
+)
+from ..relay.neighbours import Neighbours
+from ..relay.retries import RetryShare
+from ..relay.runners import RunnerTable
+from ..relay.stores import (
+    Conflict,
+    Listing,
+    Missing,
+    Store,
+    StoredObject,
+    Written,
+)
+
+KEY = "key-of-farm"
+ACCOUNT = "farm"
+
+
+class MemoryStore(Store):
+    """One store of objects; `fate` says what becomes of the next writes.
+
+    A fate is ``"answer"``, ``"lose"`` (done, not answered), ``"drop"`` (not done, not
+    answered) or ``"away"``.
+    """
+
+    def __init__(self) -> None:
+        self.objects: dict[tuple[str, str], StoredObject] = {}
+        self.revision = 1
+        self.fates: list[str] = []
+        self.away = False
+        self.writes = 0
+
+    async def list_kind(self, kind: str) -> Listing | Unavailable:
+        if self.away:
+            return Unavailable("list", "store", "away")
+        found = [o for (k, _), o in self.objects.items() if k == kind]
+        return Listing(tuple(found), self.revision)
+
+    async def watch_kind(self, kind: str, revision: int, seconds: float) -> Any:
+        await anyio.sleep(0.01)
+        return await self.list_kind(kind)
+
+    async def create(self, kind: str, name: str, spec: Any) -> Any:
+        return await self._write(kind, name, spec, None)
+
+    async def replace(self, kind: str, name: str, spec: Any, revision: int) -> Any:
+        return await self._write(kind, name, spec, revision)
+
+    def put(self, kind: str, name: str, spec: Any) -> StoredObject:
+        """Write without condition."""
+        self.revision += 1
+        stored = StoredObject(name, self.revision, copy.deepcopy(spec))
+        self.objects[kind, name] = stored
+        return stored
+
+    async def _write(
+        self, kind: str, name: str, spec: Any, revision: int | None
+    ) -> Any:
+        await anyio.sleep(0)
+        fate = self.fates.pop(0) if self.fates else "answer"
+        if self.away or fate == "away":
+            return Unavailable("write", "store", "away")
+        if fate == "drop":
+            return Unknown("write", "store", "no answer")
+        known = self.objects.get((kind, name))
+        if known is None and revision is not None:
+            return Missing()
+        if known is not None and known.revision != revision:
+            return Conflict(copy.deepcopy(known))
+        self.writes += 1
+        stored = self.put(kind, name, spec)
+        if fate == "lose":
+            return Unknown("write", "store", "no answer")
+        return Written(stored.revision)
+
+
+@attrs.define
+class ScriptedRunner:
+    """A runner that reads requests and answers by a function of its own.
+
+    Attributes:
+        respond: Takes the connection and the request's head; returns whether the
+            connection stays open.
+        heads: Heads of all requests that arrived.
+    """
+
+    respond: Callable[[anyio.abc.SocketStream, str], Any]
+    heads: list[str] = attrs.field(factory=list)
+    bodies: list[bytes] = attrs.field(factory=list)
+    address: str = ""
+
+    async def serve(self, group: anyio.abc.TaskGroup) -> None:
+        """Listen, and answer in ``group``."""
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.address = f"127.0.0.1:{port}"
+        group.start_soon(listener.serve, self._handle)
+
+    async def _handle(self, stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            with contextlib.suppress(
+                anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError
+            ):
+                data = b""
+                while True:
+                    while b"\r\n\r\n" not in data:
+                        data += await stream.receive()
+                    head, _, data = data.partition(b"\r\n\r\n")
+                    text = head.decode("latin-1")
+                    length = int(find_header(text, "content-length") or 0)
+                    while len(data) < length:
+                        data += await stream.receive()
+                    body, data = data[:length], data[length:]
+                    self.heads.append(text)
+                    self.bodies.append(body)
+                    if not await self.respond(stream, text):
+                        return
+
+
+def find_header(head: str, name: str) -> str | None:
+    """Return the value of a header."""
+    for line in head.split("\r\n")[1:]:
+        key, _, value = line.partition(":")
+        if key.strip().lower() == name:
+            return value.strip()
+    return None
+
+
+def make_answer(
+    head: str, body: bytes = b"ok", status: int = 200, **more: str
+) -> bytes:
+    """Return a sound answer to a request, with a seal."""
+    lines = [
+        f"HTTP/1.1 {status} X",
+        f"Knapweedrail-Request-Id: {find_header(head, 'knapweedrail-request-id')}",
+        "Knapweedrail-Response-Seal: s",
+        f"Content-Length: {len(body)}",
+    ]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in more.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def make_stream_head(head: str) -> bytes:
+    """Return the head of an event stream's answer."""
+    identity = find_header(head, "knapweedrail-request-id")
+    return (
+        f"HTTP/1.1 200 OK\r\nKnapweedrail-Request-Id: {identity}\r\n"
+        "Knapweedrail-Response-Seal: s\r\nContent-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def make_chunk(data: bytes) -> bytes:
+    """Return one chunk of a body; an empty one ends it."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def make_event(number: int) -> bytes:
+    """Return one event."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+def make_route(repetition: Repetition, prefix: str = "/a/", **changes: Any) -> Route:
+    """Return a route to the endpoint ``e``."""
+    route = Route(
+        name="r",
+        host="h.example",
+        prefix=prefix,
+        repetition=repetition,
+        timeout=3.0,
+        objective=0.3,
+        gap=0.1,
+        rank=1,
+        shares=(Share("e", 1.0),),
+        max_runners=2,
+        needs_key=True,
+        resumable=False,
+    )
+    return attrs.evolve(route, **changes)
+
+
+def make_configuration(*routes: Route, prepaid: int | None = None) -> Configuration:
+    """Return a configuration with one account."""
+    return Configuration(
+        version=1,
+        routes=routes,
+        endpoints={"e": Endpoint(name="e", health_path="/health", max_connections=100)},
+        accounts={ACCOUNT: Account(name=ACCOUNT, keys=(KEY,), prepaid=prepaid)},
+        limits=CallerLimits(),
+    )
+
+
+@attrs.define
+class Answer:
+    """What a caller got; ``whole`` says whether its end was told."""
+
+    status: int = 0
+    headers: dict[str, str] = attrs.field(factory=dict)
+    body: bytes = b""
+    whole: bool = False
+
+
+@attrs.define
+class MemoryRelay:
+    """One relay without servers of its own."""
+
+    store: MemoryStore
+    gateway: Gateway
+    holdings: Holdings
+    table: RunnerTable
+    pool: ConnectionPool
+    configuration: ConfigurationFollower
+
+    async def call(
+        self,
+        path: str = "/a/x",
+        method: str = "POST",
+        body: bytes = b"hello",
+        leaves_after: float | None = None,
+        **headers: str,
+    ) -> Answer:
+        """Send one request as a caller would."""
+        sent = {
+            "host": "h.example",
+            "knapweedrail-request-id": "id-1",
+            "knapweedrail-key": KEY,
+            "knapweedrail-deadline-ms": "3000",
+        }
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "raw_path": path.encode(),
+            "query_string": b"",
+            "headers": [(k.encode(), v.encode()) for k, v in sent.items()],
+        }
+        answer = Answer()
+        told = False
+
+        async def receive() -> dict[str, Any]:
+            nonlocal told
+            if not told:
+                told = True
+                return {"type": "http.request", "body": body, "more_body": False}
+            if leaves_after is None:
+                await anyio.sleep_forever()
+            await anyio.sleep(leaves_after)
+            return {"type": "http.disconnect"}
+
+        async def send(message: dict[str, Any]) -> None:
+            if message["type"] == "http.response.start":
+                answer.status = message["status"]
+                answer.headers = {
+                    k.decode().lower(): v.decode() for k, v in message["headers"]
+                }
+                return
+            answer.body += message.get("body", b"")
+            answer.whole = not message.get("more_body", False)
+
+        await self.gateway(scope, receive, send)
+        return answer
+
+
+@contextlib.asynccontextmanager
+async def run_relay(
+    configuration: Configuration | None,
+    *runners: ScriptedRunner,
+    store: MemoryStore | None = None,
+) -> AsyncIterator[MemoryRelay]:
+    """Run a relay before runners that follow scripts."""
+    store = store or MemoryStore()
+    table = RunnerTable(doubt=1.9)
+    follower = ConfigurationFollower(store, "config", 1.0, lambda spec: spec, "main")
+    if configuration is not None:
+        follower.set(store.put("config", "main", configuration))
+        follower.confirmed_at = float("inf")
+    holdings = Holdings(
+        store, Neighbours("dc"), "host", Member("host/1"), lambda: configuration
+    )
+    pool = ConnectionPool()
+    services = Services(
+        codec=PlatformCodec(),
+        pool=pool,
+        runners=table,
+        retries=RetryShare(1.0, 100.0, 10.0),
+        data_centre="dc",
+        rng=random.Random(1),
+        measures=RelayMeasures(),
+        count_relays=lambda: 1,
+    )
+    gateway = Gateway(services, follower, holdings)
+    async with anyio.create_task_group() as group:
+        for number, runner in enumerate(runners):
+            await runner.serve(group)
+            table.set_runner(make_runner(f"i-{number}", runner.address))
+        await holdings.start(group)
+        yield MemoryRelay(store, gateway, holdings, table, pool, follower)
+        await holdings.close()
+        await pool.close()
+        group.cancel_scope.cancel()
+
+
+def make_runner(
+    name: str, address: str = "127.0.0.1:1", data_centre: str = "dc", slots: int = 8
+) -> Runner:
+    """Return a ready runner of the endpoint ``e``."""
+    return Runner(
+        name=name,
+        endpoint="e",
+        address=address,
+        data_centre=data_centre,
+        slots=slots,
+        state=RunnerState.READY,
+    )
--- /dev/null
+++ b/knapweedrail/tests/test_platform_requests.py
@@ -0,0 +1,129 @@
+"""Headers between callers, the relay and runners."""
+
+import pytest
+
+from ..platform import names
+from ..platform.requests import PlatformCodec
+from ..relay.models import Malformed, PromptPart
+from .relays_in_memory import make_runner
+
+CODEC = PlatformCodec()
+
+PLAIN = [(b"Host", b"H.example:80"), (b"Knapweedrail-Request-Id", b"id-1")]
+
+
+def decode(*headers, method="POST"):
+    return CODEC.decode_request(method, b"/a/x", b"q=1", [*PLAIN, *headers])
+
+
+def encode(request, **changes):
+    values = {
+        "account": "farm",
+        "seconds": 1.25,
+        "rank": 2,
+        "body_bytes": 5,
+        "last_event": None,
+    }
+    runner = make_runner("i-1")
+    return dict(CODEC.encode_request(request, runner, **(values | changes)))
+
+
+def test_a_request_is_decoded():
+    request = decode(
+        (b"Knapweedrail-Token-Usage", b"1460,80"),
+        (b"Knapweedrail-Prompt-Prefix", b"5c:800, 91:410,e4:250"),
+        (b"Knapweedrail-Deadline-Ms", b"5000"),
+        (b"Knapweedrail-Key", b" k1 "),
+        (b"Last-Event-Id", b"12"),
+    )
+    assert request.host == "h.example"
+    assert request.target == b"/a/x?q=1"
+    assert request.most_tokens == 1540
+    assert request.parts[1] == PromptPart("91", 410)
+    assert (request.deadline, request.key, request.last_event) == (5.0, "k1", 12)
+
+
+@pytest.mark.parametrize("name", sorted(names.OURS))
+def test_a_caller_cannot_set_what_is_the_systems_to_set(name):
+    """A caller names another account, or the memory of another caller's run, in a
+    header that runners believe."""
+    odd = name.decode().upper().encode()
+    request = decode((odd, b"forged"), (name.title(), b"again"))
+    sent = CODEC.encode_request(request, make_runner("i-1"), "farm", 1, 2, 0, None)
+    assert b"forged" not in [value for _, value in sent]
+    assert b"again" not in [value for _, value in sent]
+
+
+def test_the_key_stays_here_and_the_account_is_named():
+    request = decode((b"Knapweedrail-Key", b"k1"))
+    sent = encode(request)
+    assert b"k1" not in sent.values()
+    assert sent[b"knapweedrail-tenant"] == b"farm"
+    assert sent[b"knapweedrail-deadline-ms"] == b"1250"
+
+
+def test_a_route_without_keys_names_no_account():
+    sent = encode(decode((b"Knapweedrail-Tenant", b"other")), account=None)
+    assert b"knapweedrail-tenant" not in {name.lower() for name in sent}
+
+
+def test_headers_of_one_connection_are_not_passed_on():
+    request = decode(
+        (b"Connection", b"keep-alive, X-Hop"),
+        (b"X-Hop", b"1"),
+        (b"Transfer-Encoding", b"chunked"),
+        (b"X-Stays", b"2"),
+    )
+    sent = {name.lower() for name in encode(request)}
+    assert b"x-stays" in sent
+    assert not sent & {b"connection", b"x-hop", b"transfer-encoding"}
+
+
+def test_a_caller_cannot_drop_the_requests_identity_by_naming_it_a_connections():
+    request = decode((b"Connection", b"Knapweedrail-Request-Id"))
+    assert encode(request)[b"Knapweedrail-Request-Id"] == b"id-1"
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        [(b"Content-Length", b"5"), (b"Transfer-Encoding", b"chunked")],
+        [(b"Knapweedrail-Key", b"a"), (b"knapweedrail-key", b"b")],
+        [(b"HOST", b"other.example")],
+        [(b"Knapweedrail-Request-Id", b"id-2")],
+        [(b"Knapweedrail-Token-Usage", b"1,1"), (b"Knapweedrail-Token-Usage", b"9,9")],
+    ],
+)
+def test_a_request_that_two_readers_would_read_differently_is_malformed(headers):
+    """One reader takes the first of two values, another the last; a request hidden in
+    the difference would be run for nobody's account."""
+    assert isinstance(decode(*headers), Malformed)
+
+
+def test_a_resumed_run_names_the_last_event_that_the_caller_has():
+    request = decode((b"Last-Event-Id", b"3"))
+    sent = CODEC.encode_request(request, make_runner("i-1"), "farm", 1, 2, 0, 7)
+    found = [value for name, value in sent if name.lower() == b"last-event-id"]
+    assert found == [b"7"]
+
+
+def test_an_answer_is_decoded():
+    answer = CODEC.decode_answer(
+        503,
+        [
+            (b"Knapweedrail-Not-Executed", b"1"),
+            (b"Knapweedrail-Server-Load", b"3,1,8"),
+            (b"Keep-Alive", b"timeout=5"),
+            (b"Connection", b"close"),
+        ],
+    )
+    assert answer.not_run and not answer.sealed
+    assert (answer.running, answer.waiting, answer.slots) == (3, 1, 8)
+    assert answer.idle_seconds == 5.0
+    assert b"connection" not in {name.lower() for name, _ in answer.headers}
+
+
+@pytest.mark.parametrize("text", [b"", b"x", b"1,2", b"1,2,x", b"-1,0,8"])
+def test_a_load_that_cannot_be_read_is_no_load(text):
+    answer = CODEC.decode_answer(200, [(b"Knapweedrail-Server-Load", text)])
+    assert answer.running is None
--- /dev/null
+++ b/knapweedrail/tests/test_platform_store.py
@@ -0,0 +1,225 @@
+"""The client of the platform's store, before a stand-in that speaks its protocol."""
+
+import contextlib
+
+import anyio
+import pytest
+
+from ..outcomes import Unavailable, Unknown
+from ..platform.decoding import DecodingError, decode_configuration, decode_runner
+from ..platform.store import PlatformStore
+from ..relay.followers import RunnerFollower
+from ..relay.holdings import Holdings, Reservation, Shortage
+from ..relay.ledgers import Member
+from ..relay.models import Account, Repetition, RunnerState
+from ..relay.neighbours import Neighbours
+from ..relay.runners import RunnerTable
+from ..relay.stores import Changes, Conflict, HistoryGone, Listing, Missing, Written
+from ..servers import HttpServer, ServerLimits
+from ..standins.objects import ObjectStore
+from .relays_in_memory import make_configuration, make_route
+
+pytestmark = pytest.mark.anyio
+
+RUNNER = {
+    "service": "e",
+    "address": "10.0.0.1:80",
+    "zone": "dc",
+    "slots": 8,
+    "state": "ready",
+    "seq": 1,
+}
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@contextlib.asynccontextmanager
+async def run_store():
+    objects = ObjectStore()
+    async with anyio.create_task_group() as group:
+        server = HttpServer(objects.app, "127.0.0.1:0", ServerLimits())
+        await server.start(group)
+        client = PlatformStore(server.address)
+        yield objects, client
+        await client.close()
+        await server.close(0.1)
+        group.cancel_scope.cancel()
+
+
+async def test_a_write_takes_effect_only_at_the_revision_that_was_seen():
+    async with run_store() as (objects, client):
+        written = await client.create("k", "a", {"n": 1})
+        assert isinstance(written, Written)
+        assert isinstance(await client.create("k", "a", {"n": 2}), Conflict)
+        again = await client.replace("k", "a", {"n": 3}, written.revision)
+        assert isinstance(again, Written)
+        beaten = await client.replace("k", "a", {"n": 4}, written.revision)
+        assert isinstance(beaten, Conflict)
+        assert beaten.stored.spec == {"n": 3}
+        assert isinstance(await client.replace("k", "b", {}, 1), Missing)
+
+
+async def test_a_write_without_an_answer_is_unknown_and_a_refused_one_is_not():
+    async with run_store() as (objects, client):
+        objects.misbehaviour.lose_answers = 1
+        assert isinstance(await client.create("k", "a", {}), Unknown)
+        objects.misbehaviour.refuse = 1
+        assert isinstance(await client.create("k", "b", {}), Unavailable)
+        objects.misbehaviour.away = True
+        assert isinstance(await client.create("k", "c", {}), Unavailable)
+        assert isinstance(await client.list_kind("k"), Unavailable)
+
+
+async def test_a_list_of_several_pages_is_read_whole():
+    async with run_store() as (objects, client):
+        for number in range(120):
+            objects.put("k", f"n-{number:03}", number)
+        listing = await client.list_kind("k")
+        assert isinstance(listing, Listing)
+        assert [stored.spec for stored in listing.objects] == list(range(120))
+
+
+async def test_a_watch_tells_changes_and_when_history_is_gone():
+    async with run_store() as (objects, client):
+        start = objects.revision
+        objects.put("k", "a", 1)
+        objects.remove("k", "a")
+        seen = await client.watch_kind("k", start, 0.1)
+        assert isinstance(seen, Changes)
+        assert [change.removed for change in seen.changes] == [False, True]
+        quiet = await client.watch_kind("k", seen.revision, 0.1)
+        assert quiet == Changes((), seen.revision)
+        objects.put("k", "b", 1)
+        objects.compact()
+        assert isinstance(await client.watch_kind("k", start, 0.1), HistoryGone)
+
+
+async def test_runners_are_followed_through_an_outage_and_lost_history():
+    """The store goes away; meanwhile a runner leaves and another comes, and the history
+    that would tell is dropped. Requests would go to a runner that is gone."""
+    async with run_store() as (objects, client):
+        table = RunnerTable(doubt=1.9)
+        follower = RunnerFollower(client, "servers", 0.2, decode_runner, table)
+        objects.put("servers", "i-1", RUNNER)
+        async with anyio.create_task_group() as group:
+            await follower.start(group)
+            await wait_until(lambda: table.list_names() == {"i-1"})
+            objects.misbehaviour.away = True
+            objects.remove("servers", "i-1")
+            objects.put("servers", "i-2", RUNNER)
+            objects.compact()
+            await anyio.sleep(0.3)
+            objects.misbehaviour.away = False
+            await wait_until(lambda: listed(table) == ["i-2"])
+            objects.put("servers", "i-2", {**RUNNER, "state": "draining"})
+            await wait_until(lambda: listed(table) == [])
+            await follower.close()
+
+
+async def test_tokens_come_from_the_ledger_though_answers_are_lost():
+    """Each write's answer is lost for a while. A relay that counted the tokens of each
+    try would hold them twice."""
+    configuration = make_configuration(make_route(Repetition.SAFE), prepaid=1000)
+    account = Account(name="farm", keys=(), prepaid=1000)
+    async with run_store() as (objects, client):
+        objects.misbehaviour.lose_answers = 3
+        holdings = Holdings(
+            client, Neighbours("dc"), "h", Member("h/1"), lambda: configuration
+        )
+        async with anyio.create_task_group() as group:
+            await holdings.start(group)
+            got = []
+            for _ in range(30):
+                found = await holdings.reserve(account, 100)
+                if isinstance(found, Reservation):
+                    found.settle(100)
+                    got.append(found)
+                await anyio.sleep(0.02)
+            assert 0 < len(got) <= 10
+            assert isinstance(await holdings.reserve(account, 100), Shortage)
+            await holdings.close()
+            await holdings.release()
+        spec = objects.read("token-ledgers", "all")
+        assert spec["accounts"]["farm"]["used"] == 100 * len(got)
+        assert spec["accounts"]["farm"]["grants"] == {}
+        assert spec["members"] == {}
+
+
+def listed(table):
+    return [view.runner.name for view in table.list_views("e", float("inf"))]
+
+
+async def wait_until(condition):
+    with anyio.fail_after(5):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+def test_a_configuration_is_decoded():
+    found = decode_configuration(
+        {
+            "version": 7,
+            "routes": [
+                {
+                    "name": "r1",
+                    "host": "A.example",
+                    "pathPrefix": "/x/",
+                    "kind": "streaming",
+                    "timeoutMs": 5000,
+                    "latencyGoalMs": 500,
+                    "priority": 0,
+                    "trafficSplit": [
+                        {"service": "s1", "weight": 90},
+                        {"service": "s2", "weight": 10},
+                    ],
+                    "maxAttempts": 2,
+                    "public": False,
+                    "resumable": True,
+                    "gapAimMs": 250,
+                },
+                {
+                    "name": "r2",
+                    "host": "a.example",
+                    "pathPrefix": "/y/",
+                    "kind": "never heard of",
+                    "timeoutMs": 100,
+                    "service": "s2",
+                },
+            ],
+            "services": [
+                {"name": "s1", "maxConns": 610, "engine": {"stride": 4}},
+                {"name": "s2"},
+            ],
+            "limits": {"maxBodyBytes": 10, "idleTimeoutMs": 15000},
+            "tenants": [{"name": "t", "apiKeys": ["k"], "prepaid": 5}],
+        }
+    )
+    first, second = found.routes
+    assert first.repeatable and first.host == "a.example"
+    assert [share.weight for share in first.shares] == [90, 10]
+    # What isn't known to be repeatable is run once at most.
+    assert second.repetition is Repetition.ONCE
+    assert found.endpoints["s1"].tokens_per_event == 4
+    assert found.accounts["t"].prepaid == 5
+    assert found.limits.idle_seconds == 15.0
+
+
+def test_a_configuration_without_accounts_needs_no_keys():
+    found = decode_configuration({"version": 1, "routes": [], "services": []})
+    assert found.accounts is None
+
+
+@pytest.mark.parametrize("spec", [None, {}, [], {"version": 1, "routes": [{}]}])
+def test_what_is_no_configuration_is_an_error_of_its_own(spec):
+    with pytest.raises(DecodingError):
+        decode_configuration(spec)
+
+
+def test_a_runner_that_is_not_ready_is_leaving():
+    assert decode_runner("i", RUNNER).state is RunnerState.READY
+    assert decode_runner("i", {**RUNNER, "state": "x"}).state is RunnerState.LEAVING
+    with pytest.raises(DecodingError):
+        decode_runner("i", {"service": "e"})
--- /dev/null
+++ b/knapweedrail/tests/test_relay_exchanges.py
@@ -0,0 +1,323 @@
+"""Requests and answers between callers and runners that misbehave."""
+
+import anyio
+import pytest
+
+from ..relay.models import Repetition
+from .relays_in_memory import (
+    ScriptedRunner,
+    find_header,
+    make_answer,
+    make_chunk,
+    make_configuration,
+    make_event,
+    make_route,
+    make_stream_head,
+    run_relay,
+)
+
+pytestmark = pytest.mark.anyio
+
+SAFE = make_route(Repetition.SAFE)
+ONCE = make_route(Repetition.ONCE)
+STREAM = make_route(Repetition.STREAM, resumable=True)
+FIXED_STREAM = make_route(Repetition.STREAM, resumable=False)
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def answer_well(stream, head):
+    await stream.send(make_answer(head))
+    return True
+
+
+async def stream_three(stream, head):
+    first = int(find_header(head, "last-event-id") or 0) + 1
+    data = b"".join(make_chunk(make_event(n)) for n in range(first, 4))
+    await stream.send(make_stream_head(head) + data + make_chunk(b""))
+    return True
+
+
+async def test_a_whole_answer_arrives_as_the_runner_gave_it():
+    runner = ScriptedRunner(answer_well)
+    async with run_relay(make_configuration(SAFE), runner) as relay:
+        answer = await relay.call()
+        again = await relay.call()
+    assert (answer.status, answer.body, answer.whole) == (200, b"ok", True)
+    assert answer.headers["knapweedrail-response-seal"] == "s"
+    assert again.status == 200
+    head = runner.heads[0]
+    assert head.startswith("POST /a/x HTTP/1.1")
+    assert runner.bodies[0] == b"hello"
+    assert find_header(head, "knapweedrail-tenant") == "farm"
+    assert find_header(head, "knapweedrail-expect-instance") == "i-0"
+    assert find_header(head, "knapweedrail-key") is None
+    assert 0 < int(find_header(head, "knapweedrail-deadline-ms")) <= 3000
+
+
+async def test_a_second_answer_is_not_taken_for_the_next_one():
+    """A faulty runner answers one request twice. The spare answer waits on the kept
+    connection, and whoever uses that next would get another caller's answer."""
+
+    async def answer_twice(stream, head):
+        await stream.send(make_answer(head, b"own") + make_answer(head, b"spare"))
+        return True
+
+    runner = ScriptedRunner(answer_twice)
+    async with run_relay(make_configuration(SAFE), runner) as relay:
+        first = await relay.call(knapweedrail_request_id="id-1")
+        second = await relay.call(knapweedrail_request_id="id-2")
+    assert first.body == second.body == b"own"
+    assert second.headers["knapweedrail-request-id"] == "id-2"
+
+
+async def test_a_spare_answer_that_comes_late_is_dropped_with_its_connection():
+    """The runner's second answer comes a moment after the first, when the connection
+    is idle already."""
+
+    async def answer_twice(stream, head):
+        await stream.send(make_answer(head, b"own"))
+        await anyio.sleep(0.02)
+        await stream.send(make_answer(head, b"spare"))
+        return True
+
+    runner = ScriptedRunner(answer_twice)
+    async with run_relay(make_configuration(SAFE), runner) as relay:
+        await relay.call(knapweedrail_request_id="id-1")
+        await anyio.sleep(0.05)
+        second = await relay.call(knapweedrail_request_id="id-2")
+    assert second.body == b"own"
+    assert second.headers["knapweedrail-request-id"] == "id-2"
+
+
+async def test_an_answer_to_another_request_is_not_passed_on():
+    """The runner mixes up its callers. A caller would read someone else's answer."""
+
+    async def answer_other(stream, head):
+        await stream.send(make_answer(head.replace("id-1", "id-9"), b"theirs"))
+        return True
+
+    runner = ScriptedRunner(answer_other)
+    async with run_relay(make_configuration(ONCE), runner) as relay:
+        answer = await relay.call()
+    assert answer.status == 502
+    assert b"theirs" not in answer.body
+
+
+async def test_a_call_that_may_run_once_is_not_repeated_when_its_answer_is_lost():
+    """The runner resets the connection after it has read the request. It may have run;
+    a second run would send two gangs to one farm, and "not run" would be a lie."""
+
+    async def break_off(stream, head):
+        return False
+
+    runners = ScriptedRunner(break_off), ScriptedRunner(break_off)
+    async with run_relay(make_configuration(ONCE), *runners) as relay:
+        answer = await relay.call()
+    assert answer.status == 502
+    assert sum(len(runner.heads) for runner in runners) == 1
+
+
+async def test_a_repeatable_call_goes_to_another_runner():
+    """The first runner breaks off each answer. The caller notices nothing."""
+
+    async def break_off(stream, head):
+        return False
+
+    runners = ScriptedRunner(break_off), ScriptedRunner(answer_well)
+    async with run_relay(make_configuration(SAFE), *runners) as relay:
+        answers = [await relay.call() for _ in range(5)]
+    assert {answer.status for answer in answers} == {200}
+
+
+async def test_a_rejected_call_goes_to_another_runner_though_it_may_run_once():
+    """A full runner says that it hasn't run the request; another has room."""
+
+    async def reject(stream, head):
+        await stream.send(make_answer(head, b"", 503, Knapweedrail_Not_Executed="1"))
+        return True
+
+    runners = ScriptedRunner(reject), ScriptedRunner(answer_well)
+    async with run_relay(make_configuration(ONCE), *runners) as relay:
+        answers = [await relay.call() for _ in range(4)]
+    assert {answer.status for answer in answers} == {200}
+
+
+async def test_a_request_that_every_runner_rejected_is_refused_as_not_run():
+    """All runners are full. The caller is told at once, and when to come back."""
+
+    async def reject(stream, head):
+        await stream.send(make_answer(head, b"", 503, Knapweedrail_Not_Executed="1"))
+        return True
+
+    async with run_relay(make_configuration(ONCE), ScriptedRunner(reject)) as relay:
+        answer = await relay.call()
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert "knapweedrail-response-seal" not in answer.headers
+
+
+async def test_a_runner_that_takes_no_connection_costs_no_attempt():
+    """A runner has died, and its entry is still listed. Nothing was sent to it, so a
+    call that may run once goes to another one."""
+    runner = ScriptedRunner(answer_well)
+    async with run_relay(make_configuration(ONCE), runner) as relay:
+        from .relays_in_memory import make_runner
+
+        relay.table.set_runner(make_runner("i-dead", "127.0.0.1:9"))
+        answers = [await relay.call() for _ in range(6)]
+    assert {answer.status for answer in answers} == {200}
+
+
+async def test_a_runners_own_failure_is_passed_on_as_it_is():
+    async def fail(stream, head):
+        await stream.send(make_answer(head, b"broken", 500))
+        return True
+
+    async with run_relay(make_configuration(ONCE), ScriptedRunner(fail)) as relay:
+        answer = await relay.call()
+    assert (answer.status, answer.body) == (500, b"broken")
+    assert answer.headers["knapweedrail-response-seal"] == "s"
+
+
+async def test_a_broken_stream_goes_on_at_another_runner_without_gap_or_repetition():
+    """A runner stops in the middle of the second event. Another one goes on after the
+    first, and the caller sees one stream."""
+
+    async def stop_midway(stream, head):
+        if find_header(head, "last-event-id"):
+            return await stream_three(stream, head)
+        part = make_event(2)[:9]
+        chunks = make_chunk(make_event(1)) + make_chunk(part)
+        await stream.send(make_stream_head(head) + chunks)
+        return False
+
+    runners = ScriptedRunner(stop_midway), ScriptedRunner(stop_midway)
+    async with run_relay(make_configuration(STREAM), *runners) as relay:
+        answer = await relay.call()
+    assert answer.whole
+    assert answer.body == b"".join(map(make_event, (1, 2, 3)))
+
+
+async def test_a_stream_that_falls_silent_goes_on_at_another_runner():
+    """A runner goes dark in the middle of its stream, without closing anything. The
+    caller would give up after two seconds."""
+
+    async def fall_silent(stream, head):
+        if find_header(head, "last-event-id"):
+            return await stream_three(stream, head)
+        await stream.send(make_stream_head(head) + make_chunk(make_event(1)))
+        await anyio.sleep(10)
+        return False
+
+    runners = ScriptedRunner(fall_silent), ScriptedRunner(fall_silent)
+    async with run_relay(make_configuration(STREAM), *runners) as relay:
+        with anyio.fail_after(2.0):
+            answer = await relay.call()
+    assert answer.whole
+    assert answer.body == b"".join(map(make_event, (1, 2, 3)))
+
+
+async def test_a_stream_that_may_not_be_resumed_ends_without_its_end_mark():
+    """The runner breaks off a stream that another can't go on with. The caller must
+    not take the part for the whole."""
+
+    async def stop_midway(stream, head):
+        await stream.send(make_stream_head(head) + make_chunk(make_event(1)))
+        return False
+
+    runners = ScriptedRunner(stop_midway), ScriptedRunner(stream_three)
+    async with run_relay(make_configuration(FIXED_STREAM), runners[0]) as relay:
+        answer = await relay.call()
+    assert answer.body == make_event(1)
+    assert not answer.whole
+
+
+async def test_a_caller_that_leaves_ends_the_work_at_the_runner():
+    """A caller closes its connection. The runner would go on working for nobody."""
+    ended = anyio.Event()
+
+    async def work_long(stream, head):
+        try:
+            await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            ended.set()
+        return False
+
+    async with run_relay(make_configuration(SAFE), ScriptedRunner(work_long)) as relay:
+        await relay.call(leaves_after=0.05)
+        with anyio.fail_after(0.4):
+            await ended.wait()
+
+
+async def test_the_routes_time_ends_the_wait():
+    """A runner takes a request and never answers. The caller hears at the route's own
+    time, not at its deadline."""
+
+    async def never_answer(stream, head):
+        await anyio.sleep(10)
+        return False
+
+    route = make_route(Repetition.ONCE, timeout=0.3)
+    async with run_relay(make_configuration(route), ScriptedRunner(never_answer)) as r:
+        with anyio.fail_after(0.6):
+            answer = await r.call()
+    assert answer.status == 504
+
+
+async def test_an_unknown_key_or_route_is_refused_only_by_a_current_relay():
+    """A relay that was cut off from the store may lack a new key. "Unknown" would be
+    final for its caller, and untrue."""
+    async with run_relay(make_configuration(SAFE), ScriptedRunner(answer_well)) as r:
+        assert (await r.call(knapweedrail_key="other")).status == 401
+        assert (await r.call(path="/b/x")).status == 404
+        r.configuration.confirmed_at = float("-inf")
+        assert (await r.call(knapweedrail_key="other")).status == 503
+        assert (await r.call(path="/b/x")).status == 503
+
+
+async def test_a_relay_without_a_configuration_says_not_now():
+    async with run_relay(None) as relay:
+        answer = await relay.call()
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+
+
+async def test_tokens_are_counted_for_what_was_delivered():
+    """Prompt once, and one token for each event that was passed on; the rest of the
+    largest answer comes back."""
+    configuration = make_configuration(STREAM, prepaid=1000)
+    async with run_relay(configuration, ScriptedRunner(stream_three)) as relay:
+        await relay.call(knapweedrail_token_usage="100,50")
+        position = relay.holdings._get("farm").position
+    assert position.spent == 103
+    assert position.reserved == 0
+
+
+async def test_a_budget_that_does_not_cover_a_request_is_refused_before_it_runs():
+    """The account has fewer tokens than the request may use."""
+    configuration = make_configuration(STREAM, prepaid=120)
+    runner = ScriptedRunner(stream_three)
+    async with run_relay(configuration, runner) as relay:
+        await anyio.sleep(0.05)
+        answer = await relay.call(knapweedrail_token_usage="100,50")
+    assert answer.status == 402
+    assert not runner.heads
+
+
+async def test_a_budget_out_of_reach_is_not_called_spent():
+    """The store is away, and the relay holds nothing. The caller is told to come back
+    soon, at once, not that its budget is spent."""
+    configuration = make_configuration(STREAM, prepaid=1000)
+    runner = ScriptedRunner(stream_three)
+    async with run_relay(configuration, runner) as relay:
+        relay.store.away = True
+        await anyio.sleep(0.05)
+        with anyio.fail_after(0.6):
+            answer = await relay.call(knapweedrail_token_usage="900,50")
+    assert answer.status == 503
+    assert b"budget-out-of-reach" in answer.body
+    assert not runner.heads
--- /dev/null
+++ b/knapweedrail/tests/test_relay_grants.py
@@ -0,0 +1,105 @@
+"""How many tokens relays hold, under the loads that make it hard."""
+
+from ..relay.grants import (
+    HOLD_SHARE,
+    Budget,
+    Demand,
+    Position,
+    compute_target,
+    plan_change,
+    plan_gift,
+)
+
+MILLION = 1_000_000
+
+
+def make_demand(rate, seconds=20, tokens=1000, now=100.0):
+    demand = Demand()
+    count = int(rate * seconds / tokens)
+    for number in range(count):
+        demand.note_request(tokens, now - seconds + number * tokens / rate)
+    return demand
+
+
+def make_position(available):
+    return Position(granted=available, spent=0, reserved=0)
+
+
+def make_budget(free, held=0, relays=6, prepaid=MILLION, starting=False):
+    return Budget(
+        prepaid=prepaid, free=free, held=held, relays=relays, starting=starting
+    )
+
+
+def test_a_relay_holds_what_lasts_through_a_cut():
+    """All relays lose the store for eight seconds. Callers of an account with plenty
+    left would hear that its budget is out of reach."""
+    demand = make_demand(rate=5000)
+    target = compute_target(make_budget(free=MILLION), make_position(0), demand, 100.0)
+    assert target >= 8 * 5000
+
+
+def test_all_relays_together_hold_a_bounded_part_of_what_is_left():
+    """A budget runs low while six relays have callers. What each holds would be lost
+    with it, and is out of the others' reach."""
+    free, held = 100_000, [0] * 6
+    demand = make_demand(rate=20_000)
+    for _ in range(5):
+        for number in range(6):
+            others = sum(held) - held[number]
+            change = plan_change(
+                make_budget(free, others), make_position(held[number]), demand, 100.0
+            )
+            held[number] += change
+            free -= change
+    assert sum(held) <= HOLD_SHARE * 100_000 * 1.2
+    assert free >= 0
+
+
+def test_one_relay_with_all_callers_may_hold_what_the_others_leave():
+    """All callers of an account come to one relay. With even shares it would run dry
+    in a cut while five others hold tokens that nobody asks for."""
+    demand = make_demand(rate=20_000)
+    budget = make_budget(free=MILLION, held=0)
+    target = compute_target(budget, make_position(0), demand, 100.0)
+    assert target >= 8 * 20_000
+
+
+def test_what_a_burst_called_for_goes_back_afterwards():
+    """A burst ends. What was fetched for it would be lost with the relay."""
+    demand = make_demand(rate=20_000)
+    held = compute_target(make_budget(free=MILLION), make_position(0), demand, 100.0)
+    change = plan_change(
+        make_budget(MILLION - held), make_position(held), demand, 140.0
+    )
+    assert change < -held / 2
+
+
+def test_an_account_without_callers_is_held_only_at_the_start():
+    starting = make_budget(free=MILLION, starting=True)
+    assert compute_target(starting, make_position(0), Demand(), 0.0) > 0
+    later = make_budget(free=MILLION)
+    assert compute_target(later, make_position(0), Demand(), 0.0) == 0
+
+
+def test_a_request_that_waits_gets_what_it_needs_if_it_is_there():
+    demand = Demand(unmet=9000)
+    assert (
+        plan_change(make_budget(free=20_000), make_position(100), demand, 0.0) >= 8900
+    )
+    assert plan_change(make_budget(free=5000), make_position(100), demand, 0.0) <= 5000
+    assert plan_change(make_budget(free=-50), make_position(100), demand, 0.0) == 0
+
+
+def test_a_gift_serves_what_waits_and_leaves_half_of_the_rest():
+    assert plan_gift(available=1000, needed=100, wanted=400) == 400
+    assert plan_gift(available=1000, needed=100, wanted=4000) == 500
+    assert plan_gift(available=1000, needed=900, wanted=4000) == 900
+    assert plan_gift(available=50, needed=900, wanted=4000) == 50
+    assert plan_gift(available=-5, needed=900, wanted=4000) == 0
+
+
+def test_the_rate_is_that_of_the_last_seconds():
+    demand = make_demand(rate=5000)
+    assert 4000 < demand.estimate_rate(100.0) < 6000
+    assert demand.estimate_rate(130.0) < 500
--- /dev/null
+++ b/knapweedrail/tests/test_relay_logs.py
@@ -0,0 +1,83 @@
+"""Log lines never hold up a process, and are bounded."""
+
+import os
+import time
+
+import orjson
+
+from ..events import Event
+from ..relay.logs import (
+    KEPT_LINES_PER_SECOND,
+    LINE_BYTES,
+    LINES_PER_SECOND,
+    WAITING_LINES,
+    LogWriter,
+)
+
+
+def name(event):
+    return f"{event.number} {event.name.lower()}"
+
+
+def open_pipe():
+    reading, writing = os.pipe()
+    return reading, os.fdopen(writing, "wb")
+
+
+def read_lines(reading):
+    os.set_blocking(reading, False)
+    data = b""
+    while True:
+        try:
+            part = os.read(reading, 1 << 20)
+        except BlockingIOError:
+            break
+        if not part:
+            break
+        data += part
+    return [orjson.loads(line) for line in data.splitlines()]
+
+
+def test_a_reader_that_stopped_reading_holds_nobody_up():
+    """Whoever collects the logs hangs, and the pipe fills. Every caller would wait for
+    the line that says what became of it."""
+    _, stream = open_pipe()
+    logs = LogWriter(stream)
+    logs.start()
+    began_at = time.monotonic()
+    for number in range(20 * WAITING_LINES):
+        logs({"message_type": f"{number} x", "text": "y" * 100})
+    logs.close()
+    assert time.monotonic() - began_at < 5.0
+    assert logs.left_out > 0
+
+
+def test_lines_beyond_the_bound_are_counted_and_refusals_are_kept_longest():
+    """Everything fails at once, and each failure has its lines."""
+    reading, stream = open_pipe()
+    logs = LogWriter(stream)
+    logs.start()
+    for _ in range(LINES_PER_SECOND + 50):
+        logs({"message_type": name(Event.RUNNER_LISTED)})
+    for _ in range(KEPT_LINES_PER_SECOND // 2 - 20):
+        logs({"message_type": name(Event.REQUEST_REFUSED)})
+    logs.close()
+    lines = read_lines(reading)
+    kinds = [line["message_type"] for line in lines]
+    said = [
+        line for line in lines if line["message_type"] == name(Event.LINES_LEFT_OUT)
+    ]
+    left_out = sum(sum(line["counts"].values()) for line in said)
+    # Two seconds of the clock may be touched, so up to twice the bound passes.
+    assert kinds.count(name(Event.RUNNER_LISTED)) + left_out == LINES_PER_SECOND + 50
+    assert kinds.count(name(Event.REQUEST_REFUSED)) == KEPT_LINES_PER_SECOND // 2 - 20
+
+
+def test_a_line_has_a_longest_length():
+    reading, stream = open_pipe()
+    logs = LogWriter(stream)
+    logs.start()
+    logs({"message_type": "1 x", "text": "y" * 100_000})
+    logs.close()
+    os.set_blocking(reading, False)
+    assert len(os.read(reading, 1 << 20)) <= LINE_BYTES
--- /dev/null
+++ b/knapweedrail/tests/test_relay_process.py
@@ -0,0 +1,256 @@
+"""A relay as a process of its own: start, work, metrics, logs and an orderly stop."""
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import anyio
+import httpx
+import orjson
+import pytest
+
+from ..servers import HttpServer, ServerLimits
+from ..standins.objects import ObjectStore
+from .relays_in_memory import (
+    ScriptedRunner,
+    make_answer,
+    make_chunk,
+    make_event,
+    make_stream_head,
+)
+
+pytestmark = pytest.mark.anyio
+
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "plain",
+            "host": "h.example",
+            "pathPrefix": "/a/",
+            "kind": "unsafe",
+            "timeoutMs": 8000,
+            "service": "e",
+        },
+        {
+            "name": "stream",
+            "host": "h.example",
+            "pathPrefix": "/s/",
+            "kind": "streaming",
+            "timeoutMs": 10000,
+            "service": "e",
+        },
+    ],
+    "services": [{"name": "e"}],
+    "tenants": [{"name": "farm", "apiKeys": ["k"], "prepaid": 1000}],
+}
+
+STOP_SECONDS = 6
+EVENTS = 30
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def find_ports(count):
+    import socket
+
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+class RelayProcess:
+    """One process with its addresses and its log."""
+
+    def __init__(self, folder, store_address):
+        front, ready, peer, metrics = find_ports(4)
+        self.url = f"http://127.0.0.1:{front}"
+        self.ready_url = f"http://127.0.0.1:{ready}/ready"
+        self.metrics_url = f"http://127.0.0.1:{metrics}/metrics"
+        settings = {
+            "host": "host-1",
+            "data_centre": "dc",
+            "caller_address": f"127.0.0.1:{front}",
+            "ready_address": f"127.0.0.1:{ready}",
+            "peer_address": f"127.0.0.1:{peer}",
+            "metrics_address": f"127.0.0.1:{metrics}",
+            "store_address": store_address,
+            "stop_seconds": STOP_SECONDS,
+        }
+        path = folder / "relay.jsonc"
+        path.write_bytes(b"// made by a test\n" + orjson.dumps(settings))
+        self._log = folder / "log"
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "knapweedrail.tools.relay", "--settings", str(path)],
+            stdout=self._log.open("wb"),
+            stderr=subprocess.STDOUT,
+        )
+
+    def read_log(self):
+        lines = self._log.read_bytes().splitlines()
+        return [orjson.loads(line) for line in lines]
+
+
+@contextlib.asynccontextmanager
+async def run_process(folder, respond):
+    objects = ObjectStore()
+    runner = ScriptedRunner(respond)
+    async with anyio.create_task_group() as group:
+        server = HttpServer(objects.app, "127.0.0.1:0", ServerLimits())
+        await server.start(group)
+        await runner.serve(group)
+        objects.put("config", "main", CONFIGURATION)
+        entry = {"service": "e", "address": runner.address, "state": "ready"}
+        objects.put("servers", "i-1", entry)
+        relay = RelayProcess(folder, server.address)
+        try:
+            async with httpx.AsyncClient(timeout=15) as client:
+                await wait_ready(client, relay)
+                yield objects, relay, client
+        finally:
+            if relay.process.poll() is None:
+                relay.process.kill()
+            relay.process.wait()
+            await server.close(0.1)
+            group.cancel_scope.cancel()
+
+
+async def wait_ready(client, relay):
+    with anyio.fail_after(20):
+        while True:
+            with contextlib.suppress(httpx.ConnectError):
+                if (await client.get(relay.ready_url)).status_code == 200:
+                    return
+            await anyio.sleep(0.05)
+
+
+def make_headers(number, usage="10,50"):
+    return {
+        "host": "h.example",
+        "knapweedrail-request-id": f"id-{number}",
+        "knapweedrail-key": "k",
+        "knapweedrail-deadline-ms": "9000",
+        "knapweedrail-token-usage": usage,
+    }
+
+
+async def answer_well(stream, head):
+    await stream.send(make_answer(head))
+    return True
+
+
+async def stream_slowly(stream, head):
+    await stream.send(make_stream_head(head))
+    for number in range(1, EVENTS + 1):
+        await stream.send(make_chunk(make_event(number)))
+        await anyio.sleep(0.1)
+    await stream.send(make_chunk(b""))
+    return True
+
+
+async def test_a_process_answers_tells_its_metrics_and_logs_the_decision(tmp_path):
+    async with run_process(tmp_path, answer_well) as (_, relay, client):
+        answer = await client.post(f"{relay.url}/a/x", headers=make_headers(1))
+        refused = await client.post(
+            f"{relay.url}/a/x", headers=make_headers(2) | {"knapweedrail-key": "no"}
+        )
+        metrics = (await client.get(relay.metrics_url)).text
+        relay.process.send_signal(signal.SIGTERM)
+        with anyio.fail_after(STOP_SECONDS + 2):
+            while relay.process.poll() is None:
+                await anyio.sleep(0.05)
+    assert (answer.status_code, refused.status_code) == (200, 401)
+    assert find_metric(metrics, "requests_total", "answered", "plain") == 1
+    assert find_metric(metrics, "refusals_total", "unknown-key") == 1
+    assert "ages_seconds" in metrics
+    assert find_metric(metrics, "store_calls_total", "listing") >= 2
+    lines = relay.read_log()
+    by_request = {line.get("request"): line for line in lines}
+    assert by_request["id-1"]["message_type"] == "606 request_answered"
+    assert by_request["id-1"]["configuration"] == 3
+    assert by_request["id-2"]["kind"] == "unknown-key"
+    kinds = [line["message_type"] for line in lines]
+    assert kinds[0] == "101 router_started" and kinds[-1] == "103 router_stopped"
+    assert relay.process.returncode == 0
+
+
+async def test_a_stopping_process_cuts_off_no_stream_and_gives_its_tokens_back(
+    tmp_path,
+):
+    """The host is asked to stop while a plan streams to its caller. A plan that breaks
+    off is a phone call that nobody is free to take."""
+    async with run_process(tmp_path, stream_slowly) as (objects, relay, client):
+        got = []
+
+        async def read_stream():
+            headers = make_headers(1)
+            async with client.stream(
+                "POST", f"{relay.url}/s/x", headers=headers
+            ) as answer:
+                async for part in answer.aiter_bytes():
+                    got.append(part)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(read_stream)
+            while not got:
+                await anyio.sleep(0.01)
+            relay.process.send_signal(signal.SIGTERM)
+            await anyio.sleep(0.3)
+            assert (await client.get(relay.ready_url)).status_code == 503
+            # The balancer hasn't noticed yet, and sends one more caller.
+            late = await client.post(f"{relay.url}/a/x", headers=make_headers(2))
+            assert late.headers["connection"] == "close"
+        with anyio.fail_after(STOP_SECONDS + 2):
+            while relay.process.poll() is None:
+                await anyio.sleep(0.05)
+    assert b"".join(got) == b"".join(map(make_event, range(1, EVENTS + 1)))
+    account = objects.read("token-ledgers", "all")["accounts"]["farm"]
+    assert account["grants"] == {}
+    assert account["used"] <= 1000
+
+
+async def test_a_killed_process_leaves_its_tokens_counted(tmp_path):
+    """The process is killed. What it held may have been spent, so it counts as spent,
+    and the process that takes its place can't spend it again."""
+    async with run_process(tmp_path, answer_well) as (objects, relay, client):
+        await client.post(f"{relay.url}/a/x", headers=make_headers(1))
+        os.kill(relay.process.pid, signal.SIGKILL)
+        relay.process.wait()
+        before = objects.read("token-ledgers", "all")["accounts"]["farm"]
+        held = sum(tokens for tokens, _ in before["grants"].values())
+        server = objects_address(relay)
+        again = RelayProcess(tmp_path, server)
+        try:
+            await wait_ready(client, again)
+            deadline = time.monotonic() + 5
+            while time.monotonic() < deadline:
+                after = objects.read("token-ledgers", "all")["accounts"]["farm"]
+                if after["used"] >= held:
+                    break
+                await anyio.sleep(0.05)
+        finally:
+            again.process.kill()
+            again.process.wait()
+    assert held > 0
+    assert after["used"] == before["used"] + held
+
+
+def find_metric(text, name, *labels):
+    for line in text.splitlines():
+        if line.startswith(name + "{") and all(f'"{x}"' in line for x in labels):
+            return float(line.rpartition(" ")[2])
+    return None
+
+
+def objects_address(relay):
+    return orjson.loads((relay._log.parent / "relay.jsonc").read_bytes()[18:])[
+        "store_address"
+    ]
--- /dev/null
+++ b/knapweedrail/tests/test_relay_selection.py
@@ -0,0 +1,205 @@
+"""Choice of runners under load, without network or clock."""
+
+import collections
+import random
+
+from ..relay.models import CallerRequest, PromptPart
+from ..relay.retries import RetryShare
+from ..relay.runners import RunnerTable
+from ..relay.selection import choose_runner
+from .relays_in_memory import make_runner
+
+
+def make_table(count=6, slots=8, centres=3):
+    table = RunnerTable(doubt=1.9)
+    for number in range(count):
+        centre = f"dc-{number % centres}"
+        table.set_runner(make_runner(f"i-{number}", data_centre=centre, slots=slots))
+    return table
+
+
+def make_request(*parts):
+    return CallerRequest(
+        identity="id",
+        method="POST",
+        target=b"/",
+        host="h",
+        path="/",
+        headers=(),
+        key=None,
+        deadline=None,
+        parts=tuple(PromptPart(part, 100) for part in parts),
+    )
+
+
+def choose(table, request, now=0.0, tried=(), rng=None):
+    rng = rng or random.Random(1)
+    return choose_runner(table, "e", request, set(tried), "dc-0", now, rng)
+
+
+def get_view(table, name):
+    return next(v for v in table.list_views("e", 0.0) if v.runner.name == name)
+
+
+def test_relays_send_a_shared_prefix_to_the_same_runner_without_talking():
+    """Many callers ask about one farm. Each runner that reads its history anew loses
+    the time of the whole prompt."""
+    requests = [make_request("base", "farm-7", f"own-{n}") for n in range(20)]
+    names = {
+        choose(make_table(), request, rng=random.Random(n)).runner.name
+        for n, request in enumerate(requests)
+    }
+    assert len(names) == 1
+
+
+def test_a_popular_prefix_spills_over_once_its_runner_has_too_much():
+    """A third of all requests are about one farm. Its runner alone would keep them
+    waiting while others idle."""
+    table = make_table()
+    counts = collections.Counter()
+    for _ in range(60):
+        view = choose(table, make_request("base", "farm-7", "own"))
+        table.note_sent(view, 0)
+        counts[view.runner.name] += 1
+    assert len(counts) >= 4
+    assert max(counts.values()) <= 2 * 60 / 6
+
+
+def test_a_runner_that_goes_moves_only_its_own_prefixes():
+    parts = [make_request("base", f"farm-{n}", "own") for n in range(200)]
+    before = [choose(make_table(), request).runner.name for request in parts]
+    table = make_table()
+    table.remove_runner("i-3", 0.0)
+    after = [choose(table, request).runner.name for request in parts]
+    moved = [b for b, a in zip(before, after) if a != b]
+    assert set(moved) == {"i-3"}
+
+
+def test_plain_calls_even_out_over_runners():
+    """A burst of short calls meets runners with few slots. Sent unevenly, some are
+    rejected while other runners have room."""
+    table = make_table(count=3, slots=6)
+    counts = collections.Counter()
+    for _ in range(15):
+        view = choose(table, make_request())
+        table.note_sent(view, 0)
+        counts[view.runner.name] += 1
+    assert sorted(counts.values()) == [5, 5, 5]
+
+
+def test_a_slow_runner_gets_less():
+    """One of three runners answers eight times slower; its callers would wait."""
+    table = make_table(count=3)
+    for number in range(3):
+        view = get_view(table, f"i-{number}")
+        for _ in range(5):
+            table.note_answer(view, 0.8 if number == 0 else 0.1, 0.0)
+    counts = collections.Counter()
+    for _ in range(18):
+        view = choose(table, make_request())
+        table.note_sent(view, 0)
+        counts[view.runner.name] += 1
+    assert counts["i-0"] <= 2
+
+
+def test_a_runner_that_rejected_rests_for_a_moment():
+    table = make_table(count=2)
+    view = choose(table, make_request("a", "b"))
+    table.note_full(view, 0.0)
+    assert choose(table, make_request("a", "b"), now=0.05) is not view
+    assert choose(table, make_request("a", "b"), now=1.0) is view
+
+
+def test_a_runner_that_spoils_a_few_answers_keeps_its_work():
+    """Three in a hundred answers break off. Ejecting the runner would cost the others
+    more than the retries do."""
+    table = make_table(count=3)
+    view = get_view(table, "i-0")
+    ejected = [
+        table.note_failure(view, n, certain=False)
+        if n % 33 == 0
+        else table.note_answer(view, 0.1, n)
+        for n in range(300)
+    ]
+    assert not any(ejected)
+
+
+def test_a_runner_that_fails_half_of_its_answers_is_ejected():
+    """A faulty runner answers errors at once, looks empty, and draws all work."""
+    table = make_table(count=3)
+    view = get_view(table, "i-0")
+    rng = random.Random(3)
+    for n in range(60):
+        if rng.random() < 0.7:
+            table.note_failure(view, n * 0.01, certain=False)
+        else:
+            table.note_answer(view, 0.1, n * 0.01)
+    assert not table.is_rested(view, 0.6)
+
+
+def test_when_all_runners_rest_one_is_still_used():
+    """Everything failed a moment ago. Refusing all callers would turn one bad moment
+    into an outage."""
+    table = make_table(count=2)
+    for name in ("i-0", "i-1"):
+        table.note_failure(get_view(table, name), 0.0, certain=True)
+    assert choose(table, make_request(), now=0.1) is not None
+
+
+def test_a_data_centre_that_is_silent_gets_no_work_for_a_moment():
+    """A data centre is cut off. Each of its runners would cost a caller a time-out."""
+    table = make_table(count=6)
+    view = get_view(table, "i-1")
+    assert table.note_silence(view, 10.0)
+    chosen = {
+        choose(table, make_request("a", f"f-{n}", "x"), now=10.5).runner.data_centre
+        for n in range(50)
+    }
+    assert chosen == {"dc-0", "dc-2"}
+    later = {
+        choose(table, make_request("a", f"f-{n}", "x"), now=12.0).runner.data_centre
+        for n in range(50)
+    }
+    assert later == {"dc-0", "dc-1", "dc-2"}
+
+
+def test_one_dark_runner_does_not_cost_its_data_centre_the_work():
+    table = make_table(count=6)
+    table.note_answer(get_view(table, "i-4"), 0.1, 9.8)
+    assert not table.note_silence(get_view(table, "i-1"), 10.0)
+
+
+def test_runners_whose_entries_lapsed_are_used_until_they_should_be_back():
+    """The store was away, and the entries of healthy runners lapsed with it. Taking
+    that for their end would refuse all callers."""
+    table = make_table(count=3)
+    table.replace_all([], 100.0)
+    assert choose(table, make_request(), now=101.0) is not None
+    assert choose(table, make_request(), now=102.5) is None
+    assert len(table.prune(102.5)) == 3
+
+
+def test_runners_in_doubt_come_after_those_that_are_listed():
+    table = make_table(count=3)
+    table.remove_runner("i-0", 100.0)
+    names = {choose(table, make_request(), 100.1).runner.name for _ in range(20)}
+    assert "i-0" not in names
+
+
+def test_retries_stay_within_the_relays_part():
+    """All runners fail. If each request were retried, the load would double on
+    runners that fail because they have too much."""
+    share = RetryShare(ratio=0.2, reserve=50.0, window=10.0)
+    taken = 0
+    for n in range(1000):
+        share.note_fresh("e", n * 0.01)
+        taken += share.take("e", relays=5, now=n * 0.01)
+    assert taken <= 0.2 * 1000 + 50 / 5
+    assert taken >= 0.7 * (0.2 * 1000 + 50 / 5)
+
+
+def test_retries_come_back_with_time():
+    share = RetryShare(ratio=0.0, reserve=10.0, window=10.0)
+    assert sum(share.take("e", 1, 0.0) for _ in range(20)) == 8
+    assert not share.take("e", 1, 9.0)
+    assert share.take("e", 1, 10.5)
--- /dev/null
+++ b/knapweedrail/tests/test_relay_streams.py
@@ -0,0 +1,45 @@
+"""Events of a stream, however the network cuts them."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ..relay.streams import EventSplitter, StreamProgress
+from .relays_in_memory import make_event
+
+
+@given(st.lists(st.integers(1, 60), max_size=30), st.integers(1, 12))
+def test_events_come_out_whole_however_they_are_cut(cuts, count):
+    data = b"".join(make_event(n) for n in range(1, count + 1))
+    splitter, progress, passed = EventSplitter(), StreamProgress(None), b""
+    for cut in [*cuts, len(data)]:
+        part, data = data[:cut], data[cut:]
+        passed += progress.select(splitter.feed(part))
+    passed += progress.select(splitter.feed(data))
+    assert passed == b"".join(make_event(n) for n in range(1, count + 1))
+    assert progress.last == count
+    assert splitter.rest == b""
+
+
+@given(st.integers(0, 9), st.integers(0, 9))
+def test_a_second_run_adds_only_what_is_missing(had, start):
+    """A runner goes on a little before the last event that the caller has."""
+    progress = StreamProgress(None)
+    first = EventSplitter().feed(b"".join(make_event(n) for n in range(1, had + 1)))
+    data = progress.select(first)
+    second = EventSplitter().feed(
+        b"".join(make_event(n) for n in range(min(start, had) + 1, 11))
+    )
+    data += progress.select(second)
+    assert data == b"".join(make_event(n) for n in range(1, 11))
+
+
+def test_half_an_event_is_kept_back():
+    splitter = EventSplitter()
+    assert splitter.feed(make_event(1)[:-1]) == []
+    assert splitter.rest
+
+
+def test_a_caller_that_resumes_gets_what_comes_after_its_last_event():
+    progress = StreamProgress(2)
+    events = EventSplitter().feed(b"".join(make_event(n) for n in range(1, 4)))
+    assert progress.select(events) == make_event(3)
--- a/knapweedrail/tools/relay.py
+++ b/knapweedrail/tools/relay.py
@@ -17,7 +17,9 @@
 import eliot
 
 from .. import __version__
+from ..events import Event, log_event
 from ..platform.relays import make_relay
+from ..relay.logs import LogWriter
 from ..relay.options import RelaySettings
 from ..settings import read_settings
 
@@ -48,9 +50,9 @@
     return parser
 
 
-async def serve(settings: RelaySettings) -> None:
+async def serve(settings: RelaySettings, logs: LogWriter) -> None:
     """Run a relay until it is asked to stop."""
-    relay = make_relay(settings)
+    relay = make_relay(settings, lambda: logs.left_out)
     async with anyio.create_task_group() as group:
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
@@ -59,6 +61,9 @@
             async for number in signals:
                 if number != signal.SIGHUP:
                     break
+                # Addresses and bounds stay those of the start; what may change while
+                # the process runs comes with the operator's configuration.
+                log_event(Event.SETTINGS_CHANGED)
         await relay.close()
         group.cancel_scope.cancel()
 
@@ -76,14 +81,18 @@
         return EXIT_USAGE
     if arguments.check:
         return EXIT_STOPPED
-    eliot.to_file(sys.stdout)
+    logs = LogWriter(sys.stdout.buffer)
+    logs.start()
+    eliot.add_destinations(logs)
     code = EXIT_STOPPED
     try:
-        anyio.run(serve, settings)
+        anyio.run(serve, settings, logs)
     except* OSError as errors:
         for error in errors.exceptions:
             print(f"knapweedrail-relay: {error}", file=sys.stderr)
         code = EXIT_FAILED
+    finally:
+        logs.close()
     return code
 
 
