--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -77,6 +77,8 @@
     SETTINGS_CHANGED = (107, "the process was told that its settings have changed")
     REQUEST_ANSWERED = (606, "a request has its answer; by which runner, and when")
 
+    RUNNER_CRASHED = (705, "a runner is gone; what ran there is under suspicion")
+
     @property
     def number(self) -> int:
         """The event's number in the catalogue."""
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -24,6 +24,7 @@
 from .options import RelaySettings
 from .retries import RetryShare
 from .stores import Store
+from .suspects import Suspects
 
 DOUBT_SECONDS = 1.9
 """How long a runner whose entry vanished may still be used when no other is listed:
@@ -32,6 +33,9 @@
 PRUNE_SECONDS = 1.0
 """Pause between looks for idle connections and runners to forget."""
 
+TELL_SECONDS = 0.1
+"""Pause between messages about crashes; the requests of one crash end together."""
+
 OUT_OF_ROTATION_SECONDS = 2.2
 """How long a stopping relay takes requests at least: the balancer asks once a second
 and takes a host out after two misses."""
@@ -41,7 +45,7 @@
 goes on sending when most hosts of a data centre are out, and a closed door then costs
 each caller an attempt."""
 
-STREAM_SECONDS = 2.6
+STREAM_SECONDS = 3.0
 """Kept of the time to stop for requests under way; an answer seldom takes longer."""
 
 STEP_SECONDS = 0.1
@@ -50,6 +54,10 @@
 RELEASE_SECONDS = 0.6
 """Kept of the time to stop for giving tokens back."""
 
+END_SECONDS = 0.7
+"""Kept of the time to stop for closing what is left; a process that is still there when
+the time is over is killed, and its last log lines with it."""
+
 
 class Relay:
     """One relay process.
@@ -91,7 +99,11 @@
             member,
             lambda: configuration.configuration,
         )
-        self._peer_server = make_server(self._holdings, settings.peer_address)
+        self._peer_server = make_server(
+            self._holdings, self._hear_suspects, settings.peer_address
+        )
+        self._suspects = Suspects()
+        self._told: list[str] = []
         services = Services(
             codec=codec,
             pool=self._pool,
@@ -104,6 +116,8 @@
             data_centre=settings.data_centre,
             rng=random.Random(),
             measures=measures,
+            suspects=self._suspects,
+            tell_suspects=self._tell_suspects,
             count_relays=lambda: self._holdings.relays,
         )
         self._gateway = Gateway(services, configuration, self._holdings)
@@ -132,6 +146,7 @@
         for task in (self._configuration, self._runners, self._holdings):
             await task.start(group)
         group.start_soon(self._prune)
+        group.start_soon(self._tell_waiting)
         log_event(
             Event.ROUTER_STARTED,
             host=self._settings.host,
@@ -150,7 +165,7 @@
         log_event(Event.ROUTER_STOPPING, under_way=self._gateway.under_way)
         await self._wait_until_quiet(began_at)
         spent = time.monotonic() - began_at
-        left = self._settings.stop_seconds - spent - RELEASE_SECONDS
+        left = self._settings.stop_seconds - spent - RELEASE_SECONDS - END_SECONDS
         await self._caller_server.close(max(0.1, left))
         await self._holdings.close()
         with anyio.move_on_after(RELEASE_SECONDS):
@@ -205,6 +220,22 @@
                 log_event(Event.RUNNER_UNLISTED, runner=runner.name, forgotten=True)
             await self._pool.prune(now, self._runners.table.list_names())
             self._apply_limits()
+            self._suspects.prune(now)
+
+    async def _tell_waiting(self) -> None:
+        """Tell other relays of suspects, those of one crash at a time."""
+        while True:
+            await anyio.sleep(TELL_SECONDS)
+            if self._told:
+                lines, self._told = self._told, []
+                members = self._holdings.list_neighbours()
+                await self._neighbours.tell_suspects(members, lines)
+
+    def _tell_suspects(self, lines: list[str]) -> None:
+        self._told.extend(lines)
+
+    def _hear_suspects(self, lines: list[str]) -> None:
+        self._suspects.hear(lines, time.monotonic())
 
     def _apply_limits(self) -> None:
         configuration = self._configuration.configuration
--- a/knapweedrail/relay/exchanges.py
+++ b/knapweedrail/relay/exchanges.py
@@ -23,6 +23,7 @@
 from .runners import RunnerTable, RunnerView
 from .selection import choose_runner, find_shared_part
 from .streams import EventSplitter, StreamProgress
+from .suspects import Suspects
 
 FIRST_BYTE_FACTOR = 2.0
 """How many times a route's objective a runner may take to its first byte before a
@@ -108,6 +109,8 @@
     data_centre: str
     rng: random.Random
     measures: RelayMeasures
+    suspects: Suspects
+    tell_suspects: Callable[[list[str]], None]
     count_relays: Callable[[], int]
 
 
@@ -125,6 +128,7 @@
         endpoint: The endpoint that it goes to.
         account: Name of its client account, if it has one.
         rank: Its urgency.
+        fingerprint: What tells its content from others.
         reservation: Tokens set aside for it.
         ends_at: When its caller, or its route, has waited long enough.
         send: Sends messages to the caller.
@@ -139,6 +143,7 @@
         endpoint: Endpoint,
         account: str | None,
         rank: int,
+        fingerprint: str,
         reservation: Reservation,
         ends_at: float,
         send: Send,
@@ -150,6 +155,7 @@
         self._endpoint = endpoint
         self._account = account
         self._rank = min(MAX_RANK, max(0, rank))
+        self._fingerprint = fingerprint
         self._reservation = reservation
         self._ends_at = ends_at
         self._send = send
@@ -272,8 +278,7 @@
             outcome, kept = await self._converse(view, connection)
             return outcome
         except ConnectionFailed as error:
-            if error.silent:
-                self._note_silence(view)
+            self._note_connection(view, error)
             self._note_failure(view, certain=not error.sent)
             failure = Failure.BROKEN if error.sent else Failure.NOT_SENT
             self._began |= error.sent
@@ -335,6 +340,7 @@
             return Failed(Failure.SILENT, "the answer's body took too long"), False
         now = time.monotonic()
         services.runners.note_answer(view, now - began_at, now)
+        services.suspects.note_good(self._fingerprint, now)
         self._note_begun(view)
         if self._request.parts:
             shared = find_shared_part(self._request.parts)
@@ -491,6 +497,21 @@
         else:
             self._services.runners.note_full(view, time.monotonic())
 
+    def _note_connection(self, view: RunnerView, error: ConnectionFailed) -> None:
+        services = self._services
+        now = time.monotonic()
+        if error.silent:
+            self._note_silence(view)
+        if error.sent:
+            services.suspects.note_break(view.runner.name, self._fingerprint, now)
+            return
+        lines = services.suspects.note_crash(view.runner.name, now)
+        if lines:
+            log_event(
+                Event.RUNNER_CRASHED, runner=view.runner.name, suspects=len(lines)
+            )
+            services.tell_suspects(lines)
+
     def _note_silence(self, view: RunnerView) -> None:
         if self._services.runners.note_silence(view, time.monotonic()):
             log_event(
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -17,6 +17,7 @@
 from .holdings import Holdings, Reservation, Shortage
 from .models import Account, CallerRequest, Malformed, Route
 from .routes import RouteTable, choose_endpoint
+from .suspects import make_fingerprint
 
 STATUSES = {
     RefusalKind.BAD_REQUEST: 400,
@@ -34,6 +35,13 @@
 """Age of the configuration from which an unknown key or route may be a new one: a
 watch and its answer's delay, with a second to spare."""
 
+TOKENS_SECONDS = (2.0, 3.0)
+"""Bounds of the time after which a caller whose budget is out of reach may come back:
+the store is asked again every second, and a cut seldom ends sooner."""
+
+QUARANTINED_SECONDS = 60.0
+"""When to come back with content that crashes runners: not while anybody waits."""
+
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
@@ -233,6 +241,15 @@
             await self._refuse(send, request.identity, refusal)
             return
         self._services.retries.note_fresh(name, time.monotonic())
+        account_name = account.name if account else ""
+        fingerprint = make_fingerprint(
+            account_name, request.method, request.target, body
+        )
+        if self._services.suspects.blocks(fingerprint, time.monotonic()):
+            detail = "runners crashed while they ran this content"
+            refusal = _refuse(RefusalKind.QUARANTINED, detail, QUARANTINED_SECONDS)
+            await self._refuse(send, request.identity, refusal)
+            return
         reservation = await self._reserve(account, request)
         if isinstance(reservation, Refusal):
             await self._refuse(send, request.identity, reservation)
@@ -246,6 +263,7 @@
             endpoint,
             account.name if account else None,
             rank,
+            fingerprint,
             reservation,
             ends_at,
             send,
@@ -319,7 +337,7 @@
                 return _refuse(
                     RefusalKind.BUDGET_OUT_OF_REACH,
                     found.value,
-                    draw_retry(self._services.rng),
+                    self._services.rng.uniform(*TOKENS_SECONDS),
                 )
         return found
 
--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -9,11 +9,11 @@
 
 import attrs
 
-HOLD_SECONDS = 16.0
+HOLD_SECONDS = 14.0
 """How long relays that can't reach the store serve out of what they hold, while much is
 left: half as long again as most cuts, as the callers of a cut come unevenly."""
 
-HOLD_SHARE = 0.55
+HOLD_SHARE = 0.4
 """Part of what is left of a budget that all relays together may hold. What is held is
 lost when its relay dies, so as a budget runs low less of it may be at risk. Each relay
 may have an even share, and beyond it what the others leave: callers of an account may
--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -172,6 +172,10 @@
             )
         return Gift(self._member.holder, total)
 
+    def list_neighbours(self) -> list[Member]:
+        """Return the other relays, as far as known."""
+        return self._neighbours.order(self._ledger.members, self._host)
+
     def read_available(self, account: str) -> float:
         """Return the tokens of an account that are free here."""
         held = self._allowances.get(account)
--- a/knapweedrail/relay/neighbours.py
+++ b/knapweedrail/relay/neighbours.py
@@ -5,6 +5,7 @@
 import random
 import time
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -17,7 +18,15 @@
 from ..events import Event, log_event
 from ..peers import RpcServer
 from ..wire.relays_grpc import RelaysBase, RelaysStub
-from ..wire.relays_pb2 import LeaveReply, LeaveRequest, TokenReply, TokenRequest, Total
+from ..wire.relays_pb2 import (
+    LeaveReply,
+    LeaveRequest,
+    SuspectsReply,
+    SuspectsRequest,
+    TokenReply,
+    TokenRequest,
+    Total,
+)
 from .ledgers import Member
 
 CALL_SECONDS = 0.08
@@ -32,6 +41,13 @@
 """How long a relay that had nothing of an account isn't asked for it again. A budget
 that is spent everywhere would otherwise cost a call to each relay for each request."""
 
+MOST_TOLD = 16
+"""Relays told of a crash's requests. A caller that sends one again reaches any relay;
+with sixteen that know, and more told at each further crash, it ends after some more."""
+
+MOST_LINES = 100
+"""Requests told of at a time: more than one relay has at one runner."""
+
 
 @attrs.frozen
 class Gift:
@@ -46,6 +62,10 @@
     total: int
 
 
+HearSuspects = Callable[[list[str]], None]
+"""Takes what another relay told of requests that were on runners as these crashed."""
+
+
 class TokenHolder(ABC):
     """Holds tokens, and answers other relays about them."""
 
@@ -109,6 +129,13 @@
         )
         return await self._call(member, "Leave", request) is not None
 
+    async def tell_suspects(self, members: list[Member], lines: list[str]) -> None:
+        """Tell other relays of requests that were on runners as these crashed."""
+        request = SuspectsRequest(lines=lines[:MOST_LINES])
+        async with anyio.create_task_group() as group:
+            for member in members[:MOST_TOLD]:
+                group.start_soon(self._call, member, "TellSuspects", request)
+
     async def close(self) -> None:
         """Close all connections."""
         for channel in self._channels.values():
@@ -139,8 +166,9 @@
 class _Service(RelaysBase):
     """Answers other relays."""
 
-    def __init__(self, holder: TokenHolder) -> None:
+    def __init__(self, holder: TokenHolder, hear: HearSuspects) -> None:
         self._holder = holder
+        self._hear = hear
 
     async def HandOver(self, stream: Stream) -> None:
         request = await stream.recv_message()
@@ -159,7 +187,14 @@
         self._holder.take_over(request.holder, totals)
         await stream.send_message(LeaveReply())
 
+    async def TellSuspects(self, stream: Stream) -> None:
+        request = await stream.recv_message()
+        if request is None:
+            return
+        self._hear(list(request.lines))
+        await stream.send_message(SuspectsReply())
+
 
-def make_server(holder: TokenHolder, address: str) -> RpcServer:
+def make_server(holder: TokenHolder, hear: HearSuspects, address: str) -> RpcServer:
     """Return the server that answers other relays, not started yet."""
-    return RpcServer([_Service(holder)], address)
+    return RpcServer([_Service(holder, hear)], address)
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -43,6 +43,7 @@
     StoredObject,
     Written,
 )
+from ..relay.suspects import Suspects
 
 KEY = "key-of-farm"
 ACCOUNT = "farm"
@@ -319,6 +320,8 @@
         data_centre="dc",
         rng=random.Random(1),
         measures=RelayMeasures(),
+        suspects=Suspects(),
+        tell_suspects=lambda lines: None,
         count_relays=lambda: 1,
     )
     gateway = Gateway(services, follower, holdings)
--- /dev/null
+++ b/knapweedrail/tests/test_relay_suspects.py
@@ -0,0 +1,64 @@
+"""Requests that crash the runners that run them."""
+
+from ..relay.suspects import CRASHES, Suspects, make_fingerprint
+
+
+def crash(suspects, runner, fingerprints, now):
+    for fingerprint in fingerprints:
+        suspects.note_break(runner, fingerprint, now)
+    return suspects.note_crash(runner, now + 0.1)
+
+
+def test_a_request_that_crashes_every_runner_is_refused_at_all_relays():
+    """A caller sends the same request again and again, each time to another relay, and
+    each time a runner dies with everybody's work on it."""
+    relays = [Suspects() for _ in range(3)]
+    for number in range(CRASHES):
+        lines = crash(relays[number], f"i-{number}", ["bad", f"other-{number}"], number)
+        for relay in relays:
+            relay.hear(lines, number + 0.2)
+    assert all(relay.blocks("bad", 10.0) for relay in relays)
+    assert not any(
+        relay.blocks(f"other-{n}", 10.0) for n in range(3) for relay in relays
+    )
+
+
+def test_one_crash_seen_by_all_relays_counts_once():
+    relays = [Suspects() for _ in range(3)]
+    lines = [crash(relay, "i-0", ["innocent"], 0.0) for relay in relays]
+    for relay in relays:
+        for heard in lines:
+            relay.hear(heard, 0.5)
+    assert not any(relay.blocks("innocent", 1.0) for relay in relays)
+
+
+def test_a_lost_answer_is_not_a_crash():
+    """A runner resets a connection in twenty, and goes on. A status that many callers
+    read would be refused after three such answers."""
+    suspects = Suspects()
+    for number in range(10):
+        suspects.note_break("i-0", "status", number * 4.0)
+        suspects.prune(number * 4.0 + 3.5)
+    assert suspects.note_crash("i-0", 100.0) == []
+    assert not suspects.blocks("status", 100.0)
+
+
+def test_a_good_answer_clears_a_request():
+    suspects = Suspects()
+    crash(suspects, "i-0", ["once"], 0.0)
+    crash(suspects, "i-1", ["once"], 1.0)
+    suspects.note_good("once", 2.0)
+    crash(suspects, "i-2", ["once"], 3.0)
+    assert not suspects.blocks("once", 4.0)
+
+
+def test_a_fingerprint_tells_requests_apart_by_all_that_makes_them():
+    one = make_fingerprint("farm", "POST", b"/a", b"x")
+    assert one == make_fingerprint("farm", "POST", b"/a", b"x")
+    others = [
+        make_fingerprint("barn", "POST", b"/a", b"x"),
+        make_fingerprint("farm", "GET", b"/a", b"x"),
+        make_fingerprint("farm", "POST", b"/ax", b""),
+        make_fingerprint("farm", "POST", b"/a", b"y"),
+    ]
+    assert one not in others
--- a/knapweedrail/wire/relays_grpc.py
+++ b/knapweedrail/wire/relays_grpc.py
@@ -18,6 +18,10 @@
     async def HandOver(self, stream: 'grpclib.server.Stream[relays_pb2.TokenRequest, relays_pb2.TokenReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def TellSuspects(self, stream: 'grpclib.server.Stream[relays_pb2.SuspectsRequest, relays_pb2.SuspectsReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Leave(self, stream: 'grpclib.server.Stream[relays_pb2.LeaveRequest, relays_pb2.LeaveReply]') -> None:
         pass
@@ -30,6 +34,12 @@
                 relays_pb2.TokenRequest,
                 relays_pb2.TokenReply,
             ),
+            '/knapweedrail.relays.Relays/TellSuspects': grpclib.const.Handler(
+                self.TellSuspects,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                relays_pb2.SuspectsRequest,
+                relays_pb2.SuspectsReply,
+            ),
             '/knapweedrail.relays.Relays/Leave': grpclib.const.Handler(
                 self.Leave,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -48,6 +58,12 @@
             relays_pb2.TokenRequest,
             relays_pb2.TokenReply,
         )
+        self.TellSuspects = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/knapweedrail.relays.Relays/TellSuspects',
+            relays_pb2.SuspectsRequest,
+            relays_pb2.SuspectsReply,
+        )
         self.Leave = grpclib.client.UnaryUnaryMethod(
             channel,
             '/knapweedrail.relays.Relays/Leave',
