--- a/knapweedrail/relay/exchanges.py
+++ b/knapweedrail/relay/exchanges.py
@@ -47,9 +47,6 @@
 """Bounds of the time after which a caller may come back, drawn at random: by then a
 burst of short work has passed, and callers refused together don't return together."""
 
-MAX_RANK = 9
-"""Least urgent rank that runners know."""
-
 
 class Failure(enum.Enum):
     """What became of an attempt at a runner that gave no answer to pass on."""
@@ -154,7 +151,7 @@
         self._route = route
         self._endpoint = endpoint
         self._account = account
-        self._rank = min(MAX_RANK, max(0, rank))
+        self._rank = rank
         self._fingerprint = fingerprint
         self._reservation = reservation
         self._ends_at = ends_at
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -254,7 +254,6 @@
         if isinstance(reservation, Refusal):
             await self._refuse(send, request.identity, reservation)
             return
-        rank = route.rank if account is None or account.rank is None else account.rank
         exchange = Exchange(
             self._services,
             request,
@@ -262,7 +261,7 @@
             route,
             endpoint,
             account.name if account else None,
-            rank,
+            table.rank(route, account),
             fingerprint,
             reservation,
             ends_at,
--- a/knapweedrail/relay/routes.py
+++ b/knapweedrail/relay/routes.py
@@ -6,6 +6,9 @@
 
 from .models import Account, Configuration, Route
 
+RANKS = 10
+"""Ranks that runners tell apart, from 0, the most urgent."""
+
 
 class RouteTable:
     """Routes by host and path prefix, and accounts by key.
@@ -24,6 +27,8 @@
             key: account for account in accounts.values() for key in account.keys
         }
 
+        self._order = _list_urgencies(configuration)
+
     @property
     def needs_keys(self) -> bool:
         """Whether callers show API keys at all."""
@@ -39,11 +44,41 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def rank(self, route: Route, account: Account | None) -> int:
+        """Return a request's rank among all others.
+
+        The account's rank goes first, and among requests of accounts that rank alike
+        the route's. A runner with more than it can do at once then reads a plan before
+        a question; with the account's rank alone, both waited alike, and the plans,
+        which are longer, came late.
+        """
+        place = self._order.index(_make_urgency(route, account))
+        return min(RANKS - 1, place * RANKS // max(RANKS, len(self._order)))
+
     def find_account(self, key: str | None) -> Account | None:
         """Return the account that holds a key."""
         return self._accounts.get(key) if key else None
 
 
+def _make_urgency(route: Route, account: Account | None) -> tuple[int, int]:
+    rank = account.rank if account is not None else None
+    return (route.rank if rank is None else rank, route.rank)
+
+
+def _list_urgencies(configuration: Configuration) -> list[tuple[int, int]]:
+    """Return all pairs of ranks that requests may have, the most urgent first."""
+    accounts = [None, *(configuration.accounts or {}).values()]
+    ranks = {account.rank if account else None: account for account in accounts}
+    routes = {route.rank: route for route in configuration.routes}
+    return sorted(
+        {
+            _make_urgency(route, account)
+            for route in routes.values()
+            for account in ranks.values()
+        }
+    )
+
+
 def choose_endpoint(route: Route, rng: random.Random) -> str:
     """Draw an endpoint by the route's weights."""
     if len(route.shares) == 1:
