--- a/knapweedrail/relay/allowances.py
+++ b/knapweedrail/relay/allowances.py
@@ -96,8 +96,13 @@
         account.grants[self.holder] = Grant(tokens, spent)
 
     def compute_own_spending(self, account: AccountLedger) -> int:
-        """Return what was spent beyond what write-offs of others have counted."""
-        return max(0, self.spent - self._count_covered(account))
+        """Return what was spent beyond what write-offs of others have counted.
+
+        Requests that are still under way count at their most: a relay whose time to
+        stop is over can't learn what they used, and nobody may spend that again.
+        """
+        spent = self.spent + self.reserved
+        return max(0, spent - self._count_covered(account))
 
     def prepare(self, planned: AccountLedger) -> None:
         """Put out of use what a write that is about to be sent gives back."""
--- /dev/null
+++ b/knapweedrail/relay/attempts.py
@@ -0,0 +1,394 @@
+"""One attempt to have a request answered by a runner."""
+
+from __future__ import annotations
+
+import enum
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import attrs
+
+from ..events import Event, log_event
+from .codecs import Codec, Headers
+from .connections import ConnectionFailed, ConnectionPool, RunnerConnection
+from .deliveries import Delivery
+from .measures import RelayMeasures
+from .models import CallerRequest, Endpoint, Route, RunnerAnswer
+from .retries import RetryShare
+from .routes import Ranks
+from .runners import RunnerTable, RunnerView
+from .selection import find_shared_part
+from .streams import EventSplitter, StreamProgress
+from .suspects import Suspects
+
+FIRST_BYTE_FACTOR = 2.0
+"""How many times a route's objective a runner may take to its first byte before a
+request that may be repeated goes to another one. At twice the objective the answer is
+late anyway, and what still comes then usually comes soon."""
+
+FIRST_BYTE_SHARE = 0.4
+"""And how much of the time that is left, so that another runner has more than half."""
+
+STALL_FACTOR = 4.0
+STALL_SECONDS = 1.0
+"""Silence in the middle of a stream after which it goes on at another runner: so many
+times the longest pause that callers aim at, and not less than this. A runner that
+makes room for more urgent work is silent for some hundreds of milliseconds."""
+
+BUSY_PROMPTS = 2.0
+"""Prompts that wait at a runner, of the usual length, from which on its order of work
+is told to it: a new prompt then waits about as long as it takes to read itself."""
+
+
+class Failure(enum.Enum):
+    """What became of an attempt at a runner that gave no answer to pass on."""
+
+    NOT_SENT = "no byte was sent"
+    NOT_RUN = "the runner says that it didn't run the request"
+    BROKEN = "the connection broke or carried something else"
+    SILENT = "nothing came in time"
+
+
+@dataclass(frozen=True)
+class Failed:
+    """An attempt failed.
+
+    Attributes:
+        failure: How.
+        detail: What was seen.
+        answer: A runner's own failure, which may be passed on as it is.
+        body: That answer's body.
+        runner: Name of the runner.
+    """
+
+    failure: Failure
+    detail: str
+    answer: RunnerAnswer | None = None
+    body: bytes = b""
+    runner: str = ""
+
+
+@dataclass(frozen=True)
+class Answered:
+    """The caller has its answer.
+
+    Attributes:
+        runner: Name of the runner that gave its end.
+    """
+
+    status: int
+    runner: str
+
+
+@attrs.frozen(kw_only=True)
+class Services:
+    """What exchanges share."""
+
+    codec: Codec
+    pool: ConnectionPool
+    runners: RunnerTable
+    retries: RetryShare
+    data_centre: str
+    rng: random.Random
+    measures: RelayMeasures
+    suspects: Suspects
+    tell_suspects: Callable[[list[str]], None]
+    count_relays: Callable[[], int]
+
+
+@attrs.define(kw_only=True)
+class Call:
+    """One admitted request, and how far it has come.
+
+    Attributes:
+        body: Its whole body.
+        account: Name of its client account, if it has one.
+        ranks: Its urgency.
+        fingerprint: What tells its content from others.
+        ends_at: When its caller, or its route, has waited long enough.
+        delivery: Its answer.
+        progress: Which events of a stream its caller has.
+        arrivals: Runners that it was sent to.
+        may_have_run: Whether a runner may have begun to work on it. Set before the
+            first byte is sent, so that a caller that leaves right after it doesn't
+            make its tokens free.
+    """
+
+    services: Services
+    request: CallerRequest
+    body: bytes
+    route: Route
+    endpoint: Endpoint
+    account: str | None
+    ranks: Ranks
+    fingerprint: str
+    ends_at: float
+    delivery: Delivery
+    progress: StreamProgress
+    arrivals: int = 0
+    may_have_run: bool = False
+
+    def measure_left(self) -> float:
+        """Return the seconds that are left."""
+        return self.ends_at - time.monotonic()
+
+
+class Attempt:
+    """One runner's turn.
+
+    Args:
+        call: The request.
+        view: The runner.
+    """
+
+    def __init__(self, call: Call, view: RunnerView) -> None:
+        self._call = call
+        self._view = view
+        self._unread = False
+        self._ran_before = call.may_have_run
+
+    async def run(self) -> Answered | Failed:
+        """Send the request and pass on what the runner answers."""
+        services = self._call.services
+        services.runners.note_sent(self._view, self._call.request.prompt_tokens)
+        self._unread = True
+        runner = self._view.runner
+        connection: RunnerConnection | None = None
+        kept = False
+        try:
+            connection = await services.pool.take(
+                runner.name, runner.address, time.monotonic()
+            )
+            outcome, kept = await self._converse(connection)
+            return outcome
+        except ConnectionFailed as error:
+            self._note_connection(error)
+            self._note_failure(certain=not error.sent)
+            failure = Failure.BROKEN if error.sent else Failure.NOT_SENT
+            return Failed(failure, f"{error.step}: {error.detail}")
+        finally:
+            self._note_begun()
+            services.runners.note_ended(self._view)
+            if connection is not None and not kept:
+                with anyio.CancelScope(shield=True):
+                    await services.pool.drop(runner.name, connection)
+
+    async def _converse(
+        self, connection: RunnerConnection
+    ) -> tuple[Answered | Failed, bool]:
+        """Send the request on a connection; return also whether that can be kept."""
+        call = self._call
+        request, services = call.request, call.services
+        began_at = time.monotonic()
+        if call.measure_left() <= 0:
+            return Failed(Failure.NOT_SENT, "no time left"), False
+        headers = self._make_headers()
+        self._call.arrivals += 1
+        self._call.may_have_run = True
+        answer: RunnerAnswer | None = None
+        chunks: Any = None
+        splitter = EventSplitter()
+        first = b""
+        with anyio.move_on_after(self._limit_first_byte()) as scope:
+            await connection.send(request.method, request.target, headers, call.body)
+            answer = await self._receive_answer(connection)
+            self._note_load(answer)
+            if answer.identity == request.identity and _streams(answer):
+                chunks = connection.receive_body()
+                first = await self._receive_events(chunks, splitter)
+        if answer is None or scope.cancelled_caught:
+            self._note_silence()
+            self._note_failure(certain=False)
+            return Failed(Failure.SILENT, "no first byte in time"), False
+        if answer.identity != request.identity:
+            self._note_failure(certain=False)
+            return Failed(Failure.BROKEN, f"an answer to {answer.identity!r}"), False
+        if not _streams(answer):
+            with anyio.move_on_after(self._call.measure_left()):
+                return await self._take_whole(connection, answer, began_at)
+            self._note_failure(certain=False)
+            return Failed(Failure.SILENT, "the answer's body took too long"), False
+        now = time.monotonic()
+        services.runners.note_answer(self._view, now - began_at, now)
+        services.suspects.note_good(call.fingerprint, now)
+        self._note_begun()
+        if request.parts:
+            shared = find_shared_part(request.parts)
+            services.runners.note_prefix(shared.name, self._view, now)
+        return await self._relay_stream(connection, answer, chunks, splitter, first)
+
+    def _make_headers(self) -> Headers:
+        call = self._call
+        has_body = bool(call.body) or call.request.method not in ("GET", "HEAD")
+        return call.services.codec.encode_request(
+            call.request,
+            self._view.runner,
+            call.account,
+            call.measure_left(),
+            call.ranks.busy if self._is_busy() else call.ranks.calm,
+            len(call.body) if has_body else None,
+            call.progress.last,
+        )
+
+    def _is_busy(self) -> bool:
+        """Return whether requests wait at a runner, so that their order matters."""
+        mean = self._call.services.runners.mean_tokens
+        unread = self._view.estimate_unread(mean, time.monotonic())
+        return unread > self._call.request.prompt_tokens + BUSY_PROMPTS * mean
+
+    async def _receive_answer(self, connection: RunnerConnection) -> RunnerAnswer:
+        head = await connection.receive_head()
+        headers = list(head.headers.raw_items())
+        return self._call.services.codec.decode_answer(head.status_code, headers)
+
+    def _limit_first_byte(self) -> float:
+        """Return how long this attempt may take to its first byte, seconds."""
+        route = self._call.route
+        left = self._call.measure_left()
+        last = self._call.arrivals >= route.max_runners
+        if last or not route.repeatable:
+            return left
+        return min(FIRST_BYTE_FACTOR * route.objective, FIRST_BYTE_SHARE * left)
+
+    async def _take_whole(
+        self,
+        connection: RunnerConnection,
+        answer: RunnerAnswer,
+        began_at: float,
+    ) -> tuple[Answered | Failed, bool]:
+        """Receive a whole answer, and pass it on if it is sound."""
+        body = b"".join([chunk async for chunk in connection.receive_body()])
+        kept = self._keep(connection, answer)
+        if answer.not_run:
+            self._call.may_have_run = self._ran_before
+            self._note_rejection(answer)
+            detail = f"rejected with {answer.status}"
+            return Failed(Failure.NOT_RUN, detail), kept
+        if not answer.sealed:
+            self._note_failure(certain=False)
+            return Failed(Failure.BROKEN, "an answer without a seal"), kept
+        if answer.status >= 500:
+            self._note_failure(certain=False)
+            detail = f"the runner failed with {answer.status}"
+            name = self._view.runner.name
+            return Failed(Failure.BROKEN, detail, answer, body, name), kept
+        self._call.services.runners.note_answer(
+            self._view, time.monotonic() - began_at, time.monotonic()
+        )
+        if self._call.delivery.started:
+            return Failed(Failure.BROKEN, f"{answer.status} to a resumed run"), kept
+        await self._call.delivery.send_whole(answer.status, list(answer.headers), body)
+        return Answered(answer.status, self._view.runner.name), kept
+
+    async def _receive_events(self, chunks: Any, splitter: EventSplitter) -> bytes:
+        """Return the next events that the caller lacks; empty at the stream's end."""
+        async for chunk in chunks:
+            data = self._call.progress.select(splitter.feed(chunk))
+            if data:
+                return data
+        return b""
+
+    async def _relay_stream(
+        self,
+        connection: RunnerConnection,
+        answer: RunnerAnswer,
+        chunks: Any,
+        splitter: EventSplitter,
+        data: bytes,
+    ) -> tuple[Answered | Failed, bool]:
+        """Pass on a stream whose first events have come, to its end."""
+        if not self._call.delivery.started and not answer.sealed:
+            return Failed(Failure.BROKEN, "a stream without a seal"), False
+        with anyio.move_on_after(self._call.measure_left()):
+            while data:
+                await self._send_part(answer, data)
+                data = b""
+                with anyio.move_on_after(self._limit_silence()) as silence:
+                    data = await self._receive_events(chunks, splitter)
+                if silence.cancelled_caught:
+                    self._note_failure(certain=False)
+                    return Failed(Failure.SILENT, "the stream stalled"), False
+            await self._send_part(answer, splitter.rest)
+            kept = self._keep(connection, answer)
+            await self._call.delivery.end()
+            return Answered(answer.status, self._view.runner.name), kept
+        return Failed(Failure.SILENT, "the stream took too long"), False
+
+    async def _send_part(self, answer: RunnerAnswer, data: bytes) -> None:
+        await self._call.delivery.send_part(
+            answer.status, list(answer.headers), data, self._call.route.name
+        )
+
+    def _limit_silence(self) -> float:
+        """Return how long a stream may be silent before it goes on elsewhere."""
+        route = self._call.route
+        if not route.resumable or self._call.arrivals >= route.max_runners:
+            return max(0.0, self._call.measure_left())
+        return max(STALL_SECONDS, STALL_FACTOR * route.gap)
+
+    def _keep(self, connection: RunnerConnection, answer: RunnerAnswer) -> bool:
+        if not connection.finish():
+            return False
+        self._call.services.pool.keep(
+            self._view.runner.name, connection, answer.idle_seconds, time.monotonic()
+        )
+        return True
+
+    def _note_begun(self) -> None:
+        if self._unread:
+            tokens = self._call.request.prompt_tokens
+            self._call.services.runners.note_begun(self._view, tokens)
+            self._unread = False
+
+    def _note_load(self, answer: RunnerAnswer) -> None:
+        if answer.running is not None and answer.waiting is not None:
+            self._call.services.runners.note_load(
+                self._view, answer.running, answer.waiting, time.monotonic()
+            )
+
+    def _note_rejection(self, answer: RunnerAnswer) -> None:
+        if answer.status == 421:
+            self._note_failure(certain=True)
+        else:
+            self._call.services.runners.note_full(self._view, time.monotonic())
+
+    def _note_connection(self, error: ConnectionFailed) -> None:
+        services, name = self._call.services, self._view.runner.name
+        now = time.monotonic()
+        if error.silent:
+            self._note_silence()
+        if error.sent:
+            services.suspects.note_break(name, self._call.fingerprint, now)
+            return
+        lines = services.suspects.note_crash(name, now)
+        if lines:
+            log_event(Event.RUNNER_CRASHED, runner=name, suspects=len(lines))
+            services.tell_suspects(lines)
+
+    def _note_silence(self) -> None:
+        if self._call.services.runners.note_silence(self._view, time.monotonic()):
+            log_event(
+                Event.DATA_CENTRE_SILENT,
+                data_centre=self._view.runner.data_centre,
+                runner=self._view.runner.name,
+                request=self._call.request.identity,
+            )
+
+    def _note_failure(self, certain: bool) -> None:
+        runners = self._call.services.runners
+        if runners.note_failure(self._view, time.monotonic(), certain):
+            log_event(
+                Event.RUNNER_EJECTED,
+                runner=self._view.runner.name,
+                endpoint=self._view.runner.endpoint,
+                seconds=self._view.ejection,
+                failing=round(self._view.failing, 2),
+            )
+
+
+def _streams(answer: RunnerAnswer) -> bool:
+    return answer.event_stream and answer.status == 200
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -12,9 +12,9 @@
 
 from ..events import Event, log_event
 from ..servers import HttpServer, ServerLimits
+from .attempts import Services
 from .codecs import Codec
 from .connections import ConnectionPool
-from .exchanges import Services
 from .followers import ConfigurationFollower, RunnerFollower
 from .gateway import Gateway
 from .holdings import Holdings
--- /dev/null
+++ b/knapweedrail/relay/deliveries.py
@@ -0,0 +1,73 @@
+"""The answer to one caller: its messages, and how far it has come."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from .codecs import Headers
+from .measures import RelayMeasures
+
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+
+class Delivery:
+    """Sends one answer.
+
+    Args:
+        send: The server's own function.
+        is_stopping: Whether the process stops; the answer then says that its
+            connection ends with it.
+        measures: Where pauses between parts are counted.
+    """
+
+    def __init__(
+        self, send: Send, is_stopping: Callable[[], bool], measures: RelayMeasures
+    ) -> None:
+        self._send = send
+        self._is_stopping = is_stopping
+        self._measures = measures
+        self._last_part_at = 0.0
+        self.first_byte_at: float | None = None
+        self.complete = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the caller has part of an answer."""
+        return self.first_byte_at is not None
+
+    async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        length = (b"content-length", b"%d" % len(body))
+        await self._start(status, [*headers, length])
+        self.complete = True
+        await self._send({"type": "http.response.body", "body": body})
+
+    async def send_part(
+        self, status: int, headers: Headers, data: bytes, route: str
+    ) -> None:
+        """Send the next part of a stream; the first one takes the headers along."""
+        now = time.monotonic()
+        if self.started:
+            self._measures.gaps.record(now - self._last_part_at, {"route": route})
+        else:
+            await self._start(status, list(headers))
+        self._last_part_at = now
+        if data:
+            await self._send(
+                {"type": "http.response.body", "body": data, "more_body": True}
+            )
+
+    async def end(self) -> None:
+        """Send the end mark of a stream."""
+        self.complete = True
+        await self._send({"type": "http.response.body", "body": b""})
+
+    async def _start(self, status: int, headers: Headers) -> None:
+        self.first_byte_at = time.monotonic()
+        if self._is_stopping():
+            headers = [*headers, (b"connection", b"close")]
+        await self._send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -12,11 +12,15 @@
 
 from ..events import Event, log_event
 from ..outcomes import Ran, Refusal, RefusalKind
-from .exchanges import Answered, Broken, Exchange, Services, draw_retry
+from .attempts import Answered, Call, Services
+from .deliveries import Delivery, Send
+from .exchanges import Broken, Exchange, draw_retry
 from .followers import ConfigurationFollower
-from .holdings import Holdings, Reservation, Shortage
+from .holdings import Holdings
 from .models import Account, CallerRequest, Malformed, Route
+from .reservations import Reservation, Shortage
 from .routes import RouteTable, choose_endpoint
+from .streams import StreamProgress
 from .suspects import make_fingerprint
 
 STATUSES = {
@@ -43,7 +47,6 @@
 """When to come back with content that crashes runners: not while anybody waits."""
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 
 class CallerGone(Exception):
@@ -62,31 +65,6 @@
     account: Account | None
 
 
-class Delivery:
-    """Sends messages to one caller, and knows whether its answer is complete.
-
-    Args:
-        send: The server's own.
-        gateway: Tells whether the process stops; then the answer says that its
-            connection ends.
-    """
-
-    def __init__(self, send: Send, gateway: Gateway) -> None:
-        self._send = send
-        self._gateway = gateway
-        self.complete = False
-
-    async def __call__(self, message: dict[str, Any]) -> None:
-        """Send one message."""
-        if message["type"] == "http.response.start":
-            if self._gateway.stopping:
-                headers = [*message["headers"], (b"connection", b"close")]
-                message = {**message, "headers": headers}
-        elif not message.get("more_body", False):
-            self.complete = True
-        await self._send(message)
-
-
 class Gateway:
     """ASGI application that relays callers' requests.
 
@@ -116,7 +94,8 @@
         self.under_way += 1
         self.last_request_at = time.monotonic()
         try:
-            await self._answer(scope, receive, Delivery(send, self))
+            delivery = Delivery(send, lambda: self.stopping, self._services.measures)
+            await self._answer(scope, receive, delivery)
         except CallerGone:
             log_event(Event.CALLER_GONE, path=scope["path"])
         except Exception as error:
@@ -127,25 +106,25 @@
         finally:
             self.under_way -= 1
 
-    async def _answer(self, scope: dict, receive: Receive, send: Delivery) -> None:
+    async def _answer(self, scope: dict, receive: Receive, delivery: Delivery) -> None:
         arrived_at = time.monotonic()
         request = self._services.codec.decode_request(
             scope["method"], scope["raw_path"], scope["query_string"], scope["headers"]
         )
         if isinstance(request, Malformed):
-            await self._refuse(send, "", _refuse_bad(request.reason))
+            await self._refuse(delivery, "", _refuse_bad(request.reason))
             return
         admission = self._admit(request)
         if isinstance(admission, Refusal):
-            await self._refuse(send, request.identity, admission)
+            await self._refuse(delivery, request.identity, admission)
             return
         wait = min(request.deadline or float("inf"), admission.route.timeout)
         ends_at = arrived_at + wait
         body = await self._receive_body(receive, ends_at)
         if isinstance(body, Refusal):
-            await self._refuse(send, request.identity, body)
+            await self._refuse(delivery, request.identity, body)
             return
-        await self._serve(request, body, admission, ends_at, receive, send)
+        await self._serve(request, body, admission, ends_at, receive, delivery)
 
     def _admit(self, request: CallerRequest) -> Admission | Refusal:
         table = self._configuration.table
@@ -208,7 +187,7 @@
         admission: Admission,
         ends_at: float,
         receive: Receive,
-        send: Delivery,
+        delivery: Delivery,
     ) -> None:
         """Run a request whose body is complete, until its caller leaves."""
         async with anyio.create_task_group() as group:
@@ -216,12 +195,12 @@
             async def watch() -> None:
                 while (await receive())["type"] != "http.disconnect":
                     pass
-                if not send.complete:
+                if not delivery.complete:
                     log_event(Event.CALLER_GONE, request=request.identity)
                     group.cancel_scope.cancel()
 
             group.start_soon(watch)
-            await self._run(request, body, admission, ends_at, send)
+            await self._run(request, body, admission, ends_at, delivery)
             group.cancel_scope.cancel()
 
     async def _run(
@@ -230,7 +209,7 @@
         body: bytes,
         admission: Admission,
         ends_at: float,
-        send: Send,
+        delivery: Delivery,
     ) -> None:
         route, account = admission.route, admission.account
         table: RouteTable = self._configuration.table  # type: ignore[assignment]
@@ -238,7 +217,7 @@
         endpoint = table.configuration.endpoints.get(name)
         if endpoint is None:
             refusal = _refuse(RefusalKind.NO_ENDPOINT, f"no endpoint {name}", 1.0)
-            await self._refuse(send, request.identity, refusal)
+            await self._refuse(delivery, request.identity, refusal)
             return
         self._services.retries.note_fresh(name, time.monotonic())
         account_name = account.name if account else ""
@@ -248,31 +227,31 @@
         if self._services.suspects.blocks(fingerprint, time.monotonic()):
             detail = "runners crashed while they ran this content"
             refusal = _refuse(RefusalKind.QUARANTINED, detail, QUARANTINED_SECONDS)
-            await self._refuse(send, request.identity, refusal)
+            await self._refuse(delivery, request.identity, refusal)
             return
         reservation = await self._reserve(account, request)
         if isinstance(reservation, Refusal):
-            await self._refuse(send, request.identity, reservation)
+            await self._refuse(delivery, request.identity, reservation)
             return
-        exchange = Exchange(
-            self._services,
-            request,
-            body,
-            route,
-            endpoint,
-            account.name if account else None,
-            table.rank(route, account),
-            fingerprint,
-            reservation,
-            ends_at,
-            send,
+        call = Call(
+            services=self._services,
+            request=request,
+            body=body,
+            route=route,
+            endpoint=endpoint,
+            account=account.name if account else None,
+            ranks=table.rank(route, account),
+            fingerprint=fingerprint,
+            ends_at=ends_at,
+            delivery=delivery,
+            progress=StreamProgress(request.last_event),
         )
         began_at = time.monotonic()
-        outcome = await exchange.run()
-        self._note_outcome(request, admission, table, exchange, outcome, began_at)
+        outcome = await Exchange(call, reservation).run()
+        self._note_outcome(call, table, outcome, began_at)
         match outcome:
             case Refusal():
-                await self._refuse(send, request.identity, outcome)
+                await self._refuse(delivery, request.identity, outcome)
             case Broken(detail):
                 # The answer stays without its end mark, and the server closes the
                 # connection, so that the caller can't take it for a whole one.
@@ -282,18 +261,16 @@
 
     def _note_outcome(
         self,
-        request: CallerRequest,
-        admission: Admission,
+        call: Call,
         table: RouteTable,
-        exchange: Exchange,
         outcome: Answered | Broken | Refusal,
         began_at: float,
     ) -> None:
         measures = self._services.measures
-        route = admission.route.name
+        route = call.route.name
         kind = type(outcome).__name__.lower()
         measures.requests.add(1, {"route": route, "outcome": kind})
-        first = exchange.first_byte_at
+        first = call.delivery.first_byte_at
         if first is not None:
             measures.first_byte.record(first - began_at, {"route": route})
         if not isinstance(outcome, Answered):
@@ -301,14 +278,14 @@
         now = time.monotonic()
         log_event(
             Event.REQUEST_ANSWERED,
-            request=request.identity,
+            request=call.request.identity,
             route=route,
-            account=admission.account.name if admission.account else None,
+            account=call.account,
             runner=outcome.runner,
             status=outcome.status,
-            sent_to=exchange.arrivals,
-            tokens=request.prompt_tokens,
-            prefix=[f"{part.name}:{part.tokens}" for part in request.parts],
+            sent_to=call.arrivals,
+            tokens=call.request.prompt_tokens,
+            prefix=[f"{part.name}:{part.tokens}" for part in call.request.parts],
             first_byte=round((first or now) - began_at, 4),
             seconds=round(now - began_at, 4),
             configuration=table.configuration.version,
@@ -340,7 +317,9 @@
                 )
         return found
 
-    async def _refuse(self, send: Send, identity: str, refusal: Refusal) -> None:
+    async def _refuse(
+        self, delivery: Delivery, identity: str, refusal: Refusal
+    ) -> None:
         log_event(
             Event.REQUEST_REFUSED,
             request=identity,
@@ -362,11 +341,7 @@
             }
         )
         headers = self._services.codec.encode_refusal(identity, refusal.retry_after)
-        headers.append((b"content-length", b"%d" % len(body)))
-        await send(
-            {"type": "http.response.start", "status": status, "headers": headers}
-        )
-        await send({"type": "http.response.body", "body": body})
+        await delivery.send_whole(status, headers, body)
 
 
 def _refuse(kind: RefusalKind, detail: str, retry_after: float | None) -> Refusal:
--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import copy
-import enum
 import random
 import time
 from collections.abc import Callable
@@ -26,6 +25,7 @@
 )
 from .models import Account, Configuration
 from .neighbours import Gift, Neighbours, TokenHolder
+from .reservations import Reservation, Shortage, find_shortage
 from .stores import Conflict, Missing, Store, StoredObject, Written
 
 LEDGER_KIND = "token-ledgers"
@@ -61,28 +61,6 @@
 requests of the same account then find theirs."""
 
 
-class Shortage(enum.Enum):
-    """Why tokens can't be reserved."""
-
-    SPENT = "the budget doesn't cover the request"
-    HELD_ELSEWHERE = "what is left is held by other relays"
-    OUT_OF_REACH = "the ledger can't be reached"
-
-
-@attrs.define
-class Reservation:
-    """Tokens set aside for one request; `settle` ends it, once."""
-
-    allowance: Allowance | None
-    tokens: int
-
-    def settle(self, used: int) -> None:
-        """Count what was used and free the rest."""
-        if self.allowance is not None:
-            self.allowance.settle(self.tokens, used)
-            self.allowance = None
-
-
 class Holdings(Task, TokenHolder):
     """Keeps tokens at hand by conditional updates of the ledger.
 
@@ -296,17 +274,13 @@
     def _find_shortage(
         self, account: Account, tokens: int, now: float
     ) -> Shortage | None:
-        """Return why the ledger has no tokens, or ``None`` if a look may help."""
-        prepaid = account.prepaid or 0
-        entry = self._ledger.get_account(account.name)
-        if not self._reachable:
-            return Shortage.OUT_OF_REACH
-        if entry.surely_used + tokens > prepaid:
-            return Shortage.SPENT
-        recent = now - self._seen_at < RECENT_SECONDS
-        if recent and prepaid - entry.committed < tokens:
-            return Shortage.HELD_ELSEWHERE
-        return None
+        return find_shortage(
+            self._ledger.get_account(account.name),
+            account.prepaid or 0,
+            tokens,
+            self._reachable,
+            now - self._seen_at < RECENT_SECONDS,
+        )
 
     async def _update(self) -> None:
         for _ in range(CONFLICTS):
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -14,8 +14,8 @@
 
 from ..outcomes import Unavailable, Unknown
 from ..platform.requests import PlatformCodec
+from ..relay.attempts import Services
 from ..relay.connections import ConnectionPool
-from ..relay.exchanges import Services
 from ..relay.followers import ConfigurationFollower
 from ..relay.gateway import Gateway
 from ..relay.holdings import Holdings
--- a/knapweedrail/tests/test_platform_store.py
+++ b/knapweedrail/tests/test_platform_store.py
@@ -9,10 +9,11 @@
 from ..platform.decoding import DecodingError, decode_configuration, decode_runner
 from ..platform.store import PlatformStore
 from ..relay.followers import RunnerFollower
-from ..relay.holdings import Holdings, Reservation, Shortage
+from ..relay.holdings import Holdings
 from ..relay.ledgers import Member
 from ..relay.models import Account, Repetition, RunnerState
 from ..relay.neighbours import Neighbours
+from ..relay.reservations import Reservation, Shortage
 from ..relay.runners import RunnerTable
 from ..relay.stores import Changes, Conflict, HistoryGone, Listing, Missing, Written
 from ..servers import HttpServer, ServerLimits
--- a/knapweedrail/tests/test_relay_exchanges.py
+++ b/knapweedrail/tests/test_relay_exchanges.py
@@ -321,3 +321,20 @@
     assert answer.status == 503
     assert b"budget-out-of-reach" in answer.body
     assert not runner.heads
+
+
+async def test_a_caller_that_leaves_has_still_used_its_prompt():
+    """The runner has read the prompt when the caller closes its connection. If its
+    tokens came back, whoever leaves early could use the engine for nothing, and the
+    account would spend more than it prepaid."""
+
+    async def work_long(stream, head):
+        await anyio.sleep(5)
+        return False
+
+    configuration = make_configuration(STREAM, prepaid=1000)
+    async with run_relay(configuration, ScriptedRunner(work_long)) as relay:
+        await relay.call(knapweedrail_token_usage="100,50", leaves_after=0.1)
+        position = relay.holdings._get("farm").position
+    assert position.spent == 100
+    assert position.reserved == 0
--- a/knapweedrail/tests/test_relay_grants.py
+++ b/knapweedrail/tests/test_relay_grants.py
@@ -9,6 +9,8 @@
     plan_change,
     plan_gift,
 )
+from ..relay.ledgers import AccountLedger, Grant
+from ..relay.reservations import Shortage, find_shortage
 
 MILLION = 1_000_000
 
@@ -103,3 +105,14 @@
     demand = make_demand(rate=5000)
     assert 4000 < demand.estimate_rate(100.0) < 6000
     assert demand.estimate_rate(130.0) < 500
+
+
+def test_spent_is_only_said_when_nobody_holds_what_is_left():
+    """A caller that hears "spent" doesn't come back. What other relays hold, or what a
+    view of some seconds ago lacks, isn't spent."""
+    entry = AccountLedger(used=600, grants={"a/1": Grant(300, 100)})
+    assert find_shortage(entry, 1000, 350, True, True) is Shortage.SPENT
+    assert find_shortage(entry, 1000, 250, True, True) is Shortage.HELD_ELSEWHERE
+    assert find_shortage(entry, 1000, 250, True, False) is None
+    assert find_shortage(entry, 1000, 90, True, True) is None
+    assert find_shortage(entry, 1000, 350, False, True) is Shortage.OUT_OF_REACH
--- a/knapweedrail/tests/test_relay_ledger.py
+++ b/knapweedrail/tests/test_relay_ledger.py
@@ -128,6 +128,12 @@
             self.spent += tokens
             allowance.settle(tokens, tokens)
 
+    @rule(host=hosts, tokens=amounts)
+    def begin_request(self, host, tokens):
+        """A request that is still under way when the relay ends, and may use all."""
+        if self.relays[host].allowance.reserve(tokens):
+            self.spent += tokens
+
     @rule(host=hosts)
     def crash(self, host):
         self.relays[host] = self.begin(host)
