--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -39,6 +39,10 @@
 times the longest pause that callers aim at, and not less than this. A runner that
 makes room for more urgent work is silent for some hundreds of milliseconds."""
 
+SILENCE_SECONDS = 0.5
+"""Wait after which an answer that hasn't begun says something of the runner. A route's
+own time may be shorter than its work takes, which says nothing."""
+
 BUSY_PROMPTS = 2.0
 """Prompts that wait at a runner, of the usual length, from which on its order of work
 is told to it: a new prompt then waits about as long as it takes to read itself."""
@@ -201,8 +205,9 @@
                 chunks = connection.receive_body()
                 first = await self._receive_events(chunks, splitter)
         if answer is None or scope.cancelled_caught:
-            self._note_silence()
-            self._note_failure(certain=False)
+            if time.monotonic() - began_at >= SILENCE_SECONDS:
+                self._note_silence()
+                self._note_failure(certain=False)
             return Failed(Failure.SILENT, "no first byte in time"), False
         if answer.identity != request.identity:
             self._note_failure(certain=False)
--- a/knapweedrail/tests/test_relay_exchanges.py
+++ b/knapweedrail/tests/test_relay_exchanges.py
@@ -338,3 +338,20 @@
         position = relay.holdings._get("farm").position
     assert position.spent == 100
     assert position.reserved == 0
+
+
+async def test_a_route_shorter_than_its_work_says_nothing_of_its_runners():
+    """The operator gives a route less time than its work takes. Taking each of its
+    time-outs for a dead runner, the relay would send nobody there for a while."""
+
+    async def work_long(stream, head):
+        await anyio.sleep(1)
+        return False
+
+    route = make_route(Repetition.ONCE, timeout=0.05)
+    async with run_relay(make_configuration(route), ScriptedRunner(work_long)) as relay:
+        for _ in range(5):
+            assert (await relay.call()).status == 504
+        view = relay.table.list_views("e", 0.0)[0]
+        assert relay.table.is_rested(view, float("inf"))
+        assert view.failing == 0.0
