--- a/knapweedrail/relay/deliveries.py
+++ b/knapweedrail/relay/deliveries.py
@@ -30,8 +30,13 @@
         self._measures = measures
         self._last_part_at = 0.0
         self.first_byte_at: float | None = None
+        self._last_of_connection = False
         self.complete = False
 
+    def close_after(self) -> None:
+        """Let the connection end with this answer."""
+        self._last_of_connection = True
+
     @property
     def started(self) -> bool:
         """Whether the caller has part of an answer."""
@@ -66,7 +71,7 @@
 
     async def _start(self, status: int, headers: Headers) -> None:
         self.first_byte_at = time.monotonic()
-        if self._is_stopping():
+        if self._last_of_connection or self._is_stopping():
             headers = [*headers, (b"connection", b"close")]
         await self._send(
             {"type": "http.response.start", "status": status, "headers": headers}
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -112,6 +112,9 @@
             scope["method"], scope["raw_path"], scope["query_string"], scope["headers"]
         )
         if isinstance(request, Malformed):
+            # Nobody can say where a malformed request ends: what follows it on the
+            # connection may be its body, and must not be run as a request.
+            delivery.close_after()
             await self._refuse(delivery, "", _refuse_bad(request.reason))
             return
         admission = self._admit(request)
--- /dev/null
+++ b/knapweedrail/tests/test_relay_door.py
@@ -0,0 +1,156 @@
+"""Raw bytes at the callers' door: what two readers read differently, and floods."""
+
+import contextlib
+
+import anyio
+import pytest
+
+from ..relay.models import Repetition
+from ..servers import HttpServer, ServerLimits
+from .relays_in_memory import (
+    ScriptedRunner,
+    make_answer,
+    make_configuration,
+    make_route,
+    run_relay,
+)
+
+pytestmark = pytest.mark.anyio
+
+HEAD = (
+    b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nKnapweedrail-Request-Id: id-1\r\n"
+    b"Knapweedrail-Key: key-of-farm\r\nKnapweedrail-Deadline-Ms: 3000\r\n"
+)
+HIDDEN = HEAD.replace(b"/a/x", b"/a/hidden").replace(b"id-1", b"id-2")
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def answer_well(stream, head):
+    await stream.send(make_answer(head))
+    return True
+
+
+@contextlib.asynccontextmanager
+async def open_door():
+    runner = ScriptedRunner(answer_well)
+    configuration = make_configuration(make_route(Repetition.SAFE))
+    async with run_relay(configuration, runner) as relay:
+        async with anyio.create_task_group() as group:
+            server = HttpServer(relay.gateway, "127.0.0.1:0", ServerLimits())
+            await server.start(group)
+            host, port = server.address.split(":")
+            yield runner, host, int(port)
+            await server.close(0.1)
+
+
+async def talk(host, port, data, seconds=1.0):
+    """Send bytes and return all that comes until the end, or until nothing comes."""
+    got = b""
+    async with await anyio.connect_tcp(host, port) as stream:
+        with contextlib.suppress(anyio.BrokenResourceError, anyio.EndOfStream):
+            await stream.send(data)
+            while True:
+                with anyio.fail_after(seconds):
+                    got += await stream.receive()
+    return got
+
+
+async def talk_quietly(host, port, data):
+    with contextlib.suppress(TimeoutError):
+        return await talk(host, port, data, 0.5)
+    return b""
+
+
+def list_targets(runner):
+    return [head.split(" ")[1] for head in runner.heads]
+
+
+async def test_a_request_with_a_length_and_chunks_is_refused_at_once():
+    """One reader goes by the length, another by the chunks. What one takes for the
+    body's end, the other takes for the next request, of nobody's account. A caller
+    that sent both by mistake must not wait until it gives up."""
+    async with open_door() as (runner, host, port):
+        data = HEAD + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+        got = await talk(host, port, data + b"0\r\n\r\n" + HIDDEN + b"\r\n")
+    assert got.startswith(b"HTTP/1.1 400 ")
+    assert got.count(b"HTTP/1.1") == 1
+    assert runner.heads == []
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcd",
+        b"Content-Length: +4\r\n\r\nabcd",
+        b"Content-Length: 4, 5\r\n\r\nabcd",
+        b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        b"Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+        b"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+        b"X-Bad Name: 1\r\n\r\n",
+    ],
+)
+async def test_a_request_of_unclear_length_is_refused(lines):
+    """Nobody can say where such a request ends, so nothing of it may run."""
+    async with open_door() as (runner, host, port):
+        got = await talk(host, port, HEAD + lines)
+    assert got.split(b" ")[1] in (b"400", b"501")
+    assert runner.heads == []
+
+
+async def test_a_request_inside_a_body_is_a_body():
+    """A body holds the bytes of a whole request. A relay that passed its bytes on
+    without their length would make the runner run it."""
+    hidden = HIDDEN + b"Content-Length: 0\r\n\r\n"
+    async with open_door() as (runner, host, port):
+        data = HEAD + b"Content-Length: %d\r\n\r\n" % len(hidden) + hidden
+        await talk_quietly(host, port, data)
+    assert list_targets(runner) == ["/a/x"]
+    assert runner.bodies == [hidden]
+
+
+async def test_chunks_reach_the_runner_as_one_body_with_a_length():
+    async with open_door() as (runner, host, port):
+        chunks = b"3;note=x\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: 1\r\n\r\n"
+        data = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks
+        await talk_quietly(host, port, data)
+    assert runner.bodies == [b"abcde"]
+
+
+async def test_requests_sent_without_waiting_are_answered_in_order():
+    async with open_door() as (runner, host, port):
+        first = HEAD + b"Content-Length: 1\r\n\r\na"
+        second = HIDDEN + b"Content-Length: 1\r\nConnection: close\r\n\r\nb"
+        got = await talk(host, port, first + second)
+    assert got.count(b"HTTP/1.1 200") == 2
+    assert got.index(b"id-1") < got.index(b"id-2")
+    assert list_targets(runner) == ["/a/x", "/a/hidden"]
+
+
+async def test_headers_without_end_are_refused():
+    """A caller sends header lines for ever. Kept, they would fill the memory."""
+    async with open_door() as (runner, host, port):
+        lines = b"".join(b"X-%d: 1\r\n" % number for number in range(20_000))
+        got = await talk(host, port, HEAD + lines + b"\r\n")
+    assert got == b"" or got.split(b" ")[1] in (b"400", b"431")
+    assert runner.heads == []
+
+
+async def test_a_target_with_odd_bytes_is_passed_on_as_sent():
+    async with open_door() as (runner, host, port):
+        head = HEAD.replace(b"/a/x", b"/a/%2e%2e/x%20y?q=%00&r=a+b")
+        await talk_quietly(host, port, head + b"Content-Length: 0\r\n\r\n")
+    assert list_targets(runner) == ["/a/%2e%2e/x%20y?q=%00&r=a+b"]
+
+
+async def test_a_websocket_or_an_upgrade_is_no_way_in():
+    async with open_door() as (runner, host, port):
+        lines = b"Connection: Upgrade\r\nUpgrade: websocket\r\n"
+        lines += b"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n"
+        lines += b"Sec-WebSocket-Version: 13\r\n\r\n"
+        got = await talk_quietly(host, port, HEAD.replace(b"POST", b"GET") + lines)
+    assert b" 101 " not in got
+    assert runner.heads == []
