--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -197,17 +197,22 @@
         chunks: Any = None
         splitter = EventSplitter()
         first = b""
-        with anyio.move_on_after(self._limit_first_byte()) as scope:
-            await connection.send(request.method, request.target, headers, call.body)
-            answer = await self._receive_answer(connection)
-            self._note_load(answer)
-            if answer.identity == request.identity and _streams(answer):
-                chunks = connection.receive_body()
-                first = await self._receive_events(chunks, splitter)
+        try:
+            with anyio.move_on_after(self._limit_first_byte()) as scope:
+                await connection.send(
+                    request.method, request.target, headers, call.body
+                )
+                answer = await self._receive_answer(connection)
+                self._note_load(answer)
+                if answer.identity == request.identity and _streams(answer):
+                    chunks = connection.receive_body()
+                    first = await self._receive_events(chunks, splitter)
+        except anyio.get_cancelled_exc_class():
+            # The caller has left; how long it waited says something all the same.
+            self._note_wait(began_at)
+            raise
         if answer is None or scope.cancelled_caught:
-            if time.monotonic() - began_at >= SILENCE_SECONDS:
-                self._note_silence()
-                self._note_failure(certain=False)
+            self._note_wait(began_at)
             return Failed(Failure.SILENT, "no first byte in time"), False
         if answer.identity != request.identity:
             self._note_failure(certain=False)
@@ -220,6 +225,12 @@
         self._note_good(began_at)
         return await self._relay_stream(connection, answer, chunks, splitter, first)
 
+    def _note_wait(self, began_at: float) -> None:
+        """Take in a wait in vain for the first byte of an answer."""
+        if time.monotonic() - began_at >= SILENCE_SECONDS:
+            self._note_silence()
+            self._note_failure(certain=False)
+
     def _make_headers(self) -> Headers:
         call = self._call
         has_body = bool(call.body) or call.request.method not in ("GET", "HEAD")
--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -9,8 +9,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import select
 import socket
+import struct
 from collections.abc import AsyncIterator
 
 import anyio
@@ -47,6 +49,10 @@
 are told in whole seconds, and a request sent as the runner closes may be lost."""
 
 
+_DISCARD = struct.pack("ii", 1, 0)
+"""Linger on close for no time at all: the kernel then resets the connection."""
+
+
 @attrs.frozen
 class ConnectionFailed(Exception):
     """A connection that failed.
@@ -162,7 +168,15 @@
         return not poll.poll(0)
 
     async def close(self) -> None:
-        """Close the connection; a runner drops the work that it was doing for it."""
+        """Reset the connection; a runner drops the work that it was doing for it.
+
+        What goes wrong with an orderly close: bytes that a cut holds up stay with the
+        kernel and arrive when it heals, seconds after the caller has left, and the
+        runner runs what nobody waits for. A reset discards them.
+        """
+        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        with contextlib.suppress(OSError):
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD)
         with anyio.CancelScope(shield=True):
             await anyio.aclose_forcefully(self._stream)
 
--- a/knapweedrail/tests/test_relay_exchanges.py
+++ b/knapweedrail/tests/test_relay_exchanges.py
@@ -1,5 +1,7 @@
 """Requests and answers between callers and runners that misbehave."""
 
+import time
+
 import anyio
 import pytest
 
@@ -369,3 +371,41 @@
             suspects.note_break(f"i-{number}", fingerprint, float(number))
             suspects.note_crash(f"i-{number}", number + 0.1)
             assert (await relay.call()).status == 200
+
+
+async def test_a_call_that_its_caller_gave_up_is_taken_back_from_the_network():
+    """A cut holds a confirmation up on its way. Its caller leaves, the cut heals, and
+    the kernel would still deliver it: a visit is confirmed that nobody waits for, and
+    once more when the caller has asked again. A reset discards what is under way."""
+    ends = []
+
+    async def wait_for_end(stream, head):
+        try:
+            await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError) as error:
+            ends.append(type(error))
+        return False
+
+    async with run_relay(
+        make_configuration(ONCE), ScriptedRunner(wait_for_end)
+    ) as relay:
+        await relay.call(leaves_after=0.05)
+        await anyio.sleep(0.1)
+    assert ends == [anyio.BrokenResourceError]
+
+
+async def test_callers_that_leave_unanswered_tell_of_a_silent_runner():
+    """A data centre is cut off, and callers with short deadlines leave just before the
+    relay's own limit. Without taking note it would send each next one there too."""
+
+    async def never_answer(stream, head):
+        await anyio.sleep(5)
+        return False
+
+    async with run_relay(
+        make_configuration(ONCE), ScriptedRunner(never_answer)
+    ) as relay:
+        await relay.call(leaves_after=0.6)
+        view = relay.table.list_views("e", 0.0)[0]
+        assert view.failing > 0
+        assert not relay.table.is_rested(view, time.monotonic())
