--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -173,6 +173,12 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+async def answer_well(stream: anyio.abc.SocketStream, head: str) -> bool:
+    """Answer as a sound runner does; for `ScriptedRunner`."""
+    await stream.send(make_answer(head))
+    return True
+
+
 def make_stream_head(head: str) -> bytes:
     """Return the head of an event stream's answer."""
     identity = find_header(head, "knapweedrail-request-id")
--- a/knapweedrail/tests/test_explain.py
+++ b/knapweedrail/tests/test_explain.py
@@ -18,11 +18,6 @@
 )
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @pytest.fixture
 def lines():
     written = []
--- a/knapweedrail/tests/test_platform_store.py
+++ b/knapweedrail/tests/test_platform_store.py
@@ -32,11 +32,6 @@
 }
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @contextlib.asynccontextmanager
 async def run_store():
     objects = ObjectStore()
--- a/knapweedrail/tests/test_relay_deployments.py
+++ b/knapweedrail/tests/test_relay_deployments.py
@@ -6,8 +6,8 @@
 from ..relay.models import Endpoint, Repetition, Share
 from .relays_in_memory import (
     ScriptedRunner,
+    answer_well,
     find_header,
-    make_answer,
     make_configuration,
     make_route,
     make_runner,
@@ -19,16 +19,6 @@
 SAFE = make_route(Repetition.SAFE)
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
-async def answer_well(stream, head):
-    await stream.send(make_answer(head))
-    return True
-
-
 async def test_a_deployment_without_accounts_needs_no_keys():
     runner = ScriptedRunner(answer_well)
     configuration = attrs.evolve(make_configuration(SAFE), accounts=None)
--- a/knapweedrail/tests/test_relay_door.py
+++ b/knapweedrail/tests/test_relay_door.py
@@ -9,7 +9,7 @@
 from ..servers import HttpServer, ServerLimits
 from .relays_in_memory import (
     ScriptedRunner,
-    make_answer,
+    answer_well,
     make_configuration,
     make_route,
     run_relay,
@@ -24,16 +24,6 @@
 HIDDEN = HEAD.replace(b"/a/x", b"/a/hidden").replace(b"id-1", b"id-2")
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
-async def answer_well(stream, head):
-    await stream.send(make_answer(head))
-    return True
-
-
 @contextlib.asynccontextmanager
 async def open_door():
     runner = ScriptedRunner(answer_well)
--- a/knapweedrail/tests/test_relay_exchanges.py
+++ b/knapweedrail/tests/test_relay_exchanges.py
@@ -9,6 +9,7 @@
 from ..relay.suspects import CRASHES, make_fingerprint
 from .relays_in_memory import (
     ScriptedRunner,
+    answer_well,
     find_header,
     make_answer,
     make_chunk,
@@ -27,16 +28,6 @@
 FIXED_STREAM = make_route(Repetition.STREAM, resumable=False)
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
-async def answer_well(stream, head):
-    await stream.send(make_answer(head))
-    return True
-
-
 async def stream_three(stream, head):
     first = int(find_header(head, "last-event-id") or 0) + 1
     data = b"".join(make_chunk(make_event(n)) for n in range(first, 4))
--- a/knapweedrail/tests/test_relay_process.py
+++ b/knapweedrail/tests/test_relay_process.py
@@ -16,7 +16,7 @@
 from ..standins.objects import ObjectStore
 from .relays_in_memory import (
     ScriptedRunner,
-    make_answer,
+    answer_well,
     make_chunk,
     make_event,
     make_stream_head,
@@ -52,11 +52,6 @@
 EVENTS = 30
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 def find_ports(count):
     import socket
 
@@ -142,11 +137,6 @@
     }
 
 
-async def answer_well(stream, head):
-    await stream.send(make_answer(head))
-    return True
-
-
 async def stream_slowly(stream, head):
     await stream.send(make_stream_head(head))
     for number in range(1, EVENTS + 1):
