--- a/knapweedrail/calls.py
+++ b/knapweedrail/calls.py
@@ -6,6 +6,7 @@
 import re
 
 import attrs
+import jsonschema
 import orjson
 
 from .models import ClientAccount, Route
@@ -26,6 +27,43 @@
 SHORT_ANSWER_TOKENS = 256
 """At most this much asked for makes a request a short one in the queues."""
 
+MAX_SHOWN = 200
+"""Longest part of a fault that a caller is shown; it may quote what was sent."""
+
+_CHAT = jsonschema.Draft202012Validator(
+    {
+        "properties": {
+            "model": {"type": "string"},
+            "stream": {"type": "boolean"},
+            "messages": {
+                "type": "array",
+                "minItems": 1,
+                "maxItems": MAX_MESSAGES,
+                "items": {
+                    "type": "object",
+                    "required": ["role"],
+                    "properties": {
+                        "role": {"type": "string"},
+                        "content": {
+                            "type": ["string", "array", "null"],
+                            "items": {"type": "object"},
+                        },
+                    },
+                    "anyOf": [
+                        {
+                            "required": ["content"],
+                            "properties": {"content": {"type": ["string", "array"]}},
+                        },
+                        {"required": ["tool_calls"]},
+                        {"required": ["function_call"]},
+                    ],
+                },
+            },
+        }
+    }
+)
+"""What a chat-completions request must look like, as far as it is read here."""
+
 PREFIX_BYTES = 1024
 """Bytes of the prompt's start that choose a runner whose cache may hold it."""
 
@@ -121,6 +159,21 @@
     return document
 
 
+def check_document(document: dict) -> Refusal | None:
+    """Check the types of a chat-completions request.
+
+    An engine takes a message without content, and bills its tokens; a name that is a
+    list can't be looked up.
+    """
+    for error in _CHAT.iter_errors(document):
+        place = "".join(
+            f"[{part}]" if isinstance(part, int) else f".{part}" for part in error.path
+        )
+        message = error.message[:MAX_SHOWN]
+        return refuse_request(f"{place.lstrip('.') or 'body'}: {message}")
+    return None
+
+
 def check_generation(document: dict, route: Route) -> int | Refusal:
     """Check a chat-completions request; the answer tokens that it may have."""
     messages = document.get("messages")
--- a/knapweedrail/checks.py
+++ b/knapweedrail/checks.py
@@ -14,6 +14,7 @@
     Generation,
     Visit,
     build_generation,
+    check_document,
     check_identity,
     fingerprint_visit,
     parse_deadline,
@@ -84,6 +85,9 @@
         document = parse_document(body)
         if isinstance(document, Refusal):
             return document
+        fault = check_document(document)
+        if fault is not None:
+            return fault
         route = self._find_route(document.get("model"), ENGINE)
         if isinstance(route, Refusal):
             return route
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -66,7 +66,7 @@
         settings: Its settings.
         store: Client of the platform's store.
         configuration: Follower of the configuration.
-        follow_runners: Makes the follower of the list of runners.
+        runners: Follower of the list of runners.
         codec: Translates headers.
         measures: Metrics of the process.
         count_left_out: Returns the log lines left out so far.
--- a/knapweedrail/tests/test_gateway.py
+++ b/knapweedrail/tests/test_gateway.py
@@ -231,6 +231,37 @@
 )
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"model": ["llm"]},
+        {"model": {"name": "llm"}},
+        {"messages": [{"role": "user"}]},
+        {"messages": [{"role": "user", "content": {"text": "hi"}}]},
+        {"messages": [{"role": "user", "content": None}]},
+        {"messages": [{"role": ["user"], "content": "hi"}]},
+        {"messages": "hi"},
+        {"stream": "yes"},
+    ],
+)
+def test_a_field_of_another_type_is_told_and_costs_nothing(changes):
+    """A client writes a list for a name, or leaves a message's content out. It was
+    told of an error of ours, or its budget was drawn on for an empty message."""
+    response, answers = send("POST", "/v1/chat/completions", json=GOOD | changes)
+    assert response.status_code == 400
+    assert response.json()["type"].endswith("bad-request")
+    assert answers.calls == []
+
+
+def test_a_message_that_only_calls_tools_needs_no_content():
+    message = {"role": "assistant", "content": None, "tool_calls": []}
+    items = [Head(200, ""), *CHUNKS, End(2, True)]
+    body = GOOD | {"messages": [*MESSAGES, message]}
+    response, answers = send("POST", "/v1/chat/completions", items, json=body)
+    assert response.status_code == 200
+    assert len(answers.calls) == 1
+
+
 @given(
     st.dictionaries(st.sampled_from(["messages", "max_tokens", "stream", "n"]), JSON)
 )
