--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -60,17 +60,20 @@
     RUNNER_UNLISTED = (702, "a runner's entry is gone")
     RUNNER_EJECTED = (703, "a runner gets no work for some seconds after failures")
 
-    TOKENS_GIVEN = (310, "this relay handed tokens to another that had too few")
+    TOKENS_LENT = (310, "this relay lent tokens to another that had too few")
     NEIGHBOUR_SILENT = (510, "another relay didn't answer a call")
 
     GRANT_PLANNED = (311, "this relay asks for tokens of a budget, or returns some")
 
-    TOKENS_LEFT = (312, "a relay that stops has left its tokens to this one")
+    TOKENS_RETURNED = (312, "this relay gave borrowed tokens back")
 
     TOKENS_SHORT = (313, "a request found too few tokens of its account")
 
     TOKENS_WRITTEN_OFF = (314, "what an earlier life of this host held counts as used")
 
+    TOKENS_LOST = (315, "tokens given back to a relay that ended before it took them")
+    RELAYS_LISTED = (511, "the list of relays has changed")
+
     DATA_CENTRE_SILENT = (704, "runners of a data centre get no work for a moment")
 
     LINES_LEFT_OUT = (106, "log lines were left out, by event, for their number")
--- a/knapweedrail/platform/relays.py
+++ b/knapweedrail/platform/relays.py
@@ -36,6 +36,7 @@
         settings.watch_seconds,
         decode_runner,
         RunnerTable(DOUBT_SECONDS),
+        settings.batch_seconds,
     )
     return Relay(
         settings,
--- a/knapweedrail/platform/store.py
+++ b/knapweedrail/platform/store.py
@@ -60,9 +60,10 @@
         """Close all connections."""
         await self._client.aclose()
 
-    async def list_kind(self, kind: str) -> Listing | Unavailable:
+    async def list_kind(self, kind: str, stale: bool = False) -> Listing | Unavailable:
         objects: list[StoredObject] = []
-        query: dict[str, str] = {}
+        always = {"allowStale": "1"} if stale else {}
+        query: dict[str, str] = always
         while True:
             page = await self._read("list", f"/objects/{kind}", query, ANSWER_SECONDS)
             if not isinstance(page, dict):
@@ -70,7 +71,7 @@
             objects.extend(_decode_object(item) for item in page["entries"])
             if not page.get("morePages"):
                 return Listing(tuple(objects), int(page["asOf"]))
-            query = {"after": objects[-1].name}
+            query = always | {"after": objects[-1].name}
 
     async def watch_kind(
         self, kind: str, revision: int, seconds: float
@@ -98,6 +99,18 @@
         body = {"metadata": {"name": name, "revision": revision}, "spec": spec}
         return await self._write("replace", "PUT", f"/objects/{kind}/{name}", body)
 
+    async def delete(self, kind: str, name: str) -> WriteOutcome:
+        # Of a removal only the status says something: there is no object to decode.
+        try:
+            answer = await self._client.delete(f"/objects/{kind}/{name}")
+        except httpx.HTTPError as error:
+            return Unknown("store.delete", self._address, repr(error))
+        if answer.status_code == httpx.codes.NOT_FOUND:
+            return Missing()
+        if answer.is_success:
+            return Written(0)
+        return self._away("delete", answer.status_code)
+
     async def _read(
         self, step: str, path: str, query: dict[str, str], seconds: float
     ) -> dict[str, Any] | int | httpx.HTTPError | ValueError:
--- a/knapweedrail/relay/allowances.py
+++ b/knapweedrail/relay/allowances.py
@@ -1,6 +1,9 @@
-"""What one relay holds of one account, with what it moved to and from others.
+"""What one relay holds of one account, with what it lent to and had from others.
 
-Pure.
+Pure. Every token is at one holder: granted to it by the ledger, or lent to it by
+another one. A lender takes what it lends out of use before it says so, a borrower what
+it gives back; both count in totals that only rise. So messages between them that are
+lost, repeated or overtaken can strand tokens for a while, and never double them.
 """
 
 from __future__ import annotations
@@ -8,7 +11,37 @@
 import attrs
 
 from .grants import Demand, Position
-from .ledgers import AccountLedger, Grant, record_move
+from .ledgers import AccountLedger, Grant
+
+
+@attrs.define
+class Loan:
+    """What passed between a lender and a borrower, in tokens.
+
+    Attributes:
+        total: Lent in all.
+        returned: Given back in all. More than was lent where a borrower's own lender
+            was gone, and it gave back to this one.
+        spent: Spent of it, as far as known.
+        acknowledged: Part of `returned` that the lender surely knows of.
+        reported: Part of `spent` that the lender surely knows of.
+    """
+
+    total: int = 0
+    returned: int = 0
+    spent: int = 0
+    acknowledged: int = 0
+    reported: int = 0
+
+    @property
+    def outstanding(self) -> int:
+        """Tokens of the lender's that the borrower has at hand."""
+        return self.total - self.returned - self.spent
+
+    def acknowledge(self, returned: int, spent: int) -> None:
+        """Take in that the lender has heard of these totals."""
+        self.acknowledged = max(self.acknowledged, returned)
+        self.reported = max(self.reported, spent)
 
 
 @attrs.define
@@ -20,9 +53,8 @@
         withheld: Tokens that an unconfirmed write gives back.
         spent: Spent and settled.
         reserved: Set aside for requests under way.
-        given: Handed to each other holder, in all.
-        received: Had from each other holder, in all.
-        recorded: How much of each of these the ledger's grants show.
+        borrowed: Loans from other holders, by lender.
+        lent: Loans to other holders, by borrower.
     """
 
     holder: str
@@ -30,97 +62,100 @@
     withheld: int = 0
     spent: int = 0
     reserved: int = 0
-    given: dict[str, int] = attrs.field(factory=dict)
-    received: dict[str, int] = attrs.field(factory=dict)
-    recorded: dict[tuple[str, str], int] = attrs.field(factory=dict)
+    borrowed: dict[str, Loan] = attrs.field(factory=dict)
+    lent: dict[str, Loan] = attrs.field(factory=dict)
     demand: Demand = attrs.field(factory=Demand)
+    _foreign_spent: int = 0
 
     @property
     def granted(self) -> int:
-        """Tokens it had in all, handed over or not recorded yet included."""
-        given = sum(
-            total - self.recorded.get((self.holder, other), 0)
-            for other, total in self.given.items()
-        )
-        return self.tokens - self.withheld - given + self._count_unrecorded()
+        """Tokens it had in all, without those that are with others now."""
+        borrowed = sum(loan.total - loan.returned for loan in self.borrowed.values())
+        lent = sum(loan.total - loan.returned for loan in self.lent.values())
+        return self.tokens - self.withheld + borrowed - lent
 
     @property
     def position(self) -> Position:
         """The present figures."""
         return Position(granted=self.granted, spent=self.spent, reserved=self.reserved)
 
+    @property
+    def available(self) -> int:
+        """Tokens that a new request may take."""
+        return self.position.available
+
     def reserve(self, tokens: int) -> bool:
         """Set tokens aside, if there are enough."""
-        if self.position.available < tokens:
+        if self.available < tokens:
             return False
         self.reserved += tokens
         return True
 
     def settle(self, tokens: int, used: int) -> None:
         """End a reservation: count what was used and free the rest."""
+        used = min(used, tokens)
         self.reserved -= tokens
-        self.spent += min(used, tokens)
-
-    def give(self, other: str, tokens: int) -> int:
-        """Hand tokens over; return what was handed to that holder in all."""
-        self.given[other] = self.given.get(other, 0) + tokens
-        return self.given[other]
-
-    def receive(self, other: str, total: int) -> None:
-        """Take in what another holder has handed over in all."""
-        self.received[other] = max(self.received.get(other, 0), total)
+        self.spent += used
+        self._attribute(used)
+
+    def lend(self, borrower: str, tokens: int) -> int:
+        """Hand tokens over; return what was lent to that holder in all."""
+        loan = self.lent.setdefault(borrower, Loan())
+        loan.total += tokens
+        return loan.total
+
+    def take_back(self, borrower: str, returned: int, spent: int) -> int:
+        """Take in what a borrower says in totals; return what came back just now."""
+        loan = self.lent.setdefault(borrower, Loan())
+        came = max(0, returned - loan.returned)
+        loan.returned += came
+        loan.spent = max(loan.spent, spent)
+        return came
+
+    def borrow(self, lender: str, total: int) -> None:
+        """Take in what another holder has lent in all."""
+        loan = self.borrowed.setdefault(lender, Loan())
+        loan.total = max(loan.total, total)
+
+    def give_back(self, lender: str, tokens: int) -> None:
+        """Put tokens out of use that are given to another holder."""
+        self.borrowed.setdefault(lender, Loan()).returned += tokens
 
     def learn(self, account: AccountLedger) -> None:
         """Take over what the ledger says; no write of ours is uncertain any more."""
         self.withheld = 0
         self.tokens = account.grants.get(self.holder, Grant(0, 0)).tokens
-        for pair, total in account.moved.items():
-            if self.holder in pair:
-                known = self.recorded.get(pair, 0)
-                self.recorded[pair] = max(known, total)
-            if pair[1] == self.holder:
-                # The giver recorded it, but its message was lost.
-                self.receive(pair[0], total)
-
-    def record(self, account: AccountLedger) -> None:
-        """Enter the moves that the ledger doesn't have, and what was spent."""
-        account.grants.setdefault(self.holder, Grant(0, 0))
-        for other, total in self.given.items():
-            known = self.recorded.get((self.holder, other), 0)
-            record_move(account, self.holder, other, total, known)
-        for other, total in self.received.items():
-            known = self.recorded.get((other, self.holder), 0)
-            record_move(account, other, self.holder, total, known)
-        tokens = account.grants[self.holder].tokens
-        spent = max(0, min(tokens, self.spent - self._count_covered(account)))
-        account.grants[self.holder] = Grant(tokens, spent)
-
-    def compute_own_spending(self, account: AccountLedger) -> int:
-        """Return what was spent beyond what write-offs of others have counted.
-
-        Requests that are still under way count at their most: a relay whose time to
-        stop is over can't learn what they used, and nobody may spend that again.
-        """
-        spent = self.spent + self.reserved
-        return max(0, spent - self._count_covered(account))
+
+    def record(self, account: AccountLedger) -> Grant:
+        """Enter what was spent, and return the entry."""
+        known = account.grants.get(self.holder, Grant(0, 0))
+        spent = max(known.spent, self._count_spent())
+        account.grants[self.holder] = Grant(known.tokens, spent)
+        return account.grants[self.holder]
 
     def prepare(self, planned: AccountLedger) -> None:
         """Put out of use what a write that is about to be sent gives back."""
-        after = attrs.evolve(
-            self, recorded=dict(self.recorded), received=dict(self.received)
-        )
-        after.learn(planned)
-        self.withheld = max(self.withheld, self.granted + self.withheld - after.granted)
-
-    def _count_unrecorded(self) -> int:
-        return sum(
-            total - self.recorded.get((other, self.holder), 0)
-            for other, total in self.received.items()
-        )
-
-    def _count_covered(self, account: AccountLedger) -> int:
-        return sum(
-            total - self.recorded.get((other, self.holder), 0)
-            for other, total in self.received.items()
-            if other not in account.grants
-        )
+        tokens = planned.grants.get(self.holder, Grant(0, 0)).tokens
+        self.withheld = max(self.withheld, self.tokens - tokens)
+
+    def _attribute(self, used: int) -> None:
+        """Say whose tokens were spent, so that each is reported to the ledger once.
+
+        First come those that were written off with their holder before they got here,
+        which the ledger counts as used already; then loans, which their lenders
+        report; the rest is of the own grant.
+        """
+        foreign = sum(max(0, loan.returned - loan.total) for loan in self.lent.values())
+        part = min(used, max(0, foreign - self._foreign_spent))
+        self._foreign_spent += part
+        used -= part
+        for loan in self.borrowed.values():
+            part = min(used, max(0, loan.outstanding))
+            loan.spent += part
+            used -= part
+
+    def _count_spent(self) -> int:
+        """Return what was surely spent of the own grant, by others too."""
+        elsewhere = sum(loan.spent for loan in self.borrowed.values())
+        by_others = sum(loan.spent for loan in self.lent.values())
+        return self.spent - self._foreign_spent - elsewhere + by_others
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -18,8 +18,9 @@
 from .followers import ConfigurationFollower, RunnerFollower
 from .gateway import Gateway
 from .holdings import Holdings
-from .ledgers import Member, name_holder
+from .ledgers import name_holder
 from .measures import RelayMeasures, limit_accounts
+from .members import Member, Membership
 from .neighbours import Neighbours, make_server
 from .options import RelaySettings
 from .retries import RetryShare
@@ -86,17 +87,18 @@
         self._configuration = configuration
         self._runners = runners
         self._pool = ConnectionPool()
-        self._neighbours = Neighbours(settings.data_centre)
+        self._neighbours = Neighbours()
         member = Member(
+            settings.host,
             name_holder(settings.host, secrets.token_hex(4)),
             settings.peer_address,
             settings.data_centre,
         )
+        self._membership = Membership(store, member)
         self._holdings = Holdings(
             store,
             self._neighbours,
-            settings.host,
-            member,
+            self._membership,
             lambda: configuration.configuration,
         )
         self._peer_server = make_server(
@@ -118,7 +120,7 @@
             measures=measures,
             suspects=self._suspects,
             tell_suspects=self._tell_suspects,
-            count_relays=lambda: self._holdings.relays,
+            count_relays=lambda: self._membership.count,
         )
         self._gateway = Gateway(services, configuration, self._holdings)
         self._caller_server = HttpServer(
@@ -143,7 +145,12 @@
         if self._metrics_server is not None:
             await self._metrics_server.start(group)
             group.start_soon(self._measures.watch_delay)
-        for task in (self._configuration, self._runners, self._holdings):
+        for task in (
+            self._configuration,
+            self._runners,
+            self._membership,
+            self._holdings,
+        ):
             await task.start(group)
         group.start_soon(self._prune)
         group.start_soon(self._tell_waiting)
@@ -167,9 +174,11 @@
         spent = time.monotonic() - began_at
         left = self._settings.stop_seconds - spent - RELEASE_SECONDS - END_SECONDS
         await self._caller_server.close(max(0.1, left))
+        await self._membership.close()
         await self._holdings.close()
         with anyio.move_on_after(RELEASE_SECONDS):
             await self._holdings.release()
+            await self._membership.leave()
         await self._neighbours.close()
         await self._peer_server.close()
         await self._ready_server.close(0.1)
@@ -228,7 +237,7 @@
             await anyio.sleep(TELL_SECONDS)
             if self._told:
                 lines, self._told = self._told, []
-                members = self._holdings.list_neighbours()
+                members = self._membership.list_others()
                 await self._neighbours.tell_suspects(members, lines)
 
     def _tell_suspects(self, lines: list[str]) -> None:
--- a/knapweedrail/relay/followers.py
+++ b/knapweedrail/relay/followers.py
@@ -34,10 +34,18 @@
         store: The platform's store.
         kind: The kind that is followed.
         watch_seconds: Length of one watch.
+        batch_seconds: Pause after changes, so that the next ones come together.
     """
 
-    def __init__(self, store: Store, kind: str, watch_seconds: float) -> None:
+    def __init__(
+        self,
+        store: Store,
+        kind: str,
+        watch_seconds: float,
+        batch_seconds: float = 0.0,
+    ) -> None:
         super().__init__(f"follow {kind}")
+        self._batch_seconds = batch_seconds
         self.confirmed_at = float("-inf")
         self._store = store
         self._kind = kind
@@ -80,6 +88,8 @@
                 self._revision = outcome.revision
         self._note_reach(True, "")
         self.confirmed_at = time.monotonic()
+        if isinstance(outcome, Changes) and outcome.changes:
+            await anyio.sleep(self._batch_seconds)
 
     def _note_reach(self, reached: bool, detail: str) -> None:
         if reached:
@@ -169,8 +179,9 @@
         watch_seconds: float,
         decode: Callable[[str, object], Runner],
         table: RunnerTable,
+        batch_seconds: float = 0.0,
     ) -> None:
-        super().__init__(store, kind, watch_seconds)
+        super().__init__(store, kind, watch_seconds, batch_seconds)
         self.table = table
         self._decode_runner = decode
 
--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -15,20 +15,20 @@
 largest account of a calm day ran out six seconds into its first cut."""
 
 HOLD_SHARE = 0.4
-"""Part of what is left of a budget that all relays together may hold. What is held is
-lost when its relay dies, so as a budget runs low less of it may be at risk. Each relay
+"""Part of what is left of a budget that all keepers together may hold. What is held is
+lost when its relay dies, so as a budget runs low less of it may be at risk. Each keeper
 may have an even share, and beyond it what the others leave: callers of an account may
-all come to one relay, and with even shares only, that one had to refuse a third of
-them in a cut while the others held tokens that nobody asked for."""
+all come to one data centre, and with even shares only, that one had to refuse a third
+of them in a cut while the others held tokens that nobody asked for."""
 
 HOLD_REQUESTS = 2.0
-"""Largest requests that all relays together hold beyond that, as demand comes by
-chance. Relays hand tokens to each other, so one margin serves all of them; with a
+"""Largest requests that all keepers together hold beyond that, as demand comes by
+chance. Relays lend tokens to each other, so one margin serves all of them; with a
 margin at each of nine relays, a seventh of all prepaid tokens was lost when all lost
 power."""
 
 START_SHARE = 0.08
-"""Part of what was prepaid that all relays together hold before they know the demand:
+"""Part of what was prepaid that all keepers together hold before they know the demand:
 enough for the first seconds of traffic, which may begin with a cut."""
 
 START_SECONDS = 8.0
@@ -47,6 +47,22 @@
 RETURN_SHARE = 0.004
 """Part of what was prepaid that must be too much at least: less isn't worth a write."""
 
+BORROW_SECONDS = 3.0
+"""How long a relay serves out of what it borrows: about as long as its lender is away
+when it is restarted. More would lie idle at relays that see few requests: with eighty
+of them and a largest request at each, a small account has nothing left to lend."""
+
+STEADY_REQUESTS = 3.0
+"""Largest requests that must have come within the memory of the demand before a relay
+borrows ahead. With one request in eight seconds a rate says nothing, and borrowing
+three seconds of it took four requests' tokens for each one."""
+
+IDLE_SECONDS = 1.0
+"""Time without a request of an account after which all that was borrowed goes back."""
+
+LEAST_RETURN = 64
+"""Tokens that are worth a message to give back: some events of a stream."""
+
 MEMORY_SECONDS = 8.0
 """Time over which demand is averaged: as long as what is held has to last. Shorter, it
 follows single large requests up and down, at a write each time."""
@@ -76,6 +92,20 @@
         self.largest = max(tokens, self.largest * decay)
         self._last = now
 
+    def note_return(self, tokens: int, now: float) -> None:
+        """Count off what was asked for and came back unspent."""
+        decay = math.exp((self._last - now) / MEMORY_SECONDS)
+        self._sum = max(0.0, self._sum - tokens / decay)
+
+    def is_idle(self, now: float) -> bool:
+        """Return whether nobody has asked for tokens lately, nor waits for any."""
+        return not self.unmet and now - self._last >= IDLE_SECONDS
+
+    def is_steady(self, now: float) -> bool:
+        """Return whether there were enough requests lately for a rate to mean much."""
+        decayed = self._sum * math.exp((self._last - now) / MEMORY_SECONDS)
+        return decayed >= STEADY_REQUESTS * max(1.0, self.largest)
+
     def estimate_rate(self, now: float) -> float:
         """Return the tokens asked for in a second."""
         if self._first is None:
@@ -93,14 +123,14 @@
         prepaid: Tokens in all.
         free: Tokens that nobody was granted.
         held: Tokens that other relays were granted and haven't reported as spent.
-        relays: Number of relays.
+        keepers: Number of relays that draw on the ledger for others.
         starting: Whether this relay has seen too little traffic to know its demand.
     """
 
     prepaid: int
     free: int
     held: int
-    relays: int
+    keepers: int
     starting: bool = False
 
 
@@ -127,18 +157,18 @@
 def compute_target(
     budget: Budget, position: Position, demand: Demand, now: float
 ) -> int:
-    """Return the tokens that a relay should have available."""
-    margin = HOLD_REQUESTS * demand.largest / budget.relays
+    """Return the tokens that a keeper should have available."""
+    margin = HOLD_REQUESTS * demand.largest / budget.keepers
     need = demand.estimate_rate(now) * HOLD_SECONDS + margin
     if budget.starting:
-        need = max(need, START_SHARE * budget.prepaid / budget.relays)
+        need = max(need, START_SHARE * budget.prepaid / budget.keepers)
     left = max(0, budget.free) + budget.held + max(0, position.available)
-    even = HOLD_SHARE * left / budget.relays
+    even = HOLD_SHARE * left / budget.keepers
     return int(min(need, max(even, HOLD_SHARE * left - budget.held)))
 
 
 def plan_change(budget: Budget, position: Position, demand: Demand, now: float) -> int:
-    """Return by how much the relay's grant should change; below 0 gives back."""
+    """Return by how much a keeper's grant should change; below 0 gives back."""
     target = compute_target(budget, position, demand, now)
     available = position.available
     wanted = max(target, available + demand.unmet if demand.unmet else 0)
@@ -150,6 +180,18 @@
     return 0
 
 
+def plan_draw(free: int, available: int, demand: Demand, now: float) -> int:
+    """Return by how much the grant of a relay should change that keeps no account.
+
+    It draws for itself when no relay that keeps the account answers, and as little as
+    a borrower asks for: the next request may find its lender again.
+    """
+    needed = demand.unmet - available
+    if needed > 0:
+        return max(0, min(free, plan_wanted(needed, demand, now)))
+    return -plan_return(available, demand, now)
+
+
 def plan_gift(available: int, needed: int, wanted: int) -> int:
     """Return the tokens that a relay hands to another that has too few.
 
@@ -164,3 +206,25 @@
     """
     available = max(0, available)
     return max(min(needed, available), min(wanted, available // 2))
+
+
+def plan_wanted(needed: int, demand: Demand, now: float) -> int:
+    """Return the tokens to ask a lender for, with what will be needed soon."""
+    if not demand.is_steady(now):
+        return needed
+    return needed + int(BORROW_SECONDS * demand.estimate_rate(now))
+
+
+def plan_return(available: int, demand: Demand, now: float) -> int:
+    """Return the tokens that a borrower should give back.
+
+    The load it is for: many relays, each with few requests of an account. What one
+    keeps for a request that may not come, all others miss as the budget runs low.
+    """
+    kept = 0
+    if not demand.is_idle(now):
+        kept = int(demand.largest)
+        if demand.is_steady(now):
+            kept += int(2 * BORROW_SECONDS * demand.estimate_rate(now))
+    excess = available - kept
+    return excess if excess >= LEAST_RETURN else 0
--- a/knapweedrail/relay/measures.py
+++ b/knapweedrail/relay/measures.py
@@ -93,8 +93,9 @@
         self._store = store
         self._measures = measures
 
-    async def list_kind(self, kind: str) -> Any:
-        return self._count("list", await self._store.list_kind(kind))
+    async def list_kind(self, kind: str, stale: bool = False) -> Any:
+        step = "list-stale" if stale else "list"
+        return self._count(step, await self._store.list_kind(kind, stale))
 
     async def watch_kind(self, kind: str, revision: int, seconds: float) -> Any:
         outcome = await self._store.watch_kind(kind, revision, seconds)
@@ -107,6 +108,9 @@
         outcome = await self._store.replace(kind, name, spec, revision)
         return self._count("replace", outcome)
 
+    async def delete(self, kind: str, name: str) -> Any:
+        return self._count("delete", await self._store.delete(kind, name))
+
     def _count(self, step: str, outcome: Any) -> Any:
         name = type(outcome).__name__.lower()
         self._measures.store_calls.add(1, {"step": step, "outcome": name})
--- /dev/null
+++ b/knapweedrail/relay/members.py
@@ -0,0 +1,202 @@
+"""The relays that take part: how they enter themselves, and which lend tokens."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Iterable
+from typing import Any
+
+import anyio
+import attrs
+
+from ..events import Event, log_event
+from ..tasks import Task
+from .hashing import hash_pair
+from .stores import Conflict, Listing, Missing, Store, StoredObject, Written
+
+MEMBER_KIND = "relay-members"
+
+LIST_SECONDS = 5.0
+"""Pause between lists of the relays. They come and go within seconds, but whoever asks
+a relay that is gone goes on to the next; the list may be stale, which costs a tenth of
+a call."""
+
+SETTLE_SECONDS = 1.0
+"""Time from a relay's own entry to its first list. Relays that start together enter
+themselves within it; before, each would take itself for the only one."""
+
+RETRY_SECONDS = 0.5
+"""Pause between tries while the store doesn't answer."""
+
+LOCAL_LENDERS = 2
+"""Relays of the own data centre that are asked for tokens: the one that keeps the
+account, and one more while that is restarted or cut off."""
+
+
+@attrs.frozen
+class Member:
+    """A relay that takes part.
+
+    Attributes:
+        host: Name of its host.
+        holder: Its present life.
+        address: Where it answers other relays; empty if it doesn't.
+        data_centre: Where its host stands.
+    """
+
+    host: str
+    holder: str
+    address: str = ""
+    data_centre: str = ""
+
+
+def rank_lenders(account: str, members: Iterable[Member]) -> list[Member]:
+    """Return relays in the order in which they keep an account.
+
+    The load it is for: many relays that each see few requests of an account. If each
+    drew on the ledger for itself, they would hold a largest request each, more than a
+    small account has, and write the ledger more often than it bears. So the first of
+    each data centre draws for all of it, and is chosen alike by all without a word.
+    """
+    return sorted(members, key=lambda member: hash_pair(account, member.host))
+
+
+def order_lenders(
+    account: str, members: Iterable[Member], data_centre: str, holder: str
+) -> list[Member]:
+    """Return the relays to ask for tokens of an account, in order.
+
+    Args:
+        data_centre: The asking relay's own.
+        holder: The asking relay, which doesn't ask itself.
+    """
+    first: dict[str, Member] = {}
+    local: list[Member] = []
+    for member in rank_lenders(account, members):
+        if member.holder == holder or not member.address:
+            continue
+        if member.data_centre == data_centre:
+            local.append(member)
+        else:
+            first.setdefault(member.data_centre, member)
+    return local[:LOCAL_LENDERS] + list(first.values())
+
+
+class Membership(Task):
+    """Enters this relay in the store, and keeps the list of all.
+
+    Args:
+        store: The platform's store.
+        member: This relay.
+    """
+
+    def __init__(self, store: Store, member: Member) -> None:
+        super().__init__("membership")
+        self.member = member
+        self.settled = False
+        self._known_before = False
+        self._store = store
+        self._members: dict[str, Member] = {member.host: member}
+
+    @property
+    def count(self) -> int:
+        """Number of relays that take part, as far as known."""
+        return len(self._members)
+
+    def list_all(self) -> list[Member]:
+        """Return all relays, as far as known."""
+        return list(self._members.values())
+
+    def list_others(self) -> list[Member]:
+        """Return the other relays, those of the own data centre first."""
+        others = [m for m in self._members.values() if m.host != self.member.host]
+        random.shuffle(others)
+        return sorted(others, key=lambda m: m.data_centre != self.member.data_centre)
+
+    def list_lenders(self, account: str) -> list[Member]:
+        """Return the relays to ask for tokens of an account, in order."""
+        return order_lenders(
+            account, self.list_all(), self.member.data_centre, self.member.holder
+        )
+
+    def count_keepers(self) -> int:
+        """Return how many relays keep one account: one of each data centre."""
+        return len({member.data_centre for member in self._members.values()})
+
+    def keeps(self, account: str) -> bool:
+        """Return whether this relay draws on the ledger for its data centre."""
+        if not self.settled:
+            return False
+        here = [
+            member
+            for member in self._members.values()
+            if member.data_centre == self.member.data_centre
+        ]
+        return rank_lenders(account, here)[0].host == self.member.host
+
+    def note_life(self, known: Member, holder: str) -> None:
+        """Take in that another life of a relay's host answered than was known."""
+        if self._members.get(known.host) == known:
+            self._members[known.host] = attrs.evolve(known, holder=holder)
+
+    async def run(self) -> None:
+        while not await self._enter():
+            await anyio.sleep(RETRY_SECONDS)
+        if not self._known_before:
+            await anyio.sleep(SETTLE_SECONDS)
+        while not await self._list(stale=False):
+            await anyio.sleep(RETRY_SECONDS)
+        self.settled = True
+        log_event(Event.RELAYS_LISTED, relays=self.count, settled=True)
+        while True:
+            await anyio.sleep(LIST_SECONDS * random.uniform(0.8, 1.2))
+            await self._list(stale=True)
+
+    async def leave(self) -> None:
+        """Take this relay's entry out of the store."""
+        await self._store.delete(MEMBER_KIND, self.member.host)
+
+    async def _enter(self) -> bool:
+        """Write this relay's entry; return whether that took effect."""
+        spec = _encode_member(self.member)
+        outcome = await self._store.create(MEMBER_KIND, self.member.host, spec)
+        if isinstance(outcome, Conflict):
+            # An earlier life of this host is listed, and so are the others' lives.
+            self._known_before = True
+            outcome = await self._store.replace(
+                MEMBER_KIND, self.member.host, spec, outcome.stored.revision
+            )
+        if isinstance(outcome, (Conflict, Missing)):
+            return False
+        return isinstance(outcome, Written)
+
+    async def _list(self, stale: bool) -> bool:
+        began_at = time.monotonic()
+        outcome = await self._store.list_kind(MEMBER_KIND, stale=stale)
+        if not isinstance(outcome, Listing):
+            return False
+        found = {m.host: m for m in map(_decode_member, outcome.objects) if m}
+        found[self.member.host] = self.member
+        if set(found) != set(self._members):
+            seconds = round(time.monotonic() - began_at, 3)
+            log_event(Event.RELAYS_LISTED, relays=len(found), seconds=seconds)
+        self._members = found
+        return True
+
+
+def _encode_member(member: Member) -> dict[str, Any]:
+    return {
+        "holder": member.holder,
+        "address": member.address,
+        "data_centre": member.data_centre,
+    }
+
+
+def _decode_member(stored: StoredObject) -> Member | None:
+    try:
+        spec = stored.spec
+        return Member(stored.name, spec["holder"], spec["address"], spec["data_centre"])
+    except (KeyError, TypeError) as error:
+        log_event(Event.OBJECT_MALFORMED, name=stored.name, error=repr(error))
+        return None
--- a/knapweedrail/relay/neighbours.py
+++ b/knapweedrail/relay/neighbours.py
@@ -1,8 +1,7 @@
-"""The other relays: asking them for tokens, and answering them, over gRPC."""
+"""The other relays: lending tokens to each other, and word of crashes, over gRPC."""
 
 from __future__ import annotations
 
-import random
 import time
 from abc import ABC, abstractmethod
 from collections.abc import Callable
@@ -19,23 +18,26 @@
 from ..peers import RpcServer
 from ..wire.relays_grpc import RelaysBase, RelaysStub
 from ..wire.relays_pb2 import (
-    LeaveReply,
-    LeaveRequest,
     SuspectsReply,
     SuspectsRequest,
-    TokenReply,
-    TokenRequest,
-    Total,
+    TradeReply,
+    TradeRequest,
 )
-from .ledgers import Member
+from .members import Member
+from .reservations import Shortage
 
 CALL_SECONDS = 0.08
-"""Longest wait for another relay: it is a few milliseconds away, and a caller waits
-for the tokens."""
+"""Longest wait for another relay that looks nothing up: it is a few milliseconds away,
+and a caller waits."""
+
+LEND_SECONDS = 0.2
+"""How much longer a lender may take that has to ask the ledger first: some tens of its
+answers. It leaves a caller that waits for tokens time to ask one more relay."""
 
 AVOID_SECONDS = 2.0
-"""How long a relay that didn't answer isn't asked again: about the time in which a
-dead one is replaced."""
+LONGEST_AVOID_SECONDS = 30.0
+"""How long a relay that didn't answer isn't asked again: about the time in which a dead
+one is replaced, doubled at each silence, as the list keeps those that never return."""
 
 EMPTY_SECONDS = 0.5
 """How long a relay that had nothing of an account isn't asked for it again. A budget
@@ -49,92 +51,109 @@
 """Requests told of at a time: more than one relay has at one runner."""
 
 
-@attrs.frozen
-class Gift:
-    """What another relay hands over.
+@attrs.frozen(kw_only=True)
+class Trade:
+    """What one relay asks another for, and gives back to it, of one account.
 
     Attributes:
-        holder: The holder that gives.
-        total: Tokens handed to the asking holder in all, not just this time.
+        holder: The holder that asks.
+        lender: The holder that is asked; no other may take tokens back for it.
+        needed: Tokens for requests that wait.
+        wanted: Tokens to last for a while, those needed included.
+        returned: Given back to the lender in all.
+        spent: Spent of what the lender lent, in all.
     """
 
+    account: str
     holder: str
+    lender: str
+    needed: int = 0
+    wanted: int = 0
+    returned: int = 0
+    spent: int = 0
+
+
+@attrs.frozen
+class TradeAnswer:
+    """What a relay lends.
+
+    Attributes:
+        lender: The holder that answers.
+        total: Lent to the asking holder in all, not just this time.
+        shortage: Why less was lent than needed.
+    """
+
+    lender: str
     total: int
+    shortage: Shortage | None = None
 
 
+_SHORTAGES = {
+    Shortage.SPENT: TradeReply.SPENT,
+    Shortage.HELD_ELSEWHERE: TradeReply.HELD_ELSEWHERE,
+    Shortage.OUT_OF_REACH: TradeReply.OUT_OF_REACH,
+}
+_FROM_WIRE = {number: shortage for shortage, number in _SHORTAGES.items()}
+
 HearSuspects = Callable[[list[str]], None]
 """Takes what another relay told of requests that were on runners as these crashed."""
 
 
-class TokenHolder(ABC):
-    """Holds tokens, and answers other relays about them."""
-
-    @abstractmethod
-    def give(self, account: str, receiver: str, needed: int, wanted: int) -> Gift:
-        """Hand tokens to another relay that has too few."""
+class TokenLender(ABC):
+    """Holds tokens, and lends them to other relays."""
 
     @abstractmethod
-    def take_over(self, giver: str, totals: dict[str, int]) -> None:
-        """Take what a relay that stops has left to this one, in all, by account."""
+    async def answer_trade(self, trade: Trade) -> TradeAnswer:
+        """Take back what another relay returns, and lend what it needs."""
 
 
 class Neighbours:
-    """Calls to the other relays.
+    """Calls to the other relays."""
 
-    Args:
-        data_centre: This relay's own; relays there are asked first.
-    """
-
-    def __init__(self, data_centre: str) -> None:
-        self._data_centre = data_centre
+    def __init__(self) -> None:
         self._channels: dict[str, Channel] = {}
-        self._avoided: dict[tuple[str, str], float] = {}
-        self._totals: dict[tuple[str, str], int] = {}
-
-    def order(self, members: dict[str, Member], host: str) -> list[Member]:
-        """Return the other relays in the order in which to ask them."""
-        others = [m for name, m in members.items() if name != host and m.address]
-        random.shuffle(others)
-        return sorted(others, key=lambda m: m.data_centre != self._data_centre)
-
-    async def ask(
-        self, member: Member, account: str, receiver: str, needed: int, wanted: int
-    ) -> Gift | None:
-        """Ask one relay for tokens; return ``None`` if it has none or is silent."""
+        self._avoided: dict[str, float] = {}
+        self._silences: dict[str, int] = {}
+        self._empty: dict[tuple[str, str], tuple[float, Shortage | None]] = {}
+
+    def is_avoided(self, member: Member, now: float) -> bool:
+        """Return whether a relay was silent lately."""
+        return now < self._avoided.get(member.address, 0.0)
+
+    def recall_shortage(
+        self, member: Member, account: str, now: float
+    ) -> Shortage | None:
+        """Return why a relay had too few tokens of an account a moment ago."""
+        until, shortage = self._empty.get((member.address, account), (0.0, None))
+        return shortage if now < until else None
+
+    async def trade(self, member: Member, trade: Trade) -> TradeAnswer | None:
+        """Ask one relay for tokens, or give some back; ``None`` if it is silent."""
         now = time.monotonic()
-        pair = (member.holder, account)
-        if now < max(self._avoided.get((member.holder, ""), 0.0), self._get(pair)):
-            return None
-        request = TokenRequest(
-            account=account, receiver=receiver, needed=needed, wanted=wanted
-        )
-        reply = await self._call(member, "HandOver", request)
+        request = TradeRequest(**attrs.asdict(trade))
+        seconds = CALL_SECONDS + (LEND_SECONDS if trade.needed else 0.0)
+        reply = await self._call(member, "Trade", request, seconds)
         if reply is None:
-            self._avoided[member.holder, ""] = now + AVOID_SECONDS
+            count = self._silences.get(member.address, 0)
+            pause = min(LONGEST_AVOID_SECONDS, AVOID_SECONDS * 2**count)
+            self._silences[member.address] = count + 1
+            self._avoided[member.address] = now + pause
             return None
-        if reply.total <= self._totals.get((reply.holder, account), 0):
-            self._avoided[pair] = now + EMPTY_SECONDS
-        self._totals[reply.holder, account] = reply.total
-        return Gift(reply.holder, reply.total)
-
-    async def leave(self, member: Member, giver: str, totals: dict[str, int]) -> bool:
-        """Leave tokens to another relay; return whether it has said that it has them.
-
-        Args:
-            totals: Tokens handed to it in all, by account.
-        """
-        request = LeaveRequest(
-            holder=giver,
-            totals=[Total(account=name, tokens=n) for name, n in totals.items()],
-        )
-        return await self._call(member, "Leave", request) is not None
+        self._silences.pop(member.address, None)
+        shortage = _FROM_WIRE.get(reply.shortage)
+        if shortage is not None:
+            until = now + EMPTY_SECONDS
+            self._empty[member.address, trade.account] = (until, shortage)
+        return TradeAnswer(reply.lender, reply.total, shortage)
 
     async def tell_suspects(self, members: list[Member], lines: list[str]) -> None:
         """Tell other relays of requests that were on runners as these crashed."""
         request = SuspectsRequest(lines=lines[:MOST_LINES])
         async with anyio.create_task_group() as group:
             for member in members[:MOST_TOLD]:
-                group.start_soon(self._call, member, "TellSuspects", request)
+                group.start_soon(
+                    self._call, member, "TellSuspects", request, CALL_SECONDS
+                )
 
     async def close(self) -> None:
         """Close all connections."""
@@ -142,16 +161,15 @@
             channel.close()
         self._channels.clear()
 
-    def _get(self, pair: tuple[str, str]) -> float:
-        return self._avoided.get(pair, 0.0)
-
-    async def _call(self, member: Member, method: str, request: Any) -> Any:
+    async def _call(
+        self, member: Member, method: str, request: Any, seconds: float
+    ) -> Any:
         channel = self._channels.get(member.address)
         if channel is None:
             channel = Channel(*split_address(member.address))
             self._channels[member.address] = channel
         try:
-            with anyio.fail_after(CALL_SECONDS):
+            with anyio.fail_after(seconds):
                 return await getattr(RelaysStub(channel), method)(request)
         except (OSError, TimeoutError, GRPCError, StreamTerminatedError) as error:
             log_event(
@@ -166,26 +184,31 @@
 class _Service(RelaysBase):
     """Answers other relays."""
 
-    def __init__(self, holder: TokenHolder, hear: HearSuspects) -> None:
-        self._holder = holder
+    def __init__(self, lender: TokenLender, hear: HearSuspects) -> None:
+        self._lender = lender
         self._hear = hear
 
-    async def HandOver(self, stream: Stream) -> None:
+    async def Trade(self, stream: Stream) -> None:
         request = await stream.recv_message()
         if request is None:
             return
-        gift = self._holder.give(
-            request.account, request.receiver, request.needed, request.wanted
+        answer = await self._lender.answer_trade(
+            Trade(
+                account=request.account,
+                holder=request.holder,
+                lender=request.lender,
+                needed=request.needed,
+                wanted=request.wanted,
+                returned=request.returned,
+                spent=request.spent,
+            )
+        )
+        shortage = TradeReply.NONE
+        if answer.shortage is not None:
+            shortage = _SHORTAGES[answer.shortage]
+        await stream.send_message(
+            TradeReply(lender=answer.lender, total=answer.total, shortage=shortage)
         )
-        await stream.send_message(TokenReply(holder=gift.holder, total=gift.total))
-
-    async def Leave(self, stream: Stream) -> None:
-        request = await stream.recv_message()
-        if request is None:
-            return
-        totals = {total.account: total.tokens for total in request.totals}
-        self._holder.take_over(request.holder, totals)
-        await stream.send_message(LeaveReply())
 
     async def TellSuspects(self, stream: Stream) -> None:
         request = await stream.recv_message()
@@ -195,6 +218,6 @@
         await stream.send_message(SuspectsReply())
 
 
-def make_server(holder: TokenHolder, hear: HearSuspects, address: str) -> RpcServer:
+def make_server(lender: TokenLender, hear: HearSuspects, address: str) -> RpcServer:
     """Return the server that answers other relays, not started yet."""
-    return RpcServer([_Service(holder, hear)], address)
+    return RpcServer([_Service(lender, hear)], address)
--- a/knapweedrail/relay/options.py
+++ b/knapweedrail/relay/options.py
@@ -14,6 +14,12 @@
 MARGIN_SECONDS = 1.0
 """Kept off every bound for the answer's way and a busy process."""
 
+BATCH_SHARE = 0.25
+"""Part of the time in which a leaving runner must stop getting work that a relay waits
+after a change of the list before it asks for the next ones. While the runners of an
+endpoint are replaced one after the other, each change would cost a call of every
+relay; eighty relays then call the store more than for all else."""
+
 MOST_MILLISECONDS = 3_600_000
 
 
@@ -71,5 +77,10 @@
         bound = min(self.leaving_milliseconds, self.configuration_milliseconds)
         return max(1.0, (self.contact_milliseconds + bound) / 1000 - MARGIN_SECONDS)
 
+    @property
+    def batch_seconds(self) -> float:
+        """Pause after a change of the list of runners before the next is asked for."""
+        return BATCH_SHARE * self.leaving_milliseconds / 1000
+
 
 attrs.resolve_types(RelaySettings)
--- a/knapweedrail/relay/reservations.py
+++ b/knapweedrail/relay/reservations.py
@@ -33,7 +33,12 @@
 
 
 def find_shortage(
-    entry: AccountLedger, prepaid: int, tokens: int, reachable: bool, recent: bool
+    entry: AccountLedger,
+    prepaid: int,
+    tokens: int,
+    available: int,
+    reachable: bool,
+    recent: bool,
 ) -> Shortage | None:
     """Return why the ledger has no tokens, or ``None`` if a look may help.
 
@@ -42,6 +47,7 @@
 
     Args:
         tokens: Tokens that a request needs.
+        available: Tokens that are at hand, too few for it.
         reachable: Whether the ledger could be reached last.
         recent: Whether it was seen so lately that another look would bring nothing.
     """
@@ -49,6 +55,6 @@
         return Shortage.OUT_OF_REACH
     if entry.surely_used + tokens > prepaid:
         return Shortage.SPENT
-    if recent and prepaid - entry.committed < tokens:
+    if recent and prepaid - entry.committed < tokens - max(0, available):
         return Shortage.HELD_ELSEWHERE
     return None
--- a/knapweedrail/relay/selection.py
+++ b/knapweedrail/relay/selection.py
@@ -7,8 +7,8 @@
 
 import random
 import statistics
-from hashlib import blake2b
 
+from .hashing import hash_pair
 from .models import CallerRequest, PromptPart
 from .runners import MOST_SLOW_FACTOR, SLOW_FACTOR, RunnerTable, RunnerView
 
@@ -78,7 +78,7 @@
     prefixes; where this relay sent the prefix lately counts as much.
     """
     shared = find_shared_part(parts)
-    home = min(views, key=lambda v: _hash_pair(shared.name, v.runner.name))
+    home = min(views, key=lambda v: hash_pair(shared.name, v.runner.name))
     recent = table.find_prefix(shared.name, now)
     norm = _compute_norm(views)
 
@@ -118,8 +118,3 @@
     """Return the median time to the first byte; 0 when too little is known."""
     known = [view.latency for view in views if view.latency]
     return statistics.median(known) if len(known) >= 2 else 0.0
-
-
-def _hash_pair(key: str, name: str) -> int:
-    digest = blake2b(f"{key}/{name}".encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
--- a/knapweedrail/relay/stores.py
+++ b/knapweedrail/relay/stores.py
@@ -96,8 +96,12 @@
     """A store of objects with revisions, conditional writes and watches."""
 
     @abstractmethod
-    async def list_kind(self, kind: str) -> Listing | Unavailable:
-        """Return all objects of a kind."""
+    async def list_kind(self, kind: str, stale: bool = False) -> Listing | Unavailable:
+        """Return all objects of a kind.
+
+        Args:
+            stale: Whether the list may be some seconds old; it is then cheaper.
+        """
 
     @abstractmethod
     async def watch_kind(
@@ -114,3 +118,7 @@
         self, kind: str, name: str, spec: Any, revision: int
     ) -> WriteOutcome:
         """Replace an object if its revision is still the one given."""
+
+    @abstractmethod
+    async def delete(self, kind: str, name: str) -> WriteOutcome:
+        """Remove an object, whatever its revision."""
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -19,8 +19,8 @@
 from ..relay.followers import ConfigurationFollower
 from ..relay.gateway import Gateway
 from ..relay.holdings import Holdings
-from ..relay.ledgers import Member
 from ..relay.measures import RelayMeasures
+from ..relay.members import Member, Membership
 from ..relay.models import (
     Account,
     CallerLimits,
@@ -63,7 +63,7 @@
         self.away = False
         self.writes = 0
 
-    async def list_kind(self, kind: str) -> Listing | Unavailable:
+    async def list_kind(self, kind: str, stale: bool = False) -> Listing | Unavailable:
         if self.away:
             return Unavailable("list", "store", "away")
         found = [o for (k, _), o in self.objects.items() if k == kind]
@@ -79,6 +79,12 @@
     async def replace(self, kind: str, name: str, spec: Any, revision: int) -> Any:
         return await self._write(kind, name, spec, revision)
 
+    async def delete(self, kind: str, name: str) -> Any:
+        if self.away:
+            return Unavailable("delete", "store", "away")
+        self.objects.pop((kind, name), None)
+        return Written(0)
+
     def put(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Write without condition."""
         self.revision += 1
@@ -314,9 +320,9 @@
     if configuration is not None:
         follower.set(store.put("config", "main", configuration))
         follower.confirmed_at = float("inf")
-    holdings = Holdings(
-        store, Neighbours("dc"), "host", Member("host/1"), lambda: configuration
-    )
+    membership = Membership(store, Member("host", "host/1", "", "dc"))
+    membership.settled = True
+    holdings = Holdings(store, Neighbours(), membership, lambda: configuration)
     pool = ConnectionPool()
     services = Services(
         codec=PlatformCodec(),
--- a/knapweedrail/tests/test_platform_store.py
+++ b/knapweedrail/tests/test_platform_store.py
@@ -10,7 +10,7 @@
 from ..platform.store import PlatformStore
 from ..relay.followers import RunnerFollower
 from ..relay.holdings import Holdings
-from ..relay.ledgers import Member
+from ..relay.members import MEMBER_KIND, Member, Membership
 from ..relay.models import Account, Repetition, RunnerState
 from ..relay.neighbours import Neighbours
 from ..relay.reservations import Reservation, Shortage
@@ -122,11 +122,11 @@
     account = Account(name="farm", keys=(), prepaid=1000)
     async with run_store() as (objects, client):
         objects.misbehaviour.lose_answers = 3
-        holdings = Holdings(
-            client, Neighbours("dc"), "h", Member("h/1"), lambda: configuration
-        )
+        membership = Membership(client, Member("h", "h/1", "", "dc"))
+        holdings = Holdings(client, Neighbours(), membership, lambda: configuration)
         async with anyio.create_task_group() as group:
             await holdings.start(group)
+            await membership.start(group)
             got = []
             for _ in range(30):
                 found = await holdings.reserve(account, 100)
@@ -135,13 +135,17 @@
                     got.append(found)
                 await anyio.sleep(0.02)
             assert 0 < len(got) <= 10
-            assert isinstance(await holdings.reserve(account, 100), Shortage)
+            last = await holdings.reserve(account, 100)
+            assert isinstance(last, Shortage), (len(got), holdings.describe(account))
+            assert objects.read(MEMBER_KIND, "h")["holder"] == "h/1"
+            await membership.close()
             await holdings.close()
             await holdings.release()
-        spec = objects.read("token-ledgers", "all")
-        assert spec["accounts"]["farm"]["used"] == 100 * len(got)
-        assert spec["accounts"]["farm"]["grants"] == {}
-        assert spec["members"] == {}
+            await membership.leave()
+        spec = objects.read("token-ledgers", "farm")
+        assert spec["used"] == 100 * len(got)
+        assert spec["grants"] == {}
+        assert objects.read(MEMBER_KIND, "h") is None
 
 
 def listed(table):
--- a/knapweedrail/tests/test_relay_deployments.py
+++ b/knapweedrail/tests/test_relay_deployments.py
@@ -40,7 +40,7 @@
 async def test_accounts_without_a_budget_are_not_limited():
     async with run_relay(make_configuration(SAFE), ScriptedRunner(answer_well)) as r:
         answer = await r.call(knapweedrail_token_usage="1000000000,1000000000")
-        assert r.store.objects.keys() == {("config", "main"), ("token-ledgers", "all")}
+        assert r.store.objects.keys() == {("config", "main")}
     assert answer.status == 200
 
 
--- a/knapweedrail/tests/test_relay_exchanges.py
+++ b/knapweedrail/tests/test_relay_exchanges.py
@@ -286,7 +286,7 @@
     configuration = make_configuration(STREAM, prepaid=1000)
     async with run_relay(configuration, ScriptedRunner(stream_three)) as relay:
         await relay.call(knapweedrail_token_usage="100,50")
-        position = relay.holdings._get("farm").position
+        position = relay.holdings._get("farm").allowance.position
     assert position.spent == 103
     assert position.reserved == 0
 
@@ -329,7 +329,7 @@
     configuration = make_configuration(STREAM, prepaid=1000)
     async with run_relay(configuration, ScriptedRunner(work_long)) as relay:
         await relay.call(knapweedrail_token_usage="100,50", leaves_after=0.1)
-        position = relay.holdings._get("farm").position
+        position = relay.holdings._get("farm").allowance.position
     assert position.spent == 100
     assert position.reserved == 0
 
--- a/knapweedrail/tests/test_relay_grants.py
+++ b/knapweedrail/tests/test_relay_grants.py
@@ -27,9 +27,9 @@
     return Position(granted=available, spent=0, reserved=0)
 
 
-def make_budget(free, held=0, relays=6, prepaid=MILLION, starting=False):
+def make_budget(free, held=0, keepers=6, prepaid=MILLION, starting=False):
     return Budget(
-        prepaid=prepaid, free=free, held=held, relays=relays, starting=starting
+        prepaid=prepaid, free=free, held=held, keepers=keepers, starting=starting
     )
 
 
@@ -111,8 +111,8 @@
     """A caller that hears "spent" doesn't come back. What other relays hold, or what a
     view of some seconds ago lacks, isn't spent."""
     entry = AccountLedger(used=600, grants={"a/1": Grant(300, 100)})
-    assert find_shortage(entry, 1000, 350, True, True) is Shortage.SPENT
-    assert find_shortage(entry, 1000, 250, True, True) is Shortage.HELD_ELSEWHERE
-    assert find_shortage(entry, 1000, 250, True, False) is None
-    assert find_shortage(entry, 1000, 90, True, True) is None
-    assert find_shortage(entry, 1000, 350, False, True) is Shortage.OUT_OF_REACH
+    assert find_shortage(entry, 1000, 350, 0, True, True) is Shortage.SPENT
+    assert find_shortage(entry, 1000, 250, 0, True, True) is Shortage.HELD_ELSEWHERE
+    assert find_shortage(entry, 1000, 250, 0, True, False) is None
+    assert find_shortage(entry, 1000, 90, 0, True, True) is None
+    assert find_shortage(entry, 1000, 350, 0, False, True) is Shortage.OUT_OF_REACH
--- /dev/null
+++ b/knapweedrail/tests/test_relay_lending.py
@@ -0,0 +1,253 @@
+"""Relays lend prepaid tokens to each other, over gRPC, before a store in memory."""
+
+import contextlib
+
+import anyio
+import attrs
+import pytest
+
+from ..relay.holdings import LEDGER_KIND, Holdings
+from ..relay.ledgers import decode_account
+from ..relay.members import Member, Membership, order_lenders
+from ..relay.models import Account, Repetition
+from ..relay.neighbours import Neighbours, Trade, make_server
+from ..relay.reservations import Reservation, Shortage
+from .relays_in_memory import MemoryStore, make_configuration, make_route
+
+pytestmark = pytest.mark.anyio
+
+ACCOUNT = "farm"
+
+
+class Fleet:
+    """Relays that know of each other, each with a server for the others."""
+
+    def __init__(self, prepaid, group):
+        self.store = MemoryStore()
+        self.account = Account(name=ACCOUNT, keys=(), prepaid=prepaid)
+        self.configuration = make_configuration(
+            make_route(Repetition.SAFE), prepaid=prepaid
+        )
+        self.holdings = {}
+        self.servers = {}
+        self.memberships = {}
+        self._group = group
+
+    async def add(self, host, data_centre, life="1", address="127.0.0.1:0"):
+        """Start a relay, or another life of one."""
+        member = Member(host, f"{host}/{life}", "", data_centre)
+        membership = Membership(self.store, member)
+        membership.settled = True
+        holdings = Holdings(
+            self.store, Neighbours(), membership, lambda: self.configuration
+        )
+        server = make_server(holdings, lambda lines: None, address)
+        await server.start()
+        membership.member = attrs.evolve(member, address=server.address)
+        self.holdings[host] = holdings
+        self.servers[host] = server
+        self.memberships[host] = membership
+        return membership.member
+
+    async def start(self):
+        """Let all know of all, and begin."""
+        members = {m.member.host: m.member for m in self.memberships.values()}
+        for membership in self.memberships.values():
+            membership._members = dict(members)
+        for holdings in self.holdings.values():
+            await holdings.start(self._group)
+
+    async def close(self):
+        for host, holdings in self.holdings.items():
+            await holdings.close()
+            await holdings._neighbours.close()
+            await self.servers[host].close()
+
+    async def reserve(self, host, tokens):
+        return await self.holdings[host].reserve(self.account, tokens)
+
+    def find_keeper(self, data_centre):
+        """Return the host that keeps the account for a data centre."""
+        for host, membership in self.memberships.items():
+            here = membership.member.data_centre == data_centre
+            if here and membership.keeps(ACCOUNT):
+                return host
+        raise LookupError(data_centre)
+
+    def list_others(self, data_centre):
+        keeper = self.find_keeper(data_centre)
+        return [
+            host
+            for host, membership in self.memberships.items()
+            if membership.member.data_centre == data_centre and host != keeper
+        ]
+
+    def read_ledger(self):
+        return decode_account(self.store.objects[LEDGER_KIND, ACCOUNT].spec)
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(prepaid, *counts):
+    """Run so many relays in each data centre."""
+    async with anyio.create_task_group() as group:
+        fleet = Fleet(prepaid, group)
+        for number, count in enumerate(counts):
+            for k in range(count):
+                await fleet.add(f"h-{number}-{k}", f"dc-{number}")
+        await fleet.start()
+        yield fleet
+        await fleet.close()
+        group.cancel_scope.cancel()
+
+
+async def test_many_relays_with_few_requests_each_share_a_small_budget():
+    """Twenty-four relays see one request each of an account that has little more than
+    they need. With a holding of its own at each relay, the first ones would have taken
+    what the last ones' callers need, and these would hear that tokens are out of
+    reach; each relay would also write the ledger for itself."""
+    async with run_fleet(32_000, 8, 8, 8) as fleet:
+        for host in fleet.holdings:
+            found = await fleet.reserve(host, 1000)
+            assert isinstance(found, Reservation), host
+            found.settle(1000)
+        assert set(fleet.read_ledger().grants) <= {
+            f"{fleet.find_keeper(f'dc-{n}')}/1" for n in range(3)
+        }
+        assert fleet.store.writes <= 30
+
+
+async def test_what_an_idle_relay_borrowed_serves_callers_elsewhere():
+    """One relay had large requests that used little, and then none any more. A caller
+    at another relay needs nearly all that is left, and must get it."""
+    async with run_fleet(10_000, 3) as fleet:
+        first, second = fleet.list_others("dc-0")
+        found = await fleet.reserve(first, 6000)
+        found.settle(100)
+        with anyio.fail_after(8):
+            while not isinstance(
+                found := await fleet.reserve(second, 9000), Reservation
+            ):
+                await anyio.sleep(0.2)
+        found.settle(9000)
+        assert fleet.holdings[first].read_available(ACCOUNT) < 1000
+
+
+async def test_the_next_relay_lends_when_the_first_is_dead():
+    """The relay that keeps an account is killed. Callers at the others of its data
+    centre are served all the same, after one call that fails."""
+    async with run_fleet(100_000, 3) as fleet:
+        await fleet.servers[fleet.find_keeper("dc-0")].close()
+        for host in fleet.list_others("dc-0"):
+            assert isinstance(await fleet.reserve(host, 1000), Reservation)
+
+
+async def test_borrowers_are_served_while_the_store_is_away():
+    """The store is down for some seconds. Callers at every relay are served out of what
+    was drawn before; who finds nothing left hears that the budget is out of reach, not
+    that it is spent."""
+    async with run_fleet(100_000, 3, 3) as fleet:
+        for host in fleet.holdings:
+            (await fleet.reserve(host, 500)).settle(500)
+        fleet.store.away = True
+        for host in fleet.holdings:
+            assert isinstance(await fleet.reserve(host, 500), Reservation), host
+        found = await fleet.reserve("h-0-0", 90_000)
+        assert found in (Shortage.OUT_OF_REACH, Shortage.HELD_ELSEWHERE)
+
+
+async def test_a_restarted_lender_takes_nothing_back_for_its_former_life():
+    """A relay gives tokens back to its lender, which has been restarted at the same
+    address meanwhile. The former life may have spent what the message speaks of, and
+    the new one would spend it a second time."""
+    async with run_fleet(10_000, 1) as fleet:
+        (holdings,) = fleet.holdings.values()
+        before = holdings.read_available(ACCOUNT)
+        answer = await holdings.answer_trade(
+            Trade(account=ACCOUNT, holder="b/1", lender="h-0-0/0", returned=700)
+        )
+        assert answer.lender == "h-0-0/1"
+        assert holdings.read_available(ACCOUNT) <= before
+        answer = await holdings.answer_trade(
+            Trade(account=ACCOUNT, holder="b/1", lender="h-0-0/1", returned=700)
+        )
+        assert holdings.read_available(ACCOUNT) == before + 700
+
+
+async def test_what_was_lent_in_a_lost_answer_is_found_again():
+    """A lender's answer is lost on its way. The tokens are out of use at the lender;
+    without another question they would be so until the borrower's next shortage."""
+    async with run_fleet(10_000, 2) as fleet:
+        (borrower,) = fleet.list_others("dc-0")
+        lender = fleet.holdings[fleet.find_keeper("dc-0")]
+        holdings = fleet.holdings[borrower]
+        # What the lender sent, and the borrower never saw.
+        await lender.answer_trade(
+            Trade(
+                account=ACCOUNT,
+                holder=f"{borrower}/1",
+                lender=lender._holder,
+                needed=800,
+                wanted=800,
+            )
+        )
+        held = holdings._get(ACCOUNT)
+        held.allowance.borrow(lender._holder, 0)
+        held.doubtful.add(fleet.find_keeper("dc-0"))
+        with anyio.fail_after(5):
+            while held.allowance.borrowed[lender._holder].total < 800:
+                await anyio.sleep(0.1)
+
+
+async def test_a_spent_budget_is_called_spent_at_relays_that_borrow():
+    """All of a budget is used. A caller at a relay that doesn't draw on the ledger
+    hears so as well, and doesn't come back for nothing."""
+    async with run_fleet(1000, 3) as fleet:
+        first, second = fleet.list_others("dc-0")
+        (await fleet.reserve(first, 1000)).settle(1000)
+        with anyio.fail_after(8):
+            while await fleet.reserve(second, 500) is not Shortage.SPENT:
+                await anyio.sleep(0.2)
+
+
+def test_lenders_are_chosen_alike_and_change_little():
+    """Relays that chose different lenders would each draw on the ledger. One that comes
+    or goes must not move accounts that it doesn't keep."""
+    members = [Member(f"h-{n}", f"h-{n}/1", f"a:{n}", f"dc-{n % 3}") for n in range(30)]
+    for account in map(str, range(50)):
+        asked = order_lenders(account, members, "dc-0", "none/1")
+        assert asked == order_lenders(account, members[::-1], "dc-0", "none/1")
+        assert [m.data_centre for m in asked[:2]] == ["dc-0", "dc-0"]
+        assert {m.data_centre for m in asked[2:]} == {"dc-1", "dc-2"}
+        fewer = [m for m in members if m != asked[1]]
+        assert order_lenders(account, fewer, "dc-0", "none/1")[0] == asked[0]
+
+
+async def test_tokens_given_back_to_the_ledger_serve_who_found_none():
+    """One relay holds all of a budget, and gives it back to the ledger. A relay of
+    another data centre had seen the ledger empty; its callers would be refused for as
+    long as it went by that."""
+    async with run_fleet(10_000, 1, 1) as fleet:
+        first = fleet.holdings["h-0-0"]
+        (await fleet.reserve("h-1-0", 10)).settle(10)
+        found = await fleet.reserve("h-0-0", 9000)
+        assert isinstance(found, Reservation)
+        while isinstance(await fleet.reserve("h-1-0", 3000), Reservation):
+            pass
+        found.settle(0)
+        await fleet.servers["h-0-0"].close()
+        await first.close()
+        await first.release()
+        with anyio.fail_after(8):
+            while not isinstance(await fleet.reserve("h-1-0", 3000), Reservation):
+                await anyio.sleep(0.2)
+
+
+async def test_a_store_that_resets_every_connection_is_left_alone():
+    """The store ends each connection as soon as something is written. Every request
+    that finds too few tokens would call it over and over, and wait for that."""
+    async with run_fleet(100_000, 1) as fleet:
+        (await fleet.reserve("h-0-0", 10)).settle(10)
+        fleet.store.fates = ["drop"] * 500
+        for _ in range(50):
+            assert isinstance(await fleet.reserve("h-0-0", 90_000), Shortage)
+        assert 500 - len(fleet.store.fates) <= 10
--- a/knapweedrail/tests/test_relay_process.py
+++ b/knapweedrail/tests/test_relay_process.py
@@ -202,7 +202,7 @@
             while relay.process.poll() is None:
                 await anyio.sleep(0.05)
     assert b"".join(got) == b"".join(map(make_event, range(1, EVENTS + 1)))
-    account = objects.read("token-ledgers", "all")["accounts"]["farm"]
+    account = objects.read("token-ledgers", "farm")
     assert account["grants"] == {}
     assert account["used"] <= 1000
 
@@ -214,7 +214,7 @@
         await client.post(f"{relay.url}/a/x", headers=make_headers(1))
         os.kill(relay.process.pid, signal.SIGKILL)
         relay.process.wait()
-        before = objects.read("token-ledgers", "all")["accounts"]["farm"]
+        before = objects.read("token-ledgers", "farm")
         held = sum(tokens for tokens, _ in before["grants"].values())
         server = objects_address(relay)
         again = RelayProcess(tmp_path, server)
@@ -222,7 +222,7 @@
             await wait_ready(client, again)
             deadline = time.monotonic() + 5
             while time.monotonic() < deadline:
-                after = objects.read("token-ledgers", "all")["accounts"]["farm"]
+                after = objects.read("token-ledgers", "farm")
                 if after["used"] >= held:
                     break
                 await anyio.sleep(0.05)
--- a/knapweedrail/wire/relays_grpc.py
+++ b/knapweedrail/wire/relays_grpc.py
@@ -15,24 +15,20 @@
 class RelaysBase(abc.ABC):
 
     @abc.abstractmethod
-    async def HandOver(self, stream: 'grpclib.server.Stream[relays_pb2.TokenRequest, relays_pb2.TokenReply]') -> None:
+    async def Trade(self, stream: 'grpclib.server.Stream[relays_pb2.TradeRequest, relays_pb2.TradeReply]') -> None:
         pass
 
     @abc.abstractmethod
     async def TellSuspects(self, stream: 'grpclib.server.Stream[relays_pb2.SuspectsRequest, relays_pb2.SuspectsReply]') -> None:
         pass
 
-    @abc.abstractmethod
-    async def Leave(self, stream: 'grpclib.server.Stream[relays_pb2.LeaveRequest, relays_pb2.LeaveReply]') -> None:
-        pass
-
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
-            '/knapweedrail.relays.Relays/HandOver': grpclib.const.Handler(
-                self.HandOver,
+            '/knapweedrail.relays.Relays/Trade': grpclib.const.Handler(
+                self.Trade,
                 grpclib.const.Cardinality.UNARY_UNARY,
-                relays_pb2.TokenRequest,
-                relays_pb2.TokenReply,
+                relays_pb2.TradeRequest,
+                relays_pb2.TradeReply,
             ),
             '/knapweedrail.relays.Relays/TellSuspects': grpclib.const.Handler(
                 self.TellSuspects,
@@ -40,23 +36,17 @@
                 relays_pb2.SuspectsRequest,
                 relays_pb2.SuspectsReply,
             ),
-            '/knapweedrail.relays.Relays/Leave': grpclib.const.Handler(
-                self.Leave,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                relays_pb2.LeaveRequest,
-                relays_pb2.LeaveReply,
-            ),
         }
 
 
 class RelaysStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.HandOver = grpclib.client.UnaryUnaryMethod(
+        self.Trade = grpclib.client.UnaryUnaryMethod(
             channel,
-            '/knapweedrail.relays.Relays/HandOver',
-            relays_pb2.TokenRequest,
-            relays_pb2.TokenReply,
+            '/knapweedrail.relays.Relays/Trade',
+            relays_pb2.TradeRequest,
+            relays_pb2.TradeReply,
         )
         self.TellSuspects = grpclib.client.UnaryUnaryMethod(
             channel,
@@ -64,9 +54,3 @@
             relays_pb2.SuspectsRequest,
             relays_pb2.SuspectsReply,
         )
-        self.Leave = grpclib.client.UnaryUnaryMethod(
-            channel,
-            '/knapweedrail.relays.Relays/Leave',
-            relays_pb2.LeaveRequest,
-            relays_pb2.LeaveReply,
-        )
