Send callers elsewhere when a host is late; a fault soak

Ruled out: a slow lender of tokens (30 to 70 loans in eight seconds there), the link (0.3 of 1.25 MB/s).

Change: the loop's delay is measured ten times a second; a late process blames no runner for a timeout, refuses a growing part of new requests at once with a moment to come back (on a new connection, which reaches another host), and tells the balancer that it has enough.

Also the fault soak: knapweedrail-soak, with a judge that is shown planted faults of each kind and a seeded run in the tests. Refills of grants are asked for at 0.65 of the target instead of 0.8, for fewer writes; not measured by itself.

--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -18,6 +18,7 @@
 from .deliveries import Delivery
 from .measures import RelayMeasures
 from .models import CallerRequest, Endpoint, Route, RunnerAnswer
+from .pressure import Pressure
 from .retries import RetryShare
 from .routes import Ranks
 from .runners import RunnerTable, RunnerView
@@ -101,6 +102,7 @@
     measures: RelayMeasures
     suspects: Suspects
     tell_suspects: Callable[[list[str]], None]
+    pressure: Pressure
     count_relays: Callable[[], int]
 
 
@@ -170,8 +172,9 @@
             outcome, kept = await self._converse(connection)
             return outcome
         except ConnectionFailed as error:
-            self._note_connection(error)
-            self._note_failure(certain=not error.sent)
+            if not (error.silent and services.pressure.is_late()):
+                self._note_connection(error)
+                self._note_failure(certain=not error.sent)
             failure = Failure.BROKEN if error.sent else Failure.NOT_SENT
             return Failed(failure, f"{error.step}: {error.detail}")
         finally:
@@ -227,6 +230,9 @@
 
     def _note_wait(self, began_at: float) -> None:
         """Take in a wait in vain for the first byte of an answer."""
+        if self._call.services.pressure.is_late():
+            # What came in time was seen too late here; runners aren't to blame.
+            return
         if time.monotonic() - began_at >= SILENCE_SECONDS:
             self._note_silence()
             self._note_failure(certain=False)
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -23,6 +23,7 @@
 from .members import Member, Membership
 from .neighbours import Neighbours, make_server
 from .options import RelaySettings
+from .pressure import Pressure
 from .retries import RetryShare
 from .stores import Store
 from .suspects import Suspects
@@ -105,6 +106,7 @@
             self._holdings, self._hear_suspects, settings.peer_address
         )
         self._suspects = Suspects()
+        self._pressure = Pressure()
         self._told: list[str] = []
         services = Services(
             codec=codec,
@@ -120,6 +122,7 @@
             measures=measures,
             suspects=self._suspects,
             tell_suspects=self._tell_suspects,
+            pressure=self._pressure,
             count_relays=lambda: self._membership.count,
         )
         self._gateway = Gateway(services, configuration, self._holdings)
@@ -144,7 +147,7 @@
         await self._peer_server.start()
         if self._metrics_server is not None:
             await self._metrics_server.start(group)
-            group.start_soon(self._measures.watch_delay)
+        group.start_soon(self._measures.watch_delay, self._pressure)
         for task in (
             self._configuration,
             self._runners,
@@ -255,7 +258,9 @@
             )
 
     async def _answer_ready(self, scope: dict, receive: object, send: object) -> None:
-        ready = self._configuration.table is not None and not self._gateway.stopping
+        known = self._configuration.table is not None
+        out = self._pressure.is_out(time.monotonic())
+        ready = known and not out and not self._gateway.stopping
         status = 200 if ready else 503
         await send(
             {
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -43,6 +43,10 @@
 """Bounds of the time after which a caller whose budget is out of reach may come back:
 the store is asked again every second, and a cut seldom ends sooner."""
 
+ELSEWHERE_SECONDS = (0.01, 0.05)
+"""Bounds of the time after which a caller may come back that this host has no room
+for: it comes back on a new connection, to another host, which can serve it at once."""
+
 QUARANTINED_SECONDS = 60.0
 """When to come back with content that crashes runners: not while anybody waits."""
 
@@ -94,7 +98,7 @@
         self.under_way += 1
         self.last_request_at = time.monotonic()
         try:
-            delivery = Delivery(send, lambda: self.stopping, self._services.measures)
+            delivery = Delivery(send, self._ends_connections, self._services.measures)
             await self._answer(scope, receive, delivery)
         except CallerGone:
             log_event(Event.CALLER_GONE, path=scope["path"])
@@ -106,6 +110,10 @@
         finally:
             self.under_way -= 1
 
+    def _ends_connections(self) -> bool:
+        """Return whether callers should open their next connection, elsewhere."""
+        return self.stopping or self._services.pressure.is_out(time.monotonic())
+
     async def _answer(self, scope: dict, receive: Receive, delivery: Delivery) -> None:
         arrived_at = time.monotonic()
         request = self._services.codec.decode_request(
@@ -117,6 +125,10 @@
             delivery.close_after()
             await self._refuse(delivery, "", _refuse_bad(request.reason))
             return
+        if self._services.pressure.refuses(self._services.rng):
+            delivery.close_after()
+            await self._refuse(delivery, request.identity, self._refuse_busy())
+            return
         admission = self._admit(request)
         if isinstance(admission, Refusal):
             await self._refuse(delivery, request.identity, admission)
@@ -149,6 +161,14 @@
             return self._refuse_unknown(RefusalKind.UNKNOWN_KEY, "no such key")
         return Admission(route, account)
 
+    def _refuse_busy(self) -> Refusal:
+        delay = self._services.pressure.delay
+        return _refuse(
+            RefusalKind.FULL,
+            f"this host is {delay:.2f} s late",
+            self._services.rng.uniform(*ELSEWHERE_SECONDS),
+        )
+
     def _refuse_unknown(self, kind: RefusalKind, detail: str) -> Refusal:
         """Refuse a key or route that isn't in the configuration.
 
--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -34,7 +34,7 @@
 START_SECONDS = 8.0
 """How long after its first request a relay holds that: until its demand is known."""
 
-REFILL_SHARE = 0.8
+REFILL_SHARE = 0.65
 """Part of the target below which a refill is asked for. Refilling at every request
 would cost a write each time; with less, a cut that begins just before a refill finds
 the relay with too little to last through it."""
--- a/knapweedrail/relay/measures.py
+++ b/knapweedrail/relay/measures.py
@@ -8,8 +8,10 @@
 
 import anyio
 
+from ..events import Event, log_event
 from ..measures import Measures
 from .models import Account
+from .pressure import TICK_SECONDS, Pressure
 from .stores import Store
 
 GAP_BOUNDS = [0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5]
@@ -21,8 +23,12 @@
 MOST_ACCOUNTS = 50
 """Accounts with a series of their own; an operator with more asks the ledger."""
 
-DELAY_PAUSE_SECONDS = 1.0
-"""Pause between two looks at the event loop's delay."""
+LATE_SECONDS = 0.1
+"""Delay of the event loop from which on a line says so: a fifth of the shortest
+objective of callers, and every answer under way was late by it."""
+
+TOLD_SECONDS = 1.0
+"""Pause between two such lines."""
 
 
 class RelayMeasures(Measures):
@@ -51,12 +57,24 @@
             "loop_delay_seconds", "Seconds the event loop was late", DELAY_BOUNDS
         )
 
-    async def watch_delay(self) -> None:
+    async def watch_delay(self, pressure: Pressure) -> None:
         """Measure the event loop's delay until cancelled."""
+        told_at = float("-inf")
         while True:
-            due = time.monotonic() + DELAY_PAUSE_SECONDS
-            await anyio.sleep(DELAY_PAUSE_SECONDS)
-            self.delays.record(max(0.0, time.monotonic() - due))
+            due = time.monotonic() + TICK_SECONDS
+            await anyio.sleep(TICK_SECONDS)
+            now = time.monotonic()
+            late = max(0.0, now - due)
+            pressure.note_delay(late, now)
+            self.delays.record(late)
+            if late >= LATE_SECONDS and now - told_at >= TOLD_SECONDS:
+                told_at = now
+                log_event(
+                    Event.LOOP_LATE,
+                    seconds=round(late, 3),
+                    mean=round(pressure.delay, 3),
+                    in_rotation=not pressure.is_out(now),
+                )
 
     async def answer(self, scope: dict, receive: Any, send: Any) -> None:
         """Serve the metrics as text, as an ASGI application."""
--- /dev/null
+++ b/knapweedrail/relay/pressure.py
@@ -0,0 +1,100 @@
+"""Decision: whether this process has more to do than its processor bears.
+
+Pure: clock and randomness are passed in.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+
+TICK_SECONDS = 0.1
+"""Pause between two measurements of the event loop's delay; ten a second cost about a
+thousandth of a core."""
+
+MOST_SECONDS = 0.5
+"""Bound on one measurement; all that matters is that it is far too long."""
+
+STILL_SECONDS = 2.0
+"""A longer delay is a process that stood still, and says nothing of its load. Loops
+that were overloaded threefold were late by less than a second."""
+
+QUICK_SECONDS = 0.15
+SLOW_SECONDS = 1.0
+"""Time over which the two running means go: one or two measurements of a loop that is
+in time, and about as long as the balancer takes to ask again."""
+
+LATE_SECONDS = 0.05
+"""Mean delay from which on a timeout may be this process's own fault: a connection
+that was made in a millisecond is seen so much later, and a quarter of a second is all
+that one gets."""
+
+REFUSE_SECONDS = 0.12
+FULL_SECONDS = 0.4
+"""Mean delays between which a growing part of the new requests is refused: from the
+objective of the shortest calls on, up to half of a second to the first byte, at which
+nothing would be in time."""
+
+MOST_REFUSED = 0.9
+"""Part that is refused at the most; the rest shows when there is room again."""
+
+OUT_SECONDS = 0.08
+"""Mean delay of the last second from which on the balancer is told to send callers
+elsewhere. It does so after two questions, a second apart."""
+
+REST_SECONDS = 3.0
+"""Shortest time out of rotation: until the balancer has noticed, and what came before
+has ended. Longer would leave the other hosts with more than they bear."""
+
+
+class Pressure:
+    """How late the event loop is, and what follows from it.
+
+    The load it is for: the balancer spreads callers by a hash, so one small host may
+    get ten times the requests of the next. Its loop is then late by tenths of a second;
+    connections to sound runners look timed out, all of them are given up one after
+    another, and every caller there is refused while other hosts are idle. A host that
+    says early that it has enough keeps what it has in time, and the others' callers
+    don't notice the rest.
+    """
+
+    def __init__(self) -> None:
+        self._quick = 0.0
+        self._slow = 0.0
+        self._out_until = float("-inf")
+
+    @property
+    def delay(self) -> float:
+        """Mean delay of the event loop just now, seconds."""
+        return self._quick
+
+    def note_delay(self, seconds: float, now: float) -> None:
+        """Take in one measurement."""
+        if seconds >= STILL_SECONDS:
+            return
+        sample = min(MOST_SECONDS, max(0.0, seconds))
+        elapsed = TICK_SECONDS + sample
+        self._quick += _weigh(elapsed, QUICK_SECONDS) * (sample - self._quick)
+        self._slow += _weigh(elapsed, SLOW_SECONDS) * (sample - self._slow)
+        if self._slow >= OUT_SECONDS:
+            self._out_until = now + REST_SECONDS
+
+    def is_late(self) -> bool:
+        """Return whether a timeout seen now says nothing of the other end."""
+        return self._quick >= LATE_SECONDS
+
+    def is_out(self, now: float) -> bool:
+        """Return whether new callers should be sent to other hosts."""
+        return now < self._out_until
+
+    def refuses(self, rng: random.Random) -> bool:
+        """Return whether a request that comes now should go to another host."""
+        if self._quick < REFUSE_SECONDS:
+            return False
+        share = (self._quick - REFUSE_SECONDS) / (FULL_SECONDS - REFUSE_SECONDS)
+        return rng.random() < min(MOST_REFUSED, share)
+
+
+def _weigh(elapsed: float, over: float) -> float:
+    """Return the weight of a measurement that tells of so much time."""
+    return 1.0 - math.exp(-elapsed / over)
--- /dev/null
+++ b/knapweedrail/soak/callers.py
@@ -0,0 +1,121 @@
+"""Callers of a run: they send requests to all relays, and note what they get."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import anyio
+import attrs
+import httpx
+
+from .records import MOST_EVENTS, History, Kind, Sent
+from .worlds import HOST, RelayHost, World
+
+CALL_SECONDS = 4.5
+"""Longest wait of a caller: a little longer than the routes' own time."""
+
+LEAVE_SHARE = 0.05
+"""Requests whose caller leaves after a moment."""
+
+LEAVE_SECONDS = 0.15
+
+PROBE_SHARE = 0.1
+"""Requests on the route that only the newest versions have."""
+
+PROMPTS = (20, 400)
+"""Bounds of a prompt's tokens."""
+
+
+class Callers:
+    """Sends requests as they come due.
+
+    Args:
+        world: The fleet.
+        history: Where requests and answers are noted.
+        rng: Draws what is sent where.
+        rate: Requests a second.
+    """
+
+    def __init__(
+        self, world: World, history: History, rng: random.Random, rate: float
+    ) -> None:
+        self._world = world
+        self._history = history
+        self._rng = rng
+        self._rate = rate
+        self._count = 0
+
+    async def run(self, seconds: float) -> None:
+        """Send requests for so long, and wait for the last answers."""
+        end = time.monotonic() + seconds
+        limits = httpx.Limits(max_connections=None, max_keepalive_connections=50)
+        async with (
+            httpx.AsyncClient(limits=limits, timeout=CALL_SECONDS) as client,
+            anyio.create_task_group() as group,
+        ):
+            while time.monotonic() < end:
+                group.start_soon(self._send, client)
+                await anyio.sleep(self._rng.expovariate(self._rate))
+
+    async def _send(self, client: httpx.AsyncClient) -> None:
+        self._count += 1
+        rng = self._rng
+        host = rng.choice(self._world.relays)
+        kind = rng.choice(list(Kind))
+        path = f"/{kind.value}/x"
+        if rng.random() < PROBE_SHARE:
+            kind = Kind.SAFE
+            path = f"/v{self._world.version}/x"
+        account = rng.choice(list(self._world.prepaid))
+        sent = Sent(
+            identity=f"{rng.getrandbits(48):012x}-{self._count}",
+            kind=kind,
+            account=account,
+            path=path,
+            relay=host.name,
+            life=host.life,
+            prompt=rng.randint(*PROMPTS),
+            most_output=MOST_EVENTS if kind.streams else 0,
+            sent_at=time.monotonic(),
+            ended_at=0.0,
+            status=0,
+            whole=False,
+            body=b"",
+        )
+        leaves = rng.random() < LEAVE_SHARE
+        with anyio.move_on_after(LEAVE_SECONDS if leaves else CALL_SECONDS):
+            await self._call(client, host, sent)
+
+    async def _call(
+        self, client: httpx.AsyncClient, host: RelayHost, sent: Sent
+    ) -> None:
+        headers = {
+            "host": HOST,
+            "knapweedrail-request-id": sent.identity,
+            "knapweedrail-key": f"key-{sent.account}",
+            "knapweedrail-deadline-ms": str(int(CALL_SECONDS * 1000)),
+            "knapweedrail-token-usage": f"{sent.prompt},{sent.most_output}",
+        }
+        body = bytearray()
+        status = 0
+        whole = False
+        url = host.url + sent.path
+        try:
+            async with client.stream("POST", url, headers=headers, content=b"x") as got:
+                status = got.status_code
+                async for chunk in got.aiter_raw():
+                    body += chunk
+                whole = True
+        except httpx.HTTPError:
+            # What came of the answer is noted all the same; the judge says whether
+            # the relay may have broken it off.
+            whole = False
+        finally:
+            self._note(sent, status, whole, bytes(body))
+
+    def _note(self, sent: Sent, status: int, whole: bool, body: bytes) -> None:
+        noted = attrs.evolve(
+            sent, status=status, whole=whole, body=body, ended_at=time.monotonic()
+        )
+        self._history.sent.append(noted)
--- /dev/null
+++ b/knapweedrail/soak/records.py
@@ -0,0 +1,152 @@
+"""What callers sent and got, what runners ran, and what was done to the fleet.
+
+Times are seconds of one steady clock, which all processes of a machine share.
+"""
+
+from __future__ import annotations
+
+import enum
+import json
+from hashlib import blake2b
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+MOST_EVENTS = 40
+"""Events of the longest stream; at two hundredths of a second each, one lasts long
+enough for a fault to meet it."""
+
+
+class Kind(enum.Enum):
+    """What may be repeated of a request."""
+
+    SAFE = "safe"
+    ONCE = "once"
+    STREAM = "stream"
+    RESUMED = "resumed"
+
+    @property
+    def runs_once(self) -> bool:
+        """Whether a second run is a broken promise."""
+        return self in (Kind.ONCE, Kind.STREAM)
+
+    @property
+    def streams(self) -> bool:
+        """Whether the answer is a series of events."""
+        return self in (Kind.STREAM, Kind.RESUMED)
+
+
+@attrs.frozen(kw_only=True)
+class Sent:
+    """A request of a caller, and what came of it.
+
+    Attributes:
+        relay: Host it was sent to.
+        life: Number of the relay process's life.
+        ended_at: When its answer ended, however.
+        status: Of the answer; 0 for none.
+        whole: Whether its end was told.
+        body: What came of it.
+    """
+
+    identity: str
+    kind: Kind
+    account: str
+    path: str
+    relay: str
+    life: int
+    prompt: int
+    most_output: int
+    sent_at: float
+    ended_at: float
+    status: int
+    whole: bool
+    body: bytes
+
+
+@attrs.frozen
+class Ran:
+    """A runner began to work on a request.
+
+    Attributes:
+        first: Number of the first event that it makes.
+    """
+
+    identity: str
+    runner: str
+    account: str
+    at: float
+    first: int
+
+
+@attrs.frozen
+class Disturbance:
+    """Something was done to the fleet from outside.
+
+    Attributes:
+        target: Host, runner or ``store``.
+        ended_at: When it was over; for a stop, when the process had ended.
+    """
+
+    kind: str
+    target: str
+    began_at: float
+    ended_at: float
+
+
+@attrs.frozen
+class Finding:
+    """A promise that was broken."""
+
+    promise: str
+    detail: str
+
+
+@attrs.define
+class History:
+    """All that was seen in a run.
+
+    Attributes:
+        prepaid: Tokens that each account may use, at the highest of all versions.
+        exits: Exit codes of relays that were asked to stop.
+    """
+
+    prepaid: dict[str, int]
+    sent: list[Sent] = attrs.field(factory=list)
+    ran: list[Ran] = attrs.field(factory=list)
+    disturbances: list[Disturbance] = attrs.field(factory=list)
+    exits: list[tuple[str, int]] = attrs.field(factory=list)
+
+
+def count_events(identity: str) -> int:
+    """Return how many events a request's stream has, the same at every runner."""
+    digest = blake2b(identity.encode(), digest_size=2).digest()
+    return 1 + int.from_bytes(digest, "big") % MOST_EVENTS
+
+
+def make_event(identity: str, number: int) -> bytes:
+    """Return one event of a request's stream."""
+    return b"id: %d\ndata: %s %d\n\n" % (number, identity.encode(), number)
+
+
+def make_answer(identity: str, kind: Kind) -> bytes:
+    """Return the whole answer to a request."""
+    if not kind.streams:
+        return b"done " + identity.encode()
+    numbers = range(1, count_events(identity) + 1)
+    return b"".join(make_event(identity, number) for number in numbers)
+
+
+def write_line(path: Path, line: dict[str, Any]) -> None:
+    """Append one line that another process reads."""
+    with path.open("a") as file:
+        file.write(json.dumps(line) + "\n")
+
+
+def read_runs(path: Path) -> list[Ran]:
+    """Read what a runner wrote of the requests that it ran."""
+    if not path.exists():
+        return []
+    lines = path.read_text().splitlines()
+    return [Ran(**json.loads(line)) for line in lines]
--- /dev/null
+++ b/knapweedrail/soak/runners.py
@@ -0,0 +1,111 @@
+"""A runner as a process: it runs what it is sent, and writes down that it did.
+
+It writes before it answers, so that a run is known though the answer is lost.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import time
+from collections.abc import AsyncIterator, Sequence
+from pathlib import Path
+
+import anyio
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import Route
+
+from ..servers import HttpServer, ServerLimits
+from .records import Kind, count_events, make_answer, make_event, write_line
+
+FULL_SHARE = 0.05
+"""Requests that are rejected for want of room."""
+
+FAIL_SHARE = 0.03
+"""Requests that run and fail."""
+
+WORK_SECONDS = (0.002, 0.05)
+EVENT_SECONDS = 0.02
+"""How long a plain call takes, and the pause between events."""
+
+
+class Runner:
+    """One runner.
+
+    Args:
+        name: Its name in the list of runners.
+        runs: File in which it writes what it ran.
+        seed: Decides what it rejects and fails.
+    """
+
+    def __init__(self, name: str, runs: Path, seed: int) -> None:
+        self._name = name
+        self._runs = runs
+        self._rng = random.Random(seed)
+        methods = ["GET", "POST"]
+        self.app = Starlette(routes=[Route("/{path:path}", self._run, methods=methods)])
+
+    async def _run(self, request: Request) -> Response:
+        identity = request.headers["knapweedrail-request-id"]
+        headers = {"Knapweedrail-Request-Id": identity}
+        if self._is_other(request):
+            return Response(status_code=421, headers=headers)
+        if self._rng.random() < FULL_SHARE:
+            headers["Knapweedrail-Not-Executed"] = "1"
+            return Response(status_code=503, headers=headers)
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        line = {
+            "identity": identity,
+            "runner": self._name,
+            "account": request.headers.get("knapweedrail-tenant", ""),
+            "at": time.monotonic(),
+            "first": first,
+        }
+        write_line(self._runs, line)
+        headers["Knapweedrail-Response-Seal"] = self._name
+        if self._rng.random() < FAIL_SHARE:
+            return Response(b"failed", 500, headers)
+        if request.url.path.startswith(("/stream/", "/resumed/")):
+            return StreamingResponse(
+                self._make_events(identity, first),
+                headers=headers,
+                media_type="text/event-stream",
+            )
+        await anyio.sleep(self._rng.uniform(*WORK_SECONDS))
+        return Response(make_answer(identity, Kind.SAFE), 200, headers)
+
+    def _is_other(self, request: Request) -> bool:
+        meant = request.headers.get("knapweedrail-expect-instance")
+        return meant is not None and meant != self._name
+
+    async def _make_events(self, identity: str, first: int) -> AsyncIterator[bytes]:
+        for number in range(first, count_events(identity) + 1):
+            yield make_event(identity, number)
+            await anyio.sleep(EVENT_SECONDS)
+
+
+async def serve(runner: Runner) -> None:
+    """Serve until the process is ended, and tell the port."""
+    async with anyio.create_task_group() as group:
+        server = HttpServer(runner.app, "127.0.0.1:0", ServerLimits())
+        await server.start(group)
+        port = int(server.address.rpartition(":")[2])
+        print(json.dumps({"port": port}), flush=True)
+
+
+def main(argv: Sequence[str] | None = None) -> None:
+    """Run one runner."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--runs", required=True, type=Path)
+    parser.add_argument("--seed", type=int, default=0)
+    arguments = parser.parse_args(argv)
+    runner = Runner(arguments.name, arguments.runs, arguments.seed)
+    anyio.run(serve, runner)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/knapweedrail/soak/schedules.py
@@ -0,0 +1,58 @@
+"""What is done to a fleet in a run, worked out from a seed.
+
+Pure. Steps come in series and overlap: a second one may begin before the first is over.
+"""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+QUIET_SECONDS = 2.0
+"""Time at the start and the end without a step; the fleet has to come up, and what was
+broken off must have ended when the run is judged."""
+
+STORE_STEPS = ("store away", "store loses", "store refuses", "store forgets")
+RELAY_STEPS = ("kill", "pause", "stop", "cut from store", "silence to store")
+RUNNER_STEPS = ("leave", "reset runner", "silence runner", "slow runner", "crash")
+OTHER_STEPS = ("configure", "kill all")
+
+
+@attrs.frozen
+class Step:
+    """One thing that is done.
+
+    Attributes:
+        at: Seconds from the start.
+        target: Number of the relay or runner.
+        seconds: How long it lasts.
+    """
+
+    at: float
+    kind: str
+    target: int
+    seconds: float
+
+
+def draw_schedule(
+    seed: int, seconds: float, relays: int, runners: int, pace: float
+) -> list[Step]:
+    """Return the steps of a run, in order.
+
+    Args:
+        seconds: Length of the run.
+        pace: Steps a second, as a mean.
+    """
+    rng = random.Random(seed)
+    kinds = [*STORE_STEPS, *RELAY_STEPS, *RUNNER_STEPS, *OTHER_STEPS]
+    steps = []
+    at = QUIET_SECONDS
+    while True:
+        at += rng.expovariate(pace)
+        if at > seconds - QUIET_SECONDS:
+            return steps
+        kind = rng.choice(kinds)
+        most = runners if kind in RUNNER_STEPS else relays
+        lasts = rng.uniform(0.2, min(4.0, seconds / 3))
+        steps.append(Step(round(at, 3), kind, rng.randrange(most), round(lasts, 3)))
--- /dev/null
+++ b/knapweedrail/soak/worlds.py
@@ -0,0 +1,227 @@
+"""The fleet of a run: relays, runners, the store, and the links between them.
+
+Relays and runners are processes of their own; the store and the links to it and to
+runners are in the soak's process. Only processes that were started here are ended.
+"""
+
+from __future__ import annotations
+
+import socket
+from pathlib import Path
+
+import anyio
+import anyio.abc
+import attrs
+import orjson
+
+from ..servers import HttpServer, ServerLimits
+from ..standins.objects import ObjectStore
+from ..standins.processes import Process
+from ..standins.proxy import Route
+from ..standins.sources import Sources
+from .records import Kind, Ran, read_runs
+
+STOP_SECONDS = 6.0
+"""Time that relays have to stop in, as their platform gives it."""
+
+ENDPOINT = "engine"
+HOST = "soak.example"
+DATA_CENTRES = 2
+PORTS_PER_RELAY = 3
+KINDS = {
+    Kind.SAFE: "safe",
+    Kind.ONCE: "unsafe",
+    Kind.STREAM: "streaming",
+    Kind.RESUMED: "streaming",
+}
+
+
+@attrs.define
+class RelayHost:
+    """One host, and the relay process that lives there now.
+
+    Attributes:
+        link: Its way to the store.
+        life: Number of processes that lived there, this one included.
+        busy: Whether it is being stopped, killed or paused.
+    """
+
+    name: str
+    ports: list[int]
+    link: Route
+    process: Process
+    life: int = 1
+    busy: bool = False
+
+    @property
+    def url(self) -> str:
+        """Where it serves callers."""
+        return f"http://127.0.0.1:{self.ports[0]}"
+
+
+@attrs.define
+class RunnerHost:
+    """One runner, and the relays' way to it."""
+
+    name: str
+    process: Process
+    link: Route
+
+
+class World:
+    """A fleet.
+
+    Args:
+        folder: For settings, logs and what runners ran.
+        seed: Of the run.
+        prepaid: Tokens of each account.
+        group: Where the links and the store run.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        seed: int,
+        prepaid: dict[str, int],
+        group: anyio.abc.TaskGroup,
+    ) -> None:
+        self.store = ObjectStore()
+        self.prepaid = dict(prepaid)
+        self.relays: list[RelayHost] = []
+        self.runners: list[RunnerHost] = []
+        self.version = 0
+        self._folder = folder
+        self._seed = seed
+        self._group = group
+        self._server = HttpServer(self.store.app, "127.0.0.1:0", ServerLimits())
+        self._sources = Sources()
+        self._runner_lives = 0
+
+    async def start(self, relays: int, runners: int) -> None:
+        """Start everything, without waiting until the relays are ready."""
+        await self._server.start(self._group)
+        self.configure()
+        for _ in range(runners):
+            await self.add_runner()
+        ports = find_ports(PORTS_PER_RELAY * relays)
+        for number in range(relays):
+            link = await self._open_link(f"store-{number}", self._server.address)
+            own = ports[PORTS_PER_RELAY * number :][:PORTS_PER_RELAY]
+            name = f"relay-{number}"
+            process = self._make_relay(name, own, link)
+            process.start()
+            self.relays.append(RelayHost(name, own, link, process))
+
+    def configure(self) -> None:
+        """Put a new version in force: one more route, and the oldest such one less."""
+        self.version += 1
+        versions = range(max(1, self.version - 1), self.version + 1)
+        routes = [_make_route(kind.value, kind) for kind in Kind]
+        routes += [_make_route(f"v{version}", Kind.SAFE) for version in versions]
+        accounts = [
+            {"name": name, "apiKeys": [f"key-{name}"], "prepaid": tokens}
+            for name, tokens in self.prepaid.items()
+        ]
+        spec = {
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": ENDPOINT, "engine": {"stride": 1}}],
+            "tenants": accounts,
+        }
+        self.store.put("config", "main", spec)
+
+    async def add_runner(self) -> None:
+        """Start another runner and list it."""
+        self._runner_lives += 1
+        name = f"runner-{self._runner_lives}"
+        process = Process(
+            "knapweedrail.soak.runners",
+            *("--name", name, "--runs", str(self._folder / f"{name}.runs")),
+            *("--seed", str(self._seed + self._runner_lives)),
+        )
+        process.start()
+        await anyio.to_thread.run_sync(process.wait_ready)
+        link = await self._open_link(name, f"127.0.0.1:{process.ports['port']}")
+        runner = RunnerHost(name, process, link)
+        self.runners.append(runner)
+        self.list_runner(runner, "ready")
+
+    def list_runner(self, runner: RunnerHost, state: str) -> None:
+        """Write a runner's entry in the store."""
+        entry = {
+            "service": ENDPOINT,
+            "address": f"127.0.0.1:{runner.link.port}",
+            "zone": "dc-0",
+            "slots": 8,
+            "state": state,
+        }
+        self.store.put("servers", runner.name, entry)
+
+    def end_runner(self, runner: RunnerHost) -> None:
+        """End a runner at once; its entry goes as the platform sees it silent."""
+        runner.process.close()
+        self.store.remove("servers", runner.name)
+        if runner in self.runners:
+            self.runners.remove(runner)
+
+    def restart_relay(self, host: RelayHost) -> None:
+        """Start the next process of a host whose former one has ended."""
+        host.process = self._make_relay(host.name, host.ports, host.link)
+        host.process.start()
+        host.life += 1
+
+    def read_runs(self) -> list[Ran]:
+        """Return all that runners ran."""
+        files = sorted(self._folder.glob("*.runs"))
+        return [run for file in files for run in read_runs(file)]
+
+    def close(self) -> None:
+        """End every process that was started."""
+        for host in [*self.relays, *self.runners]:
+            host.process.close()
+
+    async def _open_link(self, name: str, target: str) -> Route:
+        link = Route(name, target, self._sources, self._group)
+        await link.listen()
+        return link
+
+    def _make_relay(self, name: str, ports: list[int], link: Route) -> Process:
+        number = int(name.rpartition("-")[2])
+        settings = {
+            "host": name,
+            "data_centre": f"dc-{number % DATA_CENTRES}",
+            "caller_address": f"127.0.0.1:{ports[0]}",
+            "ready_address": f"127.0.0.1:{ports[1]}",
+            "peer_address": f"127.0.0.1:{ports[2]}",
+            "store_address": f"127.0.0.1:{link.port}",
+            "stop_seconds": STOP_SECONDS,
+        }
+        path = self._folder / f"{name}.jsonc"
+        path.write_bytes(orjson.dumps(settings))
+        log = self._folder / f"{name}.log"
+        options = ("--settings", str(path))
+        return Process("knapweedrail.tools.relay", *options, log=log)
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+def _make_route(name: str, kind: Kind) -> dict[str, object]:
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "kind": KINDS[kind],
+        "resumable": kind is Kind.RESUMED,
+        "timeoutMs": 4000,
+        "latencyGoalMs": 300,
+        "gapAimMs": 100,
+        "maxAttempts": 2,
+        "service": ENDPOINT,
+    }
--- a/knapweedrail/standins/processes.py
+++ b/knapweedrail/standins/processes.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import httpx
@@ -29,16 +30,23 @@
     Args:
         module: The module to run.
         options: Command-line options.
+        log: File that the process's output goes to; without one, its first line is
+            read for its ports.
     """
 
-    def __init__(self, module: str, *options: str) -> None:
+    def __init__(self, module: str, *options: str, log: Path | None = None) -> None:
+        self._log = log
         self.command = [sys.executable, "-m", module, *options]
         self.ports: dict[str, int] = {}
         self._child: subprocess.Popen | None = None
 
     def start(self) -> None:
         """Start without waiting; `wait_ready` waits."""
-        self._child = subprocess.Popen(self.command, stdout=subprocess.PIPE)
+        if self._log is None:
+            self._child = subprocess.Popen(self.command, stdout=subprocess.PIPE)
+            return
+        with self._log.open("ab") as file:
+            self._child = subprocess.Popen(self.command, stdout=file, stderr=file)
 
     def wait_ready(self) -> None:
         """Read the line in which the process tells its ports."""
@@ -83,7 +91,8 @@
             return
         if self.is_running():
             self.kill()
-        self._child.stdout.close()
+        if self._child.stdout is not None:
+            self._child.stdout.close()
 
 
 class Standin(Process):
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -33,6 +33,7 @@
     Share,
 )
 from ..relay.neighbours import Neighbours
+from ..relay.pressure import Pressure
 from ..relay.retries import RetryShare
 from ..relay.runners import RunnerTable
 from ..relay.stores import (
@@ -334,6 +335,7 @@
         measures=RelayMeasures(),
         suspects=Suspects(),
         tell_suspects=lambda lines: None,
+        pressure=Pressure(),
         count_relays=lambda: 1,
     )
     gateway = Gateway(services, follower, holdings)
--- /dev/null
+++ b/knapweedrail/tests/test_relay_pressure.py
@@ -0,0 +1,105 @@
+"""A host that the balancer sends more callers than its processor bears."""
+
+import random
+
+import anyio
+import pytest
+
+from ..relay import connections, measures, pressure
+from ..relay.models import Repetition
+from ..relay.pressure import REST_SECONDS, TICK_SECONDS, Pressure
+from .relays_in_memory import (
+    ScriptedRunner,
+    answer_well,
+    make_configuration,
+    make_route,
+    run_relay,
+)
+
+
+def feed(one, delay, seconds, now=0.0):
+    """Take in measurements of one delay; return the time after them."""
+    end = now + seconds
+    while now < end:
+        one.note_delay(delay, now)
+        now += TICK_SECONDS + delay
+    return now
+
+
+def test_a_host_with_little_to_do_takes_everything():
+    one = Pressure()
+    now = feed(one, 0.005, 10.0)
+    assert not one.is_out(now)
+    assert not one.is_late()
+    assert not any(one.refuses(random.Random(n)) for n in range(100))
+
+
+def test_a_host_that_is_late_sends_callers_elsewhere_before_all_are_late():
+    """A hash sends one small host seventy requests a second where the next gets four.
+    Its loop is late by three tenths of a second; without this, every connection to a
+    runner timed out there and all its callers were refused after that, for as long as
+    they came."""
+    one = Pressure()
+    now = feed(one, 0.3, 1.5)
+    assert one.is_out(now)
+    refused = sum(one.refuses(random.Random(n)) for n in range(1000))
+    assert 400 < refused < 950
+    # And takes them again once it is in time, and has been out long enough for the
+    # balancer to notice.
+    now = feed(one, 0.001, 1.0, now)
+    assert not one.refuses(random.Random(1))
+    now = feed(one, 0.001, REST_SECONDS + 1.0, now)
+    assert not one.is_out(now)
+
+
+def test_a_process_that_stood_still_is_not_out_of_rotation_for_it():
+    """A host freezes for five seconds and wakes. That is no load, and its callers would
+    lose their host a second time."""
+    one = Pressure()
+    one.note_delay(5.0, 10.0)
+    now = feed(one, 0.001, 0.5, 10.0)
+    assert not one.is_out(now)
+    assert not one.refuses(random.Random(1))
+
+
+def test_some_requests_are_taken_however_late_it_is():
+    one = Pressure()
+    feed(one, 1.0, 60.0)
+    assert not all(one.refuses(random.Random(n)) for n in range(100))
+
+
+@pytest.mark.anyio
+async def test_runners_are_not_blamed_for_a_late_process(monkeypatch):
+    """The process is so busy that a connection, made in a millisecond, is seen after
+    its time is over. Runners that were ejected for that were missing for everybody
+    here, and the next requests were refused as if all runners were full."""
+    route = make_route(Repetition.SAFE)
+    async with run_relay(make_configuration(route), ScriptedRunner(answer_well)) as r:
+        view = r.table.list_views("e", 0.0)[0]
+        r.gateway._services.pressure._quick = 0.1
+        monkeypatch.setattr(connections, "CONNECT_SECONDS", 0.0)
+        answer = await r.call()
+        assert answer.status == 503
+        assert view.is_rested(float("inf")) or view.ejected_until < 0
+        assert view.failing == 0.0
+
+
+@pytest.mark.anyio
+async def test_a_refusal_for_lack_of_time_ends_the_connection_and_names_a_moment():
+    route = make_route(Repetition.ONCE)
+    async with run_relay(make_configuration(route), ScriptedRunner(answer_well)) as r:
+        r.gateway._services.pressure._quick = 60.0
+        r.gateway._services.rng.seed(3)
+        answers = [await r.call() for _ in range(20)]
+    refused = [answer for answer in answers if answer.status == 503]
+    assert len(refused) >= 10
+    assert all(answer.headers["connection"] == "close" for answer in refused)
+    assert all(0 < float(answer.headers["retry-after"]) < 0.1 for answer in refused)
+
+
+@pytest.mark.anyio
+async def test_the_delay_is_measured():
+    one = Pressure()
+    with anyio.move_on_after(5 * pressure.TICK_SECONDS):
+        await measures.RelayMeasures().watch_delay(one)
+    assert 0 < one.delay < 0.2
--- /dev/null
+++ b/knapweedrail/tests/test_soak.py
@@ -0,0 +1,113 @@
+"""The soak's judge catches what it is there for, and a short soak passes."""
+
+import attrs
+import pytest
+
+from ..soak.judges import judge
+from ..soak.records import Disturbance, History, Kind, Ran, Sent, make_answer
+from ..soak.schedules import draw_schedule
+from ..tools.soak import Plan, main, run_seed
+
+WHOLE = Sent(
+    identity="a",
+    kind=Kind.ONCE,
+    account="farm",
+    path="/once/x",
+    relay="relay-0",
+    life=1,
+    prompt=10,
+    most_output=0,
+    sent_at=10.0,
+    ended_at=10.1,
+    status=200,
+    whole=True,
+    body=make_answer("a", Kind.ONCE),
+)
+STREAM = attrs.evolve(
+    WHOLE, kind=Kind.STREAM, path="/stream/x", body=make_answer("a", Kind.STREAM)
+)
+RUN = Ran("a", "runner-1", "farm", 10.0, 1)
+
+
+def judge_all(*sent, ran=(RUN,), prepaid=1000, disturbances=(), exits=()):
+    history = History(
+        {"farm": prepaid}, list(sent), list(ran), list(disturbances), list(exits)
+    )
+    return [finding.promise for finding in judge(history)]
+
+
+def test_what_is_well_is_no_finding():
+    assert judge_all(WHOLE) == []
+    assert judge_all(STREAM) == []
+    refused = attrs.evolve(WHOLE, status=503, body=b"")
+    assert judge_all(refused, ran=()) == []
+    cut = attrs.evolve(STREAM, whole=False, body=STREAM.body[:-3])
+    assert judge_all(cut) == []
+
+
+@pytest.mark.parametrize(
+    ("promise", "sent", "more"),
+    [
+        ("budget", [attrs.evolve(WHOLE, prompt=1001)], {}),
+        ("budget", [STREAM], {"prepaid": 10}),
+        ("once", [WHOLE], {"ran": [RUN, RUN]}),
+        ("refusal", [attrs.evolve(WHOLE, status=503, body=b"")], {}),
+        ("answer", [attrs.evolve(WHOLE, body=make_answer("b", Kind.ONCE))], {}),
+        ("answer", [attrs.evolve(STREAM, body=STREAM.body[:-3])], {}),
+        ("order", [attrs.evolve(STREAM, whole=False, body=b"id: 2\n")], {}),
+        ("denied", [attrs.evolve(WHOLE, status=404, body=b"")], {"ran": []}),
+        ("denied", [attrs.evolve(WHOLE, status=401, body=b"")], {"ran": []}),
+        (
+            "version",
+            [
+                attrs.evolve(WHOLE, kind=Kind.SAFE, path="/v2/x"),
+                attrs.evolve(
+                    WHOLE, kind=Kind.SAFE, path="/v2/x", sent_at=11.0, status=404
+                ),
+            ],
+            {},
+        ),
+        (
+            "leaving",
+            [WHOLE],
+            {"disturbances": [Disturbance("leave", "runner-1", 6.0, 9.5)]},
+        ),
+        (
+            "stop",
+            [attrs.evolve(STREAM, whole=False, body=b"")],
+            {"disturbances": [Disturbance("stop", "relay-0", 10.05, 14.0)]},
+        ),
+        ("exit", [WHOLE], {"exits": [("relay-0", 1)]}),
+    ],
+)
+def test_a_planted_fault_is_found(promise, sent, more):
+    """What the soak is for would go unseen if its judge were blind to it."""
+    assert promise in judge_all(*sent, **more)
+
+
+def test_a_second_disturbance_excuses_what_has_a_bound():
+    """A relay is stopped while its runner is killed. The answer that breaks off then is
+    the runner's, and says nothing of the stop."""
+    cut = attrs.evolve(STREAM, whole=False, body=b"")
+    stop = Disturbance("stop", "relay-0", 10.05, 14.0)
+    crash = Disturbance("crash", "runner-1", 10.06, 10.07)
+    assert judge_all(cut, disturbances=[stop, crash]) == []
+
+
+def test_a_seed_gives_the_same_schedule():
+    first = draw_schedule(7, 60.0, 4, 4, 1.0)
+    assert first == draw_schedule(7, 60.0, 4, 4, 1.0)
+    assert first != draw_schedule(8, 60.0, 4, 4, 1.0)
+    assert len({step.kind for step in draw_schedule(7, 600.0, 4, 4, 1.0)}) == 16
+
+
+def test_a_short_soak_keeps_all_promises(tmp_path):
+    """Relays, runners and the store are disturbed at random while callers go on."""
+    steps = draw_schedule(3, 8.0, 3, 3, 1.0)
+    assert run_seed(Plan(3, 8.0, 3, 3, 20.0, steps), tmp_path) == []
+
+
+def test_a_wrong_command_line_is_refused():
+    with pytest.raises(SystemExit) as error:
+        main(["--count", "0"])
+    assert error.value.code == 2
--- /dev/null
+++ b/knapweedrail/tools/soak.py
@@ -0,0 +1,205 @@
+"""Soak the fleet: real relays under random faults, judged from outside.
+
+Every seed is one run with a schedule of its own. A run that breaks a promise leaves its
+schedule, its findings and the relays' logs in a folder. Exit codes: 0 if every promise
+was kept, 1 if not, 2 for a wrong command line.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import shutil
+import sys
+import tempfile
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+import anyio
+import attrs
+import httpx
+import orjson
+
+from .. import __version__
+from ..soak.callers import Callers
+from ..soak.faults import Faults
+from ..soak.judges import count_outcomes, judge
+from ..soak.records import Finding, History
+from ..soak.schedules import Step, draw_schedule
+from ..soak.worlds import World
+
+READY_SECONDS = 20.0
+"""Longest start of all relays on a busy machine."""
+
+SETTLE_SECONDS = 1.0
+"""Time after the last answer in which runs that nobody waits for still come."""
+
+PREPAID = {"small": 20_000, "large": 1_000_000}
+"""Tokens of the accounts: one runs out in the middle of a run, one never."""
+
+EXIT_KEPT = 0
+EXIT_BROKEN = 1
+
+
+@attrs.frozen
+class Plan:
+    """One run.
+
+    Attributes:
+        rate: Requests a second, over all relays.
+    """
+
+    seed: int
+    seconds: float
+    relays: int
+    runners: int
+    rate: float
+    steps: list[Step]
+
+
+async def play(plan: Plan, folder: Path) -> History:
+    """Play one run, and return what was seen."""
+    history = History(dict(PREPAID))
+    async with anyio.create_task_group() as group:
+        world = World(folder, plan.seed, PREPAID, group)
+        try:
+            await world.start(plan.relays, plan.runners)
+            await _wait_ready(world)
+            callers = Callers(world, history, random.Random(plan.seed), plan.rate)
+            async with anyio.create_task_group() as playing:
+                playing.start_soon(Faults(world, history).run, plan.steps)
+                await callers.run(plan.seconds)
+            await anyio.sleep(SETTLE_SECONDS)
+            history.ran = world.read_runs()
+        finally:
+            world.close()
+        group.cancel_scope.cancel()
+    return history
+
+
+async def _wait_ready(world: World) -> None:
+    async with httpx.AsyncClient() as client:
+        with anyio.fail_after(READY_SECONDS):
+            for host in world.relays:
+                url = f"http://127.0.0.1:{host.ports[1]}/ready"
+                while not await _is_ready(client, url):
+                    await anyio.sleep(0.05)
+
+
+async def _is_ready(client: httpx.AsyncClient, url: str) -> bool:
+    try:
+        return (await client.get(url)).status_code == httpx.codes.OK
+    except httpx.ConnectError:
+        return False
+
+
+def run_seed(plan: Plan, keep: Path) -> list[Finding]:
+    """Play one run, print a line, and keep its logs if it broke a promise."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        began_at = time.monotonic()
+        history = anyio.run(play, plan, folder)
+        findings = judge(history)
+        seconds = time.monotonic() - began_at
+        outcomes = count_outcomes(history.sent)
+        print(
+            f"seed {plan.seed}: {len(history.sent)} requests, {len(history.ran)} runs, "
+            f"{len(plan.steps)} steps, {seconds:.0f} s, {len(findings)} findings"
+        )
+        for kind, count in outcomes.items():
+            print(f"  {kind} {count}")
+        if findings:
+            _keep(folder, keep / f"seed-{plan.seed}", plan, history, findings)
+    return findings
+
+
+def _keep(
+    folder: Path, target: Path, plan: Plan, history: History, findings: list[Finding]
+) -> None:
+    shutil.copytree(folder, target, dirs_exist_ok=True)
+    report = {
+        "plan": attrs.asdict(plan),
+        "findings": [attrs.asdict(finding) for finding in findings],
+        "disturbances": [attrs.asdict(one) for one in history.disturbances],
+        "exits": history.exits,
+    }
+    (target / "report.json").write_bytes(
+        orjson.dumps(report, option=orjson.OPT_INDENT_2)
+    )
+    for finding in findings[:10]:
+        print(f"  BROKEN {finding.promise}: {finding.detail}")
+    print(f"  kept in {target}")
+
+
+def shorten(plan: Plan, keep: Path, promise: str) -> Plan:
+    """Return the run with as few steps as still break a promise, by halves."""
+    size = max(1, len(plan.steps) // 2)
+    while size:
+        for start in range(0, len(plan.steps), size):
+            steps = plan.steps[:start] + plan.steps[start + size :]
+            fewer = attrs.evolve(plan, steps=steps)
+            if any(found.promise == promise for found in run_seed(fewer, keep)):
+                plan = fewer
+                break
+        else:
+            size //= 2
+    return plan
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Make the command line's parser."""
+    parser = argparse.ArgumentParser(
+        prog="knapweedrail-soak",
+        description=__doc__,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    parser.add_argument("--seed", type=int, help="the first seed; drawn if left out")
+    parser.add_argument("--count", type=int, default=1, help="seeds to play")
+    parser.add_argument("--seconds", type=float, default=15.0, help="of one run")
+    parser.add_argument("--relays", type=int, default=4)
+    parser.add_argument("--runners", type=int, default=4)
+    parser.add_argument("--rate", type=float, default=40.0, help="requests a second")
+    parser.add_argument("--pace", type=float, default=1.0, help="steps a second")
+    parser.add_argument("--keep", type=Path, default=Path("soak-findings"))
+    parser.add_argument(
+        "--shorten", action="store_true", help="look for the fewest steps that do"
+    )
+    return parser
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the program."""
+    parser = build_parser()
+    arguments = parser.parse_args(argv)
+    if min(arguments.count, arguments.relays, arguments.runners) < 1:
+        parser.error("count, relays and runners are at least 1")
+    first = arguments.seed
+    if first is None:
+        first = random.randrange(1_000_000)
+    broken = []
+    for seed in range(first, first + arguments.count):
+        steps = draw_schedule(
+            seed, arguments.seconds, arguments.relays, arguments.runners, arguments.pace
+        )
+        plan = Plan(
+            seed,
+            arguments.seconds,
+            arguments.relays,
+            arguments.runners,
+            arguments.rate,
+            steps,
+        )
+        findings = run_seed(plan, arguments.keep)
+        if findings:
+            broken.append(seed)
+            if arguments.shorten:
+                fewer = shorten(plan, arguments.keep, findings[0].promise)
+                print(f"  {len(fewer.steps)} of {len(steps)} steps are enough")
+    print(f"{arguments.count} seeds, broken: {broken or 'none'}")
+    return EXIT_BROKEN if broken else EXIT_KEPT
+
+
+if __name__ == "__main__":
+    sys.exit(main())
