Spread the looks at held tokens; log write-offs once

Change: pauses between looks are drawn between 0.7 and 1.3 of their length. Write-offs were logged for every try of a write; now for the one that took effect, so that what was lost can be summed up.

--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -40,6 +40,11 @@
 REFILL_SECONDS = 1.0
 """Pause between looks at what is held, in which at most a tenth of it is spent."""
 
+JITTER = (0.7, 1.3)
+"""Bounds of what pauses are multiplied by, drawn each time. Relays start together; with
+equal pauses the keepers of an account looked at the same moments ever after, and two in
+five of their writes met another one's and were made again."""
+
 AWAY_SECONDS = 0.5
 """Pause between tries while the store is away. What is held runs out then, and callers
 are refused until the first try that gets through; a call that is lost costs nobody but
@@ -117,7 +122,7 @@
             self._running.set()
             while True:
                 self._look(group)
-                await anyio.sleep(AWAY_SECONDS if self._failed else REFILL_SECONDS)
+                await anyio.sleep(draw_pause(self._failed, random))
 
     async def reserve(self, account: Account, tokens: int) -> Reservation | Shortage:
         """Set tokens aside for a request, at its most.
@@ -448,9 +453,11 @@
         try:
             for _ in range(CONFLICTS):
                 plan = self._plan(held)
-                if plan is not None:
-                    self._log_plan(held, plan)
-                if plan is None or await self._write(held, plan.entry):
+                if plan is None:
+                    break
+                self._log_plan(held, plan)
+                if await self._write(held, plan.entry):
+                    self._log_write_off(held, plan)
                     break
                 if not self._reachable:
                     break
@@ -477,13 +484,6 @@
         return first is None or time.monotonic() - first < START_SECONDS
 
     def _log_plan(self, held: HeldAccount, plan: Plan) -> None:
-        if plan.lost:
-            log_event(
-                Event.TOKENS_WRITTEN_OFF,
-                account=held.name,
-                tokens=plan.lost,
-                revision=held.revision,
-            )
         demand = held.allowance.demand
         log_event(
             Event.GRANT_PLANNED,
@@ -497,6 +497,15 @@
             revision=held.revision,
         )
 
+    def _log_write_off(self, held: HeldAccount, plan: Plan) -> None:
+        if plan.lost:
+            log_event(
+                Event.TOKENS_WRITTEN_OFF,
+                account=held.name,
+                tokens=plan.lost,
+                revision=held.revision,
+            )
+
     async def _write(self, held: HeldAccount, planned: AccountLedger) -> bool:
         """Write a ledger if it hasn't changed; return whether that took effect.
 
@@ -574,3 +583,9 @@
         self._away_until = float("-inf")
         if not reached:
             self._away_until = time.monotonic() + AWAY_SECONDS
+
+
+def draw_pause(failed: bool, rng: Any) -> float:
+    """Return the pause before the next look at what is held, seconds."""
+    pause = AWAY_SECONDS if failed else REFILL_SECONDS
+    return pause * rng.uniform(*JITTER)
--- a/knapweedrail/tests/test_relay_lending.py
+++ b/knapweedrail/tests/test_relay_lending.py
@@ -1,12 +1,14 @@
 """Relays lend prepaid tokens to each other, over gRPC, before a store in memory."""
 
 import contextlib
+import itertools
+import random
 
 import anyio
 import attrs
 import pytest
 
-from ..relay.holdings import LEDGER_KIND, Holdings
+from ..relay.holdings import LEDGER_KIND, Holdings, draw_pause
 from ..relay.ledgers import decode_account
 from ..relay.members import Member, Membership, order_lenders
 from ..relay.models import Account, Repetition
@@ -251,3 +253,20 @@
         for _ in range(50):
             assert isinstance(await fleet.reserve("h-0-0", 90_000), Shortage)
         assert 500 - len(fleet.store.fates) <= 10
+
+
+def test_relays_that_start_together_do_not_look_at_the_same_moments():
+    """All hosts get their power back at once. Relays that keep the same account would
+    write its ledger at the same moment in every second from then on, and each write
+    but one be made again."""
+    looks = []
+    for seed in range(4):
+        rng = random.Random(seed)
+        looks.append(
+            list(itertools.accumulate(draw_pause(False, rng) for _ in range(40)))
+        )
+    first = looks[0]
+    # A write takes some milliseconds; looks as near as that are few.
+    near = sum(abs(a - b) < 0.02 for others in looks[1:] for a in first for b in others)
+    assert near <= 12
+    assert 35 < first[-1] < 45
