Send callers elsewhere from a host whose link is full

Its link is: 70 requests a second with 9.2 KB each fill 5 Mbit/s; a stream that its runner ended at 20.3 s hadn't reached its caller at 23.3 s, connections to runners in the next rack timed out (503 at that host in 9 s) and all of them were ejected there.

Ruled out: processor (0.2 of a core at the most, 0.5 given), lenders of tokens.

Change: the mean time that connections to runners of the own data centre take tells of the link; from 0.06 s on a growing part of new requests is refused at once with a moment to come back, which reaches another host, and runners aren't blamed for timeouts. Only the own data centre counts, as a cut between data centres looks the same from here.

--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -167,12 +167,15 @@
         kept = False
         try:
             connection = await services.pool.take(
-                runner.name, runner.address, time.monotonic()
+                runner.name,
+                runner.address,
+                time.monotonic(),
+                self._note_connection_time,
             )
             outcome, kept = await self._converse(connection)
             return outcome
         except ConnectionFailed as error:
-            if not (error.silent and services.pressure.is_late()):
+            if not (error.silent and services.pressure.is_late(time.monotonic())):
                 self._note_connection(error)
                 self._note_failure(certain=not error.sent)
             failure = Failure.BROKEN if error.sent else Failure.NOT_SENT
@@ -230,13 +233,23 @@
 
     def _note_wait(self, began_at: float) -> None:
         """Take in a wait in vain for the first byte of an answer."""
-        if self._call.services.pressure.is_late():
+        if self._call.services.pressure.is_late(time.monotonic()):
             # What came in time was seen too late here; runners aren't to blame.
             return
         if time.monotonic() - began_at >= SILENCE_SECONDS:
             self._note_silence()
             self._note_failure(certain=False)
 
+    def _note_connection_time(self, seconds: float, now: float) -> None:
+        """Take in how long a connection took, if it tells of this host's link.
+
+        Behind a cut between data centres connections time out as well, and those that
+        are kept tell nothing; only the own data centre's runners are always as near.
+        """
+        services = self._call.services
+        if self._view.runner.data_centre == services.data_centre:
+            services.pressure.note_connection(seconds, now)
+
     def _make_headers(self) -> Headers:
         call = self._call
         has_body = bool(call.body) or call.request.method not in ("GET", "HEAD")
--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -13,7 +13,8 @@
 import select
 import socket
 import struct
-from collections.abc import AsyncIterator
+import time
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 import anyio.abc
@@ -234,6 +235,10 @@
     )
 
 
+NoteConnection = Callable[[float, float], None]
+"""Takes the seconds that a connection took, and the time."""
+
+
 class ConnectionPool:
     """Idle connections to runners, by the life of the runner they lead to.
 
@@ -245,9 +250,14 @@
         self._idle: dict[str, list[RunnerConnection]] = {}
         self.open: dict[str, int] = {}
 
-    async def take(self, runner: str, address: str, now: float) -> RunnerConnection:
+    async def take(
+        self, runner: str, address: str, now: float, note: NoteConnection
+    ) -> RunnerConnection:
         """Return a connection to a runner, a kept one if one is still good.
 
+        Args:
+            note: Takes how long a new one took, or was waited for in vain.
+
         Raises:
             ConnectionFailed: If there is none, and none can be made.
         """
@@ -260,10 +270,18 @@
             await self.drop(runner, connection)
         self.open[runner] = self.open.get(runner, 0) + 1
         try:
-            return await open_connection(address)
+            connection = await open_connection(address)
+        except ConnectionFailed as error:
+            if error.silent:
+                note(CONNECT_SECONDS, time.monotonic())
+            self._count_closed(runner)
+            raise
         except BaseException:
             self._count_closed(runner)
             raise
+        ready_at = time.monotonic()
+        note(ready_at - now, ready_at)
+        return connection
 
     def keep(
         self,
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -125,7 +125,7 @@
             delivery.close_after()
             await self._refuse(delivery, "", _refuse_bad(request.reason))
             return
-        if self._services.pressure.refuses(self._services.rng):
+        if self._services.pressure.refuses(self._services.rng, arrived_at):
             delivery.close_after()
             await self._refuse(delivery, request.identity, self._refuse_busy())
             return
@@ -162,10 +162,11 @@
         return Admission(route, account)
 
     def _refuse_busy(self) -> Refusal:
-        delay = self._services.pressure.delay
+        pressure = self._services.pressure
+        link = pressure.measure_link(time.monotonic())
         return _refuse(
             RefusalKind.FULL,
-            f"this host is {delay:.2f} s late",
+            f"this host is {pressure.delay:.2f} s late, its link {link:.2f} s",
             self._services.rng.uniform(*ELSEWHERE_SECONDS),
         )
 
--- a/knapweedrail/relay/pressure.py
+++ b/knapweedrail/relay/pressure.py
@@ -1,4 +1,4 @@
-"""Decision: whether this process has more to do than its processor bears.
+"""Decision: whether this host has more to do than its processor or its link bears.
 
 Pure: clock and randomness are passed in.
 """
@@ -47,8 +47,22 @@
 has ended. Longer would leave the other hosts with more than they bear."""
 
 
+LINK_WEIGHT = 0.15
+"""Weight of the newest connection in the mean time that one takes: the last ten or so
+count, so that a runner that has gone dark alone doesn't look like a full link."""
+
+LINK_SECONDS = 1.0
+"""Time in which what was seen of the link fades; nothing may be tried meanwhile."""
+
+LINK_LATE_SECONDS = 0.06
+LINK_FULL_SECONDS = 0.2
+"""Mean times to a connection between which a growing part of the new requests is
+refused. A connection within a region takes some milliseconds; at a quarter of a second
+it is given up, and by then every request waits that long for each packet."""
+
+
 class Pressure:
-    """How late the event loop is, and what follows from it.
+    """How late the event loop and the link are, and what follows from it.
 
     The load it is for: the balancer spreads callers by a hash, so one small host may
     get ten times the requests of the next. Its loop is then late by tenths of a second;
@@ -56,12 +70,19 @@
     another, and every caller there is refused while other hosts are idle. A host that
     says early that it has enough keeps what it has in time, and the others' callers
     don't notice the rest.
+
+    The link shows it by the time that connections to runners take: their first packets
+    wait behind all else that goes out. A host with a link of 5 Mbit/s that was sent 70
+    prompts of 9 KB a second kept its callers for ten seconds and more, while its
+    processor was idle, and gave up one sound runner after the other.
     """
 
     def __init__(self) -> None:
         self._quick = 0.0
         self._slow = 0.0
         self._out_until = float("-inf")
+        self._link = 0.0
+        self._link_at = 0.0
 
     @property
     def delay(self) -> float:
@@ -79,22 +100,40 @@
         if self._slow >= OUT_SECONDS:
             self._out_until = now + REST_SECONDS
 
-    def is_late(self) -> bool:
+    def note_connection(self, seconds: float, now: float) -> None:
+        """Take in how long a connection to a runner took, or was waited for in vain."""
+        self._link = self.measure_link(now)
+        self._link += LINK_WEIGHT * (seconds - self._link)
+        self._link_at = now
+
+    def measure_link(self, now: float) -> float:
+        """Return the mean time that a connection takes just now, seconds."""
+        return self._link * math.exp((self._link_at - now) / LINK_SECONDS)
+
+    def is_late(self, now: float) -> bool:
         """Return whether a timeout seen now says nothing of the other end."""
-        return self._quick >= LATE_SECONDS
+        late = self._quick >= LATE_SECONDS
+        return late or self.measure_link(now) >= LINK_LATE_SECONDS
 
     def is_out(self, now: float) -> bool:
         """Return whether new callers should be sent to other hosts."""
         return now < self._out_until
 
-    def refuses(self, rng: random.Random) -> bool:
+    def refuses(self, rng: random.Random, now: float) -> bool:
         """Return whether a request that comes now should go to another host."""
-        if self._quick < REFUSE_SECONDS:
-            return False
-        share = (self._quick - REFUSE_SECONDS) / (FULL_SECONDS - REFUSE_SECONDS)
-        return rng.random() < min(MOST_REFUSED, share)
+        loop = _compute_share(self._quick, REFUSE_SECONDS, FULL_SECONDS)
+        link = _compute_share(
+            self.measure_link(now), LINK_LATE_SECONDS, LINK_FULL_SECONDS
+        )
+        share = max(loop, link)
+        return share > 0 and rng.random() < share
 
 
 def _weigh(elapsed: float, over: float) -> float:
     """Return the weight of a measurement that tells of so much time."""
     return 1.0 - math.exp(-elapsed / over)
+
+
+def _compute_share(delay: float, least: float, most: float) -> float:
+    """Return the part that is refused: none at the least delay, rising to the most."""
+    return max(0.0, min(MOST_REFUSED, (delay - least) / (most - least)))
--- a/knapweedrail/tests/test_relay_ledger.py
+++ b/knapweedrail/tests/test_relay_ledger.py
@@ -224,3 +224,19 @@
     second.prepare(entry)
     assert second.available == 0
     assert entry.committed == 40
+
+
+def test_what_a_borrower_spent_is_reported_once():
+    """A relay spends what it borrowed. Were it reported by lender and borrower both,
+    callers would hear that a budget is spent of which half is left."""
+    lender, borrower = Allowance("a/1"), Allowance("b/1")
+    entry = AccountLedger(0, {"a/1": Grant(100, 0), "b/1": Grant(50, 0)})
+    lender.learn(entry)
+    borrower.learn(entry)
+    borrower.borrow("a/1", lender.lend("b/1", 60))
+    assert borrower.reserve(60)
+    borrower.settle(60, 60)
+    loan = borrower.borrowed["a/1"]
+    lender.take_back("b/1", loan.returned, loan.spent)
+    assert borrower.record(entry).spent == 0
+    assert lender.record(entry).spent == 60
--- a/knapweedrail/tests/test_relay_pressure.py
+++ b/knapweedrail/tests/test_relay_pressure.py
@@ -3,6 +3,7 @@
 import random
 
 import anyio
+import attrs
 import pytest
 
 from ..relay import connections, measures, pressure
@@ -30,8 +31,8 @@
     one = Pressure()
     now = feed(one, 0.005, 10.0)
     assert not one.is_out(now)
-    assert not one.is_late()
-    assert not any(one.refuses(random.Random(n)) for n in range(100))
+    assert not one.is_late(now)
+    assert not any(one.refuses(random.Random(n), now) for n in range(100))
 
 
 def test_a_host_that_is_late_sends_callers_elsewhere_before_all_are_late():
@@ -42,12 +43,12 @@
     one = Pressure()
     now = feed(one, 0.3, 1.5)
     assert one.is_out(now)
-    refused = sum(one.refuses(random.Random(n)) for n in range(1000))
+    refused = sum(one.refuses(random.Random(n), now) for n in range(1000))
     assert 400 < refused < 950
     # And takes them again once it is in time, and has been out long enough for the
     # balancer to notice.
     now = feed(one, 0.001, 1.0, now)
-    assert not one.refuses(random.Random(1))
+    assert not one.refuses(random.Random(1), now)
     now = feed(one, 0.001, REST_SECONDS + 1.0, now)
     assert not one.is_out(now)
 
@@ -59,13 +60,55 @@
     one.note_delay(5.0, 10.0)
     now = feed(one, 0.001, 0.5, 10.0)
     assert not one.is_out(now)
-    assert not one.refuses(random.Random(1))
+    assert not one.refuses(random.Random(1), now)
 
 
 def test_some_requests_are_taken_however_late_it_is():
     one = Pressure()
-    feed(one, 1.0, 60.0)
-    assert not all(one.refuses(random.Random(n)) for n in range(100))
+    now = feed(one, 1.0, 60.0)
+    assert not all(one.refuses(random.Random(n), now) for n in range(100))
+
+
+def connect(one, seconds, count, now=0.0, pause=0.02):
+    """Take in connections that all took as long; return the time after them."""
+    for _ in range(count):
+        now += pause
+        one.note_connection(seconds, now)
+    return now
+
+
+def test_a_full_link_sends_part_of_the_callers_elsewhere():
+    """A caller with seventy long prompts a second is hashed to a host with a link for
+    sixty. Every packet waits behind those before it; without this, answers came after
+    ten seconds, when nobody waited any more, and all runners looked dead from there."""
+    one = Pressure()
+    now = connect(one, 0.15, 20)
+    refused = sum(one.refuses(random.Random(n), now) for n in range(1000))
+    assert 300 < refused < 800
+    assert one.is_late(now)
+    # With fewer requests the queue is gone, and nobody is refused any more.
+    now = connect(one, 0.003, 20, now)
+    assert not any(one.refuses(random.Random(n), now) for n in range(100))
+
+
+def test_a_link_that_was_full_is_tried_again():
+    """Nothing is tried while all is refused, so nothing would tell that there is room
+    again."""
+    one = Pressure()
+    now = connect(one, 0.25, 50)
+    assert one.refuses(random.Random(1), now)
+    assert not any(one.refuses(random.Random(n), now + 3.0) for n in range(100))
+
+
+def test_one_dark_runner_is_not_a_full_link():
+    """A runner loses its power. Its host says nothing; that must not turn callers away
+    from relays that reach all others."""
+    one = Pressure()
+    now = 0.0
+    for _ in range(20):
+        now = connect(one, 0.25, 1, now, 0.05)
+        now = connect(one, 0.003, 6, now, 0.05)
+        assert not one.refuses(random.Random(1), now)
 
 
 @pytest.mark.anyio
@@ -103,3 +146,21 @@
     with anyio.move_on_after(5 * pressure.TICK_SECONDS):
         await measures.RelayMeasures().watch_delay(one)
     assert 0 < one.delay < 0.2
+
+
+@pytest.mark.anyio
+async def test_a_cut_between_data_centres_is_not_a_full_link(monkeypatch):
+    """Another data centre is cut off, and connections to its runners time out while
+    those kept to the own ones tell nothing. Callers must still be served here."""
+    monkeypatch.setattr(connections, "CONNECT_SECONDS", 0.0)
+    route = make_route(Repetition.SAFE)
+    async with run_relay(make_configuration(route), ScriptedRunner(answer_well)) as r:
+        view = r.table.list_views("e", 0.0)[0]
+        services = r.gateway._services
+        seen = []
+        services.pressure.note_connection = lambda *sample: seen.append(sample)
+        await r.call()
+        assert len(seen) == 1
+        view.runner = attrs.evolve(view.runner, data_centre="elsewhere")
+        await r.call()
+        assert len(seen) == 1
