Refuse for lack of room only after the body is in; list less often in large fleets

Cause: a host that is late refused callers as soon as their headers were in and closed the connection.

Change: the body is read first. From 100 relays on the pause between lists grows with their number: 4.6 KB/s at 500, worked out.

Tests: both; the first fails with the former order.

--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -125,10 +125,6 @@
             delivery.close_after()
             await self._refuse(delivery, "", _refuse_bad(request.reason))
             return
-        if self._services.pressure.refuses(self._services.rng, arrived_at):
-            delivery.close_after()
-            await self._refuse(delivery, request.identity, self._refuse_busy())
-            return
         admission = self._admit(request)
         if isinstance(admission, Refusal):
             await self._refuse(delivery, request.identity, admission)
@@ -139,6 +135,12 @@
         if isinstance(body, Refusal):
             await self._refuse(delivery, request.identity, body)
             return
+        if self._services.pressure.refuses(self._services.rng, time.monotonic()):
+            # Not before the body is in: a connection that is closed with bytes unread
+            # is reset, and the caller may lose the refusal with it.
+            delivery.close_after()
+            await self._refuse(delivery, request.identity, self._refuse_busy())
+            return
         await self._serve(request, body, admission, ends_at, receive, delivery)
 
     def _admit(self, request: CallerRequest) -> Admission | Refusal:
--- a/knapweedrail/relay/members.py
+++ b/knapweedrail/relay/members.py
@@ -22,6 +22,10 @@
 a relay that is gone goes on to the next; the list may be stale, which costs a tenth of
 a call."""
 
+LISTED_RELAYS = 100
+"""Relays from which on the pause grows with their number. An entry is 231 bytes; 500
+of them every five seconds would be all of the 23 KB/s that a host has for control."""
+
 SETTLE_SECONDS = 1.0
 """Time from a relay's own entry to its first list. Relays that start together enter
 themselves within it; before, each would take itself for the only one."""
@@ -34,6 +38,11 @@
 account, and one more while that is restarted or cut off."""
 
 
+def compute_pause(relays: int) -> float:
+    """Return the pause between two lists of so many relays, seconds."""
+    return LIST_SECONDS * max(1.0, relays / LISTED_RELAYS)
+
+
 @attrs.frozen
 class Member:
     """A relay that takes part.
@@ -150,7 +159,7 @@
         self.settled = True
         log_event(Event.RELAYS_LISTED, relays=self.count, settled=True)
         while True:
-            await anyio.sleep(LIST_SECONDS * random.uniform(0.8, 1.2))
+            await anyio.sleep(compute_pause(self.count) * random.uniform(0.8, 1.2))
             await self._list(stale=True)
 
     async def leave(self) -> None:
--- a/knapweedrail/tests/test_relay_lending.py
+++ b/knapweedrail/tests/test_relay_lending.py
@@ -11,7 +11,7 @@
 from ..relay.draws import LEDGER_KIND
 from ..relay.holdings import Holdings, draw_pause
 from ..relay.ledgers import decode_account
-from ..relay.members import Member, Membership, order_lenders
+from ..relay.members import Member, Membership, compute_pause, order_lenders
 from ..relay.models import Account, Repetition
 from ..relay.neighbours import Neighbours, Trade, make_server
 from ..relay.reservations import Reservation, Shortage
@@ -296,3 +296,12 @@
         with anyio.fail_after(5):
             while lender._get(ACCOUNT).allowance.lent[f"{borrower}/1"].outstanding:
                 await anyio.sleep(0.1)
+
+
+def test_the_list_of_many_relays_leaves_room_on_their_links():
+    """Five hundred relays list each other. At the pause of six, the lists would take
+    all that a host may use for control."""
+    entry_bytes, most_bytes = 231, 23_000
+    for relays in (6, 89, 500, 2000):
+        assert relays * entry_bytes / compute_pause(relays) < most_bytes / 4
+    assert compute_pause(6) == compute_pause(89)
--- a/knapweedrail/tests/test_relay_pressure.py
+++ b/knapweedrail/tests/test_relay_pressure.py
@@ -166,3 +166,24 @@
         view.runner = attrs.evolve(view.runner, data_centre="elsewhere")
         await r.call()
         assert len(seen) == 1
+
+
+@pytest.mark.anyio
+async def test_a_caller_is_refused_only_after_its_whole_body_is_in():
+    """A caller is still sending a long prompt as it is refused and the connection
+    closed. The bytes that nobody read reset it, and the caller sees a broken
+    connection instead of when to come back."""
+    route = make_route(Repetition.ONCE)
+    async with run_relay(make_configuration(route), ScriptedRunner(answer_well)) as r:
+        r.gateway._services.pressure._quick = 60.0
+        receive_body = r.gateway._receive_body
+        received = []
+
+        async def note_body(*arguments):
+            received.append(await receive_body(*arguments))
+            return received[-1]
+
+        r.gateway._receive_body = note_body
+        answers = [await r.call() for _ in range(10)]
+    assert any(answer.status == 503 for answer in answers)
+    assert len(received) == len(answers)
