--- a/knapweedrail/tests/test_soak.py
+++ b/knapweedrail/tests/test_soak.py
@@ -4,6 +4,7 @@
 import pytest
 
 from ..soak.judges import judge
+from ..soak.plots import classify, draw_run
 from ..soak.records import Disturbance, History, Kind, Ran, Sent, make_answer
 from ..soak.schedules import draw_schedule
 from ..tools.soak import Plan, main, run_seed
@@ -101,6 +102,15 @@
     assert len({step.kind for step in draw_schedule(7, 600.0, 4, 4, 1.0)}) == 16
 
 
+def test_a_run_is_drawn(tmp_path):
+    history = History({"farm": 1000}, [WHOLE, STREAM], [RUN])
+    history.disturbances.append(Disturbance("kill", "relay-0", 10.0, 10.3))
+    draw_run(history, tmp_path / "run.png")
+    assert (tmp_path / "run.png").read_bytes().startswith(b"\x89PNG")
+    assert classify(attrs.evolve(WHOLE, status=503)) == "refused"
+    assert classify(attrs.evolve(WHOLE, status=0)) == "broken"
+
+
 def test_a_short_soak_keeps_all_promises(tmp_path):
     """Relays, runners and the store are disturbed at random while callers go on."""
     steps = draw_schedule(3, 8.0, 3, 3, 1.0)
--- a/knapweedrail/tools/soak.py
+++ b/knapweedrail/tools/soak.py
@@ -25,6 +25,7 @@
 from ..soak.callers import Callers
 from ..soak.faults import Faults
 from ..soak.judges import count_outcomes, judge
+from ..soak.plots import draw_run
 from ..soak.records import Finding, History
 from ..soak.schedules import Step, draw_schedule
 from ..soak.worlds import World
@@ -94,8 +95,12 @@
         return False
 
 
-def run_seed(plan: Plan, keep: Path) -> list[Finding]:
-    """Play one run, print a line, and keep its logs if it broke a promise."""
+def run_seed(plan: Plan, keep: Path, plot: Path | None = None) -> list[Finding]:
+    """Play one run, print a line, and keep its logs if it broke a promise.
+
+    Args:
+        plot: File that a picture of the run goes to.
+    """
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         began_at = time.monotonic()
@@ -103,6 +108,8 @@
         findings = judge(history)
         seconds = time.monotonic() - began_at
         outcomes = count_outcomes(history.sent)
+        if plot is not None:
+            draw_run(history, plot)
         print(
             f"seed {plan.seed}: {len(history.sent)} requests, {len(history.ran)} runs, "
             f"{len(plan.steps)} steps, {seconds:.0f} s, {len(findings)} findings"
@@ -163,6 +170,7 @@
     parser.add_argument("--rate", type=float, default=40.0, help="requests a second")
     parser.add_argument("--pace", type=float, default=1.0, help="steps a second")
     parser.add_argument("--keep", type=Path, default=Path("soak-findings"))
+    parser.add_argument("--plot", type=Path, help="picture of the last run")
     parser.add_argument(
         "--shorten", action="store_true", help="look for the fewest steps that do"
     )
@@ -191,7 +199,7 @@
             arguments.rate,
             steps,
         )
-        findings = run_seed(plan, arguments.keep)
+        findings = run_seed(plan, arguments.keep, arguments.plot)
         if findings:
             broken.append(seed)
             if arguments.shorten:
