--- /dev/null
+++ b/knapweedrail/platform/encoding.py
@@ -0,0 +1,96 @@
+"""Objects of the platform's store as an operator or a runner writes them.
+
+For stand-ins and the soak; relays only read these objects.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..relay.models import (
+    Account,
+    Configuration,
+    Endpoint,
+    Repetition,
+    Route,
+    Runner,
+    RunnerState,
+)
+
+_KINDS = {
+    Repetition.SAFE: "safe",
+    Repetition.ONCE: "unsafe",
+    Repetition.STREAM: "streaming",
+}
+
+_STATES = {RunnerState.READY: "ready", RunnerState.LEAVING: "draining"}
+
+
+def encode_configuration(configuration: Configuration) -> dict[str, Any]:
+    """Return an operator's configuration as it is stored."""
+    limits = configuration.limits
+    spec: dict[str, Any] = {
+        "version": configuration.version,
+        "routes": [_encode_route(route) for route in configuration.routes],
+        "services": [_encode_endpoint(e) for e in configuration.endpoints.values()],
+        "limits": {
+            "maxHeaderBytes": limits.header_bytes,
+            "maxBodyBytes": limits.body_bytes,
+            "headerTimeoutMs": round(limits.header_seconds * 1000),
+            "idleTimeoutMs": round(limits.idle_seconds * 1000),
+        },
+    }
+    if configuration.accounts is not None:
+        accounts = configuration.accounts.values()
+        spec["tenants"] = [_encode_account(account) for account in accounts]
+    return spec
+
+
+def encode_runner(runner: Runner) -> dict[str, Any]:
+    """Return a runner's entry as it is stored."""
+    return {
+        "service": runner.endpoint,
+        "address": runner.address,
+        "zone": runner.data_centre,
+        "slots": runner.slots,
+        "state": _STATES[runner.state],
+    }
+
+
+def _encode_route(route: Route) -> dict[str, Any]:
+    shares = [{"service": s.endpoint, "weight": s.weight} for s in route.shares]
+    return {
+        "name": route.name,
+        "host": route.host,
+        "pathPrefix": route.prefix,
+        "kind": _KINDS[route.repetition],
+        "resumable": route.resumable,
+        "timeoutMs": round(route.timeout * 1000),
+        "latencyGoalMs": round(route.objective * 1000),
+        "gapAimMs": round(route.gap * 1000),
+        "priority": route.rank,
+        "maxAttempts": route.max_runners,
+        "public": not route.needs_key,
+        "trafficSplit": shares,
+    }
+
+
+def _encode_endpoint(endpoint: Endpoint) -> dict[str, Any]:
+    return {
+        "name": endpoint.name,
+        "healthPath": endpoint.health_path,
+        "maxConns": endpoint.max_connections,
+        "engine": {
+            "kvCapacity": endpoint.cache_tokens,
+            "stride": endpoint.tokens_per_event,
+        },
+    }
+
+
+def _encode_account(account: Account) -> dict[str, Any]:
+    spec: dict[str, Any] = {"name": account.name, "apiKeys": list(account.keys)}
+    if account.rank is not None:
+        spec["priority"] = account.rank
+    if account.prepaid is not None:
+        spec["prepaid"] = account.prepaid
+    return spec
--- a/knapweedrail/soak/callers.py
+++ b/knapweedrail/soak/callers.py
@@ -9,6 +9,7 @@
 import attrs
 import httpx
 
+from ..platform import names
 from .records import MOST_EVENTS, History, Kind, Sent
 from .worlds import HOST, RelayHost, World
 
@@ -92,10 +93,10 @@
     ) -> None:
         headers = {
             "host": HOST,
-            "knapweedrail-request-id": sent.identity,
-            "knapweedrail-key": f"key-{sent.account}",
-            "knapweedrail-deadline-ms": str(int(CALL_SECONDS * 1000)),
-            "knapweedrail-token-usage": f"{sent.prompt},{sent.most_output}",
+            names.REQUEST_ID.decode(): sent.identity,
+            names.KEY.decode(): f"key-{sent.account}",
+            names.DEADLINE.decode(): str(int(CALL_SECONDS * 1000)),
+            names.TOKENS.decode(): f"{sent.prompt},{sent.most_output}",
         }
         body = bytearray()
         status = 0
--- a/knapweedrail/soak/faults.py
+++ b/knapweedrail/soak/faults.py
@@ -9,6 +9,7 @@
 import anyio
 import anyio.abc
 
+from ..relay.models import RunnerState
 from ..standins.proxy import ANYONE, PASSING, Fault, Mode, Route
 from .records import Disturbance, History
 from .schedules import Step
@@ -170,7 +171,7 @@
     async def _leave(self, step: Step) -> str:
         runner = self._pick_runner(step)
         await self._world.add_runner()
-        self._world.list_runner(runner, "draining")
+        self._world.list_runner(runner, RunnerState.LEAVING)
         await anyio.sleep(LEAVE_SECONDS)
         self._world.end_runner(runner)
         return runner.name
--- a/knapweedrail/soak/runners.py
+++ b/knapweedrail/soak/runners.py
@@ -18,6 +18,7 @@
 from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
 
+from ..platform import names
 from ..servers import HttpServer, ServerLimits
 from .records import Kind, count_events, make_answer, make_event, write_line
 
@@ -49,23 +50,23 @@
         self.app = Starlette(routes=[Route("/{path:path}", self._run, methods=methods)])
 
     async def _run(self, request: Request) -> Response:
-        identity = request.headers["knapweedrail-request-id"]
-        headers = {"Knapweedrail-Request-Id": identity}
+        identity = request.headers[_text(names.REQUEST_ID)]
+        headers = {_text(names.REQUEST_ID): identity}
         if self._is_other(request):
             return Response(status_code=421, headers=headers)
         if self._rng.random() < FULL_SHARE:
-            headers["Knapweedrail-Not-Executed"] = "1"
+            headers[_text(names.NOT_RUN)] = "1"
             return Response(status_code=503, headers=headers)
-        first = int(request.headers.get("last-event-id", "0")) + 1
+        first = int(request.headers.get(_text(names.LAST_EVENT), "0")) + 1
         line = {
             "identity": identity,
             "runner": self._name,
-            "account": request.headers.get("knapweedrail-tenant", ""),
+            "account": request.headers.get(_text(names.ACCOUNT), ""),
             "at": time.monotonic(),
             "first": first,
         }
         write_line(self._runs, line)
-        headers["Knapweedrail-Response-Seal"] = self._name
+        headers[_text(names.SEAL)] = self._name
         if self._rng.random() < FAIL_SHARE:
             return Response(b"failed", 500, headers)
         if request.url.path.startswith(("/stream/", "/resumed/")):
@@ -78,7 +79,7 @@
         return Response(make_answer(identity, Kind.SAFE), 200, headers)
 
     def _is_other(self, request: Request) -> bool:
-        meant = request.headers.get("knapweedrail-expect-instance")
+        meant = request.headers.get(_text(names.EXPECT_RUNNER))
         return meant is not None and meant != self._name
 
     async def _make_events(self, identity: str, first: int) -> AsyncIterator[bytes]:
@@ -87,6 +88,10 @@
             await anyio.sleep(EVENT_SECONDS)
 
 
+def _text(name: bytes) -> str:
+    return name.decode("latin-1")
+
+
 async def serve(runner: Runner) -> None:
     """Serve until the process is ended, and tell the port."""
     async with anyio.create_task_group() as group:
--- a/knapweedrail/soak/worlds.py
+++ b/knapweedrail/soak/worlds.py
@@ -14,6 +14,19 @@
 import attrs
 import orjson
 
+from ..platform import names
+from ..platform.encoding import encode_configuration, encode_runner
+from ..relay.models import (
+    Account,
+    CallerLimits,
+    Configuration,
+    Endpoint,
+    Repetition,
+    Runner,
+    RunnerState,
+    Share,
+)
+from ..relay.models import Route as RelayRoute
 from ..servers import HttpServer, ServerLimits
 from ..standins.objects import ObjectStore
 from ..standins.processes import Process
@@ -28,11 +41,12 @@
 HOST = "soak.example"
 DATA_CENTRES = 2
 PORTS_PER_RELAY = 3
-KINDS = {
-    Kind.SAFE: "safe",
-    Kind.ONCE: "unsafe",
-    Kind.STREAM: "streaming",
-    Kind.RESUMED: "streaming",
+RUNNER_SLOTS = 8
+REPETITIONS = {
+    Kind.SAFE: Repetition.SAFE,
+    Kind.ONCE: Repetition.ONCE,
+    Kind.STREAM: Repetition.STREAM,
+    Kind.RESUMED: Repetition.STREAM,
 }
 
 
@@ -118,17 +132,23 @@
         versions = range(max(1, self.version - 1), self.version + 1)
         routes = [_make_route(kind.value, kind) for kind in Kind]
         routes += [_make_route(f"v{version}", Kind.SAFE) for version in versions]
-        accounts = [
-            {"name": name, "apiKeys": [f"key-{name}"], "prepaid": tokens}
+        accounts = {
+            name: Account(name=name, keys=(f"key-{name}",), prepaid=tokens)
             for name, tokens in self.prepaid.items()
-        ]
-        spec = {
-            "version": self.version,
-            "routes": routes,
-            "services": [{"name": ENDPOINT, "engine": {"stride": 1}}],
-            "tenants": accounts,
         }
-        self.store.put("config", "main", spec)
+        endpoint = Endpoint(name=ENDPOINT, health_path="/health", max_connections=1000)
+        configuration = Configuration(
+            version=self.version,
+            routes=tuple(routes),
+            endpoints={ENDPOINT: endpoint},
+            accounts=accounts,
+            limits=CallerLimits(),
+        )
+        self.store.put(
+            names.CONFIGURATION_KIND,
+            names.CONFIGURATION_NAME,
+            encode_configuration(configuration),
+        )
 
     async def add_runner(self) -> None:
         """Start another runner and list it."""
@@ -144,23 +164,24 @@
         link = await self._open_link(name, f"127.0.0.1:{process.ports['port']}")
         runner = RunnerHost(name, process, link)
         self.runners.append(runner)
-        self.list_runner(runner, "ready")
+        self.list_runner(runner, RunnerState.READY)
 
-    def list_runner(self, runner: RunnerHost, state: str) -> None:
+    def list_runner(self, runner: RunnerHost, state: RunnerState) -> None:
         """Write a runner's entry in the store."""
-        entry = {
-            "service": ENDPOINT,
-            "address": f"127.0.0.1:{runner.link.port}",
-            "zone": "dc-0",
-            "slots": 8,
-            "state": state,
-        }
-        self.store.put("servers", runner.name, entry)
+        entry = Runner(
+            name=runner.name,
+            endpoint=ENDPOINT,
+            address=f"127.0.0.1:{runner.link.port}",
+            data_centre="dc-0",
+            slots=RUNNER_SLOTS,
+            state=state,
+        )
+        self.store.put(names.RUNNERS_KIND, runner.name, encode_runner(entry))
 
     def end_runner(self, runner: RunnerHost) -> None:
         """End a runner at once; its entry goes as the platform sees it silent."""
         runner.process.close()
-        self.store.remove("servers", runner.name)
+        self.store.remove(names.RUNNERS_KIND, runner.name)
         if runner in self.runners:
             self.runners.remove(runner)
 
@@ -212,16 +233,18 @@
     return ports
 
 
-def _make_route(name: str, kind: Kind) -> dict[str, object]:
-    return {
-        "name": name,
-        "host": HOST,
-        "pathPrefix": f"/{name}/",
-        "kind": KINDS[kind],
-        "resumable": kind is Kind.RESUMED,
-        "timeoutMs": 4000,
-        "latencyGoalMs": 300,
-        "gapAimMs": 100,
-        "maxAttempts": 2,
-        "service": ENDPOINT,
-    }
+def _make_route(name: str, kind: Kind) -> RelayRoute:
+    return RelayRoute(
+        name=name,
+        host=HOST,
+        prefix=f"/{name}/",
+        repetition=REPETITIONS[kind],
+        timeout=4.0,
+        objective=0.3,
+        gap=0.1,
+        rank=0,
+        shares=(Share(ENDPOINT, 1.0),),
+        max_runners=2,
+        needs_key=True,
+        resumable=kind is Kind.RESUMED,
+    )
--- a/knapweedrail/tests/test_platform_store.py
+++ b/knapweedrail/tests/test_platform_store.py
@@ -3,10 +3,12 @@
 import contextlib
 
 import anyio
+import attrs
 import pytest
 
 from ..outcomes import Unavailable, Unknown
 from ..platform.decoding import DecodingError, decode_configuration, decode_runner
+from ..platform.encoding import encode_configuration, encode_runner
 from ..platform.store import PlatformStore
 from ..relay.followers import RunnerFollower
 from ..relay.holdings import Holdings
@@ -18,7 +20,7 @@
 from ..relay.stores import Changes, Conflict, HistoryGone, Listing, Missing, Written
 from ..servers import HttpServer, ServerLimits
 from ..standins.objects import ObjectStore
-from .relays_in_memory import make_configuration, make_route
+from .relays_in_memory import make_configuration, make_route, make_runner
 
 pytestmark = pytest.mark.anyio
 
@@ -218,6 +220,15 @@
         decode_configuration(spec)
 
 
+def test_what_operators_and_runners_write_is_read_as_it_was_meant():
+    meant = make_configuration(make_route(Repetition.STREAM), prepaid=5)
+    assert decode_configuration(encode_configuration(meant)) == meant
+    nobody = attrs.evolve(meant, accounts=None)
+    assert decode_configuration(encode_configuration(nobody)) == nobody
+    runner = make_runner("i-1")
+    assert decode_runner("i-1", encode_runner(runner)) == runner
+
+
 def test_a_runner_that_is_not_ready_is_leaving():
     assert decode_runner("i", RUNNER).state is RunnerState.READY
     assert decode_runner("i", {**RUNNER, "state": "x"}).state is RunnerState.LEAVING
