Refuse what a stopping relay may not finish

A stopping relay took requests for five seconds, as long as any came.

Ruled out: the balancer (it had been told; the caller's connection was open, or most hosts were out), the runner (it was at work and sound).

Change: from three seconds after the signal on, new requests are refused at once as not run, with some hundredths of a second until coming back; the balancer takes a host out within two, and answers end their connections, so few are met. Test: the relay takes no request after that time.

--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -42,6 +42,13 @@
 """How long a stopping relay takes requests at least: the balancer asks once a second
 and takes a host out after two misses."""
 
+TAKE_SECONDS = 3.0
+"""How long a stopping relay runs what it is sent: somewhat longer than the balancer
+takes to notice. A caller with an open connection, or one sent here as most hosts are
+out, was taken as late as five seconds after the signal; its plan took three seconds
+more, and the process broke it off to end in time. Refused at once it is served by
+another host."""
+
 QUIET_SECONDS = 1.0
 """Time without a new request after which the balancer seems to send none any more. It
 goes on sending when most hosts of a data centre are out, and a closed door then costs
@@ -172,6 +179,7 @@
         """
         began_at = time.monotonic()
         self._gateway.stopping = True
+        self._gateway.takes_until = began_at + TAKE_SECONDS
         log_event(Event.ROUTER_STOPPING, under_way=self._gateway.under_way)
         await self._wait_until_quiet(began_at)
         spent = time.monotonic() - began_at
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -76,6 +76,10 @@
         services: What exchanges share.
         configuration: Follower of the configuration.
         holdings: Keeper of prepaid tokens.
+
+    Attributes:
+        stopping: Whether the process ends; every answer then ends its connection.
+        takes_until: When a stopping process begins to refuse what comes.
     """
 
     def __init__(
@@ -90,6 +94,7 @@
         self.under_way = 0
         self.last_request_at = float("-inf")
         self.stopping = False
+        self.takes_until = float("inf")
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Answer one request."""
@@ -135,6 +140,9 @@
         if isinstance(body, Refusal):
             await self._refuse(delivery, request.identity, body)
             return
+        if arrived_at > self.takes_until:
+            await self._refuse(delivery, request.identity, self._refuse_stopping())
+            return
         if self._services.pressure.refuses(self._services.rng, time.monotonic()):
             # Not before the body is in: a connection that is closed with bytes unread
             # is reset, and the caller may lose the refusal with it.
@@ -163,6 +171,13 @@
             return self._refuse_unknown(RefusalKind.UNKNOWN_KEY, "no such key")
         return Admission(route, account)
 
+    def _refuse_stopping(self) -> Refusal:
+        return _refuse(
+            RefusalKind.STOPPING,
+            "this host stops, and the answer might not end in time",
+            self._services.rng.uniform(*ELSEWHERE_SECONDS),
+        )
+
     def _refuse_busy(self) -> Refusal:
         pressure = self._services.pressure
         link = pressure.measure_link(time.monotonic())
--- a/knapweedrail/tests/test_relay_door.py
+++ b/knapweedrail/tests/test_relay_door.py
@@ -144,3 +144,22 @@
         got = await talk_quietly(host, port, HEAD.replace(b"POST", b"GET") + lines)
     assert b" 101 " not in got
     assert runner.heads == []
+
+
+async def test_a_stopping_relay_refuses_what_it_may_not_finish():
+    """A relay is told to stop, and a caller with an open connection sends a long plan
+    four seconds later. The relay's time was over in the middle of the answer, and the
+    caller saw it broken off."""
+    runner = ScriptedRunner(answer_well)
+    route = make_route(Repetition.ONCE)
+    async with run_relay(make_configuration(route), runner) as relay:
+        relay.gateway.stopping = True
+        relay.gateway.takes_until = float("inf")
+        assert (await relay.call()).status == 200
+        relay.gateway.takes_until = 0.0
+        answer = await relay.call()
+    assert answer.status == 503
+    assert b"stopping" in answer.body and b"not run" in answer.body
+    assert answer.headers["connection"] == "close"
+    assert float(answer.headers["retry-after"]) < 0.1
+    assert len(runner.heads) == 1
