Let the tests of lending ask who has tokens, not how fast

Ruled out: too few tokens (no other request was refused for them before it).

Change: the waits of relays are ten seconds in this file. What is asked of the tokens is unchanged, and a lender that is dead is still found by its refusal.

--- a/knapweedrail/tests/test_relay_lending.py
+++ b/knapweedrail/tests/test_relay_lending.py
@@ -8,6 +8,8 @@
 import attrs
 import pytest
 
+from ..relay import holdings as holdings_module
+from ..relay import neighbours as neighbours_module
 from ..relay.draws import LEDGER_KIND
 from ..relay.holdings import Holdings, draw_pause
 from ..relay.ledgers import decode_account
@@ -21,6 +23,19 @@
 
 ACCOUNT = "farm"
 
+PATIENCE_SECONDS = 10.0
+"""Waits of relays in these tests. They ask who has tokens, not how fast: two dozen
+relays share one process here, and on a busy machine the first of them waited longer
+than callers do, and refused."""
+
+
+@pytest.fixture(autouse=True)
+def be_patient(monkeypatch):
+    monkeypatch.setattr(holdings_module, "WAIT_SECONDS", PATIENCE_SECONDS)
+    monkeypatch.setattr(holdings_module, "LEND_SECONDS", PATIENCE_SECONDS)
+    monkeypatch.setattr(neighbours_module, "LEND_SECONDS", PATIENCE_SECONDS)
+    monkeypatch.setattr(neighbours_module, "CALL_SECONDS", PATIENCE_SECONDS)
+
 
 class Fleet:
     """Relays that know of each other, each with a server for the others."""
