--- a/knapweedrail/relay/pressure.py
+++ b/knapweedrail/relay/pressure.py
@@ -9,8 +9,8 @@
 import random
 
 TICK_SECONDS = 0.1
-"""Pause between two measurements of the event loop's delay; what ten a second cost is not
-measured by itself."""
+"""Pause between two measurements of the event loop's delay. What ten a second cost is
+not measured by itself."""
 
 MOST_SECONDS = 0.5
 """Bound on one measurement; all that matters is that it is far too long."""
