Find engines that start anew while the store can't be heard

Ruled out: load unevenly spread (busiest 1.12 times the mean); sending without the expected name (an address may have passed to another endpoint, and a request would run at the wrong service). Change: a 421 names the runner that stands there. It is asked for its report, once a second at most, and gets the other's work if it reports an engine's memory and the configuration has one endpoint with engines. The list decides once it can be read: what it lacks for 1.9 s is out of use.

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -81,6 +81,8 @@
     SETTINGS_CHANGED = (107, "the process was told that its settings have changed")
     REQUEST_ANSWERED = (606, "a request has its answer; by which runner, and when")
 
+    RUNNER_SUCCEEDED = (706, "an unlisted runner was found where another one had ended")
+    RUNNER_SILENT = (707, "a runner that stands in another's place gave no report")
     RUNNER_CRASHED = (705, "a runner is gone; what ran there is under suspicion")
 
     @property
--- a/knapweedrail/platform/names.py
+++ b/knapweedrail/platform/names.py
@@ -58,6 +58,10 @@
 )
 """Headers that concern one connection; each side of the relay has its own."""
 
+REPORT_TARGET = b"/report"
+REPORT_MEMORY = "kvTotal"
+"""Tokens that a runner's memory holds, all of them."""
+
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 RUNNERS_KIND = "servers"
--- a/knapweedrail/platform/requests.py
+++ b/knapweedrail/platform/requests.py
@@ -4,6 +4,8 @@
 
 import math
 
+import orjson
+
 from ..relay.codecs import Codec
 from ..relay.models import (
     CallerRequest,
@@ -11,6 +13,7 @@
     PromptPart,
     Runner,
     RunnerAnswer,
+    RunnerReport,
 )
 from . import names
 
@@ -98,6 +101,7 @@
         dropped = names.CONNECTION_ONLY | _list_connection_headers(headers)
         running, waiting, slots = _read_load(found.get(names.LOAD))
         identity = found.get(names.REQUEST_ID)
+        runner = found.get(names.RUNNER_ID)
         return RunnerAnswer(
             status=status,
             identity=None if identity is None else identity.decode("latin-1"),
@@ -111,8 +115,24 @@
             ),
             headers=tuple(item for item in headers if item[0].lower() not in dropped),
             idle_seconds=_read_keep_alive(found.get(b"keep-alive")),
+            runner=None if runner is None else runner.decode("latin-1"),
         )
 
+    def encode_report_request(
+        self, address: str, name: str
+    ) -> tuple[bytes, list[tuple[bytes, bytes]]]:
+        headers = [(b"host", address.encode()), (names.EXPECT_RUNNER, name.encode())]
+        return names.REPORT_TARGET, headers
+
+    def decode_report(self, status: int, body: bytes) -> RunnerReport | None:
+        if status != 200:
+            return None
+        try:
+            return RunnerReport(int(orjson.loads(body)[names.REPORT_MEMORY]))
+        except (KeyError, TypeError, ValueError):
+            # Another kind of runner answers this path in its own way.
+            return None
+
     def encode_refusal(
         self, identity: str, retry_after: float | None
     ) -> list[tuple[bytes, bytes]]:
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -17,7 +17,7 @@
 from .connections import ConnectionFailed, ConnectionPool, RunnerConnection
 from .deliveries import Delivery
 from .measures import RelayMeasures
-from .models import CallerRequest, Endpoint, Route, RunnerAnswer
+from .models import CallerRequest, Endpoint, Route, Runner, RunnerAnswer
 from .pressure import Pressure
 from .retries import RetryShare
 from .routes import Ranks
@@ -104,6 +104,7 @@
     tell_suspects: Callable[[list[str]], None]
     pressure: Pressure
     count_relays: Callable[[], int]
+    note_successor: Callable[[Runner, str], None]
 
 
 @attrs.define(kw_only=True)
@@ -390,6 +391,8 @@
     def _note_rejection(self, answer: RunnerAnswer) -> None:
         if answer.status == 421:
             self._note_failure(certain=True)
+            if answer.runner is not None:
+                self._call.services.note_successor(self._view.runner, answer.runner)
         else:
             self._call.services.runners.note_full(self._view, time.monotonic())
 
--- a/knapweedrail/relay/codecs.py
+++ b/knapweedrail/relay/codecs.py
@@ -4,7 +4,7 @@
 
 from abc import ABC, abstractmethod
 
-from .models import CallerRequest, Malformed, Runner, RunnerAnswer
+from .models import CallerRequest, Malformed, Runner, RunnerAnswer, RunnerReport
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -42,6 +42,18 @@
     def decode_answer(self, status: int, headers: Headers) -> RunnerAnswer:
         """Decode the status and headers of a runner's answer."""
 
+    @abstractmethod
+    def encode_report_request(self, address: str, name: str) -> tuple[bytes, Headers]:
+        """Return the target and headers that ask a runner for its report.
+
+        Args:
+            name: The runner that is asked; no other one may answer.
+        """
+
+    @abstractmethod
+    def decode_report(self, status: int, body: bytes) -> RunnerReport | None:
+        """Decode a report; ``None`` if it is no engine's."""
+
     @abstractmethod
     def encode_refusal(self, identity: str, retry_after: float | None) -> Headers:
         """Return the headers of an answer that the relay gives itself."""
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -27,6 +27,7 @@
 from .pressure import Pressure
 from .retries import RetryShare
 from .stores import Store
+from .successors import Successors
 from .suspects import Suspects
 
 DOUBT_SECONDS = 1.9
@@ -118,6 +119,12 @@
         self._suspects = Suspects()
         self._pressure = Pressure()
         self._told: list[str] = []
+        self._successors = Successors(
+            self._pool,
+            codec,
+            runners.table,
+            lambda: configuration.configuration,
+        )
         services = Services(
             codec=codec,
             pool=self._pool,
@@ -134,6 +141,7 @@
             tell_suspects=self._tell_suspects,
             pressure=self._pressure,
             count_relays=lambda: self._membership.count,
+            note_successor=self._successors.note,
         )
         self._gateway = Gateway(services, configuration, self._holdings)
         self._caller_server = HttpServer(
@@ -163,6 +171,7 @@
             self._runners,
             self._membership,
             self._holdings,
+            self._successors,
         ):
             await task.start(group)
         group.start_soon(self._prune)
--- a/knapweedrail/relay/followers.py
+++ b/knapweedrail/relay/followers.py
@@ -88,6 +88,7 @@
                 self._revision = outcome.revision
         self._note_reach(True, "")
         self.confirmed_at = time.monotonic()
+        self.note_confirmed(self.confirmed_at)
         if isinstance(outcome, Changes) and outcome.changes:
             await anyio.sleep(self._batch_seconds)
 
@@ -99,6 +100,9 @@
             log_event(event, step=self.name, detail=detail)
         self._reachable = reached
 
+    def note_confirmed(self, now: float) -> None:
+        """Take in that all that the store has is known."""
+
     @abstractmethod
     def replace_all(self, objects: tuple[StoredObject, ...]) -> None:
         """Take in a whole list."""
@@ -201,6 +205,9 @@
                 revision=stored.revision,
             )
 
+    def note_confirmed(self, now: float) -> None:
+        self.table.note_list(now)
+
     def remove(self, stored: StoredObject) -> None:
         self.table.remove_runner(stored.name, time.monotonic())
         log_event(Event.RUNNER_UNLISTED, runner=stored.name, revision=stored.revision)
--- a/knapweedrail/relay/models.py
+++ b/knapweedrail/relay/models.py
@@ -207,6 +207,7 @@
         headers: Headers to pass on to the caller.
         idle_seconds: How long the runner keeps an idle connection; ``None`` if it
             doesn't say.
+        runner: Name of the runner that answers; ``None`` if it doesn't say.
     """
 
     status: int
@@ -219,3 +220,15 @@
     event_stream: bool
     headers: tuple[tuple[bytes, bytes], ...]
     idle_seconds: float | None
+    runner: str | None = None
+
+
+@attrs.frozen
+class RunnerReport:
+    """What a runner says of itself when it is asked.
+
+    Attributes:
+        cache_tokens: Tokens that its memory holds; 0 if it is no engine.
+    """
+
+    cache_tokens: int
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -76,6 +76,8 @@
         ejection: Length of its last ejection, seconds.
         full_until: When it may get work again after a rejection.
         gone_at: When its entry vanished from the list; ``None`` while listed.
+        missed_at: When the list was first seen without it, if it was found at
+            another runner's address and isn't listed yet.
     """
 
     runner: Runner
@@ -90,6 +92,7 @@
     ejection: float = 0.0
     full_until: float = float("-inf")
     gone_at: float | None = None
+    missed_at: float | None = None
 
     def estimate_load(self, now: float) -> float:
         """Return the requests it works on: ours exactly, others' by its report."""
@@ -129,6 +132,7 @@
         self._prefixes: OrderedDict[str, tuple[str, float]] = OrderedDict()
         self._answered_at: dict[str, float] = {}
         self._cut_until: dict[str, float] = {}
+        self._presumed: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._views)
@@ -139,6 +143,7 @@
 
     def list_views(self, endpoint: str, now: float) -> list[RunnerView]:
         """Return the endpoint's runners that are neither leaving nor gone."""
+        self._drop_missed(now)
         views = self._by_endpoint.get(endpoint, {}).values()
         ready = [v for v in views if v.runner.state is RunnerState.READY]
         listed = [v for v in ready if v.gone_at is None]
@@ -166,11 +171,48 @@
             self._views[runner.name] = view
         view.runner = runner
         view.gone_at = None
+        self._presumed.discard(runner.name)
         self._by_endpoint.setdefault(runner.endpoint, {})[runner.name] = view
 
+    def knows(self, name: str) -> bool:
+        """Return whether a runner is known by name."""
+        return name in self._views
+
+    def succeed(self, name: str, successor: Runner, now: float) -> bool:
+        """Put a runner that isn't listed yet in the place of one that has ended.
+
+        Cut off from the store, this relay would have no other word of it. The list
+        decides once it can be read again: a runner that is missing there for as long
+        as entries may take to come back gets no more work.
+
+        Returns:
+            Whether it is new.
+        """
+        if successor.name in self._views:
+            return False
+        self.remove_runner(name, now)
+        self.set_runner(attrs.evolve(successor, state=RunnerState.READY))
+        self._presumed.add(successor.name)
+        return True
+
+    def note_list(self, now: float) -> None:
+        """Take in that the list is as known: what is only presumed isn't there."""
+        for name in self._presumed:
+            view = self._views[name]
+            if view.missed_at is None:
+                view.missed_at = now
+
+    def _drop_missed(self, now: float) -> None:
+        for view in [self._views[name] for name in self._presumed]:
+            if view.missed_at is not None and now - view.missed_at >= self._doubt:
+                self._presumed.discard(view.runner.name)
+                # Past doubt: it is out of use, also if no other runner is left.
+                view.gone_at = view.missed_at
+
     def remove_runner(self, name: str, now: float) -> None:
         """Take in that a runner's entry is gone."""
         view = self._views.get(name)
+        self._presumed.discard(name)
         if view is not None and view.gone_at is None:
             view.gone_at = now
 
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -44,6 +44,7 @@
     StoredObject,
     Written,
 )
+from ..relay.successors import Successors
 from ..relay.suspects import Suspects
 
 KEY = "key-of-farm"
@@ -325,8 +326,10 @@
     membership.settled = True
     holdings = Holdings(store, Neighbours(), membership, lambda: configuration)
     pool = ConnectionPool()
+    codec = PlatformCodec()
+    successors = Successors(pool, codec, table, lambda: configuration)
     services = Services(
-        codec=PlatformCodec(),
+        codec=codec,
         pool=pool,
         runners=table,
         retries=RetryShare(1.0, 100.0, 10.0),
@@ -337,6 +340,7 @@
         tell_suspects=lambda lines: None,
         pressure=Pressure(),
         count_relays=lambda: 1,
+        note_successor=successors.note,
     )
     gateway = Gateway(services, follower, holdings)
     async with anyio.create_task_group() as group:
@@ -344,8 +348,10 @@
             await runner.serve(group)
             table.set_runner(make_runner(f"i-{number}", runner.address))
         await holdings.start(group)
+        await successors.start(group)
         yield MemoryRelay(store, gateway, holdings, table, pool, follower)
         await holdings.close()
+        await successors.close()
         await pool.close()
         group.cancel_scope.cancel()
 
--- /dev/null
+++ b/knapweedrail/tests/test_relay_successors.py
@@ -0,0 +1,130 @@
+"""Runners that start anew while the relay can't hear of it."""
+
+import attrs
+import pytest
+
+from ..relay.models import Endpoint, Repetition
+from ..relay.runners import RunnerTable
+from .relays_in_memory import (
+    ScriptedRunner,
+    find_header,
+    make_answer,
+    make_configuration,
+    make_route,
+    make_runner,
+    run_relay,
+)
+
+pytestmark = pytest.mark.anyio
+
+SAFE = make_route(Repetition.SAFE)
+ENGINE = Endpoint(name="e", health_path="/h", max_connections=9, cache_tokens=1000)
+REPORT = b'{"stage":"both","models":[{"name":"m"}],"kvTotal":1000}'
+
+
+class RestartedRunner:
+    """Answers as ``i-9`` where ``i-0`` is expected."""
+
+    def __init__(self, report=REPORT, report_status=200):
+        self.report = report
+        self.report_status = report_status
+
+    async def respond(self, stream, head):
+        if find_header(head, "knapweedrail-expect-instance") != "i-9":
+            # The server library writes header names in any case.
+            identity = {"Knapweedrail-Instance-Id": "i-9"}
+            await stream.send(make_answer(head, b"", 421, **identity))
+        elif head.startswith("GET /report "):
+            await stream.send(make_answer(head, self.report, self.report_status))
+        else:
+            await stream.send(make_answer(head))
+        return True
+
+
+def make_engines(*more):
+    configuration = make_configuration(SAFE)
+    endpoints = {one.name: one for one in (ENGINE, *more)}
+    return attrs.evolve(configuration, endpoints=endpoints)
+
+
+async def call_twice(configuration, restarted):
+    """Return the status of a request sent after the first one met another runner."""
+    runner = ScriptedRunner(restarted.respond)
+    async with run_relay(configuration, runner) as relay:
+        first = await relay.call()
+        assert first.status == 503
+        with_next = [
+            await relay.call(knapweedrail_request_id=f"n{n}") for n in range(9)
+        ]
+        return with_next[-1].status, runner, relay
+
+
+async def test_a_runner_that_started_anew_gets_work_though_the_list_lags():
+    """All relays are cut off from the store while two of five engines crash. They are
+    back seconds later under new names at their old addresses, and nobody sends them
+    anything until the cut ends: plans wait at the three that are left."""
+    status, runner, _ = await call_twice(make_engines(), RestartedRunner())
+    assert status == 200
+    assert any(head.startswith("GET /report ") for head in runner.heads)
+
+
+@pytest.mark.parametrize("report", [b"", b"[]", b'{"kvTotal":0}', b'{"kvTotal":"x"}'])
+async def test_what_reports_no_engine_gets_no_work_of_one(report):
+    """An engine has crashed for good, and its address went to a booking service. A
+    plan sent there would be run by the wrong service."""
+    status, *_ = await call_twice(make_engines(), RestartedRunner(report))
+    assert status == 503
+
+
+async def test_a_refused_report_is_none():
+    """A plain service refuses the question, as it names no request."""
+    restarted = RestartedRunner(report_status=400)
+    status, *_ = await call_twice(make_engines(), restarted)
+    assert status == 503
+
+
+async def test_with_two_endpoints_of_engines_nobody_is_asked():
+    """Both endpoints' runners would report an engine's memory. The address may have
+    passed from one to the other, and only the list can tell."""
+    configuration = make_engines(attrs.evolve(ENGINE, name="other"))
+    status, runner, _ = await call_twice(configuration, RestartedRunner())
+    assert status == 503
+    assert not any(head.startswith("GET /report ") for head in runner.heads)
+
+
+def make_presumed(table):
+    table.set_runner(make_runner("i-0"))
+    assert table.succeed("i-0", make_runner("i-9"), 10.0)
+
+
+def list_names(table, now):
+    return [view.runner.name for view in table.list_views("e", now)]
+
+
+def test_the_list_decides_once_it_can_be_read():
+    """A runner was found in another's place and then crashed for good, all in one cut.
+    The list has no entry of it; sending it requests any longer would cost each of them
+    an attempt."""
+    table = RunnerTable(doubt=1.9)
+    make_presumed(table)
+    assert list_names(table, 30.0) == ["i-9"]
+    table.note_list(31.0)
+    assert list_names(table, 32.0) == ["i-9"]
+    assert list_names(table, 33.0) == []
+    assert [runner.name for runner in table.prune(33.0)] == ["i-0", "i-9"]
+
+
+def test_a_successor_that_is_listed_stays():
+    table = RunnerTable(doubt=1.9)
+    make_presumed(table)
+    table.note_list(31.0)
+    table.set_runner(make_runner("i-9"))
+    assert list_names(table, 99.0) == ["i-9"]
+
+
+def test_a_successor_whose_end_is_told_is_gone():
+    table = RunnerTable(doubt=1.9)
+    make_presumed(table)
+    table.remove_runner("i-9", 20.0)
+    table.note_list(21.0)
+    assert list_names(table, 30.0) == []
