Refuse prompts at once that would wait too long at every runner

Accounts were refused from 20 s on for tokens that nobody had got anything for. Change: relay/patience: a prompt is refused, not run, if at every runner the oldest prompt that hasn't begun, or the last one that was begun or given up less the time since, has waited its route's objective. Retry-After is that wait. In the model of the test, an overloaded runner read over 100 prompts in vain in 20 s, and none after.

--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -161,7 +161,13 @@
     async def run(self) -> Answered | Failed:
         """Send the request and pass on what the runner answers."""
         services = self._call.services
-        services.runners.note_sent(self._view, self._call.request.prompt_tokens)
+        services.runners.note_sent(
+            self._view,
+            self._call.request.prompt_tokens,
+            self,
+            self._call.ranks.busy,
+            time.monotonic(),
+        )
         self._unread = True
         runner = self._view.runner
         connection: RunnerConnection | None = None
@@ -379,7 +385,9 @@
     def _note_begun(self) -> None:
         if self._unread:
             tokens = self._call.request.prompt_tokens
-            self._call.services.runners.note_begun(self._view, tokens)
+            self._call.services.runners.note_begun(
+                self._view, tokens, self, time.monotonic()
+            )
             self._unread = False
 
     def _note_load(self, answer: RunnerAnswer) -> None:
--- a/knapweedrail/relay/exchanges.py
+++ b/knapweedrail/relay/exchanges.py
@@ -9,6 +9,7 @@
 from ..events import Event, log_event
 from ..outcomes import Ran, Refusal, RefusalKind
 from .attempts import Answered, Attempt, Call, Failed, Failure
+from .patience import find_wait, plan_return
 from .reservations import Reservation
 from .runners import RunnerView
 from .selection import choose_runner
@@ -50,6 +51,9 @@
             self._reservation.settle(self.count_tokens())
 
     async def _run(self) -> Answered | Broken | Refusal:
+        refusal = self._refuse_wait()
+        if refusal is not None:
+            return refusal
         connects = 0
         last: Failed | None = None
         while True:
@@ -69,6 +73,21 @@
             elif not self._may_repeat(outcome):
                 return await self._end(last, outcome)
 
+    def _refuse_wait(self) -> Refusal | None:
+        """Refuse a prompt that would wait until its caller gives up."""
+        call, now = self._call, time.monotonic()
+        if not call.request.parts:
+            return None
+        runners = call.services.runners
+        views = runners.list_views(call.endpoint.name, now)
+        rested = [view for view in views if runners.is_rested(view, now)]
+        wait = find_wait(rested or views, call.ranks.busy, now)
+        retry_after = plan_return(wait, call.route, call.services.rng)
+        if retry_after is None:
+            return None
+        detail = f"prompts wait {wait:.2f} s at every runner"
+        return self._refuse(RefusalKind.FULL, Ran.NOT_RUN, detail, retry_after)
+
     def _choose(self) -> RunnerView | None:
         call = self._call
         if call.measure_left() <= 0:
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -67,6 +67,9 @@
         running: Requests of this relay that are there.
         unread: Prompt tokens of these whose answer hasn't begun: the runner still has
             to read them, one request after another.
+        waiting: When each of these was sent, and its rank; the oldest comes first.
+        waited: How long the last prompt waited that was begun or given up, seconds.
+        waited_at: When that was.
         others: Requests of others, by its last report.
         others_waiting: How many of these had not begun to be answered.
         reported_at: When it last reported; seconds.
@@ -83,6 +86,9 @@
     runner: Runner
     running: int = 0
     unread: int = 0
+    waiting: dict[object, tuple[float, int | None]] = attrs.field(factory=dict)
+    waited: float = 0.0
+    waited_at: float = float("-inf")
     others: float = 0.0
     others_waiting: float = 0.0
     reported_at: float = float("-inf")
@@ -107,6 +113,14 @@
         others = self._weigh_report(now) * self.others_waiting
         return self.unread + others * mean_tokens
 
+    def measure_wait(self, rank: int | None, now: float) -> float:
+        """Return how long a new request would wait at least, as far as seen."""
+        left = max(0.0, self.waited - (now - self.waited_at))
+        for sent_at, other in self.waiting.values():
+            if rank is None or other is None or other <= rank:
+                return max(left, now - sent_at)
+        return left
+
     def _weigh_report(self, now: float) -> float:
         return max(0.0, 1.0 - (now - self.reported_at) / REPORT_SECONDS)
 
@@ -238,15 +252,29 @@
             self._by_endpoint[runner.endpoint].pop(runner.name, None)
         return gone
 
-    def note_sent(self, view: RunnerView, tokens: int) -> None:
+    def note_sent(
+        self,
+        view: RunnerView,
+        tokens: int,
+        attempt: object,
+        rank: int | None,
+        now: float,
+    ) -> None:
         """Count a request that goes to a runner, with its prompt tokens."""
         view.running += 1
         view.unread += tokens
+        view.waiting[attempt] = (now, rank)
         self.mean_tokens += SMOOTHING * (tokens - self.mean_tokens)
 
-    def note_begun(self, view: RunnerView, tokens: int) -> None:
+    def note_begun(
+        self, view: RunnerView, tokens: int, attempt: object, now: float
+    ) -> None:
         """Count that a request's answer has begun, or that its attempt has failed."""
         view.unread -= tokens
+        sent_at, _ = view.waiting.pop(attempt)
+        if tokens:
+            view.waited = now - sent_at
+            view.waited_at = now
 
     def note_ended(self, view: RunnerView) -> None:
         """Count the end of a request at a runner."""
--- /dev/null
+++ b/knapweedrail/tests/test_relay_patience.py
@@ -0,0 +1,164 @@
+"""Prompts that would wait too long at every runner."""
+
+import random
+import time
+
+import anyio
+import pytest
+
+from ..relay.models import Repetition
+from ..relay.patience import PATIENCE_FACTOR, find_wait, plan_return
+from ..relay.runners import RunnerTable
+from .relays_in_memory import (
+    ScriptedRunner,
+    make_answer,
+    make_configuration,
+    make_route,
+    make_runner,
+    run_relay,
+)
+
+pytestmark = pytest.mark.anyio
+
+PROMPT = {"knapweedrail_prompt_prefix": "aa:100,bb:50"}
+OBJECTIVE_SECONDS = 0.5
+READ_SECONDS = 0.1
+"""Time in which the modelled runner reads one prompt."""
+
+GIVE_UP_SECONDS = 2.0
+
+
+def make_stream(objective):
+    return make_route(Repetition.STREAM, objective=objective)
+
+
+class Queue:
+    """One runner that reads prompts one after another, and callers that give up."""
+
+    def __init__(self, patient):
+        self.patient = patient
+        self.table = RunnerTable(doubt=1.9)
+        self.table.set_runner(make_runner("i-0"))
+        self.view = self.table.list_views("e", 0.0)[0]
+        self.free_at = 0.0
+        self.begun = []
+        self.read_in_vain = 0
+        self.refused = 0
+        self._queue = []
+
+    def arrive(self, now):
+        self._read(now)
+        wait = find_wait([self.view], 0, now)
+        back = plan_return(wait, make_stream(OBJECTIVE_SECONDS), random.Random(1))
+        if not self.patient and back is not None:
+            self.refused += 1
+            return
+        key = object()
+        self.table.note_sent(self.view, 100, key, 0, now)
+        self._queue.append((now, key))
+
+    def _read(self, now):
+        while self._queue:
+            sent_at, key = self._queue[0]
+            end = max(self.free_at, sent_at) + READ_SECONDS
+            if end > now:
+                return
+            self._queue.pop(0)
+            self.free_at = end
+            self.table.note_begun(self.view, 100, key, end)
+            if end - sent_at > GIVE_UP_SECONDS:
+                self.read_in_vain += 1
+            else:
+                self.begun.append(end - sent_at)
+
+
+def play(patient, a_second, seconds=20):
+    queue = Queue(patient)
+    for number in range(a_second * seconds):
+        queue.arrive(number / a_second)
+    return queue
+
+
+def test_an_overloaded_runner_reads_only_prompts_that_somebody_waits_for():
+    """A cut leaves a data centre with one runner, which gets half again as many
+    prompts as it reads. Queued without end, nearly all are read after their callers
+    have left, and each of them has paid for it."""
+    before = play(patient=True, a_second=15)
+    after = play(patient=False, a_second=15)
+    assert before.read_in_vain > 100
+    assert after.read_in_vain == 0
+    assert len(after.begun) > 2 * len(before.begun)
+    assert max(after.begun) < GIVE_UP_SECONDS / 2
+
+
+def test_a_runner_that_keeps_up_refuses_nobody():
+    queue = play(patient=False, a_second=9)
+    assert queue.refused == 0
+
+
+def test_one_runner_that_hangs_keeps_no_prompt_from_the_others():
+    """A runner has gone silent with a prompt waiting there. The others are idle, and
+    the next caller must not be sent away for it."""
+    table = RunnerTable(doubt=1.9)
+    for name in ("i-0", "i-1"):
+        table.set_runner(make_runner(name))
+    views = table.list_views("e", 0.0)
+    table.note_sent(views[0], 100, object(), 0, 0.0)
+    assert find_wait(views, 0, 60.0) == 0.0
+
+
+def test_a_wait_that_was_seen_fades_as_fast_as_a_queue_can_shrink():
+    """This relay's last prompt at an overloaded runner was just given up. Others'
+    still stand there in line, and the next one would wait as long."""
+    table = RunnerTable(doubt=1.9)
+    table.set_runner(make_runner("i-0"))
+    views = table.list_views("e", 0.0)
+    key = object()
+    table.note_sent(views[0], 100, key, 0, 0.0)
+    table.note_begun(views[0], 100, key, 2.0)
+    assert find_wait(views, 0, 2.5) == 1.5
+    assert find_wait(views, 0, 4.0) == 0.0
+
+
+def test_urgent_prompts_are_not_refused_for_less_urgent_ones():
+    table = RunnerTable(doubt=1.9)
+    table.set_runner(make_runner("i-0"))
+    views = table.list_views("e", 0.0)
+    table.note_sent(views[0], 100, object(), 3, 0.0)
+    assert find_wait(views, 1, 5.0) == 0.0
+    assert find_wait(views, 3, 5.0) == 5.0
+
+
+async def test_a_prompt_that_cannot_begin_in_time_is_refused_at_once():
+    """The only runner is far behind. A caller used to wait for its whole deadline, and
+    its account paid for a prompt that nobody read."""
+
+    async def read_for_ever(stream, head):
+        await anyio.sleep(30)
+        await stream.send(make_answer(head))
+        return True
+
+    runner = ScriptedRunner(read_for_ever)
+    objective = 0.2
+    configuration = make_configuration(make_stream(objective), prepaid=1000)
+    async with run_relay(configuration, runner) as relay:
+        async with anyio.create_task_group() as group:
+
+            async def wait_in_vain():
+                usage = {"knapweedrail_token_usage": "100,10"}
+                await relay.call(leaves_after=2.0, **PROMPT, **usage)
+
+            group.start_soon(wait_in_vain)
+            await anyio.sleep(1.5 * PATIENCE_FACTOR * objective)
+            began_at = time.monotonic()
+            usage = {"knapweedrail_token_usage": "100,10"}
+            answer = await relay.call(knapweedrail_request_id="id-2", **PROMPT, **usage)
+            seconds = time.monotonic() - began_at
+        position = relay.holdings._get("farm").allowance.position
+    assert answer.status == 503
+    assert b'"ran":"not run"' in answer.body
+    assert float(answer.headers["retry-after"]) >= PATIENCE_FACTOR * objective
+    assert seconds < objective
+    assert len(runner.heads) == 1
+    # The prompt of the first caller, which a runner may have read, and no other.
+    assert position.spent == 100
--- a/knapweedrail/tests/test_relay_selection.py
+++ b/knapweedrail/tests/test_relay_selection.py
@@ -59,7 +59,7 @@
     counts = collections.Counter()
     for _ in range(60):
         view = choose(table, make_request("base", "farm-7", "own"))
-        table.note_sent(view, 0)
+        table.note_sent(view, 0, object(), 0, 0.0)
         counts[view.runner.name] += 1
     assert len(counts) >= 4
     assert max(counts.values()) <= 2 * 60 / 6
@@ -82,7 +82,7 @@
     counts = collections.Counter()
     for _ in range(15):
         view = choose(table, make_request())
-        table.note_sent(view, 0)
+        table.note_sent(view, 0, object(), 0, 0.0)
         counts[view.runner.name] += 1
     assert sorted(counts.values()) == [5, 5, 5]
 
@@ -97,7 +97,7 @@
     counts = collections.Counter()
     for _ in range(18):
         view = choose(table, make_request())
-        table.note_sent(view, 0)
+        table.note_sent(view, 0, object(), 0, 0.0)
         counts[view.runner.name] += 1
     assert counts["i-0"] <= 2
 
