--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -13,7 +13,7 @@
 
 from ..events import Event, log_event
 from ..servers import HttpServer, ServerLimits
-from .attempts import Services
+from .calls import Services
 from .codecs import Codec
 from .connections import ConnectionPool
 from .followers import ConfigurationFollower, RunnerFollower
--- a/knapweedrail/relay/exchanges.py
+++ b/knapweedrail/relay/exchanges.py
@@ -8,7 +8,8 @@
 
 from ..events import Event, log_event
 from ..outcomes import Ran, Refusal, RefusalKind
-from .attempts import Answered, Attempt, Call, Failed, Failure
+from .attempts import Attempt
+from .calls import Answered, Call, Failed, Failure
 from .patience import find_wait, plan_return
 from .reservations import Reservation
 from .runners import RunnerView
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -12,7 +12,7 @@
 
 from ..events import Event, log_event
 from ..outcomes import Ran, Refusal, RefusalKind
-from .attempts import Answered, Call, Services
+from .calls import Answered, Call, Services
 from .deliveries import Delivery, Send
 from .exchanges import Broken, Exchange, draw_retry
 from .followers import ConfigurationFollower
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -14,7 +14,7 @@
 
 from ..outcomes import Unavailable, Unknown
 from ..platform.requests import PlatformCodec
-from ..relay.attempts import Services
+from ..relay.calls import Services
 from ..relay.connections import ConnectionPool
 from ..relay.followers import ConfigurationFollower
 from ..relay.gateway import Gateway
