Don't spend a route's only attempt on a runner that is gone

Change: 421 doesn't count as a runner that the request was sent to: the one meant never got it, and the one that answered hasn't run it. It still draws on the retry share, as it arrives at the endpoint. A rejection for lack of room counts as before.

--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -39,6 +39,10 @@
 is told to it: a new prompt then waits about as long as it takes to read itself."""
 
 
+MISDIRECTED = 421
+"""Status by which a runner says that the request is meant for another one."""
+
+
 class Attempt:
     """One runner's turn.
 
@@ -196,6 +200,13 @@
         kept = self._keep(connection, answer)
         if answer.not_run:
             self._call.may_have_run = self._ran_before
+            if answer.status == MISDIRECTED:
+                # The runner that it was meant for is gone and never got it; the one
+                # that has its address now was not chosen, and hasn't run it either.
+                # Counted, the only attempt of many routes was spent on it: a quarter
+                # of all runners crashed at once, and 500 callers were refused while
+                # the others had room.
+                self._call.arrivals -= 1
             self._note_rejection(answer)
             detail = f"rejected with {answer.status}"
             return Failed(Failure.NOT_RUN, detail), kept
@@ -292,7 +303,7 @@
             )
 
     def _note_rejection(self, answer: RunnerAnswer) -> None:
-        if answer.status == 421:
+        if answer.status == MISDIRECTED:
             self._note_failure(certain=True)
             if answer.runner is not None:
                 self._call.services.note_successor(self._view.runner, answer.runner)
--- a/knapweedrail/relay/calls.py
+++ b/knapweedrail/relay/calls.py
@@ -93,7 +93,8 @@
         ends_at: When its caller, or its route, has waited long enough.
         delivery: Its answer.
         progress: Which events of a stream its caller has.
-        arrivals: Runners that it was sent to.
+        arrivals: Runners that it was sent to, without those that were gone and whose
+            address another one had.
         may_have_run: Whether a runner may have begun to work on it. Set before the
             first byte is sent, so that a caller that leaves right after it doesn't
             make its tokens free.
--- a/knapweedrail/tests/test_relay_successors.py
+++ b/knapweedrail/tests/test_relay_successors.py
@@ -7,6 +7,7 @@
 from ..relay.runners import RunnerTable
 from .relays_in_memory import (
     ScriptedRunner,
+    answer_well,
     find_header,
     make_answer,
     make_configuration,
@@ -128,3 +129,35 @@
     table.remove_runner("i-9", 20.0)
     table.note_list(21.0)
     assert list_names(table, 30.0) == []
+
+
+async def test_a_runner_that_is_gone_does_not_use_up_the_only_attempt():
+    """Route by route, a call may be sent to one runner. The one chosen has crashed and
+    another life answers at its address. The call has reached nobody who would run it,
+    and the next runner has room, but its caller was refused."""
+    route = make_route(Repetition.ONCE, max_runners=1)
+    restarted = ScriptedRunner(RestartedRunner().respond)
+    sound = ScriptedRunner(answer_well)
+    async with run_relay(make_configuration(route), restarted, sound) as relay:
+        answers = [
+            await relay.call(knapweedrail_request_id=f"n{number}")
+            for number in range(8)
+        ]
+    assert {answer.status for answer in answers} == {200}
+    assert len(restarted.heads) > 0
+    assert len(sound.heads) == len(answers)
+
+
+async def test_a_runner_that_is_full_does_use_it_up():
+    """It got the call and turned it away; the operator allows one runner."""
+
+    async def reject(stream, head):
+        executed = {"Knapweedrail-Not-Executed": "1"}
+        await stream.send(make_answer(head, b"", 503, **executed))
+        return True
+
+    route = make_route(Repetition.ONCE, max_runners=1)
+    runners = [ScriptedRunner(reject), ScriptedRunner(reject)]
+    async with run_relay(make_configuration(route), *runners) as relay:
+        assert (await relay.call()).status == 503
+    assert sum(len(runner.heads) for runner in runners) == 1
