Print no traceback when a process stops with callers still there

Ruled out: an error of ours that is hidden (the handler drops only cancellations; all else becomes event 109). Change: loops.log_loop_errors, used by relay and router.

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -77,6 +77,7 @@
     DATA_CENTRE_SILENT = (704, "runners of a data centre get no work for a moment")
 
     LOOP_LATE = (108, "the process was too busy, or stood still, for so many seconds")
+    LOOP_ERROR = (109, "the event loop met an error that no task took")
     LINES_LEFT_OUT = (106, "log lines were left out, by event, for their number")
     SETTINGS_CHANGED = (107, "the process was told that its settings have changed")
     REQUEST_ANSWERED = (606, "a request has its answer; by which runner, and when")
--- a/knapweedrail/tests/test_relay_process.py
+++ b/knapweedrail/tests/test_relay_process.py
@@ -207,6 +207,34 @@
     assert account["used"] <= 1000
 
 
+async def hang(stream, head):
+    await anyio.sleep(60)
+    return False
+
+
+async def test_a_stop_with_open_connections_prints_nothing_but_its_log(tmp_path):
+    """A call still hangs at its runner when the time to stop is over, and others keep
+    idle connections. Whoever stopped the process found a dozen tracebacks in its
+    output, and looked for a fault."""
+    async with run_process(tmp_path, hang) as (_, relay, _):
+        port = int(relay.url.rpartition(":")[2])
+        callers = [await anyio.connect_tcp("127.0.0.1", port) for _ in range(4)]
+        lines = [f"{name}: {value}" for name, value in make_headers(1).items()]
+        head = "\r\n".join(["POST /a/x HTTP/1.1", "content-length: 0", *lines])
+        await callers[0].send(head.encode() + b"\r\n\r\n")
+        await callers[1].send(b"POST /a/x HTTP/1.1\r\nhost: h.example\r\n")
+        await anyio.sleep(0.3)
+        relay.process.send_signal(signal.SIGTERM)
+        with anyio.fail_after(STOP_SECONDS + 2):
+            while relay.process.poll() is None:
+                await anyio.sleep(0.05)
+        for caller in callers:
+            await caller.aclose()
+    # Each line is a log event; anything else can't be read as one.
+    assert relay.read_log()[-1]["message_type"] == "103 router_stopped"
+    assert relay.process.returncode == 0
+
+
 async def test_a_killed_process_leaves_its_tokens_counted(tmp_path):
     """The process is killed. What it held may have been spent, so it counts as spent,
     and the process that takes its place can't spend it again."""
--- a/knapweedrail/tools/router.py
+++ b/knapweedrail/tools/router.py
@@ -16,6 +16,7 @@
 import orjson
 
 from .. import __version__
+from ..loops import log_loop_errors
 from ..routers import Router
 from ..settings import RouterSettings, read_settings
 
@@ -51,6 +52,7 @@
 
 async def serve(settings: RouterSettings) -> None:
     """Run a router until it is asked to stop."""
+    log_loop_errors()
     router = Router(settings)
     async with anyio.create_task_group() as group:
         await router.start(group)
--- a/knapweedrail/tools/service.py
+++ b/knapweedrail/tools/service.py
@@ -10,6 +10,7 @@
 import eliot
 
 from ..events import Event, log_event
+from ..loops import log_loop_errors
 from ..platform.relays import make_relay
 from ..relay.logs import LogWriter
 from ..relay.options import RelaySettings
@@ -39,6 +40,7 @@
 async def _serve(
     settings: RelaySettings, listener: socket.socket, logs: LogWriter
 ) -> None:
+    log_loop_errors()
     relay = make_relay(settings, listener, lambda: logs.left_out)
     async with anyio.create_task_group() as group:
         with anyio.open_signal_receiver(
