Send callers elsewhere from a data centre that is cut off and can't serve

Ruled out: runners elsewhere (they were idle); the store's state (a relay learns of it up to 4.7 s late). Change: two silent other data centres or more are the own one's cut; what only runs elsewhere, or waits too long, is then refused at once, not run, the host leaves the rotation, and Retry-After is when the balancer has moved its callers. Patience is 0.4 of the objective (figures in the code). Conclusion: kept, as a cut of an hour would refuse all of them; the test shows the refusal at once and the host out of rotation.

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -74,6 +74,10 @@
     TOKENS_LOST = (315, "tokens given back to a relay that ended before it took them")
     RELAYS_LISTED = (511, "the list of relays has changed")
 
+    DATA_CENTRE_CUT_OFF = (
+        708,
+        "this data centre is cut off and can't serve; callers are sent elsewhere",
+    )
     DATA_CENTRE_SILENT = (704, "runners of a data centre get no work for a moment")
 
     LOOP_LATE = (108, "the process was too busy, or stood still, for so many seconds")
--- a/knapweedrail/relay/exchanges.py
+++ b/knapweedrail/relay/exchanges.py
@@ -23,6 +23,10 @@
 """Bounds of the time after which a caller may come back, drawn at random: by then a
 burst of short work has passed, and callers refused together don't return together."""
 
+MOVE_SPREAD_SECONDS = (0.05, 0.25)
+"""Bounds of what is added to the time until the balancer sends callers elsewhere, so
+that they don't arrive there together."""
+
 
 @dataclass(frozen=True)
 class Broken:
@@ -52,7 +56,7 @@
             self._reservation.settle(self.count_tokens())
 
     async def _run(self) -> Answered | Broken | Refusal:
-        refusal = self._refuse_wait()
+        refusal = self._refuse_cut_off() or self._refuse_wait()
         if refusal is not None:
             return refusal
         connects = 0
@@ -74,6 +78,31 @@
             elif not self._may_repeat(outcome):
                 return await self._end(last, outcome)
 
+    def _refuse_cut_off(self) -> Refusal | None:
+        """Refuse what runs only in data centres that can't be reached from here."""
+        call, now = self._call, time.monotonic()
+        runners, here = call.services.runners, call.services.data_centre
+        if not runners.is_cut_off(here, now):
+            return None
+        if runners.has_local(call.endpoint.name, here, now):
+            return None
+        retry_after = self._send_elsewhere(now)
+        detail = "this data centre is cut off from all runners"
+        return self._refuse(RefusalKind.FULL, Ran.NOT_RUN, detail, retry_after)
+
+    def _send_elsewhere(self, now: float) -> float:
+        """Leave the rotation; return when callers will be sent elsewhere, seconds."""
+        services = self._call.services
+        if services.pressure.note_cut_off(now):
+            log_event(
+                Event.DATA_CENTRE_CUT_OFF,
+                data_centre=services.data_centre,
+                endpoint=self._call.endpoint.name,
+                request=self._call.request.identity,
+            )
+        spread = services.rng.uniform(*MOVE_SPREAD_SECONDS)
+        return services.pressure.measure_move(now) + spread
+
     def _refuse_wait(self) -> Refusal | None:
         """Refuse a prompt that would wait until its caller gives up."""
         call, now = self._call, time.monotonic()
@@ -86,6 +115,8 @@
         retry_after = plan_return(wait, call.route, call.services.rng)
         if retry_after is None:
             return None
+        if runners.is_cut_off(call.services.data_centre, now):
+            retry_after = self._send_elsewhere(now)
         detail = f"prompts wait {wait:.2f} s at every runner"
         return self._refuse(RefusalKind.FULL, Ran.NOT_RUN, detail, retry_after)
 
--- a/knapweedrail/relay/patience.py
+++ b/knapweedrail/relay/patience.py
@@ -11,12 +11,13 @@
 from .models import Route
 from .runners import RunnerView
 
-PATIENCE_FACTOR = 1.0
+PATIENCE_FACTOR = 0.4
 """How many times a route's objective prompts may wait at every runner before the relay
-sends no more there. What comes then is surely late, and while it is read all that come
-after it are late as well. With twice the objective, callers that leave at four times
-it still left before their turn in the first play: runners were behind by two seconds,
-and the relays, which see a few of the prompts each, noticed too late."""
+sends no more there. Reading a prompt takes half of the objective at the median, so what
+comes behind a longer wait is surely late, and all that come after it as well. Worth of
+two overloaded days, one each of two deployments, by this factor: without a bound 0.18
+and 0.26, 1.0: 0.32 and 0.31, 0.6: 0.36 and 0.32, 0.4: 0.46 and 0.40, 0.25: 0.40 for the
+first. With less, runners idle between the prompts that are let through."""
 
 RETURN_SPREAD = (1.0, 1.5)
 """Bounds of what the wait is multiplied by to say when to come back: as long as the
--- a/knapweedrail/relay/pressure.py
+++ b/knapweedrail/relay/pressure.py
@@ -42,6 +42,10 @@
 """Mean delay of the last second from which on the balancer is told to send callers
 elsewhere. It does so after two questions, a second apart."""
 
+MOVE_SECONDS = 2.2
+"""Time until the balancer sends callers elsewhere: it asks once a second and takes a
+host out after two misses."""
+
 REST_SECONDS = 3.0
 """Shortest time out of rotation: until the balancer has noticed, and what came before
 has ended. Longer would leave the other hosts with more than they bear."""
@@ -86,6 +90,7 @@
         self._link = 0.0
         self._link_at = 0.0
         self._noted: dict[str, float] = {}
+        self._cut_off_at = float("-inf")
 
     @property
     def delay(self) -> float:
@@ -125,6 +130,26 @@
             # fewer callers help, and the balancer has to send them elsewhere.
             self._out_until = now + REST_SECONDS
 
+    def note_cut_off(self, now: float) -> bool:
+        """Take in that callers can't be served in this data centre, which is cut off.
+
+        The load it is for: a data centre is cut off from the others, callers reach it
+        all the same, and what they ask for runs elsewhere, or on too few runners here.
+        With all of its hosts out of rotation the balancer sends them to the next one.
+
+        Returns:
+            Whether that is new.
+        """
+        new = now >= self._out_until
+        if new:
+            self._cut_off_at = now
+        self._out_until = max(self._out_until, now + REST_SECONDS)
+        return new
+
+    def measure_move(self, now: float) -> float:
+        """Return how long callers still come here after a cut was noted, seconds."""
+        return max(0.0, self._cut_off_at + MOVE_SECONDS - now)
+
     def measure_link(self, now: float) -> float:
         """Return the mean time that a connection takes just now, seconds."""
         return self._link * math.exp((self._link_at - now) / LINK_SECONDS)
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -50,6 +50,9 @@
 """How recent an answer from a data centre must be to show that it can be reached: some
 four of them come in that time from each of three, at twelve requests a second."""
 
+LEAST_SILENT = 2
+"""Other data centres that must be silent for the own one to count as cut off."""
+
 SLOW_FACTOR = 3.0
 """How many times slower than the median a runner must answer to be passed over
 where others have room. Runners of one service differ by up to about twice."""
@@ -319,6 +322,22 @@
         self._cut_until[data_centre] = now + CUT_SECONDS
         return not known
 
+    def is_cut_off(self, data_centre: str, now: float) -> bool:
+        """Return whether a data centre seems cut off from all others.
+
+        With two others or more that say nothing at once, it is the own one that is cut
+        off; a single one may have lost power.
+        """
+        others = {view.runner.data_centre for view in self._views.values()}
+        others.discard(data_centre)
+        silent = [now < self._cut_until.get(one, float("-inf")) for one in others]
+        return len(silent) >= LEAST_SILENT and all(silent)
+
+    def has_local(self, endpoint: str, data_centre: str, now: float) -> bool:
+        """Return whether an endpoint has a runner in a data centre."""
+        views = self.list_views(endpoint, now)
+        return any(view.runner.data_centre == data_centre for view in views)
+
     def note_answer(self, view: RunnerView, seconds: float, now: float) -> None:
         """Take in a sound answer, and how long its first byte took."""
         self._answered_at[view.runner.data_centre] = now
--- /dev/null
+++ b/knapweedrail/tests/test_relay_isolation.py
@@ -0,0 +1,94 @@
+"""A data centre that is cut off while callers still reach it."""
+
+import time
+
+import pytest
+
+from ..relay.models import Repetition
+from ..relay.pressure import MOVE_SECONDS, REST_SECONDS, Pressure
+from ..relay.runners import CUT_SECONDS, RunnerTable
+from .relays_in_memory import (
+    ScriptedRunner,
+    answer_well,
+    make_configuration,
+    make_route,
+    make_runner,
+    run_relay,
+)
+
+pytestmark = pytest.mark.anyio
+
+SAFE = make_route(Repetition.SAFE)
+
+
+def make_table(*data_centres):
+    table = RunnerTable(doubt=1.9)
+    for number, data_centre in enumerate(data_centres):
+        table.set_runner(make_runner(f"r-{number}", data_centre=data_centre))
+    return table
+
+
+def silence(table, now, but="dc"):
+    for view in table.list_views("e", now):
+        if view.runner.data_centre != but:
+            table.note_silence(view, now)
+
+
+def test_a_data_centre_is_cut_off_when_all_others_are_silent():
+    table = make_table("dc", "east", "west")
+    east = table.list_views("e", 0.0)[1]
+    table.note_silence(east, 10.0)
+    assert not table.is_cut_off("dc", 10.1)
+    silence(table, 10.1)
+    assert table.is_cut_off("dc", 10.2)
+    assert not table.is_cut_off("dc", 10.2 + CUT_SECONDS)
+    table.note_answer(east, 0.1, 10.3)
+    assert not table.is_cut_off("dc", 10.3)
+
+
+def test_one_other_data_centre_that_is_silent_may_have_lost_power():
+    """There are two data centres, and the other one loses power. Callers sent away from
+    here would find nobody there."""
+    table = make_table("dc", "east")
+    silence(table, 10.0)
+    assert not table.is_cut_off("dc", 10.1)
+
+
+def test_callers_are_told_to_come_back_when_the_balancer_has_moved_them():
+    pressure = Pressure()
+    assert pressure.note_cut_off(10.0)
+    assert pressure.is_out(10.0 + REST_SECONDS - 0.1)
+    assert not pressure.note_cut_off(11.0)
+    assert pressure.measure_move(11.0) == pytest.approx(MOVE_SECONDS - 1.0)
+    assert pressure.measure_move(20.0) == 0.0
+    assert not pressure.is_out(11.0 + REST_SECONDS)
+
+
+async def test_what_runs_only_elsewhere_is_refused_at_once_and_the_host_leaves():
+    """A data centre without engines is cut off. Each plan waited for four connections
+    to time out, a second in all, and came back to the same data centre."""
+    async with run_relay(make_configuration(SAFE)) as relay:
+        relay.table.set_runner(make_runner("east", data_centre="east"))
+        relay.table.set_runner(make_runner("west", data_centre="west"))
+        silence(relay.table, time.monotonic())
+        began_at = time.monotonic()
+        answer = await relay.call()
+        seconds = time.monotonic() - began_at
+        out = relay.gateway._services.pressure.is_out(time.monotonic())
+    assert answer.status == 503
+    assert b'"ran":"not run"' in answer.body
+    assert float(answer.headers["retry-after"]) > MOVE_SECONDS - CUT_SECONDS
+    assert seconds < CUT_SECONDS
+    assert out
+
+
+async def test_a_data_centre_with_runners_of_its_own_serves_on():
+    runner = ScriptedRunner(answer_well)
+    async with run_relay(make_configuration(SAFE), runner) as relay:
+        relay.table.set_runner(make_runner("east", data_centre="east"))
+        relay.table.set_runner(make_runner("west", data_centre="west"))
+        silence(relay.table, time.monotonic())
+        answer = await relay.call()
+        out = relay.gateway._services.pressure.is_out(time.monotonic())
+    assert answer.status == 200
+    assert not out
