Ask for a cut only when one was seen; close what was started

Cause: reading as a newcomer: whether the data centre is cut off was worked out from all runners at each request, and the task of successors was ended by its group, not closed like the others. Change: the set of silent data centres is looked at first; Relay.close closes it.

--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -199,6 +199,7 @@
         await self._caller_server.close(max(0.1, left))
         await self._membership.close()
         await self._holdings.close()
+        await self._successors.close()
         with anyio.move_on_after(RELEASE_SECONDS):
             await self._holdings.release()
             await self._membership.leave()
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -328,10 +328,12 @@
         With two others or more that say nothing at once, it is the own one that is cut
         off; a single one may have lost power.
         """
+        silent = {one for one, until in self._cut_until.items() if now < until}
+        silent.discard(data_centre)
+        if len(silent) < LEAST_SILENT:
+            return False
         others = {view.runner.data_centre for view in self._views.values()}
-        others.discard(data_centre)
-        silent = [now < self._cut_until.get(one, float("-inf")) for one in others]
-        return len(silent) >= LEAST_SILENT and all(silent)
+        return others - {data_centre} <= silent
 
     def has_local(self, endpoint: str, data_centre: str, now: float) -> bool:
         """Return whether an endpoint has a runner in a data centre."""
