End in good order when asked to stop during the start; restart runners in the soak

Ruled out: an error in the stop itself (no line of the process in its log). Change: from the reading of the settings on, SIGTERM and SIGINT end the process with code 0 until the relay takes over. The soak knows one more step, 'restart runner': a runner crashes, and its next life stands at its address under another name, listed up to four seconds later; its runners report their memory. The check that a long schedule has all kinds of steps says 17 now.

--- a/knapweedrail/soak/faults.py
+++ b/knapweedrail/soak/faults.py
@@ -58,6 +58,7 @@
             "silence to store": self._silence_to_store,
             "leave": self._leave,
             "crash": self._crash,
+            "restart runner": self._restart_runner,
             "reset runner": self._reset_runner,
             "silence runner": self._silence_runner,
             "slow runner": self._slow_runner,
@@ -182,6 +183,16 @@
         await self._world.add_runner()
         return runner.name
 
+    async def _restart_runner(self, step: Step) -> str:
+        runner = self._pick_runner(step)
+        successor = await self._world.restart_runner(runner)
+        # Until then relays know of it only what it says of itself.
+        await anyio.sleep(step.seconds)
+        self._world.end_runner(runner)
+        if successor in self._world.runners:
+            self._world.list_runner(successor, RunnerState.READY)
+        return runner.name
+
     async def _reset_runner(self, step: Step) -> str:
         runner = self._pick_runner(step)
         await runner.link.reset(ANYONE)
--- a/knapweedrail/soak/records.py
+++ b/knapweedrail/soak/records.py
@@ -18,6 +18,10 @@
 enough for a fault to meet it."""
 
 
+CACHE_TOKENS = 1_000_000
+"""Tokens that a runner's memory holds, by its own word; it reads no prompts."""
+
+
 class Kind(enum.Enum):
     """What may be repeated of a request."""
 
--- a/knapweedrail/soak/runners.py
+++ b/knapweedrail/soak/runners.py
@@ -15,12 +15,19 @@
 import anyio
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import Response, StreamingResponse
+from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
 from ..platform import names
 from ..servers import HttpServer, ServerLimits
-from .records import Kind, count_events, make_answer, make_event, write_line
+from .records import (
+    CACHE_TOKENS,
+    Kind,
+    count_events,
+    make_answer,
+    make_event,
+    write_line,
+)
 
 FULL_SHARE = 0.05
 """Requests that are rejected for want of room."""
@@ -50,10 +57,13 @@
         self.app = Starlette(routes=[Route("/{path:path}", self._run, methods=methods)])
 
     async def _run(self, request: Request) -> Response:
-        identity = request.headers[_text(names.REQUEST_ID)]
+        identity = request.headers.get(_text(names.REQUEST_ID), "")
         headers = {_text(names.REQUEST_ID): identity}
         if self._is_other(request):
+            headers[_text(names.RUNNER_ID)] = self._name
             return Response(status_code=421, headers=headers)
+        if request.url.path == _text(names.REPORT_TARGET):
+            return JSONResponse({names.REPORT_MEMORY: CACHE_TOKENS})
         if self._rng.random() < FULL_SHARE:
             headers[_text(names.NOT_RUN)] = "1"
             return Response(status_code=503, headers=headers)
--- a/knapweedrail/soak/schedules.py
+++ b/knapweedrail/soak/schedules.py
@@ -15,7 +15,14 @@
 
 STORE_STEPS = ("store away", "store loses", "store refuses", "store forgets")
 RELAY_STEPS = ("kill", "pause", "stop", "cut from store", "silence to store")
-RUNNER_STEPS = ("leave", "reset runner", "silence runner", "slow runner", "crash")
+RUNNER_STEPS = (
+    "leave",
+    "reset runner",
+    "silence runner",
+    "slow runner",
+    "crash",
+    "restart runner",
+)
 OTHER_STEPS = ("configure", "kill all")
 
 
--- a/knapweedrail/soak/worlds.py
+++ b/knapweedrail/soak/worlds.py
@@ -32,7 +32,7 @@
 from ..standins.processes import Process
 from ..standins.proxy import Route
 from ..standins.sources import Sources
-from .records import Kind, Ran, read_runs
+from .records import CACHE_TOKENS, Kind, Ran, read_runs
 
 STOP_SECONDS = 6.0
 """Time that relays have to stop in, as their platform gives it."""
@@ -136,7 +136,12 @@
             name: Account(name=name, keys=(f"key-{name}",), prepaid=tokens)
             for name, tokens in self.prepaid.items()
         }
-        endpoint = Endpoint(name=ENDPOINT, health_path="/health", max_connections=1000)
+        endpoint = Endpoint(
+            name=ENDPOINT,
+            health_path="/health",
+            max_connections=1000,
+            cache_tokens=CACHE_TOKENS,
+        )
         configuration = Configuration(
             version=self.version,
             routes=tuple(routes),
@@ -152,6 +157,23 @@
 
     async def add_runner(self) -> None:
         """Start another runner and list it."""
+        name, process = await self._start_runner()
+        link = await self._open_link(name, _find_address(process))
+        runner = RunnerHost(name, process, link)
+        self.runners.append(runner)
+        self.list_runner(runner, RunnerState.READY)
+
+    async def restart_runner(self, runner: RunnerHost) -> RunnerHost:
+        """Crash a runner, and start its next life at its address, not listed yet."""
+        runner.process.close()
+        name, process = await self._start_runner()
+        runner.link.target = _find_address(process)
+        successor = RunnerHost(name, process, runner.link)
+        self.runners = [one for one in self.runners if one is not runner]
+        self.runners.append(successor)
+        return successor
+
+    async def _start_runner(self) -> tuple[str, Process]:
         self._runner_lives += 1
         name = f"runner-{self._runner_lives}"
         process = Process(
@@ -161,10 +183,7 @@
         )
         process.start()
         await anyio.to_thread.run_sync(process.wait_ready)
-        link = await self._open_link(name, f"127.0.0.1:{process.ports['port']}")
-        runner = RunnerHost(name, process, link)
-        self.runners.append(runner)
-        self.list_runner(runner, RunnerState.READY)
+        return name, process
 
     def list_runner(self, runner: RunnerHost, state: RunnerState) -> None:
         """Write a runner's entry in the store."""
@@ -224,6 +243,10 @@
         return Process("knapweedrail.tools.relay", *options, log=log)
 
 
+def _find_address(process: Process) -> str:
+    return f"127.0.0.1:{process.ports['port']}"
+
+
 def find_ports(count: int) -> list[int]:
     """Return ports that are free now."""
     sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
--- a/knapweedrail/tests/test_relay_start.py
+++ b/knapweedrail/tests/test_relay_start.py
@@ -69,3 +69,25 @@
         settings = write_settings(tmp_path, address)
         assert relay.main(["--settings", settings]) == relay.EXIT_FAILED
     assert "knapweedrail-relay: " in capsys.readouterr().err
+
+
+def test_a_stop_while_the_process_starts_is_no_failure(tmp_path):
+    """A host is asked to stop right after its start, while its relay still reads its
+    libraries. The process ended by the signal, and whoever watches hosts was called
+    for a relay that had failed. Found by seed 403 of the soak."""
+    settings = write_settings(tmp_path, "127.0.0.1:0")
+    program = (
+        "import os, signal, sys, types\n"
+        "from knapweedrail.tools import relay\n"
+        "service = types.ModuleType('service')\n"
+        "def __getattr__(name):\n"
+        "    os.kill(os.getpid(), signal.SIGTERM)\n"
+        "    raise AttributeError(name)\n"
+        "service.__getattr__ = __getattr__\n"
+        "sys.modules['knapweedrail.tools.service'] = service\n"
+        f"relay.main(['--settings', {settings!r}])\n"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, timeout=60
+    )
+    assert (found.returncode, found.stderr) == (relay.EXIT_STOPPED, "")
--- a/knapweedrail/tools/relay.py
+++ b/knapweedrail/tools/relay.py
@@ -9,6 +9,7 @@
 
 import argparse
 import os
+import signal
 import sys
 from collections.abc import Sequence
 
@@ -44,6 +45,10 @@
     return parser
 
 
+def _stop_at_once(number: int, frame: object) -> None:
+    raise SystemExit(EXIT_STOPPED)
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the program."""
     parser = build_parser()
@@ -57,6 +62,10 @@
         return EXIT_USAGE
     if arguments.check:
         return EXIT_STOPPED
+    # Until the relay runs, a request to stop finds nothing to end in good order; by
+    # default it would end the process as if it had failed.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _stop_at_once)
     try:
         listener = open_listener(settings.caller_address)
     except OSError as error:
--- a/knapweedrail/tools/soak.py
+++ b/knapweedrail/tools/soak.py
@@ -22,6 +22,7 @@
 import orjson
 
 from .. import __version__
+from ..loops import log_loop_errors
 from ..soak.callers import Callers
 from ..soak.faults import Faults
 from ..soak.judges import count_outcomes, judge
@@ -61,6 +62,7 @@
 
 async def play(plan: Plan, folder: Path) -> History:
     """Play one run, and return what was seen."""
+    log_loop_errors()
     history = History(dict(PREPAID))
     async with anyio.create_task_group() as group:
         world = World(folder, plan.seed, PREPAID, group)
