Take a wait that was seen for a queue's only where something waits still

Cause: reading the final code: what the last prompt waited holds its own reading as well. Before one engine, the history of 39,000 tokens takes half a second to read, and for as long afterwards every prompt would have been refused though nothing waited there. Ruled out: subtracting the time to read (what a runner has in its memory makes it unknown). Change: a wait that was seen counts only if a prompt of this relay waits at the runner, the runner has reported that some wait, or the last one was given up; connections that failed no longer count as waits. Figures: the test with one engine, which failed before.

--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -142,6 +142,7 @@
         if self._call.services.pressure.is_late(time.monotonic()):
             # What came in time was seen too late here; runners aren't to blame.
             return
+        self._note_prompt(began_at, gave_up=True)
         if time.monotonic() - began_at >= SILENCE_SECONDS:
             self._note_silence()
             self._note_failure(certain=False)
@@ -289,16 +290,22 @@
         call.services.runners.note_answer(self._view, now - began_at, now)
         call.services.suspects.note_good(call.fingerprint, now)
         self._note_begun()
+        self._note_prompt(began_at, gave_up=False)
         if call.request.parts:
             shared = find_shared_part(call.request.parts)
             call.services.runners.note_prefix(shared.name, self._view, now)
 
+    def _note_prompt(self, began_at: float, gave_up: bool) -> None:
+        """Take in how long a prompt waited at the runner."""
+        if self._call.request.parts:
+            now = time.monotonic()
+            runners = self._call.services.runners
+            runners.note_wait(self._view, now - began_at, gave_up, now)
+
     def _note_begun(self) -> None:
         if self._unread:
             tokens = self._call.request.prompt_tokens
-            self._call.services.runners.note_begun(
-                self._view, tokens, self, time.monotonic()
-            )
+            self._call.services.runners.note_begun(self._view, tokens, self)
             self._unread = False
 
     def _note_load(self, answer: RunnerAnswer) -> None:
--- a/knapweedrail/relay/patience.py
+++ b/knapweedrail/relay/patience.py
@@ -31,7 +31,7 @@
     data centre with one of them. Every prompt then waits until its caller leaves, its
     tokens count as used, and the runner reads prompts that nobody waits for. The wait
     of the oldest one is what the queue's wait is at least, whatever the runner's speed
-    or the prompts' lengths, and needs no report; so does the wait of the last one that
+    or the prompts' lengths, and needs no report. So is the wait of the last one that
     was read or given up, less the time since, as no queue shrinks faster than that.
 
     Args:
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -73,6 +73,7 @@
         waiting: When each of these was sent, and its rank; the oldest comes first.
         waited: How long the last prompt waited that was begun or given up, seconds.
         waited_at: When that was.
+        gave_up: Whether it was given up.
         others: Requests of others, by its last report.
         others_waiting: How many of these had not begun to be answered.
         reported_at: When it last reported; seconds.
@@ -92,6 +93,7 @@
     waiting: dict[object, tuple[float, int | None]] = attrs.field(factory=dict)
     waited: float = 0.0
     waited_at: float = float("-inf")
+    gave_up: bool = False
     others: float = 0.0
     others_waiting: float = 0.0
     reported_at: float = float("-inf")
@@ -117,12 +119,17 @@
         return self.unread + others * mean_tokens
 
     def measure_wait(self, rank: int | None, now: float) -> float:
-        """Return how long a new request would wait at least, as far as seen."""
+        """Return how long a new request would wait at least, as far as seen.
+
+        What the last one waited counts only where others are waiting still: a long
+        prompt takes long to read, and a runner that has read it may be idle.
+        """
         left = max(0.0, self.waited - (now - self.waited_at))
         for sent_at, other in self.waiting.values():
             if rank is None or other is None or other <= rank:
                 return max(left, now - sent_at)
-        return left
+        others = self._weigh_report(now) * self.others_waiting
+        return left if others or self.gave_up else 0.0
 
     def _weigh_report(self, now: float) -> float:
         return max(0.0, 1.0 - (now - self.reported_at) / REPORT_SECONDS)
@@ -269,15 +276,18 @@
         view.waiting[attempt] = (now, rank)
         self.mean_tokens += SMOOTHING * (tokens - self.mean_tokens)
 
-    def note_begun(
-        self, view: RunnerView, tokens: int, attempt: object, now: float
-    ) -> None:
+    def note_begun(self, view: RunnerView, tokens: int, attempt: object) -> None:
         """Count that a request's answer has begun, or that its attempt has failed."""
         view.unread -= tokens
-        sent_at, _ = view.waiting.pop(attempt)
-        if tokens:
-            view.waited = now - sent_at
-            view.waited_at = now
+        del view.waiting[attempt]
+
+    def note_wait(
+        self, view: RunnerView, seconds: float, gave_up: bool, now: float
+    ) -> None:
+        """Take in how long a prompt waited, and whether it was given up."""
+        view.waited = seconds
+        view.waited_at = now
+        view.gave_up = gave_up
 
     def note_ended(self, view: RunnerView) -> None:
         """Count the end of a request at a runner."""
--- a/knapweedrail/tests/test_relay_patience.py
+++ b/knapweedrail/tests/test_relay_patience.py
@@ -65,7 +65,8 @@
                 return
             self._queue.pop(0)
             self.free_at = end
-            self.table.note_begun(self.view, 100, key, end)
+            self.table.note_begun(self.view, 100, key)
+            self.table.note_wait(self.view, end - sent_at, False, end)
             if end - sent_at > GIVE_UP_SECONDS:
                 self.read_in_vain += 1
             else:
@@ -113,13 +114,23 @@
     table = RunnerTable(doubt=1.9)
     table.set_runner(make_runner("i-0"))
     views = table.list_views("e", 0.0)
-    key = object()
-    table.note_sent(views[0], 100, key, 0, 0.0)
-    table.note_begun(views[0], 100, key, 2.0)
+    table.note_wait(views[0], 2.0, True, 2.0)
     assert find_wait(views, 0, 2.5) == 1.5
     assert find_wait(views, 0, 4.0) == 0.0
 
 
+def test_a_long_prompt_at_the_only_runner_keeps_nobody_away_once_it_is_read():
+    """There is one engine, and a farm's longest history took half a second to read.
+    Nothing waits there any more, and the next caller must not be refused for it."""
+    table = RunnerTable(doubt=1.9)
+    table.set_runner(make_runner("i-0"))
+    views = table.list_views("e", 0.0)
+    table.note_wait(views[0], 0.6, False, 1.0)
+    assert find_wait(views, 0, 1.1) == 0.0
+    table.note_load(views[0], running=4, waiting=3, now=1.0)
+    assert find_wait(views, 0, 1.1) == pytest.approx(0.5)
+
+
 def test_urgent_prompts_are_not_refused_for_less_urgent_ones():
     table = RunnerTable(doubt=1.9)
     table.set_runner(make_runner("i-0"))
