End what a soak has started when it is stopped

Cause: stopping the soak by SIGTERM left three runners and five relays running, ended by hand by their ids. Ruled out: the clean-up itself, which runs whenever the program ends in good order. Change: SIGTERM ends the soak through its clean-up, with exit code 3.

--- a/knapweedrail/tests/test_soak.py
+++ b/knapweedrail/tests/test_soak.py
@@ -1,5 +1,12 @@
 """The soak's judge catches what it is there for, and a short soak passes."""
 
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
 import attrs
 import pytest
 
@@ -134,3 +141,34 @@
     logs = "".join(file.read_text() for file in tmp_path.glob("relay-*.log"))
     assert "706 runner_succeeded" in logs
     assert judge(history) == []
+
+
+def list_children(pid):
+    found = pathlib.Path(f"/proc/{pid}/task/{pid}/children").read_text()
+    return [int(one) for one in found.split()]
+
+
+def is_running(pid):
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+def test_a_soak_that_is_stopped_leaves_no_process_behind():
+    """Somebody stops a series of soaks in the middle. Its relays and runners went on by
+    themselves, and slowed down all that ran there afterwards."""
+    command = [sys.executable, "-m", "knapweedrail.tools.soak", "--seed", "1"]
+    soak = subprocess.Popen(
+        [*command, "--relays", "1", "--runners", "2"], stdout=subprocess.DEVNULL
+    )
+    deadline = time.monotonic() + 60
+    children = []
+    while len(children) < 3 and time.monotonic() < deadline:
+        time.sleep(0.05)
+        children = list_children(soak.pid)
+    soak.send_signal(signal.SIGTERM)
+    assert soak.wait(30) == 3
+    assert len(children) == 3
+    assert not [child for child in children if is_running(child)]
--- a/knapweedrail/tools/soak.py
+++ b/knapweedrail/tools/soak.py
@@ -2,7 +2,7 @@
 
 Every seed is one run with a schedule of its own. A run that breaks a promise leaves its
 schedule, its findings and the relays' logs in a folder. Exit codes: 0 if every promise
-was kept, 1 if not, 2 for a wrong command line.
+was kept, 1 if not, 2 for a wrong command line, 3 if it was stopped.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 import argparse
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -42,6 +43,7 @@
 
 EXIT_KEPT = 0
 EXIT_BROKEN = 1
+EXIT_STOPPED = 3
 
 
 @attrs.frozen
@@ -179,12 +181,12 @@
     return parser
 
 
-def main(argv: Sequence[str] | None = None) -> int:
-    """Run the program."""
-    parser = build_parser()
-    arguments = parser.parse_args(argv)
-    if min(arguments.count, arguments.relays, arguments.runners) < 1:
-        parser.error("count, relays and runners are at least 1")
+def _stop(number: int, frame: object) -> None:
+    raise SystemExit(EXIT_STOPPED)
+
+
+def _play_seeds(arguments: argparse.Namespace) -> list[int]:
+    """Play all seeds; return those that broke a promise."""
     first = arguments.seed
     if first is None:
         first = random.randrange(1_000_000)
@@ -207,6 +209,25 @@
             if arguments.shorten:
                 fewer = shorten(plan, arguments.keep, findings[0].promise)
                 print(f"  {len(fewer.steps)} of {len(steps)} steps are enough")
+    return broken
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the program."""
+    parser = build_parser()
+    arguments = parser.parse_args(argv)
+    if min(arguments.count, arguments.relays, arguments.runners) < 1:
+        parser.error("count, relays and runners are at least 1")
+    # By default the signal would end this process at once, and leave its relays and
+    # runners behind.
+    signal.signal(signal.SIGTERM, _stop)
+    broken: list[int] | None = None
+    try:
+        broken = _play_seeds(arguments)
+    except* SystemExit:
+        print("stopped", file=sys.stderr)
+    if broken is None:
+        return EXIT_STOPPED
     print(f"{arguments.count} seeds, broken: {broken or 'none'}")
     return EXIT_BROKEN if broken else EXIT_KEPT
 
