Log when a stop was asked for, and what is taken and cut off after it

Cause: the incident's hypotheses can't be told apart from the logs: nothing says how long after the signal the relay noticed it, which requests it took after that and with what time left, and a request that the end of the process cut off left no line. Ruled out: metrics (they go with the process); a line for each request at all times (answers already have one). Change: a handler of the interpreter's own notes the signal before the event loop gets to it; 102 says how late it was noticed and until when requests are taken; 607 is a request taken by a stopping process, 608 one that its end cut off. No decision changes. Before: none of the three in any log. Conclusion: sight only; the cause is looked for with it.

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -15,7 +15,7 @@
     """
 
     ROUTER_STARTED = (101, "the router serves requests")
-    ROUTER_STOPPING = (102, "the router takes no new requests")
+    ROUTER_STOPPING = (102, "the router stops; it takes new requests for a while")
     ROUTER_STOPPED = (103, "the router has stopped; `left` says what was unfinished")
     TASK_FAILED = (104, "a task ended with an unexpected error")
     SERVER_ENDED_BADLY = (105, "an HTTP server met an error while it was closed")
@@ -85,6 +85,8 @@
     LINES_LEFT_OUT = (106, "log lines were left out, by event, for their number")
     SETTINGS_CHANGED = (107, "the process was told that its settings have changed")
     REQUEST_ANSWERED = (606, "a request has its answer; by which runner, and when")
+    REQUEST_TAKEN_LATE = (607, "a request was taken after the process was told to stop")
+    REQUEST_CUT_OFF = (608, "the process ended before the answer to a request did")
 
     RUNNER_SUCCEEDED = (706, "an unlisted runner was found where another one had ended")
     RUNNER_SILENT = (707, "a runner that stands in another's place gave no report")
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -183,16 +183,25 @@
             watch_seconds=self._settings.watch_seconds,
         )
 
-    async def close(self) -> None:
+    async def close(self, asked_at: float) -> None:
         """Stop in good order, within the time that the settings give.
 
         The balancer is told first, and what it still sends is served; then answers
         under way end, and what is left of the tokens goes back.
+
+        Args:
+            asked_at: When the process was told to stop.
         """
         began_at = time.monotonic()
+        self._gateway.stop_asked_at = asked_at
         self._gateway.stopping = True
         self._gateway.takes_until = began_at + TAKE_SECONDS
-        log_event(Event.ROUTER_STOPPING, under_way=self._gateway.under_way)
+        log_event(
+            Event.ROUTER_STOPPING,
+            under_way=self._gateway.under_way,
+            noticed_after=round(began_at - asked_at, 4),
+            takes_for=round(self._gateway.takes_until - asked_at, 4),
+        )
         await self._wait_until_quiet(began_at)
         spent = time.monotonic() - began_at
         left = self._settings.stop_seconds - spent - RELEASE_SECONDS - END_SECONDS
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -79,6 +79,7 @@
 
     Attributes:
         stopping: Whether the process ends; every answer then ends its connection.
+        stop_asked_at: When the process was told to stop.
         takes_until: When a stopping process begins to refuse what comes.
     """
 
@@ -94,6 +95,7 @@
         self.under_way = 0
         self.last_request_at = float("-inf")
         self.stopping = False
+        self.stop_asked_at = float("inf")
         self.takes_until = float("inf")
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
@@ -101,9 +103,9 @@
         if scope["type"] != "http":
             return
         self.under_way += 1
-        self.last_request_at = time.monotonic()
+        arrived_at = self.last_request_at = time.monotonic()
+        delivery = Delivery(send, self._ends_connections)
         try:
-            delivery = Delivery(send, self._ends_connections)
             await self._answer(scope, receive, delivery)
         except CallerGone:
             log_event(Event.CALLER_GONE, path=scope["path"])
@@ -112,6 +114,17 @@
             # answer.
             log_event(Event.TASK_FAILED, task="request", error=repr(error))
             raise
+        except anyio.get_cancelled_exc_class():
+            # Nothing else would tell that the process ended before the answer did: its
+            # caller has half a stream, or no answer, and asks why.
+            log_event(
+                Event.REQUEST_CUT_OFF,
+                path=scope["path"],
+                started=delivery.started,
+                arrived_after=round(arrived_at - self.stop_asked_at, 3),
+                cut_after=round(time.monotonic() - self.stop_asked_at, 3),
+            )
+            raise
         finally:
             self.under_way -= 1
 
@@ -149,6 +162,13 @@
             delivery.close_after()
             await self._refuse(delivery, request.identity, self._refuse_busy())
             return
+        if self.stopping:
+            log_event(
+                Event.REQUEST_TAKEN_LATE,
+                request=request.identity,
+                arrived_after=round(arrived_at - self.stop_asked_at, 3),
+                may_take=round(wait, 3),
+            )
         await self._serve(request, body, admission, ends_at, receive, delivery)
 
     def _admit(self, request: CallerRequest) -> Admission | Refusal:
--- a/knapweedrail/tests/test_relay_process.py
+++ b/knapweedrail/tests/test_relay_process.py
@@ -225,14 +225,25 @@
         await callers[1].send(b"POST /a/x HTTP/1.1\r\nhost: h.example\r\n")
         await anyio.sleep(0.3)
         relay.process.send_signal(signal.SIGTERM)
+        await anyio.sleep(0.3)
+        await callers[2].send(head.replace("id-1", "id-2").encode() + b"\r\n\r\n")
         with anyio.fail_after(STOP_SECONDS + 2):
             while relay.process.poll() is None:
                 await anyio.sleep(0.05)
         for caller in callers:
             await caller.aclose()
     # Each line is a log event; anything else can't be read as one.
-    assert relay.read_log()[-1]["message_type"] == "103 router_stopped"
+    lines = relay.read_log()
+    assert lines[-1]["message_type"] == "103 router_stopped"
     assert relay.process.returncode == 0
+    # Whose request was cut off asks why: the log tells when it came, and what the
+    # relay thought that it had left.
+    by_kind = {line["message_type"]: line for line in lines}
+    assert 0 <= by_kind["102 router_stopping"]["noticed_after"] < 0.3
+    taken = by_kind["607 request_taken_late"]
+    assert taken["request"] == "id-2" and 0.2 < taken["arrived_after"] < 1.0
+    cut = [line for line in lines if line["message_type"] == "608 request_cut_off"]
+    assert len(cut) == 2 and all(not line["started"] for line in cut)
 
 
 async def test_a_killed_process_leaves_its_tokens_counted(tmp_path):
--- a/knapweedrail/tools/service.py
+++ b/knapweedrail/tools/service.py
@@ -14,6 +14,9 @@
 from ..platform.relays import make_relay
 from ..relay.logs import LogWriter
 from ..relay.options import RelaySettings
+from ..relay.signals import SignalClock
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def run_relay(settings: RelaySettings, listener: socket.socket) -> bool:
@@ -43,9 +46,9 @@
     log_loop_errors()
     relay = make_relay(settings, listener, lambda: logs.left_out)
     async with anyio.create_task_group() as group:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
+        with anyio.open_signal_receiver(*STOP_SIGNALS, signal.SIGHUP) as signals:
+            clock = SignalClock()
+            clock.watch(STOP_SIGNALS)
             await relay.start(group)
             async for number in signals:
                 if number != signal.SIGHUP:
@@ -53,5 +56,5 @@
                 # Addresses and bounds stay those of the start; what may change while
                 # the process runs comes with the operator's configuration.
                 log_event(Event.SETTINGS_CHANGED)
-        await relay.close()
+        await relay.close(clock.read())
         group.cancel_scope.cancel()
