Show by tests that a stopping relay takes what it can't finish

Ruled out: a late notice alone as the record's cause (its streams were cut off 6.70 s after the signal, so the stop was noticed within 3 ms). Conclusion: one class, three ways in: admission by a clock that doesn't know when the process ends.

--- a/knapweedrail/tests/test_relay_process.py
+++ b/knapweedrail/tests/test_relay_process.py
@@ -65,7 +65,7 @@
 class RelayProcess:
     """One process with its addresses and its log."""
 
-    def __init__(self, folder, store_address):
+    def __init__(self, folder, store_address, changes=None):
         front, ready, peer, metrics = find_ports(4)
         self.url = f"http://127.0.0.1:{front}"
         self.ready_url = f"http://127.0.0.1:{ready}/ready"
@@ -79,6 +79,7 @@
             "metrics_address": f"127.0.0.1:{metrics}",
             "store_address": store_address,
             "stop_seconds": STOP_SECONDS,
+            **(changes or {}),
         }
         path = folder / "relay.jsonc"
         path.write_bytes(b"// made by a test\n" + orjson.dumps(settings))
@@ -95,7 +96,7 @@
 
 
 @contextlib.asynccontextmanager
-async def run_process(folder, respond):
+async def run_process(folder, respond, changes=None):
     objects = ObjectStore()
     runner = ScriptedRunner(respond)
     async with anyio.create_task_group() as group:
@@ -105,7 +106,7 @@
         objects.put("config", "main", CONFIGURATION)
         entry = {"service": "e", "address": runner.address, "state": "ready"}
         objects.put("servers", "i-1", entry)
-        relay = RelayProcess(folder, server.address)
+        relay = RelayProcess(folder, server.address, changes)
         try:
             async with httpx.AsyncClient(timeout=15) as client:
                 await wait_ready(client, relay)
--- /dev/null
+++ b/knapweedrail/tests/test_relay_shutdown.py
@@ -0,0 +1,107 @@
+"""A relay that is asked to stop: what it still takes, and that nothing taken is lost.
+
+Hosts were stopped in turn, two seconds apart. Callers got half a stream: their requests
+had been taken three seconds and more after the host was asked to stop, and the process
+ended while their runners were at work. Whether a request was taken depended on the time
+since the stop was noticed, and not on whether its answer fits into the time that was
+left. The age at which the streams were cut off, the time to stop less what is kept for
+the end, showed that the stop had been noticed at once and that the limit was at fault.
+"""
+
+import signal
+import time
+
+import anyio
+import httpx
+import pytest
+
+from .relays_in_memory import make_chunk, make_event, make_stream_head
+from .test_relay_process import make_headers, run_process
+
+pytestmark = pytest.mark.anyio
+
+
+def make_slow_stream(seconds):
+    """Return a runner's script: a stream of ten events over that time."""
+
+    async def stream_events(stream, head):
+        await stream.send(make_stream_head(head))
+        for number in range(1, 11):
+            await anyio.sleep(seconds / 10)
+            await stream.send(make_chunk(make_event(number)))
+        await stream.send(make_chunk(b""))
+        return True
+
+    return stream_events
+
+
+async def ask_for_stream(relay, number):
+    """Return the status and whether the answer came whole, as a caller sees it."""
+    got = b""
+    try:
+        async with httpx.AsyncClient(timeout=15) as client:
+            headers = make_headers(number)
+            url = f"{relay.url}/s/x"
+            async with client.stream("POST", url, headers=headers) as answer:
+                async for part in answer.aiter_bytes():
+                    got += part
+    except httpx.HTTPError as error:
+        return repr(error), False
+    return answer.status_code, got.endswith(make_event(10))
+
+
+async def end(relay, seconds):
+    with anyio.fail_after(seconds):
+        while relay.process.poll() is None:
+            await anyio.sleep(0.05)
+
+
+async def test_what_cannot_end_before_the_process_is_refused_as_not_run(tmp_path):
+    """Plans take four seconds here, as the relay has seen. Two seconds after it was
+    asked to stop within six, a caller whose connection is open sends one more. Taken,
+    it breaks off in the middle; refused, another host answers it."""
+    async with run_process(tmp_path, make_slow_stream(4.0)) as (_, relay, _):
+        assert await ask_for_stream(relay, 1) == (200, True)
+        relay.process.send_signal(signal.SIGTERM)
+        await anyio.sleep(2.0)
+        status, _ = await ask_for_stream(relay, 2)
+        await end(relay, 6)
+    assert status == 503
+
+
+async def test_time_runs_from_the_signal_and_not_from_its_notice(tmp_path):
+    """The process stands still for two fifths of a second just as it is asked to stop.
+    Whoever stops it counts from then. A plan sent three seconds and a bit after that
+    is taken for one of the first three seconds, and is cut off."""
+    settings = {"stop_seconds": 8}
+    script = make_slow_stream(4.2)
+    async with run_process(tmp_path, script, settings) as (_, relay, _):
+        relay.process.send_signal(signal.SIGSTOP)
+        asked_at = time.monotonic()
+        relay.process.send_signal(signal.SIGTERM)
+        await anyio.sleep(0.4)
+        relay.process.send_signal(signal.SIGCONT)
+        await anyio.sleep(asked_at + 3.2 - time.monotonic())
+        status, _ = await ask_for_stream(relay, 1)
+        await end(relay, 8)
+    assert status == 503
+
+
+async def test_a_short_time_to_stop_is_used_for_answers(tmp_path):
+    """The host has three seconds to stop. What is kept for the end was measured for
+    eight; taken from three, it leaves answers under half of the time, and a plan that
+    would have ended in two seconds and a bit is broken off."""
+    settings = {"stop_seconds": 3}
+    script = make_slow_stream(2.2)
+    async with run_process(tmp_path, script, settings) as (_, relay, _):
+        outcomes = []
+
+        async def ask():
+            outcomes.append(await ask_for_stream(relay, 1))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await anyio.sleep(0.1)
+            relay.process.send_signal(signal.SIGTERM)
+        await end(relay, 3)
+    assert outcomes == [(200, True)]
