Move the refusals of the callers' door into a module of their own

Ruled out: the routers' refusals.py, which are those of the decisions under load. Change: statuses, times to come back and the makers of refusals stand in relay/refusals.py; nothing decides otherwise.

--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -18,39 +18,22 @@
 from .followers import ConfigurationFollower
 from .holdings import Holdings
 from .models import Account, CallerRequest, Malformed, Route
+from .refusals import (
+    QUARANTINED_SECONDS,
+    STATUSES,
+    TOKENS_SECONDS,
+    refuse,
+    refuse_bad,
+    refuse_busy,
+    refuse_stopping,
+    refuse_unknown,
+)
 from .reservations import Reservation, Shortage
 from .routes import RouteTable, choose_endpoint
 from .shutdowns import AnswerTimes, Shutdown
 from .streams import StreamProgress
 from .suspects import make_fingerprint
 
-STATUSES = {
-    RefusalKind.BAD_REQUEST: 400,
-    RefusalKind.UNKNOWN_KEY: 401,
-    RefusalKind.BUDGET_SPENT: 402,
-    RefusalKind.UNKNOWN_ROUTE: 404,
-    RefusalKind.TOO_LARGE: 413,
-    RefusalKind.DEADLINE: 504,
-    RefusalKind.OUTCOME_UNKNOWN: 502,
-}
-"""HTTP status of each kind of refusal; all others say 503, which callers take as a
-promise that the request has not run."""
-
-STALE_SECONDS = 6.0
-"""Age of the configuration from which an unknown key or route may be a new one: a
-watch and its answer's delay, with a second to spare."""
-
-TOKENS_SECONDS = (2.0, 3.0)
-"""Bounds of the time after which a caller whose budget is out of reach may come back:
-the store is asked again every second, and a cut seldom ends sooner."""
-
-ELSEWHERE_SECONDS = (0.01, 0.05)
-"""Bounds of the time after which a caller may come back that this host has no room
-for: it comes back on a new connection, to another host, which can serve it at once."""
-
-QUARANTINED_SECONDS = 60.0
-"""When to come back with content that crashes runners: not while anybody waits."""
-
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 
 
@@ -144,7 +127,7 @@
             # Nobody can say where a malformed request ends: what follows it on the
             # connection may be its body, and must not be run as a request.
             delivery.close_after()
-            await self._refuse(delivery, "", _refuse_bad(request.reason))
+            await self._refuse(delivery, "", refuse_bad(request.reason))
             return
         admission = self._admit(request)
         if isinstance(admission, Refusal):
@@ -160,14 +143,16 @@
         if self.shutdown is not None:
             slowest = self._answer_times.find_slowest(admission.route.name)
             if not self.shutdown.takes(now, ends_at - now, slowest):
-                refusal = self._refuse_stopping(now, slowest)
+                left = self.shutdown.ends_at - now
+                refusal = refuse_stopping(left, slowest, self._services.rng)
                 await self._refuse(delivery, request.identity, refusal)
                 return
         if self._services.pressure.refuses(self._services.rng, now):
             # Not before the body is in: a connection that is closed with bytes unread
             # is reset, and the caller may lose the refusal with it.
             delivery.close_after()
-            await self._refuse(delivery, request.identity, self._refuse_busy())
+            refusal = refuse_busy(self._services.pressure, now, self._services.rng)
+            await self._refuse(delivery, request.identity, refusal)
             return
         if self.shutdown is not None:
             log_event(
@@ -183,13 +168,13 @@
     def _admit(self, request: CallerRequest) -> Admission | Refusal:
         table = self._configuration.table
         if table is None:
-            return _refuse(
+            return refuse(
                 RefusalKind.CONFIGURATION_UNDECIDED,
                 "no configuration is known yet",
                 draw_retry(self._services.rng),
             )
         if not request.identity:
-            return _refuse_bad("the request has no identity")
+            return refuse_bad("the request has no identity")
         route = table.find_route(request.host, request.path)
         if route is None:
             return self._refuse_unknown(RefusalKind.UNKNOWN_ROUTE, "no such route")
@@ -200,38 +185,9 @@
             return self._refuse_unknown(RefusalKind.UNKNOWN_KEY, "no such key")
         return Admission(route, account)
 
-    def _refuse_stopping(self, now: float, slowest: float) -> Refusal:
-        shutdown: Shutdown = self.shutdown  # type: ignore[assignment]
-        return _refuse(
-            RefusalKind.STOPPING,
-            f"this host stops {shutdown.ends_at - now:.2f} s from now,"
-            f" and answers take up to {slowest:.2f} s",
-            self._services.rng.uniform(*ELSEWHERE_SECONDS),
-        )
-
-    def _refuse_busy(self) -> Refusal:
-        pressure = self._services.pressure
-        link = pressure.measure_link(time.monotonic())
-        return _refuse(
-            RefusalKind.FULL,
-            f"this host is {pressure.delay:.2f} s late, its link {link:.2f} s",
-            self._services.rng.uniform(*ELSEWHERE_SECONDS),
-        )
-
     def _refuse_unknown(self, kind: RefusalKind, detail: str) -> Refusal:
-        """Refuse a key or route that isn't in the configuration.
-
-        A relay that hasn't heard from the store for a while may lack a newer version
-        that has it. Callers take "unknown" for final, so it then says "not now".
-        """
         age = time.monotonic() - self._configuration.confirmed_at
-        if age > STALE_SECONDS:
-            return _refuse(
-                RefusalKind.CONFIGURATION_UNDECIDED,
-                f"{detail} in a configuration confirmed {age:.1f} s ago",
-                draw_retry(self._services.rng),
-            )
-        return _refuse(kind, detail, None)
+        return refuse_unknown(kind, detail, age, self._services.rng)
 
     async def _receive_body(self, receive: Receive, ends_at: float) -> bytes | Refusal:
         """Receive a whole body within the bounds of the configuration."""
@@ -247,10 +203,10 @@
                 parts.append(message.get("body", b""))
                 size += len(parts[-1])
                 if size > most:
-                    return _refuse(RefusalKind.TOO_LARGE, f"over {most} bytes", None)
+                    return refuse(RefusalKind.TOO_LARGE, f"over {most} bytes", None)
                 if not message.get("more_body", False):
                     return b"".join(parts)
-        return _refuse(RefusalKind.STOPPING, "the body didn't arrive in time", 1.0)
+        return refuse(RefusalKind.STOPPING, "the body didn't arrive in time", 1.0)
 
     async def _serve(
         self,
@@ -288,7 +244,7 @@
         name = choose_endpoint(route, self._services.rng)
         endpoint = table.configuration.endpoints.get(name)
         if endpoint is None:
-            refusal = _refuse(RefusalKind.NO_ENDPOINT, f"no endpoint {name}", 1.0)
+            refusal = refuse(RefusalKind.NO_ENDPOINT, f"no endpoint {name}", 1.0)
             await self._refuse(delivery, request.identity, refusal)
             return
         self._services.retries.note_fresh(name, time.monotonic())
@@ -298,7 +254,7 @@
         )
         if self._services.suspects.blocks(fingerprint, time.monotonic()):
             detail = "runners crashed while they ran this content"
-            refusal = _refuse(RefusalKind.QUARANTINED, detail, QUARANTINED_SECONDS)
+            refusal = refuse(RefusalKind.QUARANTINED, detail, QUARANTINED_SECONDS)
             await self._refuse(delivery, request.identity, refusal)
             return
         reservation = await self._reserve(account, request)
@@ -405,9 +361,9 @@
             )
         match found:
             case Shortage.SPENT:
-                return _refuse(RefusalKind.BUDGET_SPENT, found.value, None)
+                return refuse(RefusalKind.BUDGET_SPENT, found.value, None)
             case Shortage.HELD_ELSEWHERE | Shortage.OUT_OF_REACH:
-                return _refuse(
+                return refuse(
                     RefusalKind.BUDGET_OUT_OF_REACH,
                     found.value,
                     self._services.rng.uniform(*TOKENS_SECONDS),
@@ -439,11 +395,3 @@
         )
         headers = self._services.codec.encode_refusal(identity, refusal.retry_after)
         await delivery.send_whole(status, headers, body)
-
-
-def _refuse(kind: RefusalKind, detail: str, retry_after: float | None) -> Refusal:
-    return Refusal("relay.admit", "", detail, kind, Ran.NOT_RUN, retry_after)
-
-
-def _refuse_bad(reason: str) -> Refusal:
-    return _refuse(RefusalKind.BAD_REQUEST, reason, None)
