Tell the lives of a runner apart by its start

Cause: a runner may start again under its name and then holds and knows nothing. All beliefs hung on the name: the next life stayed ejected, full or leaving, was taken to have prompts in memory, got requests on connections to the process that had ended, and a late write of an earlier life overwrote the present one. An entry that moved to another endpoint stayed usable for the former one as well, so its calls could reach the wrong service.

Ruled out: clearing the fields of one record at a restart, as notes of requests under way at the old life would fall on the new one; ordering by the store's revision, as a late write has the highest.

Change: a life is a name and a start, decoded from entries and reports. The table keeps one record for a life, the pool, the tried runners, the prefixes and the suspects go by lives, and the newest start of each name outlasts its record. An entry without a start is still served, as older than all others: the wire examples of today show none. A report of a known name at another address is asked for and counts if its life is later.

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -90,6 +90,8 @@
 
     RUNNER_SUCCEEDED = (706, "an unlisted runner was found where another one had ended")
     RUNNER_SILENT = (707, "a runner that stands in another's place gave no report")
+    RUNNER_RESTARTED = (709, "a runner has begun a new life under its name")
+    RUNNER_OUTDATED = (710, "an entry of a runner's earlier life came late; it is left")
     RUNNER_CRASHED = (705, "a runner is gone; what ran there is under suspicion")
 
     @property
--- a/knapweedrail/platform/decoding.py
+++ b/knapweedrail/platform/decoding.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Callable
 from typing import Any
 
 from ..relay.models import (
@@ -15,6 +17,7 @@
     RunnerState,
     Share,
 )
+from .starts import decode_start
 
 _REPETITIONS = {
     "safe": Repetition.SAFE,
@@ -51,9 +54,14 @@
         raise DecodingError(repr(error)) from error
 
 
-def decode_runner(name: str, spec: Any) -> Runner:
+def decode_runner(
+    name: str, spec: Any, read_clock: Callable[[], float] = time.time
+) -> Runner:
     """Decode a runner's entry.
 
+    Args:
+        read_clock: Returns the time of day, Unix seconds.
+
     Raises:
         DecodingError: If a part is missing or has another type.
     """
@@ -66,6 +74,7 @@
             data_centre=spec.get("zone", ""),
             slots=int(spec.get("slots") or 1),
             state=RunnerState.LEAVING if leaving else RunnerState.READY,
+            started=decode_start(spec, read_clock()),
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise DecodingError(repr(error)) from error
--- a/knapweedrail/platform/encoding.py
+++ b/knapweedrail/platform/encoding.py
@@ -16,6 +16,7 @@
     Runner,
     RunnerState,
 )
+from . import names
 
 _KINDS = {
     Repetition.SAFE: "safe",
@@ -48,13 +49,16 @@
 
 def encode_runner(runner: Runner) -> dict[str, Any]:
     """Return a runner's entry as it is stored."""
-    return {
+    spec: dict[str, Any] = {
         "service": runner.endpoint,
         "address": runner.address,
         "zone": runner.data_centre,
         "slots": runner.slots,
         "state": _STATES[runner.state],
     }
+    if runner.started:
+        spec[names.STARTED] = runner.started
+    return spec
 
 
 def _encode_route(route: Route) -> dict[str, Any]:
--- a/knapweedrail/platform/requests.py
+++ b/knapweedrail/platform/requests.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+import time
+from collections.abc import Callable
 
 import orjson
 
@@ -16,13 +18,21 @@
     RunnerReport,
 )
 from . import names
+from .starts import decode_start
 
 MAX_PARTS = 64
 """Parts of a prompt that are read; the rest can't matter to where it is sent."""
 
 
 class PlatformCodec(Codec):
-    """Headers as the platform's callers and runners write them."""
+    """Headers as the platform's callers and runners write them.
+
+    Args:
+        read_clock: Returns the time of day, Unix seconds.
+    """
+
+    def __init__(self, read_clock: Callable[[], float] = time.time) -> None:
+        self._read_clock = read_clock
 
     def decode_request(
         self,
@@ -128,7 +138,9 @@
         if status != 200:
             return None
         try:
-            return RunnerReport(int(orjson.loads(body)[names.REPORT_MEMORY]))
+            report = orjson.loads(body)
+            started = decode_start(report, self._read_clock())
+            return RunnerReport(int(report[names.REPORT_MEMORY]), started)
         except (KeyError, TypeError, ValueError):
             # Another kind of runner answers this path in its own way.
             return None
--- /dev/null
+++ b/knapweedrail/platform/starts.py
@@ -0,0 +1,42 @@
+"""When a runner started, as it says itself; this tells its lives apart."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..relay.models import UNKNOWN_START
+from . import names
+
+MILLISECONDS = 1000
+
+CLOCKS_SECONDS = 300.0
+"""How far ahead of this host's clock a start may be. Clocks are close to each other and
+jump by seconds; a hundred times that, so that a host whose own clock is off doesn't
+take every runner for a foreign entry and serve nobody. A start that is further ahead
+was written by something else, and no true life of that runner would be newer."""
+
+
+def decode_start(spec: dict[str, Any], now: float) -> int:
+    """Return the start of a runner's life, Unix milliseconds.
+
+    Clusters whose runners don't tell it are served as well: such a life counts as
+    older than all that are told.
+
+    Args:
+        spec: All that the runner says of itself.
+        now: Unix seconds.
+
+    Raises:
+        ValueError: If it isn't a whole number, or can't be a runner's start.
+    """
+    if names.STARTED not in spec:
+        return UNKNOWN_START
+    started = spec[names.STARTED]
+    if isinstance(started, float) and started.is_integer():
+        # Some writers have one type of number, and write all with a point.
+        started = int(started)
+    if isinstance(started, bool) or not isinstance(started, int):
+        raise ValueError(f"the start {started!r:.50} isn't a whole number")
+    if not UNKNOWN_START < started <= (now + CLOCKS_SECONDS) * MILLISECONDS:
+        raise ValueError(f"no runner started at {started!r:.50}")
+    return started
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -12,9 +12,9 @@
 from .codecs import Headers
 from .connections import ConnectionFailed, RunnerConnection
 from .models import RunnerAnswer
-from .runners import RunnerView
 from .selection import find_shared_part
 from .streams import EventSplitter
+from .views import RunnerView
 
 FIRST_BYTE_FACTOR = 2.0
 """How many times a route's objective a runner may take to its first byte before a
@@ -54,6 +54,7 @@
     def __init__(self, call: Call, view: RunnerView) -> None:
         self._call = call
         self._view = view
+        self._life = view.runner.life
         self._unread = False
         self._ran_before = call.may_have_run
 
@@ -73,7 +74,7 @@
         kept = False
         try:
             connection = await services.pool.take(
-                runner.name,
+                self._life,
                 runner.address,
                 time.monotonic(),
                 self._note_connection_time,
@@ -91,7 +92,7 @@
             services.runners.note_ended(self._view)
             if connection is not None and not kept:
                 with anyio.CancelScope(shield=True):
-                    await services.pool.drop(runner.name, connection)
+                    await services.pool.drop(self._life, connection)
 
     async def _converse(
         self, connection: RunnerConnection
@@ -155,7 +156,7 @@
         """
         services = self._call.services
         if self._view.runner.data_centre == services.data_centre:
-            services.pressure.note_connection(self._view.runner.name, seconds, now)
+            services.pressure.note_connection(str(self._life), seconds, now)
 
     def _make_headers(self) -> Headers:
         call = self._call
@@ -280,7 +281,7 @@
         if not connection.finish():
             return False
         self._call.services.pool.keep(
-            self._view.runner.name, connection, answer.idle_seconds, time.monotonic()
+            self._life, connection, answer.idle_seconds, time.monotonic()
         )
         return True
 
@@ -323,16 +324,16 @@
             self._call.services.runners.note_full(self._view, time.monotonic())
 
     def _note_connection(self, error: ConnectionFailed) -> None:
-        services, name = self._call.services, self._view.runner.name
+        services, life = self._call.services, str(self._life)
         now = time.monotonic()
         if error.silent:
             self._note_silence()
         if error.sent:
-            services.suspects.note_break(name, self._call.fingerprint, now)
+            services.suspects.note_break(life, self._call.fingerprint, now)
             return
-        lines = services.suspects.note_crash(name, now)
+        lines = services.suspects.note_crash(life, now)
         if lines:
-            log_event(Event.RUNNER_CRASHED, runner=name, suspects=len(lines))
+            log_event(Event.RUNNER_CRASHED, runner=life, suspects=len(lines))
             services.tell_suspects(lines)
 
     def _note_silence(self) -> None:
--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -21,6 +21,8 @@
 import attrs
 import h11
 
+from .models import RunnerLife
+
 RECEIVE_BYTES = 65_536
 """Most bytes of one read."""
 
@@ -247,11 +249,11 @@
     """
 
     def __init__(self) -> None:
-        self._idle: dict[str, list[RunnerConnection]] = {}
-        self.open: dict[str, int] = {}
+        self._idle: dict[RunnerLife, list[RunnerConnection]] = {}
+        self.open: dict[RunnerLife, int] = {}
 
     async def take(
-        self, runner: str, address: str, now: float, note: NoteConnection
+        self, runner: RunnerLife, address: str, now: float, note: NoteConnection
     ) -> RunnerConnection:
         """Return a connection to a runner, a kept one if one is still good.
 
@@ -265,7 +267,8 @@
         while idle:
             connection = idle.pop()
             fresh = now - connection.idle_since < connection.idle_seconds
-            if fresh and connection.is_quiet():
+            led = connection.address == address
+            if led and fresh and connection.is_quiet():
                 return connection
             await self.drop(runner, connection)
         self.open[runner] = self.open.get(runner, 0) + 1
@@ -285,7 +288,7 @@
 
     def keep(
         self,
-        runner: str,
+        runner: RunnerLife,
         connection: RunnerConnection,
         idle_seconds: float | None,
         now: float,
@@ -301,12 +304,12 @@
         connection.idle_since = now
         self._idle.setdefault(runner, []).append(connection)
 
-    async def drop(self, runner: str, connection: RunnerConnection) -> None:
+    async def drop(self, runner: RunnerLife, connection: RunnerConnection) -> None:
         """Close a connection that can't be used again."""
         self._count_closed(runner)
         await connection.close()
 
-    async def prune(self, now: float, known: set[str]) -> None:
+    async def prune(self, now: float, known: set[RunnerLife]) -> None:
         """Close connections that were idle for long, or whose runner is gone."""
         for runner in list(self._idle):
             old = [
@@ -327,7 +330,7 @@
         """Close all idle connections."""
         await self.prune(float("inf"), set())
 
-    def _count_closed(self, runner: str) -> None:
+    def _count_closed(self, runner: RunnerLife) -> None:
         left = self.open.get(runner, 1) - 1
         if left > 0:
             self.open[runner] = left
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -250,7 +250,7 @@
             now = time.monotonic()
             for runner in self._runners.table.prune(now):
                 log_event(Event.RUNNER_UNLISTED, runner=runner.name, forgotten=True)
-            await self._pool.prune(now, self._runners.table.list_names())
+            await self._pool.prune(now, self._runners.table.list_lives())
             self._apply_limits()
             self._suspects.prune(now)
 
--- a/knapweedrail/relay/exchanges.py
+++ b/knapweedrail/relay/exchanges.py
@@ -10,10 +10,11 @@
 from ..outcomes import Ran, Refusal, RefusalKind
 from .attempts import Attempt
 from .calls import Answered, Call, Failed, Failure
+from .models import RunnerLife
 from .patience import find_wait, plan_return
 from .reservations import Reservation
-from .runners import RunnerView
 from .selection import choose_runner
+from .views import RunnerView
 
 MAX_CONNECTS = 4
 """Runners tried that take no connection. Nothing has run there, so only the caller's
@@ -46,7 +47,7 @@
     def __init__(self, call: Call, reservation: Reservation) -> None:
         self._call = call
         self._reservation = reservation
-        self._tried: set[str] = set()
+        self._tried: set[RunnerLife] = set()
 
     async def run(self) -> Answered | Broken | Refusal:
         """Send the request to runners until one answers, or none may any more."""
@@ -87,7 +88,7 @@
             outcome = await Attempt(self._call, view).run()
             if not isinstance(outcome, Failed):
                 return outcome
-            self._tried.add(view.runner.name)
+            self._tried.add(view.runner.life)
             last = _choose_worse(last, outcome)
             self._log_failure(view, outcome)
             if outcome.failure is Failure.NOT_SENT:
--- a/knapweedrail/relay/followers.py
+++ b/knapweedrail/relay/followers.py
@@ -12,7 +12,8 @@
 from ..events import Event, log_event
 from ..outcomes import Unavailable
 from ..tasks import Task
-from .models import Configuration, Runner
+from .lives import Reading
+from .models import UNKNOWN_START, Configuration, Runner
 from .routes import RouteTable
 from .runners import RunnerTable
 from .stores import Changes, HistoryGone, Listing, Store, StoredObject
@@ -168,6 +169,13 @@
         log_event(Event.CONFIGURATION_REMOVED, name=stored.name)
 
 
+_READINGS = {
+    Reading.TAKEN: Event.RUNNER_LISTED,
+    Reading.RESTARTED: Event.RUNNER_RESTARTED,
+    Reading.OUTDATED: Event.RUNNER_OUTDATED,
+}
+
+
 class RunnerFollower(Follower):
     """Keeps the table of runners.
 
@@ -196,10 +204,10 @@
     def set(self, stored: StoredObject) -> None:
         runner = self._decode(stored)
         if runner:
-            self.table.set_runner(runner)
             log_event(
-                Event.RUNNER_LISTED,
+                _READINGS[self.table.set_runner(runner)],
                 runner=runner.name,
+                started=runner.started,
                 endpoint=runner.endpoint,
                 state=runner.state.value,
                 revision=stored.revision,
@@ -209,9 +217,17 @@
         self.table.note_list(now)
 
     def remove(self, stored: StoredObject) -> None:
-        self.table.remove_runner(stored.name, time.monotonic())
+        started = self._find_start(stored)
+        self.table.remove_runner(stored.name, time.monotonic(), started)
         log_event(Event.RUNNER_UNLISTED, runner=stored.name, revision=stored.revision)
 
+    def _find_start(self, stored: StoredObject) -> int:
+        """Return the start of the life that an entry told of before it went."""
+        try:
+            return self._decode_runner(stored.name, stored.spec).started
+        except ValueError:
+            return UNKNOWN_START
+
     def _decode(self, stored: StoredObject) -> Runner | None:
         try:
             return self._decode_runner(stored.name, stored.spec)
--- /dev/null
+++ b/knapweedrail/relay/lives.py
@@ -0,0 +1,47 @@
+"""Which life of each runner is the newest that was heard of.
+
+Pure.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import OrderedDict
+
+from .models import UNKNOWN_START, RunnerLife
+
+MOST_LIVES = 10_000
+"""Runners whose newest life is remembered, also after they are gone; those not heard
+of for longest are forgotten first. About 1.5 MB."""
+
+
+class Reading(enum.Enum):
+    """What became of an entry of a runner."""
+
+    TAKEN = "taken"
+    RESTARTED = "taken; the runner has begun another life"
+    OUTDATED = "left, since a later life is known"
+
+
+class Lives:
+    """The newest life of each runner.
+
+    What goes wrong without it: a write of an earlier life that the store carries out
+    late, or a list that was on its way, shows a runner as it was. It would get work
+    that nobody is there to do, and the present life would lose what is known of it.
+    This outlasts the runner's own record, which is dropped soon after its entry.
+    """
+
+    def __init__(self) -> None:
+        self._newest: OrderedDict[str, int] = OrderedDict()
+
+    def admit(self, life: RunnerLife) -> bool:
+        """Take in a life that was heard of; return whether none is known after it."""
+        newest = self._newest.get(life.name, UNKNOWN_START)
+        if life.started < newest:
+            return False
+        self._newest[life.name] = life.started
+        self._newest.move_to_end(life.name)
+        if len(self._newest) > MOST_LIVES:
+            self._newest.popitem(last=False)
+        return True
--- a/knapweedrail/relay/models.py
+++ b/knapweedrail/relay/models.py
@@ -124,14 +124,38 @@
     LEAVING = "leaving"
 
 
+UNKNOWN_START = 0
+"""Start of a life whose runner doesn't tell it; it counts as before all others."""
+
+
+@attrs.frozen
+class RunnerLife:
+    """What tells one life of a runner from all others.
+
+    A runner may start again under the name that it had, and then holds and knows
+    nothing of before. What was seen of one life says nothing of the next.
+
+    Attributes:
+        name: Kept or changed by a restart.
+        started: When it started, Unix milliseconds by the runner's clock.
+    """
+
+    name: str
+    started: int = UNKNOWN_START
+
+    def __str__(self) -> str:
+        return f"{self.name}@{self.started}" if self.started else self.name
+
+
 @attrs.frozen(kw_only=True)
 class Runner:
     """One life of a runner, as listed in the platform's store.
 
     Attributes:
-        name: Unique to this life; a restart brings another.
+        name: Unique among the runners of one moment.
         address: ``host:port``; may be taken over by another runner later.
         slots: Requests it works on at once.
+        started: When this life started, Unix milliseconds.
     """
 
     name: str
@@ -140,6 +164,12 @@
     data_centre: str
     slots: int
     state: RunnerState
+    started: int = UNKNOWN_START
+
+    @property
+    def life(self) -> RunnerLife:
+        """What tells this life from others under the same name."""
+        return RunnerLife(self.name, self.started)
 
 
 @attrs.frozen
@@ -229,6 +259,8 @@
 
     Attributes:
         cache_tokens: Tokens that its memory holds; 0 if it is no engine.
+        started: When its life started, Unix milliseconds.
     """
 
     cache_tokens: int
+    started: int = UNKNOWN_START
--- a/knapweedrail/relay/patience.py
+++ b/knapweedrail/relay/patience.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 
 from .models import Route
-from .runners import RunnerView
+from .views import RunnerView
 
 PATIENCE_FACTOR = 0.4
 """How many times a route's objective prompts may wait at every runner before the relay
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -10,7 +10,9 @@
 
 import attrs
 
-from .models import Runner, RunnerState
+from .lives import Lives, Reading
+from .models import UNKNOWN_START, Runner, RunnerLife, RunnerState
+from .views import RunnerView
 
 PREFIX_SECONDS = 9.0
 """How long a prefix that was sent to a runner counts as still in its memory. Runners
@@ -19,10 +21,6 @@
 MOST_PREFIXES = 10_000
 """Prefixes remembered; the oldest go first. About 2 MB."""
 
-REPORT_SECONDS = 1.0
-"""How long a runner's own word on its load counts. Work here lasts a second or less
-at the median, so an older report tells nothing of now."""
-
 FULL_SECONDS = 0.15
 """How long a runner that rejected a request for want of room gets no other: about
 the time in which one of its slots comes free. Sooner costs a wasted arrival."""
@@ -62,83 +60,6 @@
 while others have room, and a trial now and then tells when it is well again."""
 
 
-@attrs.define
-class RunnerView:
-    """One runner as this relay sees it.
-
-    Attributes:
-        running: Requests of this relay that are there.
-        unread: Prompt tokens of these whose answer hasn't begun: the runner still has
-            to read them, one request after another.
-        waiting: When each of these was sent, and its rank; the oldest comes first.
-        waited: How long the last prompt waited that was begun or given up, seconds.
-        waited_at: When that was.
-        gave_up: Whether it was given up.
-        others: Requests of others, by its last report.
-        others_waiting: How many of these had not begun to be answered.
-        reported_at: When it last reported; seconds.
-        failing: Running share of failed answers.
-        latency: Running mean of seconds to the first byte; 0 before any.
-        ejected_until: When it may get work again after failures.
-        ejection: Length of its last ejection, seconds.
-        full_until: When it may get work again after a rejection.
-        gone_at: When its entry vanished from the list; ``None`` while listed.
-        missed_at: When the list was first seen without it, if it was found at
-            another runner's address and isn't listed yet.
-    """
-
-    runner: Runner
-    running: int = 0
-    unread: int = 0
-    waiting: dict[object, tuple[float, int | None]] = attrs.field(factory=dict)
-    waited: float = 0.0
-    waited_at: float = float("-inf")
-    gave_up: bool = False
-    others: float = 0.0
-    others_waiting: float = 0.0
-    reported_at: float = float("-inf")
-    failing: float = 0.0
-    latency: float = 0.0
-    ejected_until: float = float("-inf")
-    ejection: float = 0.0
-    full_until: float = float("-inf")
-    gone_at: float | None = None
-    missed_at: float | None = None
-
-    def estimate_load(self, now: float) -> float:
-        """Return the requests it works on: ours exactly, others' by its report."""
-        return self.running + self._weigh_report(now) * self.others
-
-    def estimate_unread(self, mean_tokens: float, now: float) -> float:
-        """Return the prompt tokens that it has to read before a new request's.
-
-        Args:
-            mean_tokens: Prompt tokens of a request, as a mean, for those of others.
-        """
-        others = self._weigh_report(now) * self.others_waiting
-        return self.unread + others * mean_tokens
-
-    def measure_wait(self, rank: int | None, now: float) -> float:
-        """Return how long a new request would wait at least, as far as seen.
-
-        What the last one waited counts only where others are waiting still: a long
-        prompt takes long to read, and a runner that has read it may be idle.
-        """
-        left = max(0.0, self.waited - (now - self.waited_at))
-        for sent_at, other in self.waiting.values():
-            if rank is None or other is None or other <= rank:
-                return max(left, now - sent_at)
-        others = self._weigh_report(now) * self.others_waiting
-        return left if others or self.gave_up else 0.0
-
-    def _weigh_report(self, now: float) -> float:
-        return max(0.0, 1.0 - (now - self.reported_at) / REPORT_SECONDS)
-
-    def is_rested(self, now: float) -> bool:
-        """Return whether neither failures nor a rejection keep work from it."""
-        return now >= self.ejected_until and now >= self.full_until
-
-
 class RunnerTable:
     """All runners, by name, with what was seen of each.
 
@@ -153,7 +74,8 @@
         self._views: dict[str, RunnerView] = {}
         self._by_endpoint: dict[str, dict[str, RunnerView]] = {}
         self.mean_tokens = 0.0
-        self._prefixes: OrderedDict[str, tuple[str, float]] = OrderedDict()
+        self._lives = Lives()
+        self._prefixes: OrderedDict[str, tuple[RunnerLife, float]] = OrderedDict()
         self._answered_at: dict[str, float] = {}
         self._cut_until: dict[str, float] = {}
         self._presumed: set[str] = set()
@@ -161,9 +83,9 @@
     def __len__(self) -> int:
         return len(self._views)
 
-    def list_names(self) -> set[str]:
-        """Return the names of all runners, those in doubt included."""
-        return set(self._views)
+    def list_lives(self) -> set[RunnerLife]:
+        """Return the present lives of all runners, those in doubt included."""
+        return {view.runner.life for view in self._views.values()}
 
     def list_views(self, endpoint: str, now: float) -> list[RunnerView]:
         """Return the endpoint's runners that are neither leaving nor gone."""
@@ -187,20 +109,40 @@
             for endpoint, views in self._by_endpoint.items()
         }
 
-    def set_runner(self, runner: Runner) -> None:
+    def set_runner(self, runner: Runner) -> Reading:
         """Take in a runner's entry, new or changed."""
+        if not self._lives.admit(runner.life):
+            return Reading.OUTDATED
+        reading = Reading.TAKEN
         view = self._views.get(runner.name)
+        if view is not None and view.runner.life != runner.life:
+            self._supersede(view)
+            reading = Reading.RESTARTED
+            view = None
         if view is None:
             view = RunnerView(runner)
             self._views[runner.name] = view
+        elif view.runner.endpoint != runner.endpoint:
+            self._drop_listed(view.runner)
         view.runner = runner
         view.gone_at = None
         self._presumed.discard(runner.name)
         self._by_endpoint.setdefault(runner.endpoint, {})[runner.name] = view
+        return reading
 
-    def knows(self, name: str) -> bool:
-        """Return whether a runner is known by name."""
-        return name in self._views
+    def _supersede(self, view: RunnerView) -> None:
+        """End a life whose runner has begun another.
+
+        Requests under way keep this view for their notes: counted at the new life,
+        they would make it look busy, slow or failing by what another process did.
+        """
+        view.superseded = True
+        self._drop_listed(view.runner)
+
+    def find_runner(self, name: str) -> Runner | None:
+        """Return the runner of a name, if one is known."""
+        view = self._views.get(name)
+        return view.runner if view else None
 
     def succeed(self, name: str, successor: Runner, now: float) -> bool:
         """Put a runner that isn't listed yet in the place of one that has ended.
@@ -212,10 +154,14 @@
         Returns:
             Whether it is new.
         """
-        if successor.name in self._views:
+        known = self._views.get(successor.name)
+        if known is not None and known.runner.started >= successor.started:
             return False
-        self.remove_runner(name, now)
-        self.set_runner(attrs.evolve(successor, state=RunnerState.READY))
+        ready = attrs.evolve(successor, state=RunnerState.READY)
+        if self.set_runner(ready) is Reading.OUTDATED:
+            return False
+        if name != successor.name:
+            self.remove_runner(name, now)
         self._presumed.add(successor.name)
         return True
 
@@ -233,11 +179,19 @@
                 # Past doubt: it is out of use, also if no other runner is left.
                 view.gone_at = view.missed_at
 
-    def remove_runner(self, name: str, now: float) -> None:
-        """Take in that a runner's entry is gone."""
+    def remove_runner(
+        self, name: str, now: float, started: int = UNKNOWN_START
+    ) -> None:
+        """Take in that a runner's entry is gone, or can't be read any more.
+
+        Args:
+            started: Start of the life that the entry told of, if it told one.
+        """
         view = self._views.get(name)
+        if view is None or UNKNOWN_START < started < view.runner.started:
+            return
         self._presumed.discard(name)
-        if view is not None and view.gone_at is None:
+        if view.gone_at is None:
             view.gone_at = now
 
     def replace_all(self, runners: Iterable[Runner], now: float) -> None:
@@ -259,9 +213,15 @@
         ]
         for runner in gone:
             del self._views[runner.name]
-            self._by_endpoint[runner.endpoint].pop(runner.name, None)
+            self._drop_listed(runner)
         return gone
 
+    def _drop_listed(self, runner: Runner) -> None:
+        views = self._by_endpoint[runner.endpoint]
+        del views[runner.name]
+        if not views:
+            del self._by_endpoint[runner.endpoint]
+
     def note_sent(
         self,
         view: RunnerView,
@@ -295,15 +255,17 @@
 
     def note_prefix(self, prefix: str, view: RunnerView, now: float) -> None:
         """Remember that a runner has a prefix in its memory."""
-        self._prefixes[prefix] = (view.runner.name, now)
+        if view.superseded:
+            return
+        self._prefixes[prefix] = (view.runner.life, now)
         self._prefixes.move_to_end(prefix)
         if len(self._prefixes) > MOST_PREFIXES:
             self._prefixes.popitem(last=False)
 
-    def find_prefix(self, prefix: str, now: float) -> str | None:
+    def find_prefix(self, prefix: str, now: float) -> RunnerLife | None:
         """Return the runner that a prefix was sent to lately."""
-        name, at = self._prefixes.get(prefix, ("", float("-inf")))
-        return name if now - at < PREFIX_SECONDS else None
+        life, at = self._prefixes.get(prefix, (None, float("-inf")))
+        return life if now - at < PREFIX_SECONDS else None
 
     def note_load(
         self, view: RunnerView, running: int, waiting: int, now: float
@@ -326,6 +288,8 @@
         runner; without, it is most likely all of them.
         """
         data_centre = view.runner.data_centre
+        if view.superseded:
+            return False
         if now - self._answered_at.get(data_centre, float("-inf")) < ANSWER_SECONDS:
             return False
         known = now < self._cut_until.get(data_centre, float("-inf"))
@@ -352,6 +316,8 @@
 
     def note_answer(self, view: RunnerView, seconds: float, now: float) -> None:
         """Take in a sound answer, and how long its first byte took."""
+        if view.superseded:
+            return
         self._answered_at[view.runner.data_centre] = now
         self._cut_until.pop(view.runner.data_centre, None)
         view.failing -= SMOOTHING * view.failing
@@ -374,6 +340,8 @@
                 surely unable to serve: it takes no connection, or another runner
                 has its address.
         """
+        if view.superseded:
+            return False
         view.failing += SMOOTHING * (1.0 - view.failing)
         if not certain and view.failing < BAD_SHARE:
             return False
--- a/knapweedrail/relay/selection.py
+++ b/knapweedrail/relay/selection.py
@@ -9,8 +9,9 @@
 import statistics
 
 from .hashing import hash_pair
-from .models import CallerRequest, PromptPart
-from .runners import MOST_SLOW_FACTOR, SLOW_FACTOR, RunnerTable, RunnerView
+from .models import CallerRequest, PromptPart, RunnerLife
+from .runners import MOST_SLOW_FACTOR, SLOW_FACTOR, RunnerTable
+from .views import RunnerView
 
 RUNNING_TOKENS = 60.0
 """Prompt tokens that one running request weighs. Every request that a runner generates
@@ -21,7 +22,7 @@
     table: RunnerTable,
     endpoint: str,
     request: CallerRequest,
-    tried: set[str],
+    tried: set[RunnerLife],
     data_centre: str,
     now: float,
     rng: random.Random,
@@ -34,13 +35,13 @@
     refusing what they may well serve would turn one runner's trouble into an outage.
 
     Args:
-        tried: Names of runners that have had the request.
+        tried: Runners that have had the request.
         data_centre: The relay's own, which goes first among equals.
     """
     untried = [
         view
         for view in table.list_views(endpoint, now)
-        if view.runner.name not in tried
+        if view.runner.life not in tried
     ]
     if not untried:
         return None
@@ -75,7 +76,9 @@
     read again; but its queue may be longer than that saves. Both are prompt tokens,
     so they are added up. Every relay takes the same runner for a prefix's own without
     talking (rendezvous hashing), and a runner that comes or goes moves only its own
-    prefixes; where this relay sent the prefix lately counts as much.
+    prefixes; where this relay sent the prefix lately counts as much. The name is hashed
+    and not the life: a prefix whose runner starts anew is read again there, and no
+    other prefix moves.
     """
     shared = find_shared_part(parts)
     home = min(views, key=lambda v: hash_pair(shared.name, v.runner.name))
@@ -85,7 +88,7 @@
     def weigh(view: RunnerView) -> float:
         tokens = view.estimate_unread(table.mean_tokens, now)
         tokens += RUNNING_TOKENS * view.estimate_load(now)
-        if view is not home and view.runner.name != recent:
+        if view is not home and view.runner.life != recent:
             tokens += shared.tokens
         if norm and view.latency > SLOW_FACTOR * norm:
             tokens += table.mean_tokens * view.latency / norm
--- a/knapweedrail/relay/successors.py
+++ b/knapweedrail/relay/successors.py
@@ -77,7 +77,10 @@
         now = time.monotonic()
         if now - self._asked.get(name, float("-inf")) < AGAIN_SECONDS:
             return
-        if self._table.knows(name) or not self._is_only_engine(runner.endpoint):
+        known = self._table.find_runner(name)
+        if known is not None and known.address == runner.address:
+            return
+        if not self._is_only_engine(runner.endpoint):
             return
         if len(self._asked) >= MOST_ASKED:
             self._asked.clear()
@@ -90,7 +93,9 @@
             report = await self._ask(found)
             if report is None or report.cache_tokens <= 0:
                 continue
-            successor = attrs.evolve(found.runner, name=found.name)
+            successor = attrs.evolve(
+                found.runner, name=found.name, started=report.started
+            )
             if self._table.succeed(found.runner.name, successor, time.monotonic()):
                 log_event(
                     Event.RUNNER_SUCCEEDED,
@@ -105,12 +110,12 @@
         return [one.name for one in endpoints if one.cache_tokens] == [endpoint]
 
     async def _ask(self, found: Found) -> RunnerReport | None:
-        name, address = found.runner.name, found.runner.address
+        life, address = found.runner.life, found.runner.address
         connection: RunnerConnection | None = None
         try:
             with anyio.move_on_after(ANSWER_SECONDS):
                 connection = await self._pool.take(
-                    name, address, time.monotonic(), _ignore
+                    life, address, time.monotonic(), _ignore
                 )
                 return await self._converse(connection, found.name)
         except ConnectionFailed as error:
@@ -123,7 +128,7 @@
         finally:
             if connection is not None:
                 with anyio.CancelScope(shield=True):
-                    await self._pool.drop(name, connection)
+                    await self._pool.drop(life, connection)
         return None
 
     async def _converse(
--- a/knapweedrail/relay/suspects.py
+++ b/knapweedrail/relay/suspects.py
@@ -52,7 +52,12 @@
         return self._quarantine.blocks(fingerprint, now)
 
     def note_break(self, runner: str, fingerprint: str, now: float) -> None:
-        """Note that a runner broke off a request that may have been running."""
+        """Note that a runner broke off a request that may have been running.
+
+        Args:
+            runner: The runner's life. Each one that is lost counts, and none is
+                blamed for what an earlier one broke off.
+        """
         breaks = self._breaks.setdefault(runner, [])
         breaks.append(_Break(fingerprint, now))
 
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -266,6 +266,7 @@
     table: RunnerTable
     pool: ConnectionPool
     configuration: ConfigurationFollower
+    successors: Successors
 
     async def call(
         self,
@@ -358,7 +359,7 @@
             table.set_runner(make_runner(f"i-{number}", runner.address))
         await holdings.start(group)
         await successors.start(group)
-        yield MemoryRelay(store, gateway, holdings, table, pool, follower)
+        yield MemoryRelay(store, gateway, holdings, table, pool, follower, successors)
         await holdings.close()
         await successors.close()
         await pool.close()
@@ -366,7 +367,11 @@
 
 
 def make_runner(
-    name: str, address: str = "127.0.0.1:1", data_centre: str = "dc", slots: int = 8
+    name: str,
+    address: str = "127.0.0.1:1",
+    data_centre: str = "dc",
+    slots: int = 8,
+    started: int = 0,
 ) -> Runner:
     """Return a ready runner of the endpoint ``e``."""
     return Runner(
@@ -376,4 +381,5 @@
         data_centre=data_centre,
         slots=slots,
         state=RunnerState.READY,
+        started=started,
     )
--- a/knapweedrail/tests/test_platform_store.py
+++ b/knapweedrail/tests/test_platform_store.py
@@ -104,7 +104,9 @@
         objects.put("servers", "i-1", RUNNER)
         async with anyio.create_task_group() as group:
             await follower.start(group)
-            await wait_until(lambda: table.list_names() == {"i-1"})
+            await wait_until(
+                lambda: {life.name for life in table.list_lives()} == {"i-1"}
+            )
             objects.misbehaviour.away = True
             objects.remove("servers", "i-1")
             objects.put("servers", "i-2", RUNNER)
--- a/knapweedrail/tests/test_relay_successors.py
+++ b/knapweedrail/tests/test_relay_successors.py
@@ -1,5 +1,6 @@
 """Runners that start anew while the relay can't hear of it."""
 
+import anyio
 import attrs
 import pytest
 
@@ -93,6 +94,51 @@
     assert not any(head.startswith("GET /report ") for head in runner.heads)
 
 
+OLD = 1_700_000_000_000
+NEW = OLD + 5000
+
+
+def make_report(started):
+    return REPORT[:-1] + b',"born":%d}' % started
+
+
+async def meet_other_life(known_started, reported_started):
+    """Return what became of ``i-9``, known elsewhere, when it answers for ``i-0``."""
+    restarted = RestartedRunner(make_report(reported_started))
+    runner = ScriptedRunner(restarted.respond)
+    async with run_relay(make_engines(), runner) as relay:
+        known = make_runner("i-9", "127.0.0.1:1", started=known_started)
+        relay.table.set_runner(known)
+        successors = relay.successors
+        successors.note(make_runner("i-0", runner.address), "i-9")
+        with anyio.move_on_after(0.3):
+            while relay.table.find_runner("i-9") == known:
+                await anyio.sleep(0.01)
+        return relay.table.find_runner("i-9"), runner.address
+
+
+async def test_a_runner_that_moved_and_started_again_is_found_by_its_report():
+    """Two engines crash in a cut, and one of them starts again at the other's address,
+    under its own name. It idles until the list can be read, as its name is known."""
+    found, address = await meet_other_life(OLD, NEW)
+    assert (found.started, found.address) == (NEW, address)
+
+
+@pytest.mark.parametrize("reported", [OLD, OLD - 1])
+async def test_a_report_of_no_later_life_changes_nothing(reported):
+    """The report was on its way as the runner ended, and its next life is listed at
+    another address already. Requests would go to where nobody listens."""
+    found, address = await meet_other_life(OLD, reported)
+    assert (found.started, found.address) == (OLD, "127.0.0.1:1")
+
+
+@pytest.mark.parametrize("started", [b"null", b"true", b'"1"', b"-5", b"1e300"])
+async def test_a_report_whose_start_is_none_is_none(started):
+    report = REPORT[:-1] + b',"born":' + started + b"}"
+    status, *_ = await call_twice(make_engines(), RestartedRunner(report))
+    assert status == 503
+
+
 def make_presumed(table):
     table.set_runner(make_runner("i-0"))
     assert table.succeed("i-0", make_runner("i-9"), 10.0)
