Use no runner that a foreign or unreadable entry names

Cause: an entry's values were taken as they came or converted: a list for a service, a negative or huge number of slots, a state that isn't named (taken for a runner that leaves) and an address without a port all named a runner. A name with a line's end went into a header. One object whose bytes no parser takes made the whole page, and so the store, count as away; one without a name ended the follower. Each list told of the same bad entry again.

Ruled out: keeping the last sound entry of a runner whose entry is spoilt (it may be leaving); requiring known fields that aren't used here (their absence harms nobody, and a cluster that leaves one out would have no runner); refusing endpoints that aren't configured (a later configuration may name them, and the entry doesn't change any more then).

Change: a strict converter for entries in platform/entries.py; a bad entry counts as missing, so its runner gets no new work, keeps its record while requests are under way, and is a last resort for 1.9 s. Pages that can't be parsed are taken apart in platform/pages.py. One line and one count for each entry and change, 20 lines in ten seconds, the counter malformed_objects_total. The gauge of runners shows configured endpoints only, as foreign entries name any.

Tests: test_a_runner_that_is_not_ready_is_leaving asserted that an unknown state means leaving, which the platform's page now excludes; its replacement asserts an error for it and that draining is leaving. The entry of test_relay_process.py lacked zone and slots and is complete now.

--- a/knapweedrail/platform/decoding.py
+++ b/knapweedrail/platform/decoding.py
@@ -17,6 +17,7 @@
     RunnerState,
     Share,
 )
+from .entries import DRAINING, READY, structure_entry
 from .starts import decode_start
 
 _REPETITIONS = {
@@ -25,6 +26,8 @@
     "streaming": Repetition.STREAM,
 }
 
+_STATES = {READY: RunnerState.READY, DRAINING: RunnerState.LEAVING}
+
 UNLIMITED = 1_000_000
 """Stands for a number of connections that the operator leaves open."""
 
@@ -59,25 +62,29 @@
 ) -> Runner:
     """Decode a runner's entry.
 
+    An endpoint that no configuration names is no fault: a later one may name it, and
+    until then no route leads there.
+
     Args:
         read_clock: Returns the time of day, Unix seconds.
 
     Raises:
-        DecodingError: If a part is missing or has another type.
+        DecodingError: If a part is missing or has another type, or it names no state.
     """
     try:
-        leaving = spec["state"] != "ready"
-        return Runner(
-            name=name,
-            endpoint=spec["service"],
-            address=spec["address"],
-            data_centre=spec.get("zone", ""),
-            slots=int(spec.get("slots") or 1),
-            state=RunnerState.LEAVING if leaving else RunnerState.READY,
-            started=decode_start(spec, read_clock()),
-        )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise DecodingError(repr(error)) from error
+        entry = structure_entry(name, spec)
+        started = decode_start(spec, read_clock())
+    except ValueError as error:
+        raise DecodingError(str(error)) from error
+    return Runner(
+        name=name,
+        endpoint=entry.service,
+        address=entry.address,
+        data_centre=entry.zone,
+        slots=entry.slots,
+        state=_STATES[entry.state],
+        started=started,
+    )
 
 
 def _decode_route(item: dict[str, Any]) -> Route:
--- a/knapweedrail/platform/encoding.py
+++ b/knapweedrail/platform/encoding.py
@@ -17,6 +17,7 @@
     RunnerState,
 )
 from . import names
+from .entries import DRAINING, READY
 
 _KINDS = {
     Repetition.SAFE: "safe",
@@ -24,7 +25,7 @@
     Repetition.STREAM: "streaming",
 }
 
-_STATES = {RunnerState.READY: "ready", RunnerState.LEAVING: "draining"}
+_STATES = {RunnerState.READY: READY, RunnerState.LEAVING: DRAINING}
 
 
 def encode_configuration(configuration: Configuration) -> dict[str, Any]:
--- a/knapweedrail/platform/relays.py
+++ b/knapweedrail/platform/relays.py
@@ -7,6 +7,7 @@
 
 from ..relay.daemons import DOUBT_SECONDS, Relay
 from ..relay.followers import ConfigurationFollower, RunnerFollower
+from ..relay.malformed import MalformedObjects
 from ..relay.measures import CountedStore, RelayMeasures
 from ..relay.options import RelaySettings
 from ..relay.runners import RunnerTable
@@ -28,6 +29,7 @@
         count_left_out: Returns the log lines left out so far.
     """
     measures = RelayMeasures()
+    malformed = MalformedObjects(measures.count_malformed)
     store = CountedStore(PlatformStore(settings.store_address), measures)
     configuration = ConfigurationFollower(
         store,
@@ -35,6 +37,7 @@
         settings.watch_seconds,
         decode_configuration,
         names.CONFIGURATION_NAME,
+        malformed,
     )
     runners = RunnerFollower(
         store,
@@ -43,6 +46,7 @@
         decode_runner,
         RunnerTable(DOUBT_SECONDS),
         settings.batch_seconds,
+        malformed,
     )
     return Relay(
         settings,
@@ -52,5 +56,6 @@
         runners,
         PlatformCodec(),
         measures,
+        malformed,
         count_left_out,
     )
--- a/knapweedrail/platform/store.py
+++ b/knapweedrail/platform/store.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+from collections.abc import Iterator
 from typing import Any
 
 import httpx
@@ -20,6 +22,7 @@
     WriteOutcome,
     Written,
 )
+from .pages import parse_page
 
 ANSWER_SECONDS = 1.0
 """Longest wait for an answer that is due at once: the store answers in milliseconds,
@@ -74,10 +77,15 @@
             page = await self._read("list", f"/objects/{kind}", query, ANSWER_SECONDS)
             if not isinstance(page, dict):
                 return self._away("list", page)
-            objects.extend(_decode_object(item) for item in page["entries"])
-            if not page.get("morePages"):
-                return Listing(tuple(objects), int(page["asOf"]))
-            query = always | {"after": objects[-1].name}
+            try:
+                objects.extend(_decode_named(page["entries"]))
+                if not page.get("morePages"):
+                    return Listing(tuple(objects), int(page["asOf"]))
+                if query.get("after") == objects[-1].name:
+                    return self._away("list", "a page that names no object")
+                query = always | {"after": objects[-1].name}
+            except _DECODE_ERRORS as error:
+                return self._away("list", error)
 
     async def watch_kind(
         self, kind: str, revision: int, seconds: float
@@ -89,11 +97,11 @@
             return HistoryGone()
         if not isinstance(page, dict):
             return self._away("watch", page)
-        changes = tuple(
-            Change(_decode_object(item["object"]), bool(item.get("removed")))
-            for item in page["events"]
-        )
-        return Changes(changes, int(page["asOf"]))
+        try:
+            changes = tuple(_decode_changes(page["events"]))
+            return Changes(changes, int(page["asOf"]))
+        except _DECODE_ERRORS as error:
+            return self._away("watch", error)
 
     async def peek(self, kind: str, name: str) -> StoredObject | Missing | Unavailable:
         path = f"/objects/{kind}/{name}"
@@ -102,7 +110,10 @@
             return Missing()
         if not isinstance(found, dict):
             return self._away("peek", found)
-        return _decode_object(found)
+        try:
+            return _decode_object(found)
+        except _DECODE_ERRORS as error:
+            return self._away("peek", error)
 
     async def create(self, kind: str, name: str, spec: Any) -> WriteOutcome:
         body = {"metadata": {"name": name}, "spec": spec}
@@ -134,7 +145,7 @@
             answer = await self._client.get(path, params=query, timeout=_limit(seconds))
             if answer.status_code != httpx.codes.OK:
                 return answer.status_code
-            return orjson.loads(answer.content)
+            return parse_page(answer.content)
         except (httpx.HTTPError, ValueError) as error:
             return error
 
@@ -154,16 +165,16 @@
             return Unknown(f"store.{step}", self._address, repr(error))
         try:
             return self._decode_write(step, answer)
-        except (KeyError, TypeError, ValueError) as error:
+        except _DECODE_ERRORS as error:
             return Unknown(f"store.{step}", self._address, repr(error))
 
     def _decode_write(self, step: str, answer: httpx.Response) -> WriteOutcome:
         match answer.status_code:
             case 200 | 201:
-                stored = _decode_object(orjson.loads(answer.content))
+                stored = _decode_object(parse_page(answer.content))
                 return Written(stored.revision)
             case 409:
-                return Conflict(_decode_object(orjson.loads(answer.content)))
+                return Conflict(_decode_object(parse_page(answer.content)))
             case 404:
                 return Missing()
             case 429 | 503:
@@ -174,10 +185,29 @@
         return Unavailable(f"store.{step}", self._address, repr(reason))
 
 
+_DECODE_ERRORS = (AttributeError, IndexError, KeyError, TypeError, ValueError)
+"""What an answer raises that isn't the store's; nothing is known of it then."""
+
+
 def _limit(seconds: float) -> httpx.Timeout:
     return httpx.Timeout(seconds, connect=CONNECT_SECONDS)
 
 
+def _decode_named(items: list[dict[str, Any]]) -> Iterator[StoredObject]:
+    """Yield the objects of a page; one without a name tells of nothing."""
+    for item in items:
+        with contextlib.suppress(*_DECODE_ERRORS):
+            yield _decode_object(item)
+
+
+def _decode_changes(items: list[dict[str, Any]]) -> Iterator[Change]:
+    for item in items:
+        with contextlib.suppress(*_DECODE_ERRORS):
+            yield Change(_decode_object(item["object"]), bool(item.get("removed")))
+
+
 def _decode_object(item: dict[str, Any]) -> StoredObject:
     meta = item["metadata"]
+    if not isinstance(meta["name"], str):
+        raise TypeError(f"a name that is {meta['name']!r:.50}")
     return StoredObject(meta["name"], int(meta["revision"]), item.get("spec"))
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -20,6 +20,7 @@
 from .gateway import Gateway
 from .holdings import Holdings
 from .ledgers import name_holder
+from .malformed import MalformedObjects
 from .measures import RelayMeasures, limit_accounts
 from .members import Member, Membership
 from .neighbours import Neighbours, make_server
@@ -74,6 +75,7 @@
         runners: Follower of the list of runners.
         codec: Translates headers.
         measures: Metrics of the process.
+        malformed: Told of objects in the store that can't be used.
         count_left_out: Returns the log lines left out so far.
     """
 
@@ -86,6 +88,7 @@
         runners: RunnerFollower,
         codec: Codec,
         measures: RelayMeasures,
+        malformed: MalformedObjects,
         count_left_out: Callable[[], int],
     ) -> None:
         self._settings = settings
@@ -213,7 +216,7 @@
     def _add_gauges(self, count_left_out: Callable[[], int]) -> None:
         add = self._measures.add_gauge
         add("ages_seconds", "Age of what is known", self._read_ages)
-        add("runners", "Runners listed, by endpoint", self._runners.table.count_listed)
+        add("runners", "Runners listed, by endpoint", self._count_runners)
         add("tokens_available", "Tokens held and free, by account", self._read_tokens)
         add(
             "lines_left_out",
@@ -228,6 +231,16 @@
             "runners": now - self._runners.confirmed_at,
         }
 
+    def _count_runners(self) -> dict[str, float]:
+        """Return the number of runners by endpoint, of those in the configuration.
+
+        Entries of other writers name endpoints of any number, a series for each.
+        """
+        configuration = self._configuration.configuration
+        endpoints = configuration.endpoints if configuration else {}
+        listed = self._runners.table.count_listed()
+        return {name: count for name, count in listed.items() if name in endpoints}
+
     def _read_tokens(self) -> dict[str, float]:
         configuration = self._configuration.configuration
         accounts = (configuration.accounts if configuration else None) or {}
--- a/knapweedrail/relay/followers.py
+++ b/knapweedrail/relay/followers.py
@@ -13,6 +13,7 @@
 from ..outcomes import Unavailable
 from ..tasks import Task
 from .lives import Reading
+from .malformed import MalformedObjects
 from .models import UNKNOWN_START, Configuration, Runner
 from .routes import RouteTable
 from .runners import RunnerTable
@@ -36,6 +37,7 @@
         kind: The kind that is followed.
         watch_seconds: Length of one watch.
         batch_seconds: Pause after changes, so that the next ones come together.
+        malformed: Told of objects that can't be used.
     """
 
     def __init__(
@@ -44,8 +46,10 @@
         kind: str,
         watch_seconds: float,
         batch_seconds: float = 0.0,
+        malformed: MalformedObjects | None = None,
     ) -> None:
         super().__init__(f"follow {kind}")
+        self._malformed = malformed or MalformedObjects()
         self._batch_seconds = batch_seconds
         self.confirmed_at = float("-inf")
         self._store = store
@@ -104,6 +108,12 @@
     def note_confirmed(self, now: float) -> None:
         """Take in that all that the store has is known."""
 
+    def note_malformed(self, stored: StoredObject, error: ValueError) -> None:
+        """Take in that an object can't be decoded."""
+        self._malformed.note(
+            self._kind, stored.name, stored.revision, str(error), time.monotonic()
+        )
+
     @abstractmethod
     def replace_all(self, objects: tuple[StoredObject, ...]) -> None:
         """Take in a whole list."""
@@ -132,8 +142,9 @@
         watch_seconds: float,
         decode: Callable[[object], Configuration],
         name: str,
+        malformed: MalformedObjects | None = None,
     ) -> None:
-        super().__init__(store, kind, watch_seconds)
+        super().__init__(store, kind, watch_seconds, malformed=malformed)
         self.table: RouteTable | None = None
         self._decode = decode
         self._name = name
@@ -153,7 +164,7 @@
         try:
             found = self._decode(stored.spec)
         except ValueError as error:
-            log_event(Event.OBJECT_MALFORMED, name=stored.name, error=str(error))
+            self.note_malformed(stored, error)
             return
         known = self.configuration
         if known is not None and found.version <= known.version:
@@ -192,8 +203,9 @@
         decode: Callable[[str, object], Runner],
         table: RunnerTable,
         batch_seconds: float = 0.0,
+        malformed: MalformedObjects | None = None,
     ) -> None:
-        super().__init__(store, kind, watch_seconds, batch_seconds)
+        super().__init__(store, kind, watch_seconds, batch_seconds, malformed)
         self.table = table
         self._decode_runner = decode
 
@@ -203,15 +215,20 @@
 
     def set(self, stored: StoredObject) -> None:
         runner = self._decode(stored)
-        if runner:
-            log_event(
-                _READINGS[self.table.set_runner(runner)],
-                runner=runner.name,
-                started=runner.started,
-                endpoint=runner.endpoint,
-                state=runner.state.value,
-                revision=stored.revision,
-            )
+        if runner is None:
+            # As if it were missing: others get its work. A runner whose entry another
+            # writer spoilt writes it again at its next heartbeat, and keeps its record
+            # until then; it is used meanwhile only where no other is left.
+            self.table.remove_runner(stored.name, time.monotonic())
+            return
+        log_event(
+            _READINGS[self.table.set_runner(runner)],
+            runner=runner.name,
+            started=runner.started,
+            endpoint=runner.endpoint,
+            state=runner.state.value,
+            revision=stored.revision,
+        )
 
     def note_confirmed(self, now: float) -> None:
         self.table.note_list(now)
@@ -232,5 +249,5 @@
         try:
             return self._decode_runner(stored.name, stored.spec)
         except ValueError as error:
-            log_event(Event.OBJECT_MALFORMED, name=stored.name, error=str(error))
+            self.note_malformed(stored, error)
             return None
--- a/knapweedrail/relay/measures.py
+++ b/knapweedrail/relay/measures.py
@@ -41,6 +41,8 @@
             had one left.
         gaps: Longest pause of each stream, seconds, by route.
         store_calls: Calls to the store by step and outcome.
+        malformed: Objects of the store that couldn't be used, by kind, each change
+            of one counted once.
         delays: Seconds by which the event loop was late.
     """
 
@@ -50,6 +52,9 @@
         self.attempts = self.make_counter("attempts", "Attempts at runners")
         self.repeats = self.make_counter("repeats", "Attempts after the first")
         self.store_calls = self.make_counter("store_calls", "Calls to the store")
+        self.malformed = self.make_counter(
+            "malformed_objects", "Objects of the store that couldn't be used, by kind"
+        )
         self.gaps = self.make_histogram(
             "gap_seconds", "Longest pause of each stream, seconds", GAP_BOUNDS
         )
@@ -57,6 +62,10 @@
             "loop_delay_seconds", "Seconds the event loop was late", DELAY_BOUNDS
         )
 
+    def count_malformed(self, kind: str) -> None:
+        """Count an object of the store that can't be used."""
+        self.malformed.add(1, {"kind": kind})
+
     async def watch_delay(self, pressure: Pressure) -> None:
         """Measure the event loop's delay until cancelled."""
         told_at = float("-inf")
--- a/knapweedrail/relay/stores.py
+++ b/knapweedrail/relay/stores.py
@@ -11,6 +11,11 @@
 from ..outcomes import Unavailable, Unknown
 
 
+@attrs.frozen
+class Unreadable:
+    """Stands for what an object holds if its bytes can't be read."""
+
+
 @attrs.frozen
 class StoredObject:
     """One object.
--- a/knapweedrail/tests/test_platform_store.py
+++ b/knapweedrail/tests/test_platform_store.py
@@ -231,11 +231,13 @@
     assert decode_runner("i-1", encode_runner(runner)) == runner
 
 
-def test_a_runner_that_is_not_ready_is_leaving():
+def test_a_runner_is_ready_or_leaving_and_nothing_else():
     assert decode_runner("i", RUNNER).state is RunnerState.READY
-    assert decode_runner("i", {**RUNNER, "state": "x"}).state is RunnerState.LEAVING
-    with pytest.raises(DecodingError):
-        decode_runner("i", {"service": "e"})
+    leaving = decode_runner("i", {**RUNNER, "state": "draining"})
+    assert leaving.state is RunnerState.LEAVING
+    for spec in ({**RUNNER, "state": "x"}, {"service": "e"}):
+        with pytest.raises(DecodingError):
+            decode_runner("i", spec)
 
 
 async def test_one_object_is_looked_at_cheaply():
@@ -244,3 +246,25 @@
         found = await client.peek("things", "a")
         assert (found.name, found.spec) == ("a", {"n": 1})
         assert await client.peek("things", "b") == Missing()
+
+
+@pytest.mark.parametrize("item", [7, {}, {"metadata": {"name": 7, "revision": 1}}])
+async def test_an_object_without_a_name_hides_no_other(item, monkeypatch):
+    """Taken for an error, it would end the task that follows the kind, or make the
+    store count as away for as long as it is there."""
+    sound = {"metadata": {"name": "a", "revision": 5}, "spec": 1}
+    async with run_store() as (_, client):
+        pages = [
+            {"entries": [sound, item], "asOf": 9},
+            {"events": [{"object": item}, {"object": sound}], "asOf": 9},
+            {"entries": [item], "asOf": 9, "morePages": True},
+        ]
+
+        async def read(*_):
+            return pages.pop(0)
+
+        monkeypatch.setattr(client, "_read", read)
+        assert [one.name for one in (await client.list_kind("k")).objects] == ["a"]
+        changes = (await client.watch_kind("k", 1, 0.1)).changes
+        assert [change.stored.name for change in changes] == ["a"]
+        assert isinstance(await client.list_kind("k"), Unavailable)
--- /dev/null
+++ b/knapweedrail/tests/test_relay_foreign.py
@@ -0,0 +1,345 @@
+"""Entries in the store that another writer wrote, or that can't be read."""
+
+import math
+
+import anyio
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ..events import Event
+from ..platform.decoding import decode_runner
+from ..platform.pages import parse_page
+from ..relay import malformed
+from ..relay.followers import RunnerFollower
+from ..relay.malformed import MalformedObjects
+from ..relay.models import Repetition
+from ..relay.stores import Unreadable
+from .relays_in_memory import (
+    MemoryStore,
+    ScriptedRunner,
+    answer_well,
+    make_configuration,
+    make_route,
+    run_relay,
+)
+from .test_platform_store import run_store, wait_until
+from .test_relay_lives import OLD, Listed, make_entry
+
+pytestmark = pytest.mark.anyio
+
+FIELDS = ("service", "address", "zone", "slots", "state")
+
+BAD_VALUES = {
+    "service": [None, 7, ["e"], {"e": 1}, True, "", "e\n", "x" * 300],
+    "address": [None, 7, "", "127.0.0.1", "127.0.0.1:", ":80", "host:80", ["a:1"]]
+    + ["127.0.0.1:0", "127.0.0.1:70000", "127.0.0.1:8x", "1.2.3:4", {}],
+    "zone": [None, 3, ["dc"], {}, False],
+    "slots": [None, -8, 0, True, 1.5, "8", 10**9, 2**70, [], {}, -(2**70)],
+    "state": [None, 1, True, "", "READY", "gone", ["ready"], {"ready": 1}],
+    "version": [7, None, []],
+    "seq": ["1", None, True, [], 0.5],
+    "coldLeftMs": ["1", None, True, {}],
+    "born": [None, "1", True, 0.5, -1, 2**70],
+}
+
+BAD_FIELDS = [{name: value} for name, values in BAD_VALUES.items() for value in values]
+
+BAD_SPECS = [None, [], "", "ready", 7, True, [{}], {}, Unreadable()] + [
+    {key: value for key, value in make_entry(OLD).items() if key != missing}
+    for missing in FIELDS
+]
+
+bad_specs = st.one_of(
+    st.sampled_from(BAD_SPECS),
+    st.sampled_from(BAD_FIELDS).map(lambda bad: make_entry(OLD) | bad),
+    st.recursive(
+        st.none() | st.booleans() | st.floats() | st.text(max_size=3),
+        lambda inner: (
+            st.lists(inner, max_size=3)
+            | st.dictionaries(st.sampled_from([*FIELDS, "born"]), inner, max_size=3)
+        ),
+    ),
+)
+
+
+@pytest.fixture(autouse=True)
+def lines(monkeypatch):
+    """Fields of the log lines on malformed objects."""
+    told = []
+    monkeypatch.setattr(
+        malformed,
+        "log_event",
+        lambda event, **fields: event is Event.OBJECT_MALFORMED and told.append(fields),
+    )
+    return told
+
+
+def is_sound(spec):
+    # Truth values are equal to numbers, but written otherwise.
+    return repr(spec) == repr(make_entry(OLD))
+
+
+def list_names(listed, endpoint="e", now=math.inf):
+    return [view.runner.name for view in listed.find(endpoint, now)]
+
+
+@pytest.mark.parametrize("bad", BAD_FIELDS)
+async def test_an_entry_with_a_field_of_another_type_names_no_runner(bad):
+    """Another program writes to the runners' kind. Taken at its word, its entry draws
+    requests to an address where nobody serves them."""
+    listed = Listed()
+    listed.list(**{"i-0": make_entry(OLD), "i-1": make_entry(OLD) | bad})
+    assert list_names(listed) == ["i-0"]
+    listed.follower.set(listed._store("i-2", make_entry(OLD) | bad))
+    assert list_names(listed) == ["i-0"]
+
+
+@pytest.mark.parametrize("spec", BAD_SPECS)
+async def test_an_entry_with_parts_missing_names_no_runner(spec):
+    listed = Listed()
+    listed.list(**{"i-1": spec, "i-0": make_entry(OLD)})
+    assert list_names(listed) == ["i-0"]
+
+
+@pytest.mark.parametrize("name", ["", "a b", "a,b", "a|b", "a\r\nx: y", "é", "x" * 300])
+async def test_a_name_that_fits_no_header_names_no_runner(name):
+    """The name is sent to the runner in a header. One with a line's end in it would
+    fail every request that is meant for it, or smuggle another header in."""
+    listed = Listed()
+    listed.list(**{name: make_entry(OLD), "i-0": make_entry(OLD)})
+    assert list_names(listed) == ["i-0"]
+
+
+async def test_a_service_that_is_named_later_is_used_then():
+    """Runners of a new service start before the operator adds it. Their entries don't
+    change any more once it does."""
+    listed = Listed()
+    listed.write("i-0", OLD, service="later")
+    assert list_names(listed, "e") == []
+    assert list_names(listed, "later") == ["i-0"]
+
+
+async def test_a_runner_whose_entry_names_another_service_gets_no_calls_of_the_first():
+    listed = Listed()
+    listed.write("i-0", OLD)
+    listed.write("i-0", OLD, service="nobody's")
+    assert list_names(listed) == []
+
+
+@settings(max_examples=60)
+@given(
+    st.lists(st.one_of(st.just(make_entry(OLD)), bad_specs), min_size=1, max_size=50),
+    st.booleans(),
+)
+def test_the_sound_entries_of_a_list_hold_whatever_the_others_are(specs, whole):
+    anyio.run(check_list, specs, whole)
+
+
+async def check_list(specs, whole):
+    named = {f"i-{number}": spec for number, spec in enumerate(specs)}
+    listed = Listed()
+    if whole:
+        listed.list(**named)
+    else:
+        for name, spec in named.items():
+            listed.follower.set(listed._store(name, spec))
+    sound = sorted(name for name, spec in named.items() if is_sound(spec))
+    assert sorted(list_names(listed)) == sound
+
+
+@settings(max_examples=60)
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 2),
+            st.one_of(st.just(make_entry(OLD)), st.just("removed"), bad_specs),
+        ),
+        max_size=30,
+    )
+)
+def test_the_last_word_on_each_runner_counts_in_a_watch(changes):
+    anyio.run(check_watch, changes)
+
+
+async def check_watch(changes):
+    listed = Listed()
+    last = {}
+    for number, spec in changes:
+        name = f"i-{number}"
+        last[name] = spec
+        if spec == "removed":
+            listed.remove(name, OLD)
+        else:
+            listed.follower.set(listed._store(name, spec))
+    sound = sorted(name for name, spec in last.items() if is_sound(spec))
+    assert sorted(list_names(listed)) == sound
+
+
+async def test_a_runner_whose_entry_turns_bad_and_good_keeps_its_record():
+    """Another writer spoils a runner's entry while requests are under way there, and
+    the runner writes it anew a heartbeat later. It is the same life: what is known of
+    its load still holds, and what ends meanwhile must be counted off."""
+    listed = Listed()
+    listed.write("i-0", OLD)
+    listed.write("i-1", OLD)
+    view = listed.find()[0]
+    listed.table.note_sent(view, 100, view.runner, 0, 1.0)
+    listed.follower.set(listed._store("i-0", {"state": 7}))
+    assert list_names(listed, now=0.0) == ["i-1"]
+    listed.table.prune(1e12)
+    listed.write("i-0", OLD)
+    assert list_names(listed) == ["i-0", "i-1"]
+    assert view in listed.find() and view.running == 1
+
+
+async def test_runners_whose_entries_are_all_spoilt_are_a_last_resort():
+    """One program overwrites all entries at once. The runners are well and write them
+    anew within a heartbeat; refusing everybody until then would be an outage."""
+    listed = Listed()
+    specs = {f"i-{number}": make_entry(OLD) for number in range(3)}
+    listed.list(**specs)
+    listed.list(**dict.fromkeys(specs, "spoilt"))
+    gone_at = listed.table._views["i-0"].gone_at
+    assert len(list_names(listed, now=gone_at + 1.0)) == 3
+    assert list_names(listed, now=gone_at + 2.0) == []
+
+
+async def test_an_answer_under_way_is_passed_on_as_its_runner_turns_bad():
+    async def respond(stream, head):
+        listed.follower.set(listed._store("i-0", "spoilt"))
+        return await answer_well(stream, head)
+
+    runner = ScriptedRunner(respond)
+    configuration = make_configuration(make_route(Repetition.ONCE))
+    async with run_relay(configuration, runner) as relay:
+        listed = Listed(relay.table)
+        assert (await relay.call()).status == 200
+
+
+async def test_one_line_and_one_count_for_each_entry_and_change(lines):
+    """A list is read again whenever the store drops its history. With a line for each
+    bad entry each time, the lines that are left out are those on requests."""
+    counted = []
+    listed = Listed()
+    listed.follower = RunnerFollower(
+        MemoryStore(),
+        "servers",
+        1.0,
+        decode_runner,
+        listed.table,
+        malformed=MalformedObjects(counted.append),
+    )
+    bad = [listed._store(f"i-{number}", {"slots": -1}) for number in range(50)]
+    for _ in range(3):
+        listed.follower.replace_all(tuple(bad))
+    assert counted == ["servers"] * 50
+    assert len(lines) == malformed.LINES
+    listed.follower.set(listed._store("i-0", {"slots": -1}))
+    assert len(counted) == 51
+
+
+def test_lines_are_bounded_in_number_and_length(lines):
+    objects = MalformedObjects()
+    for number in range(2000):
+        objects.note("k", "n" * 5000, number, "e", now=number / 100)
+    assert len(lines) == 2 * malformed.LINES
+    assert all(len(line["name"]) == malformed.NAME_CHARACTERS for line in lines)
+
+
+@pytest.mark.parametrize(
+    "spec", ["x" * 10**6, [[["y" * 10**5]]], {"service": "z" * 999}]
+)
+def test_what_is_said_of_an_entry_is_short(spec):
+    with pytest.raises(ValueError) as caught:
+        decode_runner("i-0", spec)
+    assert len(str(caught.value)) < 300
+
+
+SOUND = orjson.dumps(make_entry(OLD))
+UNREADABLE = [
+    b'{"service":"\xff\xfe","state":"ready"}',
+    b'{"slots":NaN}',
+    b'{"slots":Infinity,"x":"}],{["}',
+    b'"\\ud800"',
+    b"[" * 5000 + b"]" * 5000,
+    b'{"a":' * 5000 + b"1" + b"}" * 5000,
+]
+
+
+def make_object(name, spec):
+    head = b'{"metadata":{"name":"%s","revision":7},"spec":%s,"status":null}'
+    return head % (name, spec)
+
+
+@pytest.mark.parametrize("spec", UNREADABLE)
+def test_bytes_that_cannot_be_read_spoil_no_other_object_of_a_page(spec):
+    """One entry holds bytes that no parser takes. Rejected whole, the page would make
+    the store count as away, and every relay would go on with the runners that it
+    happened to know."""
+    items = [
+        make_object(b"a", SOUND),
+        make_object(b"b", spec),
+        make_object(b"c", SOUND),
+    ]
+    page = parse_page(b'{"entries": [%s], "asOf": 9}' % b" , ".join(items))
+    assert page["asOf"] == 9
+    found = [(one["metadata"]["name"], one["spec"]) for one in page["entries"]]
+    good = orjson.loads(SOUND)
+    assert found == [("a", good), ("b", Unreadable()), ("c", good)]
+    watch = b'{"events":[{"removed":false,"object":%s},{"removed":true,"object":%s}]}'
+    events = parse_page(watch % (items[1], items[0]))["events"]
+    assert [event["removed"] for event in events] == [False, True]
+    assert events[0]["object"]["metadata"]["revision"] == 7
+    assert parse_page(items[1])["spec"] == Unreadable()
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"<html>", b'{"entries":[{]}', b"NaN,"])
+def test_what_is_no_page_is_an_error(body):
+    with pytest.raises(ValueError):
+        parse_page(body)
+
+
+@given(st.binary(max_size=60))
+def test_a_page_of_any_bytes_is_read_or_an_error(body):
+    for content in (body, b'{"entries":[%s],"asOf":1}' % body):
+        try:
+            parse_page(content)
+        except ValueError:
+            pass
+
+
+@given(st.recursive(st.none() | st.text() | st.integers(0, 9), st.lists, max_leaves=9))
+def test_a_page_taken_apart_is_as_it_was_but_for_the_bad_object(value):
+    spec = orjson.dumps({"s": value, 'k"]}': value})
+    items = b",".join([make_object(b"a", spec), make_object(b"b", b"[NaN]")])
+    first, second = parse_page(b'{"entries":[%s]}' % items)["entries"]
+    assert first == orjson.loads(make_object(b"a", spec))
+    assert second["spec"] == Unreadable()
+
+
+async def test_a_follower_goes_on_beside_foreign_entries():
+    """Fifty entries, one of them foreign, then all of them, then none, as one list and
+    as a watch that goes on."""
+    async with run_store() as (objects, client):
+        listed = Listed()
+        follower = RunnerFollower(client, "servers", 0.2, decode_runner, listed.table)
+        names = [f"i-{number}" for number in range(50)]
+        for name in names:
+            objects.put("servers", name, make_entry(OLD))
+        objects.put("servers", "i-7", ["not", "a", "runner"])
+
+        def count():
+            return len(listed.find(now=math.inf))
+
+        async with anyio.create_task_group() as group:
+            await follower.start(group)
+            await wait_until(lambda: count() == 49)
+            for name in names:
+                objects.put("servers", name, {"state": "ready"})
+            await wait_until(lambda: count() == 0)
+            for name in names:
+                objects.put("servers", name, make_entry(OLD))
+            await wait_until(lambda: count() == 50)
+            await follower.close()
--- a/knapweedrail/tests/test_relay_process.py
+++ b/knapweedrail/tests/test_relay_process.py
@@ -104,8 +104,7 @@
         await server.start(group)
         await runner.serve(group)
         objects.put("config", "main", CONFIGURATION)
-        entry = {"service": "e", "address": runner.address, "state": "ready"}
-        objects.put("servers", "i-1", entry)
+        objects.put("servers", "i-1", make_entry(address=runner.address))
         relay = RelayProcess(folder, server.address, changes)
         try:
             async with httpx.AsyncClient(timeout=15) as client:
@@ -128,6 +127,11 @@
             await anyio.sleep(0.05)
 
 
+def make_entry(**changes):
+    entry = {"service": "e", "zone": "dc", "slots": 8, "state": "ready"}
+    return entry | changes
+
+
 def make_headers(number, usage="10,50"):
     return {
         "host": "h.example",
@@ -148,12 +152,16 @@
 
 
 async def test_a_process_answers_tells_its_metrics_and_logs_the_decision(tmp_path):
-    async with run_process(tmp_path, answer_well) as (_, relay, client):
+    async with run_process(tmp_path, answer_well) as (objects, relay, client):
+        objects.put("servers", "i-2", make_entry(slots=-8))
         answer = await client.post(f"{relay.url}/a/x", headers=make_headers(1))
         refused = await client.post(
             f"{relay.url}/a/x", headers=make_headers(2) | {"knapweedrail-key": "no"}
         )
-        metrics = (await client.get(relay.metrics_url)).text
+        with anyio.fail_after(5):
+            metrics = ""
+            while "malformed_objects_total" not in metrics:
+                metrics = (await client.get(relay.metrics_url)).text
         relay.process.send_signal(signal.SIGTERM)
         with anyio.fail_after(STOP_SECONDS + 2):
             while relay.process.poll() is None:
@@ -169,6 +177,8 @@
     assert by_request["id-1"]["configuration"] == 3
     assert by_request["id-2"]["kind"] == "unknown-key"
     kinds = [line["message_type"] for line in lines]
+    assert find_metric(metrics, "malformed_objects_total", "servers") == 1
+    assert kinds.count("203 object_malformed") == 1
     assert kinds[0] == "101 router_started" and kinds[-1] == "103 router_stopped"
     assert relay.process.returncode == 0
 
