Grant nothing by a ledger that can't be read, and keep spoilt relays

Cause: numbers of a ledger were converted, so that true, "0", 0.5 or a negative figure made room for grants that weren't paid for. One that couldn't be decoded at all was written to in vain up to eight times for each look. A relay's entry of another form named a relay without a port to call, or was dropped: with all entries spoilt, each relay took itself for the only one, and with it all retries that they may make together.

Ruled out: mending a spoilt ledger from a relay's own view, as it lacks what others were granted since.

Change: ledgers and relays' entries are decoded strictly. A relay whose entry is spoilt stays in the list as it was known, and writes its own again. What isn't told from a true one: a whole and plausible ledger of another writer.

--- a/knapweedrail/relay/accounts.py
+++ b/knapweedrail/relay/accounts.py
@@ -37,6 +37,8 @@
         entry: Its ledger as last seen.
         revision: Of the stored object; ``None`` before it was seen.
         seen_at: When it was last seen, seconds.
+        unreadable_at: When what the store has of it was last found unreadable; it was
+            readable again since if that is before it was seen.
         refreshing: Whether a change of the ledger is under way.
         borrowing: Whether other relays are being asked.
         drawing: Requests for which the ledger is asked, though another relay keeps
@@ -49,6 +51,7 @@
     entry: AccountLedger = attrs.field(factory=AccountLedger)
     revision: int | None = None
     seen_at: float = float("-inf")
+    unreadable_at: float = float("-inf")
     refreshing: bool = False
     borrowing: bool = False
     drawing: int = 0
@@ -59,6 +62,14 @@
         """The holder that this relay is."""
         return self.allowance.holder
 
+    def is_unreadable(self, now: float, recent: float) -> bool:
+        """Return whether its ledger couldn't be read when it was last looked at.
+
+        Args:
+            recent: Age up to which that look will do, seconds.
+        """
+        return self.unreadable_at > self.seen_at and now - self.unreadable_at < recent
+
     def learn(self, entry: AccountLedger, revision: int, now: float) -> None:
         """Take over the ledger as it is stored."""
         self.entry = entry
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -102,12 +102,13 @@
             settings.peer_address,
             settings.data_centre,
         )
-        self._membership = Membership(store, member)
+        self._membership = Membership(store, member, malformed)
         self._holdings = Holdings(
             store,
             self._neighbours,
             self._membership,
             lambda: configuration.configuration,
+            malformed,
         )
         self._peer_server = make_server(
             self._holdings, self._hear_suspects, settings.peer_address
--- a/knapweedrail/relay/draws.py
+++ b/knapweedrail/relay/draws.py
@@ -14,6 +14,7 @@
 from .accounts import HeldAccount, Plan
 from .grants import START_SECONDS
 from .ledgers import AccountLedger, decode_account, encode_account
+from .malformed import MalformedObjects
 from .members import Membership
 from .models import Account, Configuration
 from .reservations import Shortage, find_shortage
@@ -70,6 +71,7 @@
         membership: Which relays there are.
         read_configuration: Returns the configuration in force, if one is known.
         changed: Given whenever what is held may have changed.
+        malformed: Told of ledgers that can't be read.
     """
 
     def __init__(
@@ -78,7 +80,9 @@
         membership: Membership,
         read_configuration: Callable[[], Configuration | None],
         changed: Signal,
+        malformed: MalformedObjects | None = None,
     ) -> None:
+        self._malformed = malformed or MalformedObjects()
         self.first_request_at: float | None = None
         self.failed = False
         self._store = store
@@ -207,7 +211,7 @@
                 if await self.write(held, plan.entry):
                     self._log_write_off(held, plan)
                     break
-                if not self.reachable:
+                if not self.reachable or self._is_unreadable(held):
                     break
                 await anyio.sleep(random.random() * CONFLICT_SECONDS)
         finally:
@@ -247,10 +251,18 @@
             account.prepaid or 0,
             tokens,
             held.allowance.available,
-            self.reachable,
+            self.reachable and not self._is_unreadable(held),
             time.monotonic() - held.seen_at < RECENT_SECONDS,
         )
 
+    def _is_unreadable(self, held: HeldAccount) -> bool:
+        """Return whether an account's ledger can't be read, as if it were out of reach.
+
+        Nothing is granted by it then: no write takes effect at a revision that wasn't
+        read. Tried again for each request, it would cost eight calls for nothing.
+        """
+        return held.is_unreadable(time.monotonic(), RECENT_SECONDS)
+
     def _is_starting(self) -> bool:
         first = self.first_request_at
         return first is None or time.monotonic() - first < START_SECONDS
@@ -282,7 +294,11 @@
         try:
             entry = decode_account(stored.spec)
         except ValueError as error:
-            log_event(Event.LEDGER_UNREADABLE, error=str(error), name=stored.name)
+            now = time.monotonic()
+            self._malformed.note(
+                LEDGER_KIND, stored.name, stored.revision, str(error), now
+            )
+            held.unreadable_at = now
             return
         held.learn(entry, stored.revision, time.monotonic())
 
--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -18,6 +18,7 @@
 from .grants import plan_gift
 from .ledgers import release_holder
 from .loans import Loans
+from .malformed import MalformedObjects
 from .members import Membership
 from .models import Account, Configuration
 from .neighbours import LEND_SECONDS, Neighbours, TokenLender, Trade, TradeAnswer
@@ -49,6 +50,7 @@
         neighbours: Calls to the other relays.
         membership: Which relays there are.
         read_configuration: Returns the configuration in force, if one is known.
+        malformed: Told of ledgers that can't be read.
     """
 
     def __init__(
@@ -57,12 +59,15 @@
         neighbours: Neighbours,
         membership: Membership,
         read_configuration: Callable[[], Configuration | None],
+        malformed: MalformedObjects | None = None,
     ) -> None:
         super().__init__("holdings")
         self._membership = membership
         self._holder = membership.member.holder
         self._changed = Signal()
-        self._draws = LedgerDraws(store, membership, read_configuration, self._changed)
+        self._draws = LedgerDraws(
+            store, membership, read_configuration, self._changed, malformed
+        )
         self._loans = Loans(neighbours, membership, self._changed)
         self._held: dict[str, HeldAccount] = {}
         self._released = False
--- a/knapweedrail/relay/ledgers.py
+++ b/knapweedrail/relay/ledgers.py
@@ -20,6 +20,9 @@
 
 import attrs
 
+MOST_TOKENS = 2**53
+"""Largest number of tokens; up to there every parser of JSON reads it exactly."""
+
 
 @attrs.frozen
 class Grant:
@@ -134,13 +137,43 @@
     """Decode an account's stored ledger.
 
     Raises:
-        ValueError: If it doesn't have the form that `encode_account` gives.
+        ValueError: If it doesn't have the form that `encode_account` gives, or less
+            than nothing was given out by it.
     """
     try:
         grants = {
-            holder: Grant(int(tokens), int(spent))
+            _take_holder(holder): Grant(_take_whole(tokens), _take_spent(spent))
             for holder, (tokens, spent) in spec["grants"].items()
         }
-        return AccountLedger(int(spec["used"]), grants)
-    except (AttributeError, KeyError, TypeError) as error:
-        raise ValueError(f"not an account's ledger: {error!r}") from error
+        account = AccountLedger(_take_whole(spec["used"]), grants)
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise ValueError(f"not an account's ledger: {error!r:.200}") from error
+    if account.committed < 0:
+        raise ValueError(f"a ledger that has given out {account.committed:.3g}")
+    return account
+
+
+def _take_holder(value: Any) -> str:
+    if not (isinstance(value, str) and "/" in value):
+        raise ValueError(f"no holder: {value!r:.50}")
+    return value
+
+
+def _take_whole(value: Any) -> int:
+    """Return a number of tokens; nothing is converted.
+
+    What goes wrong otherwise: a number cut off at its point, a truth value or one in a
+    text counts as fewer tokens than were granted, and the rest is granted once more.
+    """
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"no number of tokens: {value!r:.50}")
+    if abs(value) > MOST_TOKENS:
+        raise ValueError("more tokens than any account has")
+    return value
+
+
+def _take_spent(value: Any) -> int:
+    spent = _take_whole(value)
+    if spent < 0:
+        raise ValueError(f"spent {spent}")
+    return spent
--- a/knapweedrail/relay/members.py
+++ b/knapweedrail/relay/members.py
@@ -10,9 +10,11 @@
 import anyio
 import attrs
 
+from ..addresses import check_address
 from ..events import Event, log_event
 from ..tasks import Task
 from .hashing import hash_pair
+from .malformed import MalformedObjects
 from .stores import Conflict, Listing, Missing, Store, StoredObject, Written
 
 MEMBER_KIND = "relay-members"
@@ -98,13 +100,21 @@
     Args:
         store: The platform's store.
         member: This relay.
+        malformed: Told of entries that can't be used.
     """
 
-    def __init__(self, store: Store, member: Member) -> None:
+    def __init__(
+        self,
+        store: Store,
+        member: Member,
+        malformed: MalformedObjects | None = None,
+    ) -> None:
         super().__init__("membership")
+        self._malformed = malformed or MalformedObjects()
         self.member = member
         self.settled = False
         self._known_before = False
+        self._spoilt = False
         self._store = store
         self._members: dict[str, Member] = {member.host: member}
 
@@ -161,6 +171,9 @@
         while True:
             await anyio.sleep(compute_pause(self.count) * random.uniform(0.8, 1.2))
             await self._list(stale=True)
+            if self._spoilt:
+                # Relays that start later can't read it, and would do without this one.
+                self._spoilt = not await self._enter()
 
     async def leave(self) -> None:
         """Take this relay's entry out of the store."""
@@ -168,7 +181,7 @@
 
     async def _enter(self) -> bool:
         """Write this relay's entry; return whether that took effect."""
-        spec = _encode_member(self.member)
+        spec = encode_member(self.member)
         outcome = await self._store.create(MEMBER_KIND, self.member.host, spec)
         if isinstance(outcome, Conflict):
             # An earlier life of this host is listed, and so are the others' lives.
@@ -185,7 +198,7 @@
         outcome = await self._store.list_kind(MEMBER_KIND, stale=stale)
         if not isinstance(outcome, Listing):
             return False
-        found = {m.host: m for m in map(_decode_member, outcome.objects) if m}
+        found = {m.host: m for m in map(self._read_member, outcome.objects) if m}
         found[self.member.host] = self.member
         if set(found) != set(self._members):
             seconds = round(time.monotonic() - began_at, 3)
@@ -193,8 +206,27 @@
         self._members = found
         return True
 
+    def _read_member(self, stored: StoredObject) -> Member | None:
+        """Return the relay that an entry names, or that it named while it was sound.
+
+        A relay whose entry another writer spoils goes on taking part. Left out, it
+        would miss in the number of relays, by which each takes its part of the
+        retries that they may make together.
+        """
+        try:
+            return decode_member(stored.name, stored.spec)
+        except ValueError as error:
+            now = time.monotonic()
+            self._malformed.note(
+                MEMBER_KIND, stored.name, stored.revision, str(error), now
+            )
+            if stored.name == self.member.host:
+                self._spoilt = True
+            return self._members.get(stored.name)
+
 
-def _encode_member(member: Member) -> dict[str, Any]:
+def encode_member(member: Member) -> dict[str, Any]:
+    """Return a relay's entry as it is stored."""
     return {
         "holder": member.holder,
         "address": member.address,
@@ -202,10 +234,21 @@
     }
 
 
-def _decode_member(stored: StoredObject) -> Member | None:
-    try:
-        spec = stored.spec
-        return Member(stored.name, spec["holder"], spec["address"], spec["data_centre"])
-    except (KeyError, TypeError) as error:
-        log_event(Event.OBJECT_MALFORMED, name=stored.name, error=repr(error))
-        return None
+def decode_member(name: str, spec: Any) -> Member:
+    """Decode a relay's entry.
+
+    Raises:
+        ValueError: If it doesn't have the form that `encode_member` gives.
+    """
+    if not isinstance(spec, dict):
+        raise ValueError(f"not a relay's entry: {spec!r:.50}")
+    texts = [spec.get(key) for key in ("holder", "address", "data_centre")]
+    if not all(isinstance(text, str) for text in texts):
+        raise ValueError(f"not a relay's entry: {spec!r:.200}")
+    member = Member(name, *texts)
+    if member.holder.rpartition("/")[0] != name:
+        raise ValueError(f"{member.holder!r:.100} is no life of this host")
+    fault = check_address(member.address) if member.address else None
+    if fault is not None:
+        raise ValueError(f"{fault:.100}")
+    return member
