Keep a runner's life beside its record, and show whom a break is blamed on

Cause: the life was made anew at every comparison, some two hundred times for one choice among a hundred runners.

Change: the record of a life keeps it, with its hash.

A further test: what a life broke off isn't blamed on the next. It failed on the code before lives.

--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -54,7 +54,7 @@
     def __init__(self, call: Call, view: RunnerView) -> None:
         self._call = call
         self._view = view
-        self._life = view.runner.life
+        self._life = view.life
         self._unread = False
         self._ran_before = call.may_have_run
 
--- a/knapweedrail/relay/exchanges.py
+++ b/knapweedrail/relay/exchanges.py
@@ -88,7 +88,7 @@
             outcome = await Attempt(self._call, view).run()
             if not isinstance(outcome, Failed):
                 return outcome
-            self._tried.add(view.runner.life)
+            self._tried.add(view.life)
             last = _choose_worse(last, outcome)
             self._log_failure(view, outcome)
             if outcome.failure is Failure.NOT_SENT:
--- a/knapweedrail/relay/models.py
+++ b/knapweedrail/relay/models.py
@@ -128,7 +128,7 @@
 """Start of a life whose runner doesn't tell it; it counts as before all others."""
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class RunnerLife:
     """What tells one life of a runner from all others.
 
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -85,7 +85,7 @@
 
     def list_lives(self) -> set[RunnerLife]:
         """Return the present lives of all runners, those in doubt included."""
-        return {view.runner.life for view in self._views.values()}
+        return {view.life for view in self._views.values()}
 
     def list_views(self, endpoint: str, now: float) -> list[RunnerView]:
         """Return the endpoint's runners that are neither leaving nor gone."""
@@ -115,7 +115,7 @@
             return Reading.OUTDATED
         reading = Reading.TAKEN
         view = self._views.get(runner.name)
-        if view is not None and view.runner.life != runner.life:
+        if view is not None and view.life != runner.life:
             self._supersede(view)
             reading = Reading.RESTARTED
             view = None
@@ -257,7 +257,7 @@
         """Remember that a runner has a prefix in its memory."""
         if view.superseded:
             return
-        self._prefixes[prefix] = (view.runner.life, now)
+        self._prefixes[prefix] = (view.life, now)
         self._prefixes.move_to_end(prefix)
         if len(self._prefixes) > MOST_PREFIXES:
             self._prefixes.popitem(last=False)
--- a/knapweedrail/relay/selection.py
+++ b/knapweedrail/relay/selection.py
@@ -39,9 +39,7 @@
         data_centre: The relay's own, which goes first among equals.
     """
     untried = [
-        view
-        for view in table.list_views(endpoint, now)
-        if view.runner.life not in tried
+        view for view in table.list_views(endpoint, now) if view.life not in tried
     ]
     if not untried:
         return None
@@ -88,7 +86,7 @@
     def weigh(view: RunnerView) -> float:
         tokens = view.estimate_unread(table.mean_tokens, now)
         tokens += RUNNING_TOKENS * view.estimate_load(now)
-        if view is not home and view.runner.life != recent:
+        if view is not home and view.life != recent:
             tokens += shared.tokens
         if norm and view.latency > SLOW_FACTOR * norm:
             tokens += table.mean_tokens * view.latency / norm
--- a/knapweedrail/relay/views.py
+++ b/knapweedrail/relay/views.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from .models import Runner
+from .models import Runner, RunnerLife
 
 REPORT_SECONDS = 1.0
 """How long a runner's own word on its load counts. Work here lasts a second or less
@@ -16,9 +16,10 @@
 
 @attrs.define
 class RunnerView:
-    """One runner as this relay sees it.
+    """One life of a runner as this relay sees it.
 
     Attributes:
+        life: Which one; made once, as every choice among runners compares it.
         running: Requests of this relay that are there.
         unread: Prompt tokens of these whose answer hasn't begun: the runner still has
             to read them, one request after another.
@@ -42,6 +43,7 @@
     """
 
     runner: Runner
+    life: RunnerLife = attrs.field(init=False)
     running: int = 0
     unread: int = 0
     waiting: dict[object, tuple[float, int | None]] = attrs.field(factory=dict)
@@ -60,6 +62,10 @@
     missed_at: float | None = None
     superseded: bool = False
 
+    @life.default
+    def _find_life(self) -> RunnerLife:
+        return self.runner.life
+
     def estimate_load(self, now: float) -> float:
         """Return the requests it works on: ours exactly, others' by its report."""
         return self.running + self._weigh_report(now) * self.others
--- a/knapweedrail/tests/test_relay_lives.py
+++ b/knapweedrail/tests/test_relay_lives.py
@@ -343,3 +343,27 @@
         listed.write("i-0", OLD, address=runner.address)
         with anyio.fail_after(3):
             assert (await relay.call()).status == 200
+
+
+async def test_what_an_ended_life_broke_off_is_not_blamed_on_the_next(monkeypatch):
+    """A runner resets a call as it ends in good order, and its next life is gone again
+    before it serves. Taken for one life, it would seem to have crashed by that call."""
+    told = []
+    note_crash = Suspects.note_crash
+
+    def spy(suspects, runner, now):
+        told.append((runner, note_crash(suspects, runner, now)))
+        return told[-1][1]
+
+    async def break_off(stream, head):
+        listed.write("i-0", NEW, address="127.0.0.1:1")
+        return False
+
+    monkeypatch.setattr(Suspects, "note_crash", spy)
+    runner = ScriptedRunner(break_off)
+    route = make_route(Repetition.SAFE)
+    async with run_relay(make_configuration(route), runner) as relay:
+        listed = Listed(relay.table)
+        listed.write("i-0", OLD, address=runner.address)
+        await relay.call()
+    assert told == [(f"i-0@{NEW}", [])]
