--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -194,6 +194,7 @@
             ends_after=round(shutdown.ends_at - asked_at, 4),
         )
         await self._wait_until_quiet(shutdown)
+        self._gateway.shut = True
         left = shutdown.ends_at + FLUSH_SECONDS - time.monotonic()
         await self._caller_server.close(max(FLUSH_SECONDS, left))
         await self._membership.close()
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -63,6 +63,9 @@
 
     Attributes:
         shutdown: The stop, once the process has been told to.
+        shut: Whether connections are being closed. A request that is read while its
+            connection is closed is answered into the void; passed on to a runner, it
+            would have run without its caller hearing of it.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         self.under_way = 0
         self.last_request_at = float("-inf")
         self.shutdown: Shutdown | None = None
+        self.shut = False
         self._answer_times = AnswerTimes()
         self._running: set[anyio.CancelScope] = set()
 
@@ -109,7 +113,8 @@
             raise
         except anyio.get_cancelled_exc_class():
             # The server ends it, before it was admitted or while it hands bytes on.
-            log_event(Event.REQUEST_CUT_OFF, path=scope["path"])
+            if not delivery.complete:
+                log_event(Event.REQUEST_CUT_OFF, path=scope["path"])
             raise
         finally:
             self.under_way -= 1
@@ -142,7 +147,8 @@
         now = time.monotonic()
         if self.shutdown is not None:
             slowest = self._answer_times.find_slowest(admission.route.name)
-            if not self.shutdown.takes(now, ends_at - now, slowest):
+            fits = self.shutdown.takes(now, ends_at - now, slowest)
+            if self.shut or not fits:
                 left = self.shutdown.ends_at - now
                 refusal = refuse_stopping(left, slowest, self._services.rng)
                 await self._refuse(delivery, request.identity, refusal)
--- a/knapweedrail/tests/test_relay_door.py
+++ b/knapweedrail/tests/test_relay_door.py
@@ -164,3 +164,17 @@
     assert answer.headers["connection"] == "close"
     assert float(answer.headers["retry-after"]) < 0.1
     assert len(runner.heads) == 1
+
+
+async def test_a_request_that_crosses_the_closing_of_its_connection_does_not_run():
+    """A relay closes its callers' connections at the end of a stop, and one of them
+    sends a slot confirmation at that moment. Passed on, the slot would be confirmed and
+    its caller would never hear of it; it tries again, and two gangs come."""
+    runner = ScriptedRunner(answer_well)
+    route = make_route(Repetition.ONCE)
+    async with run_relay(make_configuration(route), runner) as relay:
+        relay.gateway.stop(Shutdown(time.monotonic(), 8.0))
+        relay.gateway.shut = True
+        answer = await relay.call()
+    assert answer.status == 503 and b"not run" in answer.body
+    assert runner.heads == []
