Tell a cut-off answer in plain words; say truthfully that a body was too slow

Cause: knapweedrail-explain knew none of the new lines, and of a broken stream it said "after None runners; its route may not be resumed" whatever the route, since the line lacked both. A body that didn't come in time was refused as "stopping" by hosts that didn't stop. Ruled out: nothing else reads these lines. Conclusion: sight and truth, no decision changed.

--- a/knapweedrail/explanations.py
+++ b/knapweedrail/explanations.py
@@ -115,6 +115,20 @@
     )
 
 
+def _describe_late(fields: dict[str, Any]) -> str:
+    return (
+        f"taken {fields.get('arrived_after')} s after the host was told to stop, with"
+        f" {fields.get('left')} s left; its limit was {fields.get('may_take')} s, the"
+        f" slowest of the last answers took {fields.get('slowest')} s"
+    )
+
+
+def _describe_cut(fields: dict[str, Any]) -> str:
+    ran = "may have run" if fields.get("may_have_run") else "has not run"
+    part = "in the middle of" if fields.get("started") else "before"
+    return f"the host stopped {part} its answer; it {ran}"
+
+
 _DESCRIPTIONS: dict[str, Callable[[dict[str, Any]], str]] = {
     "313": _describe_shortage,
     "602": _describe_refusal,
@@ -122,6 +136,8 @@
     "604": lambda fields: "the caller closed its connection",
     "605": _describe_break,
     "606": _describe_answer,
+    "607": _describe_late,
+    "608": _describe_cut,
     "704": lambda fields: (
         f"runner {fields.get('runner')} was silent, and nothing came from data centre"
         f" {fields.get('data_centre')}"
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Awaitable, Callable
-from typing import Any
 
 import anyio
 import attrs
@@ -12,6 +10,7 @@
 
 from ..events import Event, log_event
 from ..outcomes import Ran, Refusal, RefusalKind
+from .bodies import CallerGone, Receive, receive_body
 from .calls import Answered, Call, Services
 from .deliveries import Delivery, Send
 from .exchanges import Broken, Exchange, draw_retry
@@ -34,12 +33,6 @@
 from .streams import StreamProgress
 from .suspects import make_fingerprint
 
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-
-
-class CallerGone(Exception):
-    """The caller has closed its connection."""
-
 
 @attrs.frozen
 class Admission:
@@ -63,9 +56,8 @@
 
     Attributes:
         shutdown: The stop, once the process has been told to.
-        shut: Whether connections are being closed. A request that is read while its
-            connection is closed is answered into the void; passed on to a runner, it
-            would have run without its caller hearing of it.
+        shut: Whether connections are being closed. What is read meanwhile and passed
+            on would run without its caller hearing of it.
     """
 
     def __init__(
@@ -140,7 +132,9 @@
             return
         wait = min(request.deadline or float("inf"), admission.route.timeout)
         ends_at = arrived_at + wait
-        body = await self._receive_body(receive, ends_at)
+        table: RouteTable = self._configuration.table  # type: ignore[assignment]
+        most = table.configuration.limits.body_bytes
+        body = await receive_body(receive, most, ends_at)
         if isinstance(body, Refusal):
             await self._refuse(delivery, request.identity, body)
             return
@@ -195,25 +189,6 @@
         age = time.monotonic() - self._configuration.confirmed_at
         return refuse_unknown(kind, detail, age, self._services.rng)
 
-    async def _receive_body(self, receive: Receive, ends_at: float) -> bytes | Refusal:
-        """Receive a whole body within the bounds of the configuration."""
-        table: RouteTable = self._configuration.table  # type: ignore[assignment]
-        most = table.configuration.limits.body_bytes
-        parts: list[bytes] = []
-        size = 0
-        with anyio.move_on_after(ends_at - time.monotonic()):
-            while True:
-                message = await receive()
-                if message["type"] == "http.disconnect":
-                    raise CallerGone
-                parts.append(message.get("body", b""))
-                size += len(parts[-1])
-                if size > most:
-                    return refuse(RefusalKind.TOO_LARGE, f"over {most} bytes", None)
-                if not message.get("more_body", False):
-                    return b"".join(parts)
-        return refuse(RefusalKind.STOPPING, "the body didn't arrive in time", 1.0)
-
     async def _serve(
         self,
         request: CallerRequest,
@@ -254,10 +229,8 @@
             await self._refuse(delivery, request.identity, refusal)
             return
         self._services.retries.note_fresh(name, time.monotonic())
-        account_name = account.name if account else ""
-        fingerprint = make_fingerprint(
-            account_name, request.method, request.target, body
-        )
+        owner = account.name if account else ""
+        fingerprint = make_fingerprint(owner, request.method, request.target, body)
         if self._services.suspects.blocks(fingerprint, time.monotonic()):
             detail = "runners crashed while they ran this content"
             refusal = refuse(RefusalKind.QUARANTINED, detail, QUARANTINED_SECONDS)
@@ -291,7 +264,13 @@
             case Broken(detail):
                 # The answer stays without its end mark, and the server closes the
                 # connection, so that the caller can't take it for a whole one.
-                log_event(Event.STREAM_BROKEN, request=request.identity, detail=detail)
+                log_event(
+                    Event.STREAM_BROKEN,
+                    request=request.identity,
+                    detail=detail,
+                    sent_to=call.arrivals,
+                    resumable=route.resumable,
+                )
             case Answered():
                 pass
 
--- a/knapweedrail/relay/logs.py
+++ b/knapweedrail/relay/logs.py
@@ -29,6 +29,7 @@
         Event.PLATFORM_AWAY,
         Event.PLATFORM_BACK,
         Event.REQUEST_REFUSED,
+        Event.REQUEST_CUT_OFF,
         Event.STREAM_BROKEN,
         Event.TOKENS_WRITTEN_OFF,
     }
--- a/knapweedrail/tests/test_explain.py
+++ b/knapweedrail/tests/test_explain.py
@@ -1,11 +1,15 @@
 """From a failed request's id to its cause, by the lines that relays wrote."""
 
+import time
+
+import anyio
 import eliot
 import orjson
 import pytest
 
 from ..explanations import explain_request, read_lines
 from ..relay.models import Repetition
+from ..relay.shutdowns import Shutdown
 from ..tools import explain
 from .relays_in_memory import (
     ScriptedRunner,
@@ -89,3 +93,24 @@
     assert "attempt" in told[0] and "host-a: refused" in told[1]
     assert explain.main(["y", *paths]) == explain.EXIT_NOTHING
     assert explain.main(["x", str(tmp_path / "missing")]) == explain.EXIT_USAGE
+
+
+@pytest.mark.anyio
+async def test_an_answer_that_a_stop_cut_off_is_explained(lines):
+    """A host is told to stop while a call hangs at its runner. The caller asks why it
+    wasn't told whether its slot is confirmed."""
+
+    async def stop_soon(gateway):
+        await anyio.sleep(0.1)
+        gateway.stop(Shutdown(time.monotonic(), 0.3))
+
+    async def hang(stream, head):
+        await anyio.sleep(10)
+        return False
+
+    route = make_route(Repetition.ONCE)
+    async with run_relay(make_configuration(route), ScriptedRunner(hang)) as relay:
+        async with anyio.create_task_group() as group:
+            group.start_soon(stop_soon, relay.gateway)
+            await relay.call()
+    assert "the host stopped before its answer; it may have run" in tell(lines)
--- a/knapweedrail/tests/test_relay_door.py
+++ b/knapweedrail/tests/test_relay_door.py
@@ -178,3 +178,13 @@
         answer = await relay.call()
     assert answer.status == 503 and b"not run" in answer.body
     assert runner.heads == []
+
+
+async def test_a_body_that_never_ends_is_not_put_down_to_a_stop():
+    """A caller's link is so slow that its request isn't in when its time is over. Told
+    that the host stops, whoever looks for the cause looks at the wrong place."""
+    async with open_door() as (runner, host, port):
+        head = HEAD.replace(b"3000", b"300") + b"Content-Length: 9\r\n\r\nhalf"
+        got = await talk_quietly(host, port, head)
+    assert got.startswith(b"HTTP/1.1 504 ") and b"refusal:deadline" in got
+    assert b"not run" in got and runner.heads == []
