Let word of an ended life's address end no later life of its runner

Cause: what had taken an ended runner's address was put in the place of all that goes by the runner's name, so a life listed elsewhere since got no more work (on the code before: only the successor was left in the list). Numbers of entries and of reports were read by two rules.

Change: a successor takes the place of the life whose address it has. Whole numbers are taken by one rule in platform/values.py, written with a point or without, and never out of texts or truth values.

--- a/knapweedrail/platform/decoding.py
+++ b/knapweedrail/platform/decoding.py
@@ -74,7 +74,7 @@
     try:
         entry = structure_entry(name, spec)
         started = decode_start(spec, read_clock())
-    except ValueError as error:
+    except (TypeError, ValueError) as error:
         raise DecodingError(str(error)) from error
     return Runner(
         name=name,
--- a/knapweedrail/platform/entries.py
+++ b/knapweedrail/platform/entries.py
@@ -14,6 +14,7 @@
 from cattrs.gen import make_dict_structure_fn, override
 
 from ..addresses import check_address
+from .values import take_number, take_text, take_whole
 
 READY = "ready"
 DRAINING = "draining"
@@ -80,31 +81,12 @@
         raise ValueError(f"{error!r:.200}") from error
 
 
-def _take_text(value: Any, _: type) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"{value!r:.50} isn't text")
-    return value
-
-
-def _take_whole(value: Any, _: type) -> int:
-    # Truth values are numbers to the language.
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f"{value!r:.50} isn't a whole number")
-    return value
-
-
-def _take_number(value: Any, _: type) -> float:
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise TypeError(f"{value!r:.50} isn't a number")
-    return value
-
-
 def _make_converter() -> cattrs.Converter:
     """Return a converter that takes values of the right type only."""
     converter = cattrs.Converter(detailed_validation=False)
-    converter.register_structure_hook(str, _take_text)
-    converter.register_structure_hook(int, _take_whole)
-    converter.register_structure_hook(float, _take_number)
+    converter.register_structure_hook(str, take_text)
+    converter.register_structure_hook(int, take_whole)
+    converter.register_structure_hook(float, take_number)
     renamed = override(rename="coldLeftMs")
     structure = make_dict_structure_fn(RunnerEntry, converter, cold_left=renamed)
     converter.register_structure_hook(RunnerEntry, structure)
--- a/knapweedrail/platform/requests.py
+++ b/knapweedrail/platform/requests.py
@@ -19,6 +19,7 @@
 )
 from . import names
 from .starts import decode_start
+from .values import take_whole
 
 MAX_PARTS = 64
 """Parts of a prompt that are read; the rest can't matter to where it is sent."""
@@ -140,7 +141,7 @@
         try:
             report = orjson.loads(body)
             started = decode_start(report, self._read_clock())
-            return RunnerReport(int(report[names.REPORT_MEMORY]), started)
+            return RunnerReport(take_whole(report[names.REPORT_MEMORY]), started)
         except (KeyError, TypeError, ValueError):
             # Another kind of runner answers this path in its own way.
             return None
--- a/knapweedrail/platform/starts.py
+++ b/knapweedrail/platform/starts.py
@@ -6,6 +6,7 @@
 
 from ..relay.models import UNKNOWN_START
 from . import names
+from .values import take_whole
 
 MILLISECONDS = 1000
 
@@ -27,16 +28,12 @@
         now: Unix seconds.
 
     Raises:
-        ValueError: If it isn't a whole number, or can't be a runner's start.
+        TypeError: If it isn't a whole number.
+        ValueError: If no runner can have started then.
     """
     if names.STARTED not in spec:
         return UNKNOWN_START
-    started = spec[names.STARTED]
-    if isinstance(started, float) and started.is_integer():
-        # Some writers have one type of number, and write all with a point.
-        started = int(started)
-    if isinstance(started, bool) or not isinstance(started, int):
-        raise ValueError(f"the start {started!r:.50} isn't a whole number")
+    started = take_whole(spec[names.STARTED])
     if not UNKNOWN_START < started <= (now + CLOCKS_SECONDS) * MILLISECONDS:
         raise ValueError(f"no runner started at {started!r:.50}")
     return started
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -144,13 +144,16 @@
         view = self._views.get(name)
         return view.runner if view else None
 
-    def succeed(self, name: str, successor: Runner, now: float) -> bool:
+    def succeed(self, life: RunnerLife, successor: Runner, now: float) -> bool:
         """Put a runner that isn't listed yet in the place of one that has ended.
 
         Cut off from the store, this relay would have no other word of it. The list
         decides once it can be read again: a runner that is missing there for as long
         as entries may take to come back gets no more work.
 
+        Args:
+            life: The one that has ended; a later one under its name stays.
+
         Returns:
             Whether it is new.
         """
@@ -160,8 +163,9 @@
         ready = attrs.evolve(successor, state=RunnerState.READY)
         if self.set_runner(ready) is Reading.OUTDATED:
             return False
-        if name != successor.name:
-            self.remove_runner(name, now)
+        ended = self._views.get(life.name)
+        if ended is not None and ended.life == life:
+            self.remove_runner(life.name, now)
         self._presumed.add(successor.name)
         return True
 
--- a/knapweedrail/relay/successors.py
+++ b/knapweedrail/relay/successors.py
@@ -96,7 +96,7 @@
             successor = attrs.evolve(
                 found.runner, name=found.name, started=report.started
             )
-            if self._table.succeed(found.runner.name, successor, time.monotonic()):
+            if self._table.succeed(found.runner.life, successor, time.monotonic()):
                 log_event(
                     Event.RUNNER_SUCCEEDED,
                     runner=found.runner.name,
--- a/knapweedrail/tests/test_relay_successors.py
+++ b/knapweedrail/tests/test_relay_successors.py
@@ -4,7 +4,7 @@
 import attrs
 import pytest
 
-from ..relay.models import Endpoint, Repetition
+from ..relay.models import Endpoint, Repetition, RunnerLife
 from ..relay.runners import RunnerTable
 from .relays_in_memory import (
     ScriptedRunner,
@@ -141,7 +141,7 @@
 
 def make_presumed(table):
     table.set_runner(make_runner("i-0"))
-    assert table.succeed("i-0", make_runner("i-9"), 10.0)
+    assert table.succeed(RunnerLife("i-0"), make_runner("i-9"), 10.0)
 
 
 def list_names(table, now):
@@ -207,3 +207,14 @@
     async with run_relay(make_configuration(route), *runners) as relay:
         assert (await relay.call()).status == 503
     assert sum(len(runner.heads) for runner in runners) == 1
+
+
+def test_a_runner_that_lives_again_elsewhere_stays_as_its_address_is_taken():
+    """A runner has started again at another address, and its former address went to
+    another one. Word of that comes late, and must not end the life that is listed."""
+    table = RunnerTable(doubt=1.9)
+    table.set_runner(make_runner("i-0", started=OLD))
+    ended = table.find_runner("i-0").life
+    table.set_runner(make_runner("i-0", "127.0.0.1:2", started=NEW))
+    assert table.succeed(ended, make_runner("i-9", started=NEW), 10.0)
+    assert list_names(table, 10.0) == ["i-0", "i-9"]
