--- a/knapweedrail/tests/test_relay_pressure.py
+++ b/knapweedrail/tests/test_relay_pressure.py
@@ -6,7 +6,7 @@
 import attrs
 import pytest
 
-from ..relay import connections, measures, pressure
+from ..relay import connections, gateway, measures, pressure
 from ..relay.models import Repetition
 from ..relay.pressure import REST_SECONDS, TICK_SECONDS, Pressure
 from .relays_in_memory import (
@@ -169,21 +169,21 @@
 
 
 @pytest.mark.anyio
-async def test_a_caller_is_refused_only_after_its_whole_body_is_in():
+async def test_a_caller_is_refused_only_after_its_whole_body_is_in(monkeypatch):
     """A caller is still sending a long prompt as it is refused and the connection
     closed. The bytes that nobody read reset it, and the caller sees a broken
     connection instead of when to come back."""
     route = make_route(Repetition.ONCE)
     async with run_relay(make_configuration(route), ScriptedRunner(answer_well)) as r:
         r.gateway._services.pressure._quick = 60.0
-        receive_body = r.gateway._receive_body
+        receive_body = gateway.receive_body
         received = []
 
         async def note_body(*arguments):
             received.append(await receive_body(*arguments))
             return received[-1]
 
-        r.gateway._receive_body = note_body
+        monkeypatch.setattr(gateway, "receive_body", note_body)
         answers = [await r.call() for _ in range(10)]
     assert any(answer.status == 503 for answer in answers)
     assert len(received) == len(answers)
