Let the many decide whether starts are told; read broken pages by a library

A page with an object that can't be parsed was taken apart by a parser of our own, which the house rules don't want. A start up to five minutes ahead counted, and locks the runner's true lives out for as long. An object without a name was passed over without a line. Ruled out: refusing all entries without a start (no runner would be left today); using all of them (a foreign one gets requests); one that tells as proof for the cluster. Change: where most entries tell their start, one that doesn't names no runner; pages are taken apart by tree-sitter, which the settings are read by; thirty seconds; a line. The new test of a start far ahead says a minute where it said an hour, and 20 s where it said a minute: narrower towards foreign entries, still ten jumps of two seconds. Conclusion: open: while runners of a cluster are replaced by ones that tell their start, those that don't lose new work from the moment that most do.

--- a/knapweedrail/platform/pages.py
+++ b/knapweedrail/platform/pages.py
@@ -3,24 +3,20 @@
 What goes wrong without it: one object among hundreds holds bytes that aren't UTF-8, a
 NaN, or lists within lists a thousand deep. The parser rejects the whole page, the store
 counts as away at every relay, and no runner that starts or leaves is heard of any more.
-Here the page is taken apart, and only that object can't be read.
+Here the page is taken apart by a parser that bears errors, and only that object can't
+be read.
 """
 
 from __future__ import annotations
 
-import re
-from collections.abc import Iterator
+import contextlib
+import json
 from typing import Any
 
 import orjson
 
 from ..relay.stores import Unreadable
 
-_TOKEN = re.compile(rb'"(?:[^"\\]++|\\.)*+"|[{}\[\],]', re.DOTALL)
-"""A string, or what begins, ends or parts values."""
-
-_KEY = re.compile(rb'\s*("(?:[^"\\]++|\\.)*+")\s*:', re.DOTALL)
-
 _LISTS = frozenset({"entries", "events"})
 _OBJECTS = frozenset({"", "object"})
 """Keys of what is taken apart; the items of a list, and the whole, have none. Other
@@ -33,47 +29,69 @@
     Raises:
         ValueError: If it isn't the store's form of a page or an object.
     """
-    return _parse(content, "")
+    with contextlib.suppress(ValueError):
+        return orjson.loads(content)
+    with contextlib.suppress(ValueError, RecursionError):
+        return _hide(json.loads(content), "")
+    return _take_apart(content)
+
+
+def _hide(value: Any, key: str) -> Any:
+    """Return a page without the objects that hold a number which is none."""
+    if isinstance(value, list) and key in _LISTS:
+        return [_hide(item, "") for item in value]
+    if isinstance(value, dict) and key in _OBJECTS:
+        return {name: _hide(item, name) for name, item in value.items()}
+    return value if _is_sound(value) else Unreadable()
 
 
-def _parse(content: bytes, key: str) -> Any:
+def _is_sound(value: Any) -> bool:
     try:
-        return orjson.loads(content)
+        # NaN, the infinities and lone surrogates are no JSON; the standard library
+        # reads them all the same.
+        json.dumps(value, allow_nan=False)
+        orjson.dumps(value)
+    except (ValueError, TypeError):
+        return False
+    return True
+
+
+def _take_apart(content: bytes) -> Any:
+    """Parse a page by its syntax tree, which bears any depth and single errors.
+
+    Raises:
+        ValueError: If the page itself is broken.
+    """
+    # Not imported before it is needed, which is hardly ever.
+    import tree_sitter
+    import tree_sitter_json
+
+    language = tree_sitter.Language(tree_sitter_json.language())
+    root = tree_sitter.Parser(language).parse(content).root_node
+    return _read(_list_sound(root)[0], "")
+
+
+def _read(node: Any, key: str) -> Any:
+    try:
+        return orjson.loads(node.text)
     except ValueError:
-        if key in _LISTS:
-            return [_parse(part, "") for part in _split(content, b"[")]
-        if key in _OBJECTS:
-            return dict(_parse_member(part) for part in _split(content, b"{"))
+        if node.type == "array" and key in _LISTS:
+            return [_read(item, "") for item in _list_sound(node)]
+        if node.type == "object" and key in _OBJECTS:
+            return dict(_read_member(pair) for pair in _list_sound(node))
         return Unreadable()
 
 
-def _parse_member(content: bytes) -> tuple[str, Any]:
-    key = _KEY.match(content)
-    if key is None:
-        raise ValueError(f"no member of an object: {content[:50]!r}")
-    name = str(orjson.loads(key[1]))
-    return name, _parse(content[key.end() :], name)
-
-
-def _split(content: bytes, opening: bytes) -> Iterator[bytes]:
-    """Yield the parts of an object or list, by its outermost commas."""
-    if not content.lstrip().startswith(opening):
-        raise ValueError(f"{opening!r} expected: {content[:50]!r}")
-    depth, begin = 0, 0
-    for token in _TOKEN.finditer(content):
-        match token[0]:
-            case b"{" | b"[":
-                depth += 1
-                if depth == 1:
-                    begin = token.end()
-            case b"}" | b"]":
-                depth -= 1
-                if depth == 0:
-                    last = content[begin : token.start()]
-                    if last.strip():
-                        yield last
-                    return
-            case b"," if depth == 1:
-                yield content[begin : token.start()]
-                begin = token.end()
-    raise ValueError("the page ends too soon")
+def _list_sound(node: Any) -> list[Any]:
+    """Return the parts of a value, none of which is a place that can't be parsed."""
+    if not node.named_children:
+        raise ValueError("nothing there")
+    if any(part.is_error or part.is_missing for part in node.children):
+        raise ValueError(f"no JSON at byte {node.start_byte}")
+    return list(node.named_children)
+
+
+def _read_member(pair: Any) -> tuple[str, Any]:
+    key, value = pair.named_children
+    name = str(orjson.loads(key.text))
+    return name, _read(value, name)
--- a/knapweedrail/platform/starts.py
+++ b/knapweedrail/platform/starts.py
@@ -10,11 +10,11 @@
 
 MILLISECONDS = 1000
 
-CLOCKS_SECONDS = 300.0
+CLOCKS_SECONDS = 30.0
 """How far ahead of this host's clock a start may be. Clocks are close to each other and
-jump by seconds; a hundred times that, so that a host whose own clock is off doesn't
-take every runner for a foreign entry and serve nobody. A start that is further ahead
-was written by something else, and no true life of that runner would be newer."""
+jump by seconds; several times that, so that a host whose own clock is off doesn't take
+every runner for a foreign entry and serve nobody. A start that is further ahead was
+written by something else, and no true life of that runner would be newer."""
 
 
 def decode_start(spec: dict[str, Any], now: float) -> int:
--- a/knapweedrail/platform/store.py
+++ b/knapweedrail/platform/store.py
@@ -9,6 +9,7 @@
 import httpx
 import orjson
 
+from ..events import Event, log_event
 from ..outcomes import Unavailable, Unknown
 from ..relay.stores import (
     Change,
@@ -196,16 +197,24 @@
 def _decode_named(items: list[dict[str, Any]]) -> Iterator[StoredObject]:
     """Yield the objects of a page; one without a name tells of nothing."""
     for item in items:
-        with contextlib.suppress(*_DECODE_ERRORS):
+        with _pass_over(item):
             yield _decode_object(item)
 
 
 def _decode_changes(items: list[dict[str, Any]]) -> Iterator[Change]:
     for item in items:
-        with contextlib.suppress(*_DECODE_ERRORS):
+        with _pass_over(item):
             yield Change(_decode_object(item["object"]), bool(item.get("removed")))
 
 
+@contextlib.contextmanager
+def _pass_over(item: Any) -> Iterator[None]:
+    try:
+        yield
+    except _DECODE_ERRORS as error:
+        log_event(Event.OBJECT_MALFORMED, item=repr(item)[:100], error=repr(error))
+
+
 def _decode_object(item: dict[str, Any]) -> StoredObject:
     meta = item["metadata"]
     if not isinstance(meta["name"], str):
--- a/knapweedrail/relay/followers.py
+++ b/knapweedrail/relay/followers.py
@@ -12,7 +12,7 @@
 from ..events import Event, log_event
 from ..outcomes import Unavailable
 from ..tasks import Task
-from .lives import Reading
+from .lives import Reading, StartTelling
 from .malformed import MalformedObjects
 from .models import UNKNOWN_START, Configuration, Runner
 from .routes import RouteTable
@@ -208,14 +208,17 @@
         super().__init__(store, kind, watch_seconds, batch_seconds, malformed)
         self.table = table
         self._decode_runner = decode
+        self._telling = StartTelling()
 
     def replace_all(self, objects: tuple[StoredObject, ...]) -> None:
-        runners = [runner for runner in map(self._decode, objects) if runner]
+        self._telling.keep({stored.name for stored in objects})
+        found = [(stored, self._decode(stored)) for stored in objects]
+        runners = [runner for stored, runner in found if self._admit(stored, runner)]
         self.table.replace_all(runners, time.monotonic())
 
     def set(self, stored: StoredObject) -> None:
         runner = self._decode(stored)
-        if runner is None:
+        if not self._admit(stored, runner):
             # As if it were missing: others get its work. A runner whose entry another
             # writer spoilt writes it again at its next heartbeat, and keeps its record
             # until then; it is used meanwhile only where no other is left.
@@ -234,10 +237,19 @@
         self.table.note_list(now)
 
     def remove(self, stored: StoredObject) -> None:
+        self._telling.forget(stored.name)
         started = self._find_start(stored)
         self.table.remove_runner(stored.name, time.monotonic(), started)
         log_event(Event.RUNNER_UNLISTED, runner=stored.name, revision=stored.revision)
 
+    def _admit(self, stored: StoredObject, runner: Runner | None) -> bool:
+        if runner is None:
+            return False
+        if not self._telling.admits(runner.started):
+            self.note_malformed(stored, ValueError("it doesn't tell its start"))
+            return False
+        return True
+
     def _find_start(self, stored: StoredObject) -> int:
         """Return the start of the life that an entry told of before it went."""
         try:
@@ -247,7 +259,10 @@
 
     def _decode(self, stored: StoredObject) -> Runner | None:
         try:
-            return self._decode_runner(stored.name, stored.spec)
+            runner = self._decode_runner(stored.name, stored.spec)
         except ValueError as error:
+            self._telling.forget(stored.name)
             self.note_malformed(stored, error)
             return None
+        self._telling.note(stored.name, runner.started)
+        return runner
--- a/knapweedrail/relay/lives.py
+++ b/knapweedrail/relay/lives.py
@@ -45,3 +45,34 @@
         if len(self._newest) > MOST_LIVES:
             self._newest.popitem(last=False)
         return True
+
+
+class StartTelling:
+    """Whether the runners of this cluster tell when they started.
+
+    Where they do, an entry that doesn't is another writer's, and names no runner. A
+    cluster whose runners don't tell it yet is served as well, so the many decide: one
+    foreign entry with a start must not make strangers of all runners.
+    """
+
+    def __init__(self) -> None:
+        self._tells: dict[str, bool] = {}
+
+    def note(self, name: str, started: int) -> None:
+        """Take in an entry that is in order otherwise."""
+        self._tells[name] = started != UNKNOWN_START
+
+    def forget(self, name: str) -> None:
+        """Take in that an entry is gone, or can't be read."""
+        self._tells.pop(name, None)
+
+    def keep(self, names: set[str]) -> None:
+        """Forget all other entries."""
+        self._tells = {
+            name: told for name, told in self._tells.items() if name in names
+        }
+
+    def admits(self, started: int) -> bool:
+        """Return whether an entry with this start may be a runner's."""
+        telling = sum(self._tells.values())
+        return started != UNKNOWN_START or 2 * telling <= len(self._tells)
--- a/knapweedrail/tests/test_relay_foreign.py
+++ b/knapweedrail/tests/test_relay_foreign.py
@@ -319,6 +319,32 @@
     assert second["spec"] == Unreadable()
 
 
+@pytest.mark.parametrize(
+    "telling, silent, used",
+    [
+        (3, 1, {"t0", "t1", "t2"}),
+        (0, 3, {"s0", "s1", "s2"}),
+        (1, 2, {"t0", "s0", "s1"}),
+    ],
+)
+async def test_an_entry_that_does_not_tell_its_start_is_used_where_most_do_not(
+    telling, silent, used
+):
+    """Another writer puts an entry among the runners' own that lacks only their start.
+    Its address would get requests that no runner serves. Where runners don't tell their
+    start at all, one entry that does must not make strangers of them."""
+    listed = Listed()
+    started = {f"t{number}": OLD for number in range(telling)}
+    plain = [f"s{number}" for number in range(silent)]
+    entries = [listed._store(name, make_entry(OLD)) for name in started]
+    for name in plain:
+        spec = make_entry(OLD)
+        del spec["born"]
+        entries.append(listed._store(name, spec))
+    listed.follower.replace_all(tuple(entries))
+    assert {life.name for life in listed.table.list_lives()} == used
+
+
 async def test_a_follower_goes_on_beside_foreign_entries():
     """Fifty entries, one of them foreign, then all of them, then none, as one list and
     as a watch that goes on."""
--- a/knapweedrail/tests/test_relay_lives.py
+++ b/knapweedrail/tests/test_relay_lives.py
@@ -233,16 +233,16 @@
 
 
 def test_a_start_far_ahead_names_no_runner_and_one_ahead_of_a_jump_does():
-    """Clocks of hosts differ, and jump by seconds. A start years ahead is no runner's,
-    and no true life of that name would ever count after it."""
+    """Clocks of hosts differ, and jump by seconds. A start a minute ahead is of no runner,
+    and no true life of that name would count until the minute is over."""
     clock = 1_700_000_000.0
 
     def decode(born):
         return decode_runner("i-0", make_entry(born), read_clock=lambda: clock)
 
-    assert decode(int((clock + 60) * 1000)).started > clock * 1000
+    assert decode(int((clock + 20) * 1000)).started > clock * 1000
     with pytest.raises(ValueError):
-        decode(int((clock + 3600) * 1000))
+        decode(int((clock + 60) * 1000))
 
 
 async def test_entries_that_tell_no_start_name_runners_as_ever():
