--- a/knapweedrail/tests/test_relay_lives.py
+++ b/knapweedrail/tests/test_relay_lives.py
@@ -233,8 +233,8 @@
 
 
 def test_a_start_far_ahead_names_no_runner_and_one_ahead_of_a_jump_does():
-    """Clocks of hosts differ, and jump by seconds. A start a minute ahead is of no runner,
-    and no true life of that name would count until the minute is over."""
+    """Clocks of hosts differ, and jump by seconds. A start a minute ahead is another
+    writer's, and no true life of that name would count until the minute is over."""
     clock = 1_700_000_000.0
 
     def decode(born):
