Import the library that exports metrics when they are asked for

OpenTelemetry's SDK and its exporter with http.server and prometheus_client took 111 ms of a start's imports (-X importtime, machine busy), before a relay could answer. The library's own proxies were ruled out: they drop what is measured before a provider is there.

Counters and histograms now keep what is measured and hand all of it over when the exporter comes: at the first scrape, or from 1,000 kept values on (100 s of an idle relay), each time by an import in a thread of its own, so that streams go on. 4,000 is the bound at which it is imported on the spot. Until then a count costs less, too (20 us for a count by the library). Routers export from their start as before. A broken installation of the library now shows at the first scrape rather than at the start. The server of calls between processes has a module of its own, since that of routers' messages came with it.

The test of the start fails without the change.

--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -253,6 +253,8 @@
             await self._pool.prune(now, self._runners.table.list_names())
             self._apply_limits()
             self._suspects.prune(now)
+            if self._measures.has_many:
+                await self._measures.prepare_export()
 
     async def _tell_waiting(self) -> None:
         """Tell other relays of suspects, those of one crash at a time."""
--- a/knapweedrail/relay/measures.py
+++ b/knapweedrail/relay/measures.py
@@ -7,9 +7,10 @@
 from typing import Any
 
 import anyio
+import anyio.to_thread
 
 from ..events import Event, log_event
-from ..measures import Measures
+from ..measures import Measures, import_exporter
 from .models import Account
 from .pressure import TICK_SECONDS, Pressure
 from .stores import Store
@@ -57,6 +58,16 @@
             "loop_delay_seconds", "Seconds the event loop was late", DELAY_BOUNDS
         )
 
+    async def prepare_export(self) -> None:
+        """Let the exporter take over, if it hasn't yet.
+
+        Its import in a thread of its own leaves the event loop its turns; in the loop
+        every answer under way would stand still for a tenth of a second.
+        """
+        if not self.exporting:
+            await anyio.to_thread.run_sync(import_exporter)
+            self.export()
+
     async def watch_delay(self, pressure: Pressure) -> None:
         """Measure the event loop's delay until cancelled."""
         told_at = float("-inf")
@@ -78,6 +89,7 @@
 
     async def answer(self, scope: dict, receive: Any, send: Any) -> None:
         """Serve the metrics as text, as an ASGI application."""
+        await self.prepare_export()
         body = self.render()
         await send(
             {
--- a/knapweedrail/relay/neighbours.py
+++ b/knapweedrail/relay/neighbours.py
@@ -15,7 +15,7 @@
 
 from ..addresses import split_address
 from ..events import Event, log_event
-from ..peers import RpcServer
+from ..rpc import RpcServer
 from ..wire.relays_grpc import RelaysBase, RelaysStub
 from ..wire.relays_pb2 import (
     SuspectsReply,
--- a/knapweedrail/routers.py
+++ b/knapweedrail/routers.py
@@ -59,6 +59,7 @@
         self.settings = settings
         self.stopping = False
         self.measures = Measures()
+        self.measures.export()
         self.platform = HttpPlatform(
             settings.platform, settings.platform_timeout_seconds
         )
--- a/knapweedrail/tests/test_relay_start.py
+++ b/knapweedrail/tests/test_relay_start.py
@@ -11,6 +11,16 @@
 
 HEAVY = ("eliot", "anyio", "httpx", "hypercorn", "grpclib", "opentelemetry")
 
+UNNEEDED = (
+    "opentelemetry",
+    "prometheus_client",
+    "jsonschema",
+    "cattrs",
+    "trio",
+    "knapweedrail.models",
+    "knapweedrail.wire.peers_pb2",
+)
+
 
 def write_settings(folder, caller_address):
     path = folder / "relay.jsonc"
@@ -38,6 +48,20 @@
     assert found.stdout.strip() == "[]"
 
 
+def test_a_start_reads_no_library_that_it_does_not_need():
+    """All hosts of the fleet start together after a loss of power. What each of them
+    reads for metrics that nobody has asked for, or for faults that its settings don't
+    have, is time in which callers wait."""
+    program = (
+        "import sys; import knapweedrail.tools.service;"
+        f"print([name for name in {UNNEEDED!r} if name in sys.modules])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, check=True
+    )
+    assert found.stdout.strip() == "[]"
+
+
 def test_the_door_is_open_when_the_rest_is_read(tmp_path, monkeypatch):
     """A caller connects while the process still reads its libraries. Its connection
     waits, and the server answers on it as soon as it runs."""
