Look for no garbage while a relay's libraries are imported

Tens of thousands of objects are made by the imports and all of them stay; the collector walked through them again and again, and at each full collection of the running relay.

The test fails without the change.

--- a/knapweedrail/tests/test_relay_start.py
+++ b/knapweedrail/tests/test_relay_start.py
@@ -1,5 +1,6 @@
 """The first moments of a relay's process."""
 
+import gc
 import socket
 import subprocess
 import sys
@@ -85,6 +86,27 @@
     assert reached == [b"GET"]
 
 
+def test_garbage_is_collected_while_the_relay_runs(tmp_path, monkeypatch):
+    """No garbage is looked for while the libraries are read. If it stayed so, a host
+    would fill its memory in hours and be killed; if the libraries weren't set aside,
+    all streams would pause for each look through them."""
+    seen = []
+
+    def run_relay(settings, listener):
+        seen.append((gc.isenabled(), gc.get_freeze_count() > 0))
+        listener.close()
+        return True
+
+    service = types.ModuleType("service")
+    service.run_relay = run_relay
+    monkeypatch.setitem(sys.modules, "knapweedrail.tools.service", service)
+    try:
+        relay.main(["--settings", write_settings(tmp_path, "127.0.0.1:0")])
+    finally:
+        gc.unfreeze()
+    assert seen == [(True, True)]
+
+
 def test_a_port_that_is_taken_is_said_plainly(tmp_path, capsys):
     """Two relays are started on one host by mistake. The second one ends at once and
     names what is in its way."""
