--- a/knapweedrail/platform/entries.py
+++ b/knapweedrail/platform/entries.py
@@ -72,7 +72,7 @@
     """Return a runner's entry.
 
     The converter library that settings are read by would do the same. Its import takes
-    71 ms of processor time at every start, 500 entries take 9 ms here (one run of each).
+    71 ms of processor time at every start; 500 entries take 9 ms here (a run of each).
 
     Raises:
         ValueError: If it isn't one.
