Give the listed relays of a test the entries that relays write

Cause: entries of relays are checked whole now; the test's lacked an address, so no relay was listed and one kept all accounts. Ruled out: the memory of who keeps an account (it is cleared with each list). Change: sound entries; what is asked is unchanged. Before: 1 failed. After: the file passes.

--- a/knapweedrail/tests/test_relay_lending.py
+++ b/knapweedrail/tests/test_relay_lending.py
@@ -12,7 +12,7 @@
 from ..relay import neighbours as neighbours_module
 from ..relay.draws import LEDGER_KIND
 from ..relay.holdings import Holdings, draw_pause
-from ..relay.ledgers import decode_account
+from ..relay.ledgers import decode_account, name_holder
 from ..relay.members import Member, Membership, compute_pause, order_lenders
 from ..relay.models import Account, Repetition
 from ..relay.neighbours import Neighbours, Trade, make_server
@@ -331,7 +331,8 @@
     accounts = [f"farm-{number}" for number in range(20)]
     assert all(membership.keeps(account) for account in accounts)
     for number in range(1, 5):
-        spec = {"holder": f"h-{number}.1", "address": "", "data_centre": "dc"}
+        holder = name_holder(f"h-{number}", "1")
+        spec = {"holder": holder, "address": "10.0.0.1:1", "data_centre": "dc"}
         store.put("relay-members", f"h-{number}", spec)
     assert await membership._list(stale=True)
     kept = [account for account in accounts if membership.keeps(account)]
