Soak stops in turn, next lives of runners and entries of other writers

Its answers took 0.8 s at most, its time to stop was 6 s, relays were stopped one by one, and the judge looked at a stop only if nothing else was done within four seconds, which at a step a second it never was. Runners came back under new names only, and nobody wrote foreign entries. Change: one stream in eight takes 3 to 5 s; the time to stop is 8 s; a step stops all relays in turn, faster than they come back, and steps on the same process queue up instead of being dropped. The judge counts a request as lost by a stop unless its runner or relay was disturbed meanwhile, its caller left or its route's time was over; it excuses what was sent within three seconds of the signal and ran on into the last sixth. The judge's old test of a stop beside a crash is replaced by a narrower excuse: only what was done to the request's own runner or relay excuses it.

--- a/knapweedrail/platform/names.py
+++ b/knapweedrail/platform/names.py
@@ -65,3 +65,6 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 RUNNERS_KIND = "servers"
+
+BORN = "born"
+"""When a runner started, Unix milliseconds, in all that it says of itself."""
--- a/knapweedrail/soak/callers.py
+++ b/knapweedrail/soak/callers.py
@@ -13,8 +13,8 @@
 from .records import MOST_EVENTS, History, Kind, Sent
 from .worlds import HOST, RelayHost, World
 
-CALL_SECONDS = 4.5
-"""Longest wait of a caller: a little longer than the routes' own time."""
+EXTRA_SECONDS = 0.5
+"""How much longer than the route's own time a caller waits."""
 
 LEAVE_SHARE = 0.05
 """Requests whose caller leaves after a moment."""
@@ -51,8 +51,10 @@
         """Send requests for so long, and wait for the last answers."""
         end = time.monotonic() + seconds
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=50)
+        # Connections are kept and used again, whatever has been asked of the process at
+        # their other end; none of the callers heeds what a balancer would.
         async with (
-            httpx.AsyncClient(limits=limits, timeout=CALL_SECONDS) as client,
+            httpx.AsyncClient(limits=limits, timeout=None) as client,
             anyio.create_task_group() as group,
         ):
             while time.monotonic() < end:
@@ -85,22 +87,25 @@
             body=b"",
         )
         leaves = rng.random() < LEAVE_SHARE
-        with anyio.move_on_after(LEAVE_SECONDS if leaves else CALL_SECONDS):
+        limit = LEAVE_SECONDS if leaves else kind.timeout + EXTRA_SECONDS
+        with anyio.move_on_after(limit):
             await self._call(client, host, sent)
 
     async def _call(
         self, client: httpx.AsyncClient, host: RelayHost, sent: Sent
     ) -> None:
+        limit = sent.kind.timeout + EXTRA_SECONDS
         headers = {
             "host": HOST,
             names.REQUEST_ID.decode(): sent.identity,
             names.KEY.decode(): f"key-{sent.account}",
-            names.DEADLINE.decode(): str(int(CALL_SECONDS * 1000)),
+            names.DEADLINE.decode(): str(round(1000 * limit)),
             names.TOKENS.decode(): f"{sent.prompt},{sent.most_output}",
         }
         body = bytearray()
         status = 0
         whole = False
+        connected = left = True
         url = host.url + sent.path
         try:
             async with client.stream("POST", url, headers=headers, content=b"x") as got:
@@ -108,15 +113,20 @@
                 async for chunk in got.aiter_raw():
                     body += chunk
                 whole = True
-        except httpx.HTTPError:
+                left = False
+        except httpx.HTTPError as error:
             # What came of the answer is noted all the same; the judge says whether
             # the relay may have broken it off.
-            whole = False
+            connected = not isinstance(error, httpx.ConnectError)
+            left = False
         finally:
-            self._note(sent, status, whole, bytes(body))
-
-    def _note(self, sent: Sent, status: int, whole: bool, body: bytes) -> None:
-        noted = attrs.evolve(
-            sent, status=status, whole=whole, body=body, ended_at=time.monotonic()
-        )
-        self._history.sent.append(noted)
+            noted = attrs.evolve(
+                sent,
+                status=status,
+                whole=whole,
+                body=bytes(body),
+                connected=connected,
+                left=left,
+                ended_at=time.monotonic(),
+            )
+            self._history.sent.append(noted)
--- a/knapweedrail/soak/faults.py
+++ b/knapweedrail/soak/faults.py
@@ -2,16 +2,29 @@
 
 from __future__ import annotations
 
+import contextlib
+import random
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import TypeVar
 
 import anyio
 import anyio.abc
+import attrs
 
+from ..platform import names
 from ..relay.models import RunnerState
 from ..standins.proxy import ANYONE, PASSING, Fault, Mode, Route
-from .records import Disturbance, History
+from .records import (
+    EVERYONE,
+    REBIRTH,
+    SPOILT,
+    STOP,
+    STOP_SECONDS,
+    Disturbance,
+    History,
+)
 from .schedules import Step
 from .worlds import RelayHost, RunnerHost, World
 
@@ -31,8 +44,31 @@
 TOP_UP = 2000
 """Tokens by which a change of the configuration raises each budget."""
 
-STOP_WAIT_SECONDS = 9.0
-"""Longest wait for a stopping process; then it is killed, as its platform would."""
+STOP_WAIT_SECONDS = STOP_SECONDS + 1.0
+"""Longest wait for a stopping process; then it is killed, as its platform would. The
+second is for a busy machine."""
+
+MOST_TURN_SECONDS = 2.0
+"""Longest time from one host's stop to the next one's; a stop takes longer."""
+
+LAST_WORD_SECONDS = 0.3
+"""Time in which relays hear that a runner leaves before it crashes all the same."""
+
+CUT, LEAVES_FIRST, LATE_WORD = 1, 2, 4
+"""Parts of a variant: what comes with a runner's next life under its name."""
+
+MOST_FOREIGN = 8
+"""Entries of another writer that one step brings."""
+
+SPOILT_SECONDS = 5.0
+"""How long a runner's entry stays spoilt; longer than relays may take to heed it."""
+
+INTERPRETER_SECONDS = 2.0
+"""Longest start of an interpreter on a busy machine."""
+
+POLL_SECONDS = 0.05
+
+Busy = TypeVar("Busy", RelayHost, RunnerHost)
 
 
 class Faults:
@@ -54,11 +90,15 @@
             "kill": self._kill,
             "pause": self._pause,
             "stop": self._stop,
+            "stop in turn": self._stop_in_turn,
             "cut from store": self._cut_from_store,
             "silence to store": self._silence_to_store,
             "leave": self._leave,
             "crash": self._crash,
             "restart runner": self._restart_runner,
+            "live again": self._live_again,
+            "spoil entry": self._spoil_entry,
+            "foreign entries": self._add_foreign_entries,
             "reset runner": self._reset_runner,
             "silence runner": self._silence_runner,
             "slow runner": self._slow_runner,
@@ -77,7 +117,11 @@
     async def _carry_out(self, step: Step) -> None:
         began_at = time.monotonic()
         target = await self._actions[step.kind](step)
-        disturbance = Disturbance(step.kind, target, began_at, time.monotonic())
+        if target:  # Steps without one have noted what they did, when they did it.
+            self._note(step.kind, target, began_at)
+
+    def _note(self, kind: str, target: str, began_at: float) -> None:
+        disturbance = Disturbance(kind, target, began_at, time.monotonic())
         self._history.disturbances.append(disturbance)
 
     def _pick_relay(self, step: Step) -> RelayHost:
@@ -86,6 +130,22 @@
     def _pick_runner(self, step: Step) -> RunnerHost:
         return self._world.runners[step.target % len(self._world.runners)]
 
+    @contextlib.asynccontextmanager
+    async def _hold(
+        self, pick: Callable[[Step], Busy], step: Step
+    ) -> AsyncIterator[Busy]:
+        """Wait for a host whose life nobody else is changing, and keep others off.
+
+        Without it two steps would start two processes of one name.
+        """
+        while (host := pick(step)).busy:
+            await anyio.sleep(POLL_SECONDS)
+        host.busy = True
+        try:
+            yield host
+        finally:
+            host.busy = False
+
     async def _turn_store_away(self, step: Step) -> str:
         self._world.store.misbehaviour.away = True
         await anyio.sleep(step.seconds)
@@ -107,51 +167,61 @@
         return "store"
 
     async def _kill(self, step: Step) -> str:
-        host = self._pick_relay(step)
-        if not host.busy:
-            host.busy = True
+        async with self._hold(self._pick_relay, step) as host:
+            began_at = time.monotonic()
             host.process.kill()
             await anyio.sleep(RESTART_SECONDS)
             self._world.restart_relay(host)
-            host.busy = False
-        return host.name
+            self._note("kill", host.name, began_at)
+        return ""
 
     async def _kill_all(self, step: Step) -> str:
-        hosts = [host for host in self._world.relays if not host.busy]
-        for host in hosts:
-            host.busy = True
-            host.process.kill()
-        await anyio.sleep(RESTART_SECONDS)
-        for host in hosts:
-            self._world.restart_relay(host)
-            host.busy = False
-        return "all"
+        async with anyio.create_task_group() as group:
+            for number, host in enumerate(self._world.relays):
+                if not host.busy:
+                    group.start_soon(self._kill, attrs.evolve(step, target=number))
+        return EVERYONE
 
     async def _pause(self, step: Step) -> str:
-        host = self._pick_relay(step)
-        if not host.busy:
-            host.busy = True
+        async with self._hold(self._pick_relay, step) as host:
+            began_at = time.monotonic()
             host.process.freeze()
             await anyio.sleep(step.seconds)
             host.process.resume()
-            host.busy = False
-        return host.name
+            self._note("pause", host.name, began_at)
+        return ""
 
     async def _stop(self, step: Step) -> str:
-        host = self._pick_relay(step)
-        if host.busy:
-            return host.name
-        host.busy = True
+        async with self._hold(self._pick_relay, step) as host:
+            await self._stop_host(host)
+        return ""
+
+    async def _stop_in_turn(self, step: Step) -> str:
+        """Stop all relays one after the other, faster than they come back."""
+        pause = min(MOST_TURN_SECONDS, step.seconds)
+        async with anyio.create_task_group() as group:
+            for number in range(len(self._world.relays)):
+                turn = attrs.evolve(step, target=step.target + number)
+                group.start_soon(self._stop, turn)
+                await anyio.sleep(pause)
+        return EVERYONE
+
+    async def _stop_host(self, host: RelayHost) -> None:
+        # A signal that meets the interpreter's own start ends it before any of our code
+        # has run, and says nothing of the relay.
+        with anyio.move_on_after(INTERPRETER_SECONDS):
+            while not host.process.catches(signal.SIGTERM):
+                await anyio.sleep(POLL_SECONDS)
+        began_at = time.monotonic()
         host.process.signal(signal.SIGTERM)
         with anyio.move_on_after(STOP_WAIT_SECONDS) as scope:
             while host.process.is_running():
-                await anyio.sleep(0.05)
+                await anyio.sleep(POLL_SECONDS)
         if scope.cancelled_caught:
             host.process.kill()
         self._history.exits.append((host.name, host.process.wait()))
+        self._note(STOP, host.name, began_at)
         self._world.restart_relay(host)
-        host.busy = False
-        return host.name
 
     async def _disturb(self, link: Route, fault: Fault, seconds: float) -> None:
         await link.set_fault(ANYONE, fault)
@@ -170,29 +240,78 @@
         return host.name
 
     async def _leave(self, step: Step) -> str:
-        runner = self._pick_runner(step)
-        await self._world.add_runner()
-        self._world.list_runner(runner, RunnerState.LEAVING)
-        await anyio.sleep(LEAVE_SECONDS)
-        self._world.end_runner(runner)
-        return runner.name
+        async with self._hold(self._pick_runner, step) as runner:
+            await self._world.add_runner()
+            began_at = time.monotonic()
+            self._world.list_runner(runner, RunnerState.LEAVING)
+            await anyio.sleep(LEAVE_SECONDS)
+            self._world.end_runner(runner)
+            self._note("leave", runner.name, began_at)
+        return ""
 
     async def _crash(self, step: Step) -> str:
-        runner = self._pick_runner(step)
-        self._world.end_runner(runner)
-        await self._world.add_runner()
+        async with self._hold(self._pick_runner, step) as runner:
+            self._world.end_runner(runner)
+            await self._world.add_runner()
         return runner.name
 
     async def _restart_runner(self, step: Step) -> str:
-        runner = self._pick_runner(step)
-        successor = await self._world.restart_runner(runner)
-        # Until then relays know of it only what it says of itself.
-        await anyio.sleep(step.seconds)
-        self._world.end_runner(runner)
-        if successor in self._world.runners:
-            self._world.list_runner(successor, RunnerState.READY)
+        async with self._hold(self._pick_runner, step) as runner:
+            successor = await self._world.restart_runner(runner)
+            async with self._hold(lambda _: successor, step):
+                # Until then relays know of it only what it says of itself.
+                await anyio.sleep(step.seconds)
+                self._world.end_runner(runner)
+                self._world.list_runner(successor, RunnerState.READY)
         return runner.name
 
+    async def _live_again(self, step: Step) -> str:
+        """Kill a runner and start it again under its name, with or without more."""
+        async with self._hold(self._pick_runner, step) as runner:
+            began_at = time.monotonic()
+            former = runner.born
+            async with anyio.create_task_group() as group:
+                if step.variant & CUT:
+                    group.start_soon(self._cut_all, step.seconds)
+                if step.variant & LEAVES_FIRST:
+                    self._world.list_runner(runner, RunnerState.LEAVING)
+                    await anyio.sleep(LAST_WORD_SECONDS)
+                await self._world.revive_runner(runner)
+                self._world.list_runner(runner, RunnerState.READY)
+                self._note(REBIRTH, runner.name, began_at)
+            if step.variant & LATE_WORD:
+                # What the life before has written arrives only now.
+                self._world.list_runner(runner, RunnerState.LEAVING, former)
+                await anyio.sleep(step.seconds)
+                self._world.list_runner(runner, RunnerState.READY)
+        return ""
+
+    async def _spoil_entry(self, step: Step) -> str:
+        async with self._hold(self._pick_runner, step) as runner:
+            began_at = time.monotonic()
+            self._world.spoil_entry(runner, random.Random(step.variant))
+            await anyio.sleep(SPOILT_SECONDS)
+            self._note(SPOILT, runner.name, began_at)
+            self._world.list_runner(runner, RunnerState.READY)
+        return ""
+
+    async def _cut_all(self, seconds: float) -> None:
+        began_at = time.monotonic()
+        async with anyio.create_task_group() as group:
+            for host in self._world.relays:
+                group.start_soon(self._disturb, host.link, Fault(Mode.CUT), seconds)
+        self._note("cut from store", EVERYONE, began_at)
+
+    async def _add_foreign_entries(self, step: Step) -> str:
+        rng = random.Random(step.variant)
+        listed = [f"foreign-{step.variant}-{i}" for i in range(MOST_FOREIGN)]
+        for name in listed:
+            self._world.add_foreign_entry(name, rng)
+        await anyio.sleep(step.seconds)
+        for name in listed:
+            self._world.store.remove(names.RUNNERS_KIND, name)
+        return "entries"
+
     async def _reset_runner(self, step: Step) -> str:
         runner = self._pick_runner(step)
         await runner.link.reset(ANYONE)
--- /dev/null
+++ b/knapweedrail/soak/foreign.py
@@ -0,0 +1,80 @@
+"""Entries of another writer among the runners' entries, and who listens where they say.
+
+Such an entry names no runner to use. Nothing of the system may connect to its address.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from ..platform import names
+
+UNREADABLE = b'"\xff\xfe"'
+"""Bytes that are no text of any entry, and so make a whole page hard to read."""
+
+LATER_MILLISECONDS = 3_600_000
+"""How far in the future a start is that can't be true."""
+
+Change = Callable[[dict[str, Any]], Any]
+
+
+def _replace(field: str, value: Any) -> Change:
+    return lambda entry: entry | {field: value}
+
+
+def _leave_out(field: str) -> Change:
+    return lambda entry: {key: entry[key] for key in entry if key != field}
+
+
+CHANGES: tuple[Change, ...] = (
+    *(_leave_out(field) for field in ("service", "address", "zone", "slots", "state")),
+    _replace("service", ["engine"]),
+    _replace("service", "unheard-of"),
+    _replace("address", 8080),
+    _replace("zone", 7),
+    _replace("slots", -1),
+    _replace("slots", 2**62),
+    _replace("slots", [8]),
+    _replace("state", "resting"),
+    _replace("state", None),
+    _leave_out(names.BORN),
+    _replace(names.BORN, "yesterday"),
+    lambda entry: entry | {names.BORN: entry[names.BORN] + 0.5},
+    lambda entry: entry | {names.BORN: entry[names.BORN] + LATER_MILLISECONDS},
+    lambda entry: None,
+    lambda entry: [entry],
+    lambda entry: "ready",
+    lambda entry: orjson.Fragment(UNREADABLE),
+)
+"""What is wrong with an entry, one thing each."""
+
+
+def spoil(rng: random.Random, entry: dict[str, Any]) -> Any:
+    """Return what another writer could leave in the place of a runner's entry."""
+    return rng.choice(CHANGES)(entry)
+
+
+class Trap:
+    """An HTTP application that nobody should find.
+
+    Attributes:
+        caught: Requests that came all the same.
+    """
+
+    def __init__(self) -> None:
+        self.caught: list[str] = []
+
+    async def __call__(self, scope: dict, receive: object, send: Any) -> None:
+        """Note a request and reject it."""
+        if scope["type"] != "http":
+            return
+        headers = dict(scope["headers"])
+        meant = headers.get(names.EXPECT_RUNNER, b"").decode("latin-1")
+        self.caught.append(f"{scope['path']} for {meant}")
+        lines = [(b"content-length", b"0")]
+        await send({"type": "http.response.start", "status": 503, "headers": lines})
+        await send({"type": "http.response.body", "body": b""})
--- a/knapweedrail/soak/judges.py
+++ b/knapweedrail/soak/judges.py
@@ -8,7 +8,21 @@
 import collections
 import re
 
-from .records import Disturbance, Finding, History, Kind, Sent, make_answer
+from .records import (
+    EVERYONE,
+    REBIRTH,
+    SPOILT,
+    STOP,
+    STOP_SECONDS,
+    Disturbance,
+    Finding,
+    History,
+    Kind,
+    Ran,
+    Sent,
+    make_answer,
+)
+from .schedules import STORE_STEPS
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses by which a caller is told that its request never ran."""
@@ -18,7 +32,23 @@
 of two seconds in the relays' settings, and one for a busy machine."""
 
 CALM_SECONDS = 4.0
-"""Time without another disturbance before and after one, for promises with a bound."""
+"""Time after a disturbance of a relay or the store from which bounds hold again."""
+
+LATE_SECONDS = 3.0
+"""Time after the signal from which a stopping relay may take only what it answers."""
+
+KEPT_SHARE = 5 / 6
+"""Part of the time to stop in which it may break nothing off at all."""
+
+SLACK_SECONDS = 0.2
+"""A request that crosses the close of its connection is told so within this time."""
+
+USED_AFTER_SECONDS = 3.0
+IDLE_SECONDS = 4.0
+"""When a runner that is back must get requests, and for how long it may get none."""
+
+LEAST_SERVED = 15
+"""Answers of relays in touch, for each runner, of which it must have made one."""
 
 EVENT_NUMBER = re.compile(rb"(?:^|\n)id: (\d+)\ndata: [^\n]*\n\n")
 
@@ -35,6 +65,9 @@
         *find_late_work(history),
         *find_cut_answers(history),
         *find_bad_exits(history),
+        *find_unused_lives(history),
+        *find_work_at_spoilt(history),
+        *[Finding("foreign", request) for request in history.trapped],
     ]
 
 
@@ -53,12 +86,12 @@
 
 
 def find_repetitions(history: History) -> list[Finding]:
-    """Requests that may run once, and ran more often."""
-    runs = collections.Counter(run.identity for run in history.ran)
+    """Requests that may run once, and ran more often, also in two lives of a runner."""
+    runs = group_runs(history)
     return [
-        Finding("once", f"{sent.identity} ran {runs[sent.identity]} times")
+        Finding("once", f"{sent.identity} ran: {runs[sent.identity]}")
         for sent in history.sent
-        if sent.kind.runs_once and runs[sent.identity] > 1
+        if sent.kind.runs_once and len(runs.get(sent.identity, ())) > 1
     ]
 
 
@@ -114,38 +147,106 @@
 
 def find_late_work(history: History) -> list[Finding]:
     """Requests that reach a runner long after it has said that it leaves."""
-    found = []
-    for leaving in history.disturbances:
-        if leaving.kind != "leave" or not _was_calm(history, leaving, LEAVING_SECONDS):
-            continue
-        bound = leaving.began_at + LEAVING_SECONDS
-        late = [
-            run
-            for run in history.ran
-            if run.runner == leaving.target and bound < run.at < bound + CALM_SECONDS
-        ]
-        found += [Finding("leaving", f"{run.identity} at {run.runner}") for run in late]
-    return found
+    return [
+        Finding("leaving", f"{run.identity} at {run.runner}")
+        for leaving in history.disturbances
+        if leaving.kind == "leave"
+        for run in find_runs(history, leaving, leaving.ended_at + CALM_SECONDS)
+    ]
 
 
-def find_cut_answers(history: History) -> list[Finding]:
-    """Answers that an orderly stop of a relay cut off."""
+def find_work_at_spoilt(history: History) -> list[Finding]:
+    """Requests that reach a runner long after its entry named none to use."""
+    return [
+        Finding("foreign", f"{run.identity} at {run.runner}")
+        for spoilt in history.disturbances
+        if spoilt.kind == SPOILT
+        for run in find_runs(history, spoilt, spoilt.ended_at)
+    ]
+
+
+def find_runs(history: History, unlisted: Disturbance, until: float) -> list[Ran]:
+    """Return what relays in touch sent to a runner long after it was unlisted."""
+    bound = unlisted.began_at + LEAVING_SECONDS
+    sent = {one.identity: one for one in history.sent}
+    return [
+        run
+        for run in history.ran
+        if run.runner == unlisted.target
+        and bound < run.at < until
+        and run.identity in sent
+        and _is_in_touch(history, sent[run.identity].relay, run.at)
+    ]
+
+
+def find_unused_lives(history: History) -> list[Finding]:
+    """Runners that are back under their names, and get nothing though others do.
+
+    A belief about the life before holds them back, as that it leaves or has failed.
+    """
     found = []
-    for stop in history.disturbances:
-        if stop.kind != "stop" or not _was_calm(history, stop, CALM_SECONDS):
+    for rebirth in history.disturbances:
+        if rebirth.kind != REBIRTH or _was_disturbed(history, rebirth):
             continue
-        found += [
-            Finding("stop", f"{sent.identity} was cut at {stop.target}")
+        begins_at = rebirth.ended_at + USED_AFTER_SECONDS
+        ends_at = begins_at + IDLE_SECONDS
+        served = [
+            sent
             for sent in history.sent
-            if sent.relay == stop.target
-            and sent.sent_at < stop.ended_at
-            and sent.ended_at >= stop.began_at
+            if begins_at <= sent.sent_at < ends_at
             and sent.status == 200
-            and not sent.whole
+            and _is_in_touch(history, sent.relay, sent.sent_at)
         ]
+        used = {run.runner for run in history.ran if begins_at <= run.at < ends_at}
+        enough = len(served) >= LEAST_SERVED * (len(used) + 1)
+        if enough and rebirth.target not in used:
+            found.append(Finding("unused", f"{rebirth.target}: {len(served)} served"))
     return found
 
 
+def find_cut_answers(history: History) -> list[Finding]:
+    """Requests that an orderly stop of a relay took, and lost."""
+    runs = group_runs(history)
+    return [
+        Finding(
+            "stop",
+            f"{sent.identity} at {stop.target}: sent {sent.sent_at - stop.began_at:.3f}"
+            f" s after the signal, lost at {sent.ended_at - stop.began_at:.3f} s",
+        )
+        for stop in history.disturbances
+        if stop.kind == STOP
+        for sent in history.sent
+        if sent.relay == stop.target
+        and sent.sent_at < stop.ended_at
+        and sent.ended_at >= stop.began_at
+        and _is_lost(stop, sent, bool(runs.get(sent.identity)))
+        and not _was_broken_elsewhere(history, sent, runs.get(sent.identity, []))
+    ]
+
+
+def _is_lost(stop: Disturbance, sent: Sent, ran: bool) -> bool:
+    """Return whether a request was accepted, and its answer cut off or never begun."""
+    took = sent.ended_at - sent.sent_at
+    if sent.whole or sent.left or not sent.connected or took >= sent.kind.timeout:
+        return False
+    if not ran and sent.status == 0:
+        # It may have crossed the close of its connection.
+        return took > SLACK_SECONDS
+    late = sent.sent_at > stop.began_at + LATE_SECONDS
+    return late or sent.ended_at < stop.began_at + KEPT_SHARE * STOP_SECONDS
+
+
+def _was_broken_elsewhere(history: History, sent: Sent, ran: list[Ran]) -> bool:
+    """Return whether its runner or the relay was disturbed while it was under way."""
+    targets = {run.runner for run in ran}
+    return any(
+        one.began_at <= sent.ended_at and one.ended_at >= sent.sent_at
+        for one in history.disturbances
+        if one.target in targets
+        or (one.target == sent.relay and one.kind in ("kill", "pause"))
+    )
+
+
 def find_bad_exits(history: History) -> list[Finding]:
     """Relays that were asked to stop, and ended with an error."""
     return [
@@ -155,13 +256,30 @@
     ]
 
 
-def _was_calm(history: History, one: Disturbance, seconds: float) -> bool:
-    """Return whether nothing else was done around a disturbance."""
+def group_runs(history: History) -> dict[str, list[Ran]]:
+    """Return the runs of each request."""
+    found: dict[str, list[Ran]] = collections.defaultdict(list)
+    for run in history.ran:
+        found[run.identity].append(run)
+    return found
+
+
+def _is_in_touch(history: History, relay: str, at: float) -> bool:
+    """Return whether a relay and its way to the store were sound for a while."""
     return not any(
-        other.ended_at > one.began_at - CALM_SECONDS
-        and other.began_at < max(one.ended_at, one.began_at + 2 * seconds)
-        for other in history.disturbances
-        if other is not one
+        one.began_at < at and one.ended_at > at - CALM_SECONDS
+        for one in history.disturbances
+        if one.target in (relay, EVERYONE) or one.kind in STORE_STEPS
+    )
+
+
+def _was_disturbed(history: History, rebirth: Disturbance) -> bool:
+    """Return whether more was done to a runner in the time in which it must be used."""
+    until = rebirth.ended_at + USED_AFTER_SECONDS + IDLE_SECONDS
+    return any(
+        one.began_at < until and one.ended_at > rebirth.began_at
+        for one in history.disturbances
+        if one.target == rebirth.target and one is not rebirth
     )
 
 
--- a/knapweedrail/soak/records.py
+++ b/knapweedrail/soak/records.py
@@ -18,6 +18,25 @@
 enough for a fault to meet it."""
 
 
+STOP, REBIRTH, SPOILT = "stop", "live again", "spoil entry"
+"""Disturbances that the judge knows by name: a relay asked to stop, a runner's next
+life under its name, and an entry that names no runner in the place of a runner's."""
+
+STOP_SECONDS = 8.0
+"""Time that relays have to stop in, as their platform gives it."""
+
+EVERYONE = "all"
+"""Target of what is done to all relays."""
+
+EVENT_SECONDS = 0.02
+"""Pause between the events of most streams."""
+
+LONG_SHARE = 32
+"""Of 256 streams, those that take longer than most of the time to stop leaves."""
+
+LONG_SECONDS = (3.0, 5.0)
+"""How long these take."""
+
 CACHE_TOKENS = 1_000_000
 """Tokens that a runner's memory holds, by its own word; it reads no prompts."""
 
@@ -40,6 +59,11 @@
         """Whether the answer is a series of events."""
         return self in (Kind.STREAM, Kind.RESUMED)
 
+    @property
+    def timeout(self) -> float:
+        """The time that its route gives it, seconds; streams get more than a stop."""
+        return 9.0 if self.streams else 4.0
+
 
 @attrs.frozen(kw_only=True)
 class Sent:
@@ -52,6 +76,8 @@
         status: Of the answer; 0 for none.
         whole: Whether its end was told.
         body: What came of it.
+        connected: Whether the relay accepted its connection.
+        left: Whether the caller ended it.
     """
 
     identity: str
@@ -67,6 +93,8 @@
     status: int
     whole: bool
     body: bytes
+    connected: bool = True
+    left: bool = False
 
 
 @attrs.frozen
@@ -75,6 +103,7 @@
 
     Attributes:
         first: Number of the first event that it makes.
+        born: Start of the runner's life, Unix milliseconds.
     """
 
     identity: str
@@ -82,6 +111,7 @@
     account: str
     at: float
     first: int
+    born: int = 0
 
 
 @attrs.frozen
@@ -114,6 +144,7 @@
     Attributes:
         prepaid: Tokens that each account may use, at the highest of all versions.
         exits: Exit codes of relays that were asked to stop.
+        trapped: Requests at the address that entries of another writer give.
     """
 
     prepaid: dict[str, int]
@@ -121,12 +152,26 @@
     ran: list[Ran] = attrs.field(factory=list)
     disturbances: list[Disturbance] = attrs.field(factory=list)
     exits: list[tuple[str, int]] = attrs.field(factory=list)
+    trapped: list[str] = attrs.field(factory=list)
 
 
 def count_events(identity: str) -> int:
     """Return how many events a request's stream has, the same at every runner."""
-    digest = blake2b(identity.encode(), digest_size=2).digest()
-    return 1 + int.from_bytes(digest, "big") % MOST_EVENTS
+    digest = blake2b(identity.encode(), digest_size=4).digest()
+    return 1 + int.from_bytes(digest[:2], "big") % MOST_EVENTS
+
+
+def find_pause(identity: str) -> float:
+    """Return the time between two events of a request's stream, seconds.
+
+    The longest are spread over seconds, so that they are at work in most of a stop.
+    """
+    digest = blake2b(identity.encode(), digest_size=4).digest()
+    if digest[2] >= LONG_SHARE:
+        return EVENT_SECONDS
+    shortest, longest = LONG_SECONDS
+    seconds = shortest + (longest - shortest) * digest[3] / 255
+    return seconds / count_events(identity)
 
 
 def make_event(identity: str, number: int) -> bytes:
--- a/knapweedrail/soak/runners.py
+++ b/knapweedrail/soak/runners.py
@@ -24,6 +24,7 @@
     CACHE_TOKENS,
     Kind,
     count_events,
+    find_pause,
     make_answer,
     make_event,
     write_line,
@@ -36,8 +37,7 @@
 """Requests that run and fail."""
 
 WORK_SECONDS = (0.002, 0.05)
-EVENT_SECONDS = 0.02
-"""How long a plain call takes, and the pause between events."""
+"""How long a plain call takes."""
 
 
 class Runner:
@@ -47,10 +47,12 @@
         name: Its name in the list of runners.
         runs: File in which it writes what it ran.
         seed: Decides what it rejects and fails.
+        born: When it started, Unix milliseconds.
     """
 
-    def __init__(self, name: str, runs: Path, seed: int) -> None:
+    def __init__(self, name: str, runs: Path, seed: int, born: int) -> None:
         self._name = name
+        self._born = born
         self._runs = runs
         self._rng = random.Random(seed)
         methods = ["GET", "POST"]
@@ -63,7 +65,8 @@
             headers[_text(names.RUNNER_ID)] = self._name
             return Response(status_code=421, headers=headers)
         if request.url.path == _text(names.REPORT_TARGET):
-            return JSONResponse({names.REPORT_MEMORY: CACHE_TOKENS})
+            report = {names.REPORT_MEMORY: CACHE_TOKENS, names.BORN: self._born}
+            return JSONResponse(report)
         if self._rng.random() < FULL_SHARE:
             headers[_text(names.NOT_RUN)] = "1"
             return Response(status_code=503, headers=headers)
@@ -74,6 +77,7 @@
             "account": request.headers.get(_text(names.ACCOUNT), ""),
             "at": time.monotonic(),
             "first": first,
+            "born": self._born,
         }
         write_line(self._runs, line)
         headers[_text(names.SEAL)] = self._name
@@ -95,7 +99,7 @@
     async def _make_events(self, identity: str, first: int) -> AsyncIterator[bytes]:
         for number in range(first, count_events(identity) + 1):
             yield make_event(identity, number)
-            await anyio.sleep(EVENT_SECONDS)
+            await anyio.sleep(find_pause(identity))
 
 
 def _text(name: bytes) -> str:
@@ -117,8 +121,9 @@
     parser.add_argument("--name", required=True)
     parser.add_argument("--runs", required=True, type=Path)
     parser.add_argument("--seed", type=int, default=0)
+    parser.add_argument("--born", type=int, default=0)
     arguments = parser.parse_args(argv)
-    runner = Runner(arguments.name, arguments.runs, arguments.seed)
+    runner = Runner(arguments.name, arguments.runs, arguments.seed, arguments.born)
     anyio.run(serve, runner)
 
 
--- a/knapweedrail/soak/schedules.py
+++ b/knapweedrail/soak/schedules.py
@@ -13,8 +13,17 @@
 """Time at the start and the end without a step; the fleet has to come up, and what was
 broken off must have ended when the run is judged."""
 
+VARIANTS = 1000
+
 STORE_STEPS = ("store away", "store loses", "store refuses", "store forgets")
-RELAY_STEPS = ("kill", "pause", "stop", "cut from store", "silence to store")
+RELAY_STEPS = (
+    "kill",
+    "pause",
+    "stop",
+    "stop in turn",
+    "cut from store",
+    "silence to store",
+)
 RUNNER_STEPS = (
     "leave",
     "reset runner",
@@ -22,8 +31,10 @@
     "slow runner",
     "crash",
     "restart runner",
+    "live again",
+    "spoil entry",
 )
-OTHER_STEPS = ("configure", "kill all")
+OTHER_STEPS = ("configure", "kill all", "foreign entries")
 
 
 @attrs.frozen
@@ -34,12 +45,14 @@
         at: Seconds from the start.
         target: Number of the relay or runner.
         seconds: How long it lasts.
+        variant: Number that tells apart the ways in which it can be done.
     """
 
     at: float
     kind: str
     target: int
     seconds: float
+    variant: int = 0
 
 
 def draw_schedule(
@@ -62,4 +75,5 @@
         kind = rng.choice(kinds)
         most = runners if kind in RUNNER_STEPS else relays
         lasts = rng.uniform(0.2, min(4.0, seconds / 3))
-        steps.append(Step(round(at, 3), kind, rng.randrange(most), round(lasts, 3)))
+        target, variant = rng.randrange(most), rng.randrange(VARIANTS)
+        steps.append(Step(round(at, 3), kind, target, round(lasts, 3), variant))
--- a/knapweedrail/soak/worlds.py
+++ b/knapweedrail/soak/worlds.py
@@ -6,8 +6,11 @@
 
 from __future__ import annotations
 
+import random
 import socket
+import time
 from pathlib import Path
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -32,10 +35,8 @@
 from ..standins.processes import Process
 from ..standins.proxy import Route
 from ..standins.sources import Sources
-from .records import CACHE_TOKENS, Kind, Ran, read_runs
-
-STOP_SECONDS = 6.0
-"""Time that relays have to stop in, as their platform gives it."""
+from .foreign import Trap, spoil
+from .records import CACHE_TOKENS, STOP_SECONDS, Kind, Ran, read_runs
 
 ENDPOINT = "engine"
 HOST = "soak.example"
@@ -75,11 +76,18 @@
 
 @attrs.define
 class RunnerHost:
-    """One runner, and the relays' way to it."""
+    """One runner, and the relays' way to it.
+
+    Attributes:
+        born: When the process started, Unix milliseconds.
+        busy: Whether its life or its entry is being changed.
+    """
 
     name: str
     process: Process
     link: Route
+    born: int
+    busy: bool = False
 
 
 class World:
@@ -90,6 +98,7 @@
         seed: Of the run.
         prepaid: Tokens of each account.
         group: Where the links and the store run.
+        code: Checkout whose relay program is run; without one, this one.
     """
 
     def __init__(
@@ -98,12 +107,17 @@
         seed: int,
         prepaid: dict[str, int],
         group: anyio.abc.TaskGroup,
+        code: Path | None = None,
     ) -> None:
         self.store = ObjectStore()
         self.prepaid = dict(prepaid)
         self.relays: list[RelayHost] = []
         self.runners: list[RunnerHost] = []
         self.version = 0
+        self.trap = Trap()
+        self._code = code
+        self._processes: list[Process] = []
+        self._trap_server = HttpServer(self.trap, "127.0.0.1:0", ServerLimits())
         self._folder = folder
         self._seed = seed
         self._group = group
@@ -114,6 +128,7 @@
     async def start(self, relays: int, runners: int) -> None:
         """Start everything, without waiting until the relays are ready."""
         await self._server.start(self._group)
+        await self._trap_server.start(self._group)
         self.configure()
         for _ in range(runners):
             await self.add_runner()
@@ -157,36 +172,72 @@
 
     async def add_runner(self) -> None:
         """Start another runner and list it."""
-        name, process = await self._start_runner()
+        name = self._name_runner()
+        process, born = await self._start_runner(name)
         link = await self._open_link(name, _find_address(process))
-        runner = RunnerHost(name, process, link)
+        runner = RunnerHost(name, process, link, born)
         self.runners.append(runner)
         self.list_runner(runner, RunnerState.READY)
 
     async def restart_runner(self, runner: RunnerHost) -> RunnerHost:
         """Crash a runner, and start its next life at its address, not listed yet."""
         runner.process.close()
-        name, process = await self._start_runner()
+        name = self._name_runner()
+        process, born = await self._start_runner(name)
         runner.link.target = _find_address(process)
-        successor = RunnerHost(name, process, runner.link)
+        successor = RunnerHost(name, process, runner.link, born)
         self.runners = [one for one in self.runners if one is not runner]
         self.runners.append(successor)
         return successor
 
-    async def _start_runner(self) -> tuple[str, Process]:
+    async def revive_runner(self, runner: RunnerHost) -> None:
+        """Crash a runner, and start its next life under its name, not listed yet."""
+        runner.process.close()
+        runner.process, runner.born = await self._start_runner(runner.name)
+        runner.link.target = _find_address(runner.process)
+
+    def _name_runner(self) -> str:
         self._runner_lives += 1
-        name = f"runner-{self._runner_lives}"
+        return f"runner-{self._runner_lives}"
+
+    async def _start_runner(self, name: str) -> tuple[Process, int]:
+        born = time.time_ns() // 1_000_000
         process = Process(
             "knapweedrail.soak.runners",
             *("--name", name, "--runs", str(self._folder / f"{name}.runs")),
             *("--seed", str(self._seed + self._runner_lives)),
+            *("--born", str(born)),
         )
+        self._processes.append(process)
         process.start()
         await anyio.to_thread.run_sync(process.wait_ready)
-        return name, process
+        return process, born
 
-    def list_runner(self, runner: RunnerHost, state: RunnerState) -> None:
-        """Write a runner's entry in the store."""
+    def list_runner(
+        self, runner: RunnerHost, state: RunnerState, born: int | None = None
+    ) -> None:
+        """Write a runner's entry in the store.
+
+        Args:
+            born: Start of the life that writes, if it isn't the present one.
+        """
+        spec = self._make_entry(runner, state)
+        spec[names.BORN] = born or runner.born
+        self.store.put(names.RUNNERS_KIND, runner.name, spec)
+
+    def spoil_entry(self, runner: RunnerHost, rng: random.Random) -> None:
+        """Put what names no runner in the place of a runner's entry."""
+        spec = spoil(rng, self._make_entry(runner, RunnerState.READY))
+        self.store.put(names.RUNNERS_KIND, runner.name, spec)
+
+    def add_foreign_entry(self, name: str, rng: random.Random) -> None:
+        """Write an entry that names no runner, beside those of the runners."""
+        like = rng.choice(self.runners)
+        address = self._trap_server.address
+        good = self._make_entry(like, RunnerState.READY) | {"address": address}
+        self.store.put(names.RUNNERS_KIND, name, spoil(rng, good))
+
+    def _make_entry(self, runner: RunnerHost, state: RunnerState) -> dict[str, Any]:
         entry = Runner(
             name=runner.name,
             endpoint=ENDPOINT,
@@ -195,7 +246,7 @@
             slots=RUNNER_SLOTS,
             state=state,
         )
-        self.store.put(names.RUNNERS_KIND, runner.name, encode_runner(entry))
+        return encode_runner(entry) | {names.BORN: runner.born}
 
     def end_runner(self, runner: RunnerHost) -> None:
         """End a runner at once; its entry goes as the platform sees it silent."""
@@ -217,8 +268,8 @@
 
     def close(self) -> None:
         """End every process that was started."""
-        for host in [*self.relays, *self.runners]:
-            host.process.close()
+        for process in self._processes:
+            process.close()
 
     async def _open_link(self, name: str, target: str) -> Route:
         link = Route(name, target, self._sources, self._group)
@@ -240,7 +291,10 @@
         path.write_bytes(orjson.dumps(settings))
         log = self._folder / f"{name}.log"
         options = ("--settings", str(path))
-        return Process("knapweedrail.tools.relay", *options, log=log)
+        module = "knapweedrail.tools.relay"
+        process = Process(module, *options, log=log, code=self._code)
+        self._processes.append(process)
+        return process
 
 
 def _find_address(process: Process) -> str:
@@ -262,7 +316,7 @@
         host=HOST,
         prefix=f"/{name}/",
         repetition=REPETITIONS[kind],
-        timeout=4.0,
+        timeout=kind.timeout,
         objective=0.3,
         gap=0.1,
         rank=0,
--- a/knapweedrail/standins/processes.py
+++ b/knapweedrail/standins/processes.py
@@ -32,10 +32,18 @@
         options: Command-line options.
         log: File that the process's output goes to; without one, its first line is
             read for its ports.
+        code: Checkout to run the module of; without one, this one.
     """
 
-    def __init__(self, module: str, *options: str, log: Path | None = None) -> None:
+    def __init__(
+        self,
+        module: str,
+        *options: str,
+        log: Path | None = None,
+        code: Path | None = None,
+    ) -> None:
         self._log = log
+        self._code = code
         self.command = [sys.executable, "-m", module, *options]
         self.ports: dict[str, int] = {}
         self._child: subprocess.Popen | None = None
@@ -43,10 +51,14 @@
     def start(self) -> None:
         """Start without waiting; `wait_ready` waits."""
         if self._log is None:
-            self._child = subprocess.Popen(self.command, stdout=subprocess.PIPE)
+            self._child = subprocess.Popen(
+                self.command, stdout=subprocess.PIPE, cwd=self._code
+            )
             return
         with self._log.open("ab") as file:
-            self._child = subprocess.Popen(self.command, stdout=file, stderr=file)
+            self._child = subprocess.Popen(
+                self.command, stdout=file, stderr=file, cwd=self._code
+            )
 
     def wait_ready(self) -> None:
         """Read the line in which the process tells its ports."""
@@ -81,6 +93,14 @@
         """Say whether the process hasn't ended."""
         return self._child is not None and self._child.poll() is None
 
+    def catches(self, number: int) -> bool:
+        """Say whether the process has a handler of its own for a signal."""
+        if not self.is_running():
+            return False
+        lines = Path(f"/proc/{self.id}/status").read_text().splitlines()
+        masks = [line.split()[1] for line in lines if line.startswith("SigCgt:")]
+        return bool(int(masks[0], 16) >> (number - 1) & 1)
+
     def wait(self, seconds: float = READY_SECONDS) -> int:
         """Wait for the end and return the exit code."""
         return self._child.wait(seconds)
--- a/knapweedrail/tests/test_soak.py
+++ b/knapweedrail/tests/test_soak.py
@@ -37,9 +37,18 @@
 RUN = Ran("a", "runner-1", "farm", 10.0, 1)
 
 
-def judge_all(*sent, ran=(RUN,), prepaid=1000, disturbances=(), exits=()):
+STOPPED = Disturbance("stop", "relay-0", 10.0, 18.0)
+CUT = attrs.evolve(STREAM, whole=False, body=b"")
+
+
+def judge_all(*sent, ran=(RUN,), prepaid=1000, disturbances=(), exits=(), trapped=()):
     history = History(
-        {"farm": prepaid}, list(sent), list(ran), list(disturbances), list(exits)
+        {"farm": prepaid},
+        list(sent),
+        list(ran),
+        list(disturbances),
+        list(exits),
+        list(trapped),
     )
     return [finding.promise for finding in judge(history)]
 
@@ -82,9 +91,53 @@
         ),
         (
             "stop",
-            [attrs.evolve(STREAM, whole=False, body=b"")],
+            [CUT],
             {"disturbances": [Disturbance("stop", "relay-0", 10.05, 14.0)]},
         ),
+        (
+            "stop",
+            [attrs.evolve(CUT, sent_at=13.05, ended_at=17.9)],
+            {"disturbances": [STOPPED]},
+        ),
+        (
+            "stop",
+            [attrs.evolve(CUT, sent_at=9.0, ended_at=16.6)],
+            {"disturbances": [STOPPED]},
+        ),
+        (
+            "stop",
+            [attrs.evolve(CUT, status=0, sent_at=10.5, ended_at=10.6)],
+            {"disturbances": [STOPPED]},
+        ),
+        (
+            "stop",
+            [attrs.evolve(CUT, status=0, sent_at=10.5, ended_at=17.5)],
+            {"disturbances": [STOPPED], "ran": []},
+        ),
+        (
+            "once",
+            [WHOLE],
+            {"ran": [attrs.evolve(RUN, born=1), attrs.evolve(RUN, born=2)]},
+        ),
+        (
+            "refusal",
+            [attrs.evolve(WHOLE, status=503, body=b"")],
+            {"disturbances": [Disturbance("live again", "runner-1", 9.9, 10.5)]},
+        ),
+        ("foreign", [WHOLE], {"trapped": ["/once/x for foreign-1"]}),
+        (
+            "foreign",
+            [WHOLE],
+            {"disturbances": [Disturbance("spoil entry", "runner-1", 6.0, 11.0)]},
+        ),
+        (
+            "unused",
+            [WHOLE] * 30,
+            {
+                "ran": [attrs.evolve(RUN, runner="runner-2")],
+                "disturbances": [Disturbance("live again", "runner-1", 6.0, 6.5)],
+            },
+        ),
         ("exit", [WHOLE], {"exits": [("relay-0", 1)]}),
     ],
 )
@@ -93,20 +146,45 @@
     assert promise in judge_all(*sent, **more)
 
 
-def test_a_second_disturbance_excuses_what_has_a_bound():
-    """A relay is stopped while its runner is killed. The answer that breaks off then is
-    the runner's, and says nothing of the stop."""
-    cut = attrs.evolve(STREAM, whole=False, body=b"")
-    stop = Disturbance("stop", "relay-0", 10.05, 14.0)
-    crash = Disturbance("crash", "runner-1", 10.06, 10.07)
-    assert judge_all(cut, disturbances=[stop, crash]) == []
+@pytest.mark.parametrize(
+    ("cut", "more"),
+    [
+        (CUT, [Disturbance("crash", "runner-1", 10.06, 10.07)]),
+        (attrs.evolve(CUT, left=True), []),
+        (attrs.evolve(CUT, status=0, connected=False), []),
+        (attrs.evolve(CUT, sent_at=12.9, ended_at=17.0), []),
+        (attrs.evolve(CUT, sent_at=8.0, ended_at=17.0), []),
+    ],
+    ids=["runner crashed", "caller left", "door closed", "too long", "timeout"],
+)
+def test_what_a_stop_may_break_off(cut, more):
+    """A relay is stopped, and at the same time its runner is killed, its caller leaves
+    or finds the door closed, or the answer takes longer than the whole stop. None of
+    these says that the stop has lost what it could have answered."""
+    ran = [RUN] if cut.connected else []
+    assert judge_all(cut, ran=ran, disturbances=[STOPPED, *more]) == []
+
+
+def test_what_crosses_the_close_of_its_connection_is_not_lost():
+    crossed = attrs.evolve(CUT, status=0)
+    assert judge_all(crossed, ran=[], disturbances=[STOPPED]) == []
+
+
+def test_a_disturbance_of_its_relay_excuses_what_has_a_bound():
+    """A runner leaves, and a relay that is cut from the store can't know. That it goes
+    on sending requests there is no fault; that another one does is."""
+    leave = Disturbance("leave", "runner-1", 6.0, 9.5)
+    cut_off = Disturbance("cut from store", "relay-0", 7.0, 9.0)
+    assert judge_all(WHOLE, disturbances=[leave, cut_off]) == []
+    elsewhere = attrs.evolve(WHOLE, relay="relay-1")
+    assert judge_all(elsewhere, disturbances=[leave, cut_off]) == ["leaving"]
 
 
 def test_a_seed_gives_the_same_schedule():
     first = draw_schedule(7, 60.0, 4, 4, 1.0)
     assert first == draw_schedule(7, 60.0, 4, 4, 1.0)
     assert first != draw_schedule(8, 60.0, 4, 4, 1.0)
-    assert len({step.kind for step in draw_schedule(7, 600.0, 4, 4, 1.0)}) == 17
+    assert len({step.kind for step in draw_schedule(7, 600.0, 4, 4, 1.0)}) == 21
 
 
 def test_a_run_is_drawn(tmp_path):
--- a/knapweedrail/tools/soak.py
+++ b/knapweedrail/tools/soak.py
@@ -33,7 +33,9 @@
 from ..soak.worlds import World
 
 READY_SECONDS = 20.0
-"""Longest start of all relays on a busy machine."""
+READY_SECONDS_EACH = 1.5
+"""Longest start of all relays on a busy machine, and what each process adds: a start
+takes 0.7 s of one processor, and half of the processors may be busy with other work."""
 
 SETTLE_SECONDS = 1.0
 """Time after the last answer in which runs that nobody waits for still come."""
@@ -52,6 +54,7 @@
 
     Attributes:
         rate: Requests a second, over all relays.
+        code: Checkout whose relays are run; without one, this one.
     """
 
     seed: int
@@ -60,6 +63,7 @@
     runners: int
     rate: float
     steps: list[Step]
+    code: Path | None = None
 
 
 async def play(plan: Plan, folder: Path) -> History:
@@ -67,7 +71,7 @@
     log_loop_errors()
     history = History(dict(PREPAID))
     async with anyio.create_task_group() as group:
-        world = World(folder, plan.seed, PREPAID, group)
+        world = World(folder, plan.seed, PREPAID, group, plan.code)
         try:
             await world.start(plan.relays, plan.runners)
             await _wait_ready(world)
@@ -77,6 +81,7 @@
                 await callers.run(plan.seconds)
             await anyio.sleep(SETTLE_SECONDS)
             history.ran = world.read_runs()
+            history.trapped = world.trap.caught
         finally:
             world.close()
         group.cancel_scope.cancel()
@@ -85,7 +90,8 @@
 
 async def _wait_ready(world: World) -> None:
     async with httpx.AsyncClient() as client:
-        with anyio.fail_after(READY_SECONDS):
+        count = len(world.relays) + len(world.runners)
+        with anyio.fail_after(READY_SECONDS + READY_SECONDS_EACH * count):
             for host in world.relays:
                 url = f"http://127.0.0.1:{host.ports[1]}/ready"
                 while not await _is_ready(client, url):
@@ -135,9 +141,7 @@
         "disturbances": [attrs.asdict(one) for one in history.disturbances],
         "exits": history.exits,
     }
-    (target / "report.json").write_bytes(
-        orjson.dumps(report, option=orjson.OPT_INDENT_2)
-    )
+    (target / "report.json").write_bytes(orjson.dumps(report, str, orjson.OPT_INDENT_2))
     for finding in findings[:10]:
         print(f"  BROKEN {finding.promise}: {finding.detail}")
     print(f"  kept in {target}")
@@ -174,6 +178,7 @@
     parser.add_argument("--rate", type=float, default=40.0, help="requests a second")
     parser.add_argument("--pace", type=float, default=1.0, help="steps a second")
     parser.add_argument("--keep", type=Path, default=Path("soak-findings"))
+    parser.add_argument("--code", type=Path, help="checkout whose relays are run")
     parser.add_argument("--plot", type=Path, help="picture of the last run")
     parser.add_argument(
         "--shorten", action="store_true", help="look for the fewest steps that do"
@@ -202,6 +207,7 @@
             arguments.runners,
             arguments.rate,
             steps,
+            arguments.code,
         )
         findings = run_seed(plan, arguments.keep, arguments.plot)
         if findings:
