Answer who waits when a relay is asked to stop while it starts

Cause: the port is open while the process reads its libraries, half a second. A request to stop in that time ended the process at once, and every caller in the listener's queue found its connection reset: it can't tell that its request never ran. Ruled out: a stop of a running relay (the last lines in the logs are those of the start). Change: the handler of the first moments only notes the time, with the clock that the running relay uses, in a module that imports nothing heavy. The relay starts, answers what waits, and stops in good order.

--- a/knapweedrail/platform/names.py
+++ b/knapweedrail/platform/names.py
@@ -62,9 +62,9 @@
 REPORT_MEMORY = "kvTotal"
 """Tokens that a runner's memory holds, all of them."""
 
+STARTED = "born"
+"""When a runner started, in all that it says of itself; Unix milliseconds."""
+
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 RUNNERS_KIND = "servers"
-
-BORN = "born"
-"""When a runner started, Unix milliseconds, in all that it says of itself."""
--- a/knapweedrail/soak/runners.py
+++ b/knapweedrail/soak/runners.py
@@ -65,7 +65,7 @@
             headers[_text(names.RUNNER_ID)] = self._name
             return Response(status_code=421, headers=headers)
         if request.url.path == _text(names.REPORT_TARGET):
-            report = {names.REPORT_MEMORY: CACHE_TOKENS, names.BORN: self._born}
+            report = {names.REPORT_MEMORY: CACHE_TOKENS, names.STARTED: self._born}
             return JSONResponse(report)
         if self._rng.random() < FULL_SHARE:
             headers[_text(names.NOT_RUN)] = "1"
--- a/knapweedrail/soak/worlds.py
+++ b/knapweedrail/soak/worlds.py
@@ -222,7 +222,7 @@
             born: Start of the life that writes, if it isn't the present one.
         """
         spec = self._make_entry(runner, state)
-        spec[names.BORN] = born or runner.born
+        spec[names.STARTED] = born or runner.born
         self.store.put(names.RUNNERS_KIND, runner.name, spec)
 
     def spoil_entry(self, runner: RunnerHost, rng: random.Random) -> None:
@@ -246,7 +246,7 @@
             slots=RUNNER_SLOTS,
             state=state,
         )
-        return encode_runner(entry) | {names.BORN: runner.born}
+        return encode_runner(entry) | {names.STARTED: runner.born}
 
     def end_runner(self, runner: RunnerHost) -> None:
         """End a runner at once; its entry goes as the platform sees it silent."""
--- a/knapweedrail/tools/relay.py
+++ b/knapweedrail/tools/relay.py
@@ -15,6 +15,7 @@
 
 from .. import __version__
 from ..listeners import open_listener
+from ..relay.clocks import SignalClock
 from ..relay.options import RelaySettings
 from ..settings import read_settings
 
@@ -45,10 +46,6 @@
     return parser
 
 
-def _stop_at_once(number: int, frame: object) -> None:
-    raise SystemExit(EXIT_STOPPED)
-
-
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the program."""
     parser = build_parser()
@@ -62,10 +59,11 @@
         return EXIT_USAGE
     if arguments.check:
         return EXIT_STOPPED
-    # Until the relay runs, a request to stop finds nothing to end in good order; by
-    # default it would end the process as if it had failed.
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, _stop_at_once)
+    # A request to stop may come while the libraries are read. By default it would end
+    # the process as if it had failed, and reset the connections of callers that wait;
+    # so the relay starts, answers them, and stops in good order.
+    clock = SignalClock()
+    clock.watch((signal.SIGTERM, signal.SIGINT))
     try:
         listener = open_listener(settings.caller_address)
     except OSError as error:
@@ -76,7 +74,7 @@
     # listener's queue for the half second of imports is answered.
     from .service import run_relay
 
-    return EXIT_STOPPED if run_relay(settings, listener) else EXIT_FAILED
+    return EXIT_STOPPED if run_relay(settings, listener, clock) else EXIT_FAILED
 
 
 if __name__ == "__main__":
--- a/knapweedrail/tools/service.py
+++ b/knapweedrail/tools/service.py
@@ -12,25 +12,28 @@
 from ..events import Event, log_event
 from ..loops import log_loop_errors
 from ..platform.relays import make_relay
+from ..relay.clocks import SignalClock
 from ..relay.logs import LogWriter
 from ..relay.options import RelaySettings
-from ..relay.signals import SignalClock
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
-def run_relay(settings: RelaySettings, listener: socket.socket) -> bool:
+def run_relay(
+    settings: RelaySettings, listener: socket.socket, clock: SignalClock
+) -> bool:
     """Run a relay until it is asked to stop; return whether it stopped in good order.
 
     Args:
         listener: Listens on the callers' address.
+        clock: Notes when the process is asked to stop; that may be already.
     """
     logs = LogWriter(sys.stdout.buffer)
     logs.start()
     eliot.add_destinations(logs)
     stopped = True
     try:
-        anyio.run(_serve, settings, listener, logs)
+        anyio.run(_serve, settings, listener, clock, logs)
     except* OSError as errors:
         for error in errors.exceptions:
             print(f"knapweedrail-relay: {error}", file=sys.stderr)
@@ -41,17 +44,19 @@
 
 
 async def _serve(
-    settings: RelaySettings, listener: socket.socket, logs: LogWriter
+    settings: RelaySettings,
+    listener: socket.socket,
+    clock: SignalClock,
+    logs: LogWriter,
 ) -> None:
     log_loop_errors()
     relay = make_relay(settings, listener, lambda: logs.left_out)
     async with anyio.create_task_group() as group:
         with anyio.open_signal_receiver(*STOP_SIGNALS, signal.SIGHUP) as signals:
-            clock = SignalClock()
             clock.watch(STOP_SIGNALS)
             await relay.start(group)
-            async for number in signals:
-                if number != signal.SIGHUP:
+            while not clock.asked:
+                if await anext(signals) != signal.SIGHUP:
                     break
                 # Addresses and bounds stay those of the start; what may change while
                 # the process runs comes with the operator's configuration.
