--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -20,6 +20,7 @@
 from .gateway import Gateway
 from .holdings import Holdings
 from .ledgers import name_holder
+from .malformed import MalformedObjects
 from .measures import RelayMeasures, limit_accounts
 from .members import Member, Membership
 from .neighbours import Neighbours, make_server
@@ -53,7 +54,7 @@
 STREAM_SECONDS = 3.0
 """Kept of the time to stop for requests under way; an answer seldom takes longer."""
 
-OPEN_SHARE = 0.5
+OPEN_SHARE = 0.7
 """Part of a short time to stop for which callers find the door open all the same."""
 
 STEP_SECONDS = 0.1
@@ -74,6 +75,7 @@
         runners: Follower of the list of runners.
         codec: Translates headers.
         measures: Metrics of the process.
+        malformed: Told of objects in the store that can't be used.
         count_left_out: Returns the log lines left out so far.
     """
 
@@ -86,6 +88,7 @@
         runners: RunnerFollower,
         codec: Codec,
         measures: RelayMeasures,
+        malformed: MalformedObjects,
         count_left_out: Callable[[], int],
     ) -> None:
         self._settings = settings
@@ -99,12 +102,13 @@
             settings.peer_address,
             settings.data_centre,
         )
-        self._membership = Membership(store, member)
+        self._membership = Membership(store, member, malformed)
         self._holdings = Holdings(
             store,
             self._neighbours,
             self._membership,
             lambda: configuration.configuration,
+            malformed,
         )
         self._peer_server = make_server(
             self._holdings, self._hear_suspects, settings.peer_address
@@ -186,7 +190,7 @@
             asked_at: When the process was told to stop.
         """
         shutdown = Shutdown(asked_at, self._settings.stop_seconds)
-        self._gateway.stop(shutdown)
+        self._gateway.closing.begin(shutdown)
         log_event(
             Event.ROUTER_STOPPING,
             under_way=self._gateway.under_way,
@@ -194,26 +198,30 @@
             ends_after=round(shutdown.ends_at - asked_at, 4),
         )
         await self._wait_until_quiet(shutdown)
+        self._gateway.closing.shut = True
         left = shutdown.ends_at + FLUSH_SECONDS - time.monotonic()
         await self._caller_server.close(max(FLUSH_SECONDS, left))
         await self._membership.close()
         await self._holdings.close()
         await self._successors.close()
-        with anyio.move_on_after(shutdown.released_at - time.monotonic()):
-            await self._holdings.release()
-            await self._membership.leave()
-        await self._neighbours.close()
-        await self._peer_server.close()
-        await self._ready_server.close(0.1)
-        if self._metrics_server is not None:
-            await self._metrics_server.close(0.1)
+        # Together, as each server waits a moment for connections that are kept open.
+        async with anyio.create_task_group() as group:
+            for server in (self._ready_server, self._metrics_server):
+                if server is not None:
+                    group.start_soon(server.close, FLUSH_SECONDS)
+            with anyio.move_on_after(shutdown.released_at - time.monotonic()):
+                await self._holdings.release()
+                await self._membership.leave()
+        with anyio.move_on_after(FLUSH_SECONDS):
+            await self._neighbours.close()
+            await self._peer_server.close()
         self._measures.close()
         log_event(Event.ROUTER_STOPPED, left=self._gateway.under_way)
 
     def _add_gauges(self, count_left_out: Callable[[], int]) -> None:
         add = self._measures.add_gauge
         add("ages_seconds", "Age of what is known", self._read_ages)
-        add("runners", "Runners listed, by endpoint", self._runners.table.count_listed)
+        add("runners", "Runners listed, by endpoint", self._count_runners)
         add("tokens_available", "Tokens held and free, by account", self._read_tokens)
         add(
             "lines_left_out",
@@ -228,6 +236,16 @@
             "runners": now - self._runners.confirmed_at,
         }
 
+    def _count_runners(self) -> dict[str, float]:
+        """Return the number of runners by endpoint, of those in the configuration.
+
+        Entries of other writers name endpoints of any number, a series for each.
+        """
+        configuration = self._configuration.configuration
+        endpoints = configuration.endpoints if configuration else {}
+        listed = self._runners.table.count_listed()
+        return {name: count for name, count in listed.items() if name in endpoints}
+
     def _read_tokens(self) -> dict[str, float]:
         configuration = self._configuration.configuration
         accounts = (configuration.accounts if configuration else None) or {}
@@ -250,7 +268,7 @@
             now = time.monotonic()
             for runner in self._runners.table.prune(now):
                 log_event(Event.RUNNER_UNLISTED, runner=runner.name, forgotten=True)
-            await self._pool.prune(now, self._runners.table.list_names())
+            await self._pool.prune(now, self._runners.table.list_lives())
             self._apply_limits()
             self._suspects.prune(now)
 
@@ -280,7 +298,7 @@
     async def _answer_ready(self, scope: dict, receive: object, send: object) -> None:
         known = self._configuration.table is not None
         out = self._pressure.is_out(time.monotonic())
-        ready = known and not out and not self._gateway.stopping
+        ready = known and not out and not self._gateway.closing.begun
         status = 200 if ready else 503
         await send(
             {
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Awaitable, Callable
-from typing import Any
 
 import anyio
 import attrs
@@ -12,7 +10,9 @@
 
 from ..events import Event, log_event
 from ..outcomes import Ran, Refusal, RefusalKind
+from .bodies import CallerGone, Receive, receive_body
 from .calls import Answered, Call, Services
+from .closings import Closing, took_its_time
 from .deliveries import Delivery, Send
 from .exchanges import Broken, Exchange, draw_retry
 from .followers import ConfigurationFollower
@@ -25,21 +25,14 @@
     refuse,
     refuse_bad,
     refuse_busy,
-    refuse_stopping,
+    refuse_ended,
     refuse_unknown,
 )
 from .reservations import Reservation, Shortage
 from .routes import RouteTable, choose_endpoint
-from .shutdowns import AnswerTimes, Shutdown
 from .streams import StreamProgress
 from .suspects import make_fingerprint
 
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-
-
-class CallerGone(Exception):
-    """The caller has closed its connection."""
-
 
 @attrs.frozen
 class Admission:
@@ -62,7 +55,7 @@
         holdings: Keeper of prepaid tokens.
 
     Attributes:
-        shutdown: The stop, once the process has been told to.
+        closing: What a stop means for requests, once the process is told to.
     """
 
     def __init__(
@@ -76,20 +69,7 @@
         self._holdings = holdings
         self.under_way = 0
         self.last_request_at = float("-inf")
-        self.shutdown: Shutdown | None = None
-        self._answer_times = AnswerTimes()
-        self._running: set[anyio.CancelScope] = set()
-
-    @property
-    def stopping(self) -> bool:
-        """Whether the process ends; every answer then ends its connection."""
-        return self.shutdown is not None
-
-    def stop(self, shutdown: Shutdown) -> None:
-        """Take only what can be answered before the end, and end the rest then."""
-        self.shutdown = shutdown
-        for scope in self._running:
-            scope.deadline = shutdown.ends_at
+        self.closing = Closing(services.rng)
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Answer one request."""
@@ -109,14 +89,15 @@
             raise
         except anyio.get_cancelled_exc_class():
             # The server ends it, before it was admitted or while it hands bytes on.
-            log_event(Event.REQUEST_CUT_OFF, path=scope["path"])
+            if not delivery.complete:
+                log_event(Event.REQUEST_CUT_OFF, path=scope["path"])
             raise
         finally:
             self.under_way -= 1
 
     def _ends_connections(self) -> bool:
         """Return whether callers should open their next connection, elsewhere."""
-        return self.stopping or self._services.pressure.is_out(time.monotonic())
+        return self.closing.begun or self._services.pressure.is_out(time.monotonic())
 
     async def _answer(self, scope: dict, receive: Receive, delivery: Delivery) -> None:
         arrived_at = time.monotonic()
@@ -135,18 +116,20 @@
             return
         wait = min(request.deadline or float("inf"), admission.route.timeout)
         ends_at = arrived_at + wait
-        body = await self._receive_body(receive, ends_at)
+        table: RouteTable = self._configuration.table  # type: ignore[assignment]
+        most = table.configuration.limits.body_bytes
+        with self.closing.until_end() as end:
+            body = await receive_body(receive, most, ends_at)
+        if end.cancelled_caught:
+            body = refuse_ended(self._services.rng)
         if isinstance(body, Refusal):
             await self._refuse(delivery, request.identity, body)
             return
         now = time.monotonic()
-        if self.shutdown is not None:
-            slowest = self._answer_times.find_slowest(admission.route.name)
-            if not self.shutdown.takes(now, ends_at - now, slowest):
-                left = self.shutdown.ends_at - now
-                refusal = refuse_stopping(left, slowest, self._services.rng)
-                await self._refuse(delivery, request.identity, refusal)
-                return
+        refusal = self.closing.judge(request, admission.route, now, ends_at)
+        if refusal is not None:
+            await self._refuse(delivery, request.identity, refusal)
+            return
         if self._services.pressure.refuses(self._services.rng, now):
             # Not before the body is in: a connection that is closed with bytes unread
             # is reset, and the caller may lose the refusal with it.
@@ -154,15 +137,6 @@
             refusal = refuse_busy(self._services.pressure, now, self._services.rng)
             await self._refuse(delivery, request.identity, refusal)
             return
-        if self.shutdown is not None:
-            log_event(
-                Event.REQUEST_TAKEN_LATE,
-                request=request.identity,
-                arrived_after=round(arrived_at - self.shutdown.asked_at, 3),
-                left=round(self.shutdown.ends_at - now, 3),
-                may_take=round(ends_at - now, 3),
-                slowest=round(slowest, 3),
-            )
         await self._serve(request, body, admission, ends_at, receive, delivery)
 
     def _admit(self, request: CallerRequest) -> Admission | Refusal:
@@ -189,25 +163,6 @@
         age = time.monotonic() - self._configuration.confirmed_at
         return refuse_unknown(kind, detail, age, self._services.rng)
 
-    async def _receive_body(self, receive: Receive, ends_at: float) -> bytes | Refusal:
-        """Receive a whole body within the bounds of the configuration."""
-        table: RouteTable = self._configuration.table  # type: ignore[assignment]
-        most = table.configuration.limits.body_bytes
-        parts: list[bytes] = []
-        size = 0
-        with anyio.move_on_after(ends_at - time.monotonic()):
-            while True:
-                message = await receive()
-                if message["type"] == "http.disconnect":
-                    raise CallerGone
-                parts.append(message.get("body", b""))
-                size += len(parts[-1])
-                if size > most:
-                    return refuse(RefusalKind.TOO_LARGE, f"over {most} bytes", None)
-                if not message.get("more_body", False):
-                    return b"".join(parts)
-        return refuse(RefusalKind.STOPPING, "the body didn't arrive in time", 1.0)
-
     async def _serve(
         self,
         request: CallerRequest,
@@ -248,16 +203,17 @@
             await self._refuse(delivery, request.identity, refusal)
             return
         self._services.retries.note_fresh(name, time.monotonic())
-        account_name = account.name if account else ""
-        fingerprint = make_fingerprint(
-            account_name, request.method, request.target, body
-        )
+        owner = account.name if account else ""
+        fingerprint = make_fingerprint(owner, request.method, request.target, body)
         if self._services.suspects.blocks(fingerprint, time.monotonic()):
             detail = "runners crashed while they ran this content"
             refusal = refuse(RefusalKind.QUARANTINED, detail, QUARANTINED_SECONDS)
             await self._refuse(delivery, request.identity, refusal)
             return
-        reservation = await self._reserve(account, request)
+        with self.closing.until_end() as end:
+            reservation = await self._reserve(account, request)
+        if end.cancelled_caught:
+            reservation = refuse_ended(self._services.rng)
         if isinstance(reservation, Refusal):
             await self._refuse(delivery, request.identity, reservation)
             return
@@ -285,24 +241,31 @@
             case Broken(detail):
                 # The answer stays without its end mark, and the server closes the
                 # connection, so that the caller can't take it for a whole one.
-                log_event(Event.STREAM_BROKEN, request=request.identity, detail=detail)
+                log_event(
+                    Event.STREAM_BROKEN,
+                    request=request.identity,
+                    detail=detail,
+                    sent_to=call.arrivals,
+                    resumable=route.resumable,
+                )
             case Answered():
                 pass
 
     async def _run_in_time(self, exchange: Exchange) -> Answered | Broken | Refusal:
-        """Run an exchange, until this process ends if it is to stop meanwhile.
-
-        What goes wrong without an end of its own: the server closes the connection of
-        a request that has no answer yet, and its caller can't tell whether it has run.
-        """
-        until = self.shutdown.ends_at if self.shutdown else float("inf")
-        with anyio.CancelScope(deadline=until) as scope:
-            self._running.add(scope)
-            try:
-                return await exchange.run()
-            finally:
-                self._running.discard(scope)
-        return exchange.cut_off()
+        """Run an exchange, until this process ends if it is to stop meanwhile."""
+        route, began_at = exchange.route, time.monotonic()
+        number = self.closing.answer_times.begin(route.name, began_at)
+        outcome = None
+        try:
+            with self.closing.until_end() as end:
+                outcome = await exchange.run()
+            if end.cancelled_caught:
+                outcome = exchange.cut_off()
+            return outcome
+        finally:
+            self.closing.answer_times.end(
+                route.name, number, time.monotonic(), took_its_time(outcome)
+            )
 
     def _note_outcome(
         self,
@@ -327,7 +290,6 @@
         if not isinstance(outcome, Answered):
             return
         now = time.monotonic()
-        self._answer_times.note(route, now - began_at)
         log_event(
             Event.REQUEST_ANSWERED,
             request=call.request.identity,
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -266,6 +266,7 @@
     table: RunnerTable
     pool: ConnectionPool
     configuration: ConfigurationFollower
+    successors: Successors
 
     async def call(
         self,
@@ -273,6 +274,7 @@
         method: str = "POST",
         body: bytes = b"hello",
         leaves_after: float | None = None,
+        body_takes: float = 0.0,
         **headers: str,
     ) -> Answer:
         """Send one request as a caller would."""
@@ -297,6 +299,7 @@
         async def receive() -> dict[str, Any]:
             nonlocal told
             if not told:
+                await anyio.sleep(body_takes)
                 told = True
                 return {"type": "http.request", "body": body, "more_body": False}
             if leaves_after is None:
@@ -358,7 +361,7 @@
             table.set_runner(make_runner(f"i-{number}", runner.address))
         await holdings.start(group)
         await successors.start(group)
-        yield MemoryRelay(store, gateway, holdings, table, pool, follower)
+        yield MemoryRelay(store, gateway, holdings, table, pool, follower, successors)
         await holdings.close()
         await successors.close()
         await pool.close()
@@ -366,7 +369,11 @@
 
 
 def make_runner(
-    name: str, address: str = "127.0.0.1:1", data_centre: str = "dc", slots: int = 8
+    name: str,
+    address: str = "127.0.0.1:1",
+    data_centre: str = "dc",
+    slots: int = 8,
+    started: int = 0,
 ) -> Runner:
     """Return a ready runner of the endpoint ``e``."""
     return Runner(
@@ -376,4 +383,5 @@
         data_centre=data_centre,
         slots=slots,
         state=RunnerState.READY,
+        started=started,
     )
