--- a/knapweedrail/tests/test_relay_streams.py
+++ b/knapweedrail/tests/test_relay_streams.py
@@ -1,10 +1,23 @@
 """Events of a stream, however the network cuts them."""
 
+import anyio
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ..relay.models import Repetition
 from ..relay.streams import EventSplitter, StreamProgress
-from .relays_in_memory import make_event
+from .relays_in_memory import (
+    ScriptedRunner,
+    find_header,
+    make_answer,
+    make_chunk,
+    make_configuration,
+    make_event,
+    make_route,
+    make_stream_head,
+    run_relay,
+)
 
 
 @given(st.lists(st.integers(1, 60), max_size=30), st.integers(1, 12))
@@ -43,3 +56,27 @@
     progress = StreamProgress(2)
     events = EventSplitter().feed(b"".join(make_event(n) for n in range(1, 4)))
     assert progress.select(events) == make_event(3)
+
+
+@pytest.mark.anyio
+async def test_a_stream_that_no_other_runner_takes_goes_on_where_it_was():
+    """A runner pauses for longer than the relay waits, and the only other one is full.
+    The relay has ended the first run by then, and the caller is left with half an
+    answer, although the runner was about to go on. Found by seed 1500 of the soak."""
+
+    async def pause(stream, head):
+        if find_header(head, "last-event-id"):
+            full = make_answer(head, b"", 503, Knapweedrail_Not_Executed="1")
+            await stream.send(full)
+            return True
+        await stream.send(make_stream_head(head) + make_chunk(make_event(1)))
+        await anyio.sleep(1.5)
+        await stream.send(make_chunk(make_event(2)) + make_chunk(b""))
+        return True
+
+    route = make_route(Repetition.STREAM, resumable=True)
+    runners = ScriptedRunner(pause), ScriptedRunner(pause)
+    async with run_relay(make_configuration(route), *runners) as relay:
+        answer = await relay.call()
+    assert answer.body == make_event(1) + make_event(2)
+    assert answer.whole
--- a/knapweedrail/tests/test_soak.py
+++ b/knapweedrail/tests/test_soak.py
@@ -224,8 +224,10 @@
             Step(1.0, "foreign entries", 0, 3.0, 55),
             Step(1.0, "spoil entry", 0, 0.0, 23),
         ],
+        # Seeds 1401, 2101 and 2102: an entry without a start got requests.
+        [Step(1.0, "foreign entries", 0, 3.0, 49)],
     ],
-    ids=["stops-in-turn", "stops-at-start", "foreign-entries"],
+    ids=["stops-in-turn", "stops-at-start", "foreign-entries", "no-start"],
 )
 def test_a_schedule_that_found_a_fault_keeps_all_promises(steps, tmp_path):
     """Each found a fault once, by the seed named with it, and is the part of its
