Let a signal of changed settings end no process

SIGHUP ends a process by default: a relay in the half second in which it reads its libraries, with callers waiting at its door, and a router at any time. Ruled out: a running relay (it takes the signal and logs it). Change: ignored until the relay runs; ignored by routers, which take settings up at their next start. Before: the new test failed (connection reset). After: 8 tests of the start pass. Conclusion: the router's part has no test of its own.

--- a/knapweedrail/tests/test_relay_start.py
+++ b/knapweedrail/tests/test_relay_start.py
@@ -142,6 +142,29 @@
     assert (found.returncode, found.stderr) == (relay.EXIT_STOPPED, "")
 
 
+def test_changed_settings_while_the_process_starts_end_nothing(tmp_path):
+    """A host starts, and its settings file changes at that moment, which a signal
+    tells. By default that signal ends a process: callers that waited found their
+    connections reset."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    settings = write_settings(tmp_path, f"127.0.0.1:{port}")
+    options = ("--settings", settings)
+    process = Process("knapweedrail.tools.relay", *options, log=tmp_path / "log")
+    process.start()
+    try:
+        caller = wait_for(lambda: connect(port), "an open door")
+        with caller:
+            caller.sendall(b"GET /x HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+            process.signal(signal.SIGHUP)
+            answer = caller.makefile("rb").read()
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        process.signal(signal.SIGTERM)
+        assert process.wait() == relay.EXIT_STOPPED
+    finally:
+        process.close()
+
+
 def test_a_stop_while_the_process_starts_answers_who_waits(tmp_path):
     """A host starts, callers' requests wait in its queue while the relay reads its
     libraries, and then it is asked to stop. The process ended at once, and callers
--- a/knapweedrail/tools/relay.py
+++ b/knapweedrail/tools/relay.py
@@ -65,6 +65,8 @@
     # so the relay starts, answers them, and stops in good order.
     clock = SignalClock()
     clock.watch((signal.SIGTERM, signal.SIGINT))
+    # Settings are read already, and what changed in them isn't taken up later either.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         listener = open_listener(settings.caller_address)
     except OSError as error:
--- a/knapweedrail/tools/router.py
+++ b/knapweedrail/tools/router.py
@@ -53,6 +53,9 @@
 async def serve(settings: RouterSettings) -> None:
     """Run a router until it is asked to stop."""
     log_loop_errors()
+    # Tells of changed settings, which a router takes up at its next start only. By
+    # default it would end the process, and all answers with it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     router = Router(settings)
     async with anyio.create_task_group() as group:
         await router.start(group)
