Ask of a stop during the start that its time runs from the signal

Cause: a variant without the clock of signals was told by no test. Ruled out: the clock itself (a test of its own). Change: the log of a stop during the start must tell that it was noticed late. Before: nothing told the first. After: 8 tests of the start pass; the variant without the clock at the start can't stop at all. Conclusion: the clock's wiring once the relay runs is still told by no test.

--- a/knapweedrail/tests/test_relay_start.py
+++ b/knapweedrail/tests/test_relay_start.py
@@ -185,6 +185,10 @@
         assert process.wait() == relay.EXIT_STOPPED
     finally:
         process.close()
+    lines = map(json.loads, (tmp_path / "log").read_bytes().splitlines())
+    stopping = [line for line in lines if "noticed_after" in line]
+    # Half a second of libraries lies in between: time runs from the signal.
+    assert stopping[0]["noticed_after"] > 0.05
     head, _, body = answer.partition(b"\r\n\r\n")
     assert head.startswith(b"HTTP/1.1 503 ")
     assert json.loads(body)["ran"] == "not run"
