--- a/knapweedrail/platform/decoding.py
+++ b/knapweedrail/platform/decoding.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Callable
 from typing import Any
 
 from ..relay.models import (
@@ -15,6 +17,8 @@
     RunnerState,
     Share,
 )
+from .entries import DRAINING, READY, structure_entry
+from .starts import decode_start
 
 _REPETITIONS = {
     "safe": Repetition.SAFE,
@@ -22,6 +26,8 @@
     "streaming": Repetition.STREAM,
 }
 
+_STATES = {READY: RunnerState.READY, DRAINING: RunnerState.LEAVING}
+
 UNLIMITED = 1_000_000
 """Stands for a number of connections that the operator leaves open."""
 
@@ -51,24 +57,34 @@
         raise DecodingError(repr(error)) from error
 
 
-def decode_runner(name: str, spec: Any) -> Runner:
+def decode_runner(
+    name: str, spec: Any, read_clock: Callable[[], float] = time.time
+) -> Runner:
     """Decode a runner's entry.
 
+    An endpoint that no configuration names is no fault: a later one may name it, and
+    until then no route leads there.
+
+    Args:
+        read_clock: Returns the time of day, Unix seconds.
+
     Raises:
-        DecodingError: If a part is missing or has another type.
+        DecodingError: If a part is missing or has another type, or it names no state.
     """
     try:
-        leaving = spec["state"] != "ready"
-        return Runner(
-            name=name,
-            endpoint=spec["service"],
-            address=spec["address"],
-            data_centre=spec.get("zone", ""),
-            slots=int(spec.get("slots") or 1),
-            state=RunnerState.LEAVING if leaving else RunnerState.READY,
-        )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise DecodingError(repr(error)) from error
+        entry = structure_entry(name, spec)
+        started = decode_start(spec, read_clock())
+    except (TypeError, ValueError) as error:
+        raise DecodingError(str(error)) from error
+    return Runner(
+        name=name,
+        endpoint=entry.service,
+        address=entry.address,
+        data_centre=entry.zone,
+        slots=entry.slots,
+        state=_STATES[entry.state],
+        started=started,
+    )
 
 
 def _decode_route(item: dict[str, Any]) -> Route:
--- a/knapweedrail/relay/followers.py
+++ b/knapweedrail/relay/followers.py
@@ -12,7 +12,9 @@
 from ..events import Event, log_event
 from ..outcomes import Unavailable
 from ..tasks import Task
-from .models import Configuration, Runner
+from .lives import Reading, StartTelling
+from .malformed import MalformedObjects
+from .models import UNKNOWN_START, Configuration, Runner
 from .routes import RouteTable
 from .runners import RunnerTable
 from .stores import Changes, HistoryGone, Listing, Store, StoredObject
@@ -35,6 +37,7 @@
         kind: The kind that is followed.
         watch_seconds: Length of one watch.
         batch_seconds: Pause after changes, so that the next ones come together.
+        malformed: Told of objects that can't be used.
     """
 
     def __init__(
@@ -43,8 +46,10 @@
         kind: str,
         watch_seconds: float,
         batch_seconds: float = 0.0,
+        malformed: MalformedObjects | None = None,
     ) -> None:
         super().__init__(f"follow {kind}")
+        self._malformed = malformed or MalformedObjects()
         self._batch_seconds = batch_seconds
         self.confirmed_at = float("-inf")
         self._store = store
@@ -103,6 +108,12 @@
     def note_confirmed(self, now: float) -> None:
         """Take in that all that the store has is known."""
 
+    def note_malformed(self, stored: StoredObject, error: ValueError) -> None:
+        """Take in that an object can't be decoded."""
+        self._malformed.note(
+            self._kind, stored.name, stored.revision, str(error), time.monotonic()
+        )
+
     @abstractmethod
     def replace_all(self, objects: tuple[StoredObject, ...]) -> None:
         """Take in a whole list."""
@@ -131,8 +142,9 @@
         watch_seconds: float,
         decode: Callable[[object], Configuration],
         name: str,
+        malformed: MalformedObjects | None = None,
     ) -> None:
-        super().__init__(store, kind, watch_seconds)
+        super().__init__(store, kind, watch_seconds, malformed=malformed)
         self.table: RouteTable | None = None
         self._decode = decode
         self._name = name
@@ -152,7 +164,7 @@
         try:
             found = self._decode(stored.spec)
         except ValueError as error:
-            log_event(Event.OBJECT_MALFORMED, name=stored.name, error=str(error))
+            self.note_malformed(stored, error)
             return
         known = self.configuration
         if known is not None and found.version <= known.version:
@@ -168,6 +180,13 @@
         log_event(Event.CONFIGURATION_REMOVED, name=stored.name)
 
 
+_READINGS = {
+    Reading.TAKEN: Event.RUNNER_LISTED,
+    Reading.RESTARTED: Event.RUNNER_RESTARTED,
+    Reading.OUTDATED: Event.RUNNER_OUTDATED,
+}
+
+
 class RunnerFollower(Follower):
     """Keeps the table of runners.
 
@@ -184,37 +203,66 @@
         decode: Callable[[str, object], Runner],
         table: RunnerTable,
         batch_seconds: float = 0.0,
+        malformed: MalformedObjects | None = None,
     ) -> None:
-        super().__init__(store, kind, watch_seconds, batch_seconds)
+        super().__init__(store, kind, watch_seconds, batch_seconds, malformed)
         self.table = table
         self._decode_runner = decode
+        self._telling = StartTelling()
 
     def replace_all(self, objects: tuple[StoredObject, ...]) -> None:
-        runners = [runner for runner in map(self._decode, objects) if runner]
+        self._telling.keep({stored.name for stored in objects})
+        found = [(stored, self._decode(stored)) for stored in objects]
+        runners = [runner for stored, runner in found if self._admit(stored, runner)]
         self.table.replace_all(runners, time.monotonic())
 
     def set(self, stored: StoredObject) -> None:
         runner = self._decode(stored)
-        if runner:
-            self.table.set_runner(runner)
-            log_event(
-                Event.RUNNER_LISTED,
-                runner=runner.name,
-                endpoint=runner.endpoint,
-                state=runner.state.value,
-                revision=stored.revision,
-            )
+        if not self._admit(stored, runner):
+            # As if it were missing: others get its work. A runner whose entry another
+            # writer spoilt writes it again at its next heartbeat, and keeps its record
+            # until then; it is used meanwhile only where no other is left.
+            self.table.remove_runner(stored.name, time.monotonic())
+            return
+        log_event(
+            _READINGS[self.table.set_runner(runner)],
+            runner=runner.name,
+            started=runner.started,
+            endpoint=runner.endpoint,
+            state=runner.state.value,
+            revision=stored.revision,
+        )
 
     def note_confirmed(self, now: float) -> None:
         self.table.note_list(now)
 
     def remove(self, stored: StoredObject) -> None:
-        self.table.remove_runner(stored.name, time.monotonic())
+        self._telling.forget(stored.name)
+        started = self._find_start(stored)
+        self.table.remove_runner(stored.name, time.monotonic(), started)
         log_event(Event.RUNNER_UNLISTED, runner=stored.name, revision=stored.revision)
 
+    def _admit(self, stored: StoredObject, runner: Runner | None) -> bool:
+        if runner is None:
+            return False
+        if not self._telling.admits(runner.started):
+            self.note_malformed(stored, ValueError("it doesn't tell its start"))
+            return False
+        return True
+
+    def _find_start(self, stored: StoredObject) -> int:
+        """Return the start of the life that an entry told of before it went."""
+        try:
+            return self._decode_runner(stored.name, stored.spec).started
+        except ValueError:
+            return UNKNOWN_START
+
     def _decode(self, stored: StoredObject) -> Runner | None:
         try:
-            return self._decode_runner(stored.name, stored.spec)
+            runner = self._decode_runner(stored.name, stored.spec)
         except ValueError as error:
-            log_event(Event.OBJECT_MALFORMED, name=stored.name, error=str(error))
+            self._telling.forget(stored.name)
+            self.note_malformed(stored, error)
             return None
+        self._telling.note(stored.name, runner.started)
+        return runner
