--- a/knapweedrail/relay/measures.py
+++ b/knapweedrail/relay/measures.py
@@ -63,6 +63,10 @@
             "loop_delay_seconds", "Seconds the event loop was late", DELAY_BOUNDS
         )
 
+    def count_malformed(self, kind: str) -> None:
+        """Count an object of the store that can't be used."""
+        self.malformed.add(1, {"kind": kind})
+
     async def prepare_export(self) -> None:
         """Let the exporter take over, if it hasn't yet.
 
@@ -73,10 +77,6 @@
             await anyio.to_thread.run_sync(import_exporter)
             self.export()
 
-    def count_malformed(self, kind: str) -> None:
-        """Count an object of the store that can't be used."""
-        self.malformed.add(1, {"kind": kind})
-
     async def watch_delay(self, pressure: Pressure) -> None:
         """Measure the event loop's delay until cancelled."""
         told_at = float("-inf")
--- a/knapweedrail/tests/test_relay_shutdown.py
+++ b/knapweedrail/tests/test_relay_shutdown.py
@@ -22,11 +22,15 @@
 
 
 def make_slow_stream(seconds):
-    """Return a runner's script: a stream of ten events over that time."""
+    """Return a runner's script: a stream of ten events over that time.
+
+    Its ``begun`` is set as the first request for a stream has come.
+    """
 
     async def stream_events(stream, head):
         if " /a/" in head:
             return await answer_well(stream, head)
+        stream_events.begun.set()
         await stream.send(make_stream_head(head))
         for number in range(1, 11):
             await anyio.sleep(seconds / 10)
@@ -34,6 +38,7 @@
         await stream.send(make_chunk(b""))
         return True
 
+    stream_events.begun = anyio.Event()
     return stream_events
 
 
@@ -109,7 +114,7 @@
 
         async with anyio.create_task_group() as group:
             group.start_soon(ask)
-            await anyio.sleep(0.1)
+            await script.begun.wait()
             relay.process.send_signal(signal.SIGTERM)
         await end(relay, 3)
     assert outcomes == [(200, True)]
@@ -129,7 +134,7 @@
 
         async with anyio.create_task_group() as group:
             group.start_soon(ask)
-            await anyio.sleep(0.2)
+            await script.begun.wait()
             relay.process.send_signal(signal.SIGTERM)
             await anyio.sleep(0.5)
             relay.process.send_signal(again)
