--- a/knapweedrail/tests/test_relay_start.py
+++ b/knapweedrail/tests/test_relay_start.py
@@ -19,6 +19,7 @@
     "opentelemetry",
     "prometheus_client",
     "jsonschema",
+    "cattrs",
     "trio",
     "knapweedrail.models",
     "knapweedrail.wire.peers_pb2",
