--- a/knapweedrail/relay/measures.py
+++ b/knapweedrail/relay/measures.py
@@ -7,9 +7,10 @@
 from typing import Any
 
 import anyio
+import anyio.to_thread
 
 from ..events import Event, log_event
-from ..measures import Measures
+from ..measures import Measures, import_exporter
 from .models import Account
 from .pressure import TICK_SECONDS, Pressure
 from .stores import Store
@@ -66,6 +67,16 @@
         """Count an object of the store that can't be used."""
         self.malformed.add(1, {"kind": kind})
 
+    async def prepare_export(self) -> None:
+        """Let the exporter take over, if it hasn't yet.
+
+        Its import in a thread of its own leaves the event loop its turns; in the loop
+        every answer under way would stand still for a tenth of a second.
+        """
+        if not self.exporting:
+            await anyio.to_thread.run_sync(import_exporter)
+            self.export()
+
     async def watch_delay(self, pressure: Pressure) -> None:
         """Measure the event loop's delay until cancelled."""
         told_at = float("-inf")
@@ -87,6 +98,7 @@
 
     async def answer(self, scope: dict, receive: Any, send: Any) -> None:
         """Serve the metrics as text, as an ASGI application."""
+        await self.prepare_export()
         body = self.render()
         await send(
             {
--- a/knapweedrail/tests/test_relay_start.py
+++ b/knapweedrail/tests/test_relay_start.py
@@ -1,5 +1,6 @@
 """The first moments of a relay's process."""
 
+import gc
 import json
 import signal
 import socket
@@ -14,6 +15,16 @@
 
 HEAVY = ("eliot", "anyio", "httpx", "hypercorn", "grpclib", "opentelemetry")
 
+UNNEEDED = (
+    "opentelemetry",
+    "prometheus_client",
+    "jsonschema",
+    "cattrs",
+    "trio",
+    "knapweedrail.models",
+    "knapweedrail.wire.peers_pb2",
+)
+
 
 def write_settings(folder, caller_address):
     path = folder / "relay.jsonc"
@@ -41,6 +52,20 @@
     assert found.stdout.strip() == "[]"
 
 
+def test_a_start_reads_no_library_that_it_does_not_need():
+    """All hosts of the fleet start together after a loss of power. What each of them
+    reads for metrics that nobody has asked for, or for faults that its settings don't
+    have, is time in which callers wait."""
+    program = (
+        "import sys; import knapweedrail.tools.service;"
+        f"print([name for name in {UNNEEDED!r} if name in sys.modules])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, check=True
+    )
+    assert found.stdout.strip() == "[]"
+
+
 def test_the_door_is_open_when_the_rest_is_read(tmp_path, monkeypatch):
     """A caller connects while the process still reads its libraries. Its connection
     waits, and the server answers on it as soon as it runs."""
@@ -64,6 +89,27 @@
     assert reached == [b"GET"]
 
 
+def test_garbage_is_collected_while_the_relay_runs(tmp_path, monkeypatch):
+    """No garbage is looked for while the libraries are read. If it stayed so, a host
+    would fill its memory in hours and be killed; if the libraries weren't set aside,
+    all streams would pause for each look through them."""
+    seen = []
+
+    def run_relay(settings, listener, clock):
+        seen.append((gc.isenabled(), gc.get_freeze_count() > 0))
+        listener.close()
+        return True
+
+    service = types.ModuleType("service")
+    service.run_relay = run_relay
+    monkeypatch.setitem(sys.modules, "knapweedrail.tools.service", service)
+    try:
+        relay.main(["--settings", write_settings(tmp_path, "127.0.0.1:0")])
+    finally:
+        gc.unfreeze()
+    assert seen == [(True, True)]
+
+
 def test_a_port_that_is_taken_is_said_plainly(tmp_path, capsys):
     """Two relays are started on one host by mistake. The second one ends at once and
     names what is in its way."""
