--- a/knapweedrail/tests/test_relay_shutdown_limits.py
+++ b/knapweedrail/tests/test_relay_shutdown_limits.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ..relay.clocks import SignalClock
 from ..relay.models import Repetition
 from ..relay.shutdowns import (
     FRESH_SECONDS,
@@ -17,7 +18,6 @@
     AnswerTimes,
     Shutdown,
 )
-from ..relay.signals import SignalClock
 from .relays_in_memory import (
     ScriptedRunner,
     make_chunk,
