--- a/knapweedrail/tests/test_soak.py
+++ b/knapweedrail/tests/test_soak.py
@@ -217,7 +217,7 @@
         # streams were cut off when their processes ended.
         [Step(1.0, "stop in turn", 0, 2.0)],
         # Seed 1111: a stop while a process read its libraries reset who waited there.
-        [Step(1.0, "kill all", 0, 0.0), Step(1.1, "stop in turn", 0, 0.1)],
+        [Step(1.0, "kill all", 0, 0.0), Step(1.7, "stop in turn", 0, 0.1)],
         # Seeds 1013, 1110, 1113 and 1302: entries with negative slots, an unknown state
         # or none got requests. Seed 1206: a list for a service ended relays.
         [
@@ -232,7 +232,7 @@
 def test_a_schedule_that_found_a_fault_keeps_all_promises(steps, tmp_path):
     """Each found a fault once, by the seed named with it, and is the part of its
     schedule that matters."""
-    plan = Plan(1, 7.0, 3, 3, 30.0, steps, longest_pause=STEADY_SECONDS)
+    plan = Plan(1, 8.0, 3, 3, 60.0, steps, longest_pause=STEADY_SECONDS)
     assert run_seed(plan, tmp_path) == []
 
 
