--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -242,11 +242,12 @@
         data: bytes,
     ) -> tuple[Answered | Failed, bool]:
         """Pass on a stream whose first events have come, to its end."""
-        if not self._call.delivery.started and not answer.sealed:
+        delivery = self._call.delivery
+        if not delivery.started and not answer.sealed:
             return Failed(Failure.BROKEN, "a stream without a seal"), False
         with anyio.move_on_after(self._call.measure_left()):
             while data:
-                await self._send_part(answer, data)
+                await delivery.send_part(answer.status, answer.headers, data)
                 if not self._may_go_elsewhere():
                     # The time that is left bounds it already; another bound for each
                     # event took a seventh of the time that passing streams on did.
@@ -258,15 +259,13 @@
                 if silence.cancelled_caught:
                     self._note_failure(certain=False)
                     return Failed(Failure.SILENT, "the stream stalled"), False
-            await self._send_part(answer, splitter.rest)
+            rest = splitter.rest
+            await delivery.send_part(answer.status, answer.headers, rest)
             kept = self._keep(connection, answer)
-            await self._call.delivery.end()
+            await delivery.end()
             return Answered(answer.status, self._view.runner.name), kept
         return Failed(Failure.SILENT, "the stream took too long"), False
 
-    async def _send_part(self, answer: RunnerAnswer, data: bytes) -> None:
-        await self._call.delivery.send_part(answer.status, list(answer.headers), data)
-
     def _may_go_elsewhere(self) -> bool:
         """Return whether a stream that stalls may go on at another runner."""
         route = self._call.route
--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -10,19 +10,17 @@
 from __future__ import annotations
 
 import contextlib
-import select
 import socket
 import struct
 import time
 from collections.abc import AsyncIterator, Callable
 
 import anyio
-import anyio.abc
 import attrs
 import h11
 
-RECEIVE_BYTES = 65_536
-"""Most bytes of one read."""
+from .chunks import cut_chunks
+from .sockets import RunnerStream, connect
 
 CONNECT_SECONDS = 0.25
 """Longest wait for a connection: a runner is a few milliseconds away at the most, and
@@ -42,6 +40,10 @@
 HEADER_BYTES = 65_536
 """Largest status line and headers that a runner may send."""
 
+CHUNK_BYTES = 65_536
+"""Part of a chunk from which on the rest of a body goes through the parser alone; to
+look for the end of a larger one at each read would take longer than it saves."""
+
 IDLE_SECONDS = 4.0
 """Longest time that a connection is kept unused if the runner doesn't say."""
 
@@ -81,7 +83,7 @@
         address: Address of the runner.
     """
 
-    def __init__(self, stream: anyio.abc.SocketStream, address: str) -> None:
+    def __init__(self, stream: RunnerStream, address: str) -> None:
         self.address = address
         self.idle_since = 0.0
         self.idle_seconds = IDLE_SECONDS
@@ -91,6 +93,7 @@
             h11.CLIENT, max_incomplete_event_size=HEADER_BYTES
         )
         self._body_left = 0
+        self._chunk: bytes | None = None
 
     async def send(
         self,
@@ -114,7 +117,7 @@
         self._body_left = len(data)
         try:
             await self._stream.send(data)
-        except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+        except OSError as error:
             raise self._fail("send", error) from error
         self._body_left = 0
 
@@ -127,6 +130,9 @@
         while True:
             event = await self._next_event("answer")
             if isinstance(event, h11.Response):
+                self._chunk = None
+                if (b"transfer-encoding", b"chunked") in event.headers:
+                    _, self._chunk = cut_chunks(self._parser.trailing_data[0])
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self._fail("answer", f"unexpected {type(event).__name__}")
@@ -134,16 +140,27 @@
     async def receive_body(self) -> AsyncIterator[bytes]:
         """Yield the answer's body as it arrives, until its end.
 
+        What one read brought is yielded together: the caller's end is then written to
+        once for it, and nothing of it waits.
+
         Raises:
             ConnectionFailed: If it ends before it is complete.
         """
         while True:
-            event = await self._next_event("body")
-            if isinstance(event, h11.EndOfMessage):
+            data, whole = self._parse_body()
+            if data:
+                yield data
+            if whole:
                 return
-            if not isinstance(event, h11.Data):
-                raise self._fail("body", f"unexpected {type(event).__name__}")
-            yield bytes(event.data)
+            left = b""
+            while not left:
+                data = await self._receive("body")
+                cut, left = self._cut(data)
+                if cut:
+                    yield cut
+                if not data:
+                    break
+            self._parser.receive_data(left)
 
     def finish(self) -> bool:
         """End an exchange; return whether the connection may carry another.
@@ -163,10 +180,7 @@
 
     def is_quiet(self) -> bool:
         """Return whether nothing has come since the last exchange, its end included."""
-        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        poll = select.poll()
-        poll.register(raw.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
-        return not poll.poll(0)
+        return self._stream.is_quiet()
 
     async def close(self) -> None:
         """Reset the connection; a runner drops the work that it was doing for it.
@@ -175,27 +189,58 @@
         kernel and arrive when it heals, seconds after the caller has left, and the
         runner runs what nobody waits for. A reset discards them.
         """
-        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
         with contextlib.suppress(OSError):
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD)
+            self._stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD
+            )
+        self._stream.abort()
         with anyio.CancelScope(shield=True):
-            await anyio.aclose_forcefully(self._stream)
+            # The event loop closes it at its next turn.
+            await anyio.sleep(0)
+
+    def _parse_body(self) -> tuple[bytes, bool]:
+        """Return what the parser has of the body, and whether it is at its end."""
+        parts = []
+        while isinstance(event := self._parse("body"), h11.Data):
+            parts.append(bytes(event.data))
+        if event is not h11.NEED_DATA and not isinstance(event, h11.EndOfMessage):
+            raise self._fail("body", f"unexpected {type(event).__name__}")
+        return b"".join(parts), event is not h11.NEED_DATA
+
+    def _cut(self, data: bytes) -> tuple[bytes, bytes]:
+        """Return what goes past the parser of some bytes, and what is left for it.
+
+        `_chunk` holds what the parser has of a chunk that isn't whole: with none it
+        stands between two chunks, and whole ones needn't go through it.
+        """
+        if self._chunk is None:
+            return b"", data
+        if not self._chunk:
+            cut, self._chunk = cut_chunks(data)
+            return cut, self._chunk
+        _, self._chunk = cut_chunks(self._chunk + data)
+        if len(self._chunk) > CHUNK_BYTES:
+            self._chunk = None
+        return b"", data
+
+    def _parse(self, step: str) -> object:
+        try:
+            return self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            raise self._fail(step, error) from error
 
     async def _next_event(self, step: str) -> object:
         while True:
-            try:
-                event = self._parser.next_event()
-            except h11.RemoteProtocolError as error:
-                raise self._fail(step, error) from error
+            event = self._parse(step)
             if event is not h11.NEED_DATA:
                 return event
-            try:
-                data = await self._stream.receive(RECEIVE_BYTES)
-            except anyio.EndOfStream:
-                data = b""
-            except (OSError, anyio.BrokenResourceError) as error:
-                raise self._fail(step, error) from error
-            self._parser.receive_data(data)
+            self._parser.receive_data(await self._receive(step))
+
+    async def _receive(self, step: str) -> bytes:
+        try:
+            return await self._stream.receive()
+        except OSError as error:
+            raise self._fail(step, error) from error
 
     def _fail(self, step: str, error: object) -> ConnectionFailed:
         return ConnectionFailed(self.address, step, repr(error), self.sent)
@@ -210,13 +255,13 @@
     host, _, port = address.rpartition(":")
     try:
         with anyio.fail_after(CONNECT_SECONDS):
-            stream = await anyio.connect_tcp(host, int(port))
+            stream = await connect(host, int(port))
+            set_timeouts(stream.socket)
     except (OSError, TimeoutError, ValueError) as error:
         silent = isinstance(error, TimeoutError)
         raise ConnectionFailed(
             address, "connect", repr(error), False, silent
         ) from error
-    set_timeouts(stream.extra(anyio.abc.SocketAttribute.raw_socket))
     return RunnerConnection(stream, address)
 
 
--- a/knapweedrail/relay/deliveries.py
+++ b/knapweedrail/relay/deliveries.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 from .codecs import Headers
@@ -49,7 +49,9 @@
         self.complete = True
         await self._send({"type": "http.response.body", "body": body})
 
-    async def send_part(self, status: int, headers: Headers, data: bytes) -> None:
+    async def send_part(
+        self, status: int, headers: Sequence[tuple[bytes, bytes]], data: bytes
+    ) -> None:
         """Send the next part of a stream; the first one takes the headers along."""
         now = time.monotonic()
         if self.started:
