--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -147,11 +147,15 @@
             ConnectionFailed: If it ends before it is complete.
         """
         while True:
-            data, whole = self._parse_body()
+            data, event = self._parse_body()
             if data:
                 yield data
-            if whole:
+            if isinstance(event, h11.EndOfMessage):
                 return
+            if isinstance(event, ConnectionFailed):
+                raise event
+            if event is not h11.NEED_DATA:
+                raise self._fail("body", f"unexpected {type(event).__name__}")
             left = b""
             while not left:
                 data = await self._receive("body")
@@ -198,14 +202,18 @@
             # The event loop closes it at its next turn.
             await anyio.sleep(0)
 
-    def _parse_body(self) -> tuple[bytes, bool]:
-        """Return what the parser has of the body, and whether it is at its end."""
+    def _parse_body(self) -> tuple[bytes, object]:
+        """Return what the parser has of the body, and what comes after it.
+
+        A fault comes after the chunks before it, which are good.
+        """
         parts = []
-        while isinstance(event := self._parse("body"), h11.Data):
-            parts.append(bytes(event.data))
-        if event is not h11.NEED_DATA and not isinstance(event, h11.EndOfMessage):
-            raise self._fail("body", f"unexpected {type(event).__name__}")
-        return b"".join(parts), event is not h11.NEED_DATA
+        try:
+            while isinstance(event := self._parse("body"), h11.Data):
+                parts.append(bytes(event.data))
+        except ConnectionFailed as error:
+            return b"".join(parts), error
+        return b"".join(parts), event
 
     def _cut(self, data: bytes) -> tuple[bytes, bytes]:
         """Return what goes past the parser of some bytes, and what is left for it.
