Wake the teller of crashes instead of looking ten times a second

Cause: an idle relay looked every 0.1 s whether there was word of a crash to pass on. Change: it is woken, waits 0.05 s, so that the requests of one crash go together, and tells. That is as soon at the mean as before, and at the latest in half the time. Figures: 0.012 s of 0.17 s outside of waiting in a profile of an idle relay of 15 s (7 %). The measurement of the event loop's delay stays as it is, ten times a second: it is what `is late` rests on.

--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -27,6 +27,7 @@
 from .pressure import Pressure
 from .retries import RetryShare
 from .shutdowns import Shutdown
+from .signals import Signal
 from .stores import Store
 from .successors import Successors
 from .suspects import Suspects
@@ -38,8 +39,8 @@
 PRUNE_SECONDS = 1.0
 """Pause between looks for idle connections and runners to forget."""
 
-TELL_SECONDS = 0.1
-"""Pause between messages about crashes; the requests of one crash end together."""
+TELL_SECONDS = 0.05
+"""Pause before a message about a crash; the requests of one crash end together."""
 
 OUT_OF_ROTATION_SECONDS = 2.2
 """How long a stopping relay takes requests at least: the balancer asks once a second
@@ -112,6 +113,7 @@
         self._suspects = Suspects()
         self._pressure = Pressure()
         self._told: list[str] = []
+        self._told_more = Signal()
         self._successors = Successors(
             self._pool,
             codec,
@@ -255,16 +257,22 @@
             self._suspects.prune(now)
 
     async def _tell_waiting(self) -> None:
-        """Tell other relays of suspects, those of one crash at a time."""
+        """Tell other relays of suspects, those of one crash at a time.
+
+        It waits to be woken: a look ten times a second took some 7 % of what an idle
+        relay costs (share of the time outside of waiting, in a profile of 15 s).
+        """
         while True:
+            if not self._told:
+                await self._told_more.wait()
             await anyio.sleep(TELL_SECONDS)
-            if self._told:
-                lines, self._told = self._told, []
-                members = self._membership.list_others()
-                await self._neighbours.tell_suspects(members, lines)
+            lines, self._told = self._told, []
+            members = self._membership.list_others()
+            await self._neighbours.tell_suspects(members, lines)
 
     def _tell_suspects(self, lines: list[str]) -> None:
         self._told.extend(lines)
+        self._told_more.give()
 
     def _hear_suspects(self, lines: list[str]) -> None:
         self._suspects.hear(lines, time.monotonic())
--- a/knapweedrail/tests/test_relay_suspects.py
+++ b/knapweedrail/tests/test_relay_suspects.py
@@ -1,5 +1,12 @@
 """Requests that crash the runners that run them."""
 
+import types
+
+import anyio
+import pytest
+
+from ..relay.daemons import Relay
+from ..relay.signals import Signal
 from ..relay.suspects import CRASHES, Suspects, make_fingerprint
 
 
@@ -62,3 +69,28 @@
         make_fingerprint("farm", "POST", b"/a", b"y"),
     ]
     assert one not in others
+
+
+@pytest.mark.anyio
+async def test_word_of_a_crash_goes_out_soon_and_that_of_one_crash_together():
+    """A runner crashes and all its requests end at once, each with word of its own.
+    The others hear of them by one call, soon enough not to run them too."""
+    relay = Relay.__new__(Relay)
+    relay._told, relay._told_more = [], Signal()
+    relay._membership = types.SimpleNamespace(list_others=lambda: ["other"])
+    told = []
+
+    async def tell(members, lines):
+        told.append(lines)
+
+    relay._neighbours = types.SimpleNamespace(tell_suspects=tell)
+    async with anyio.create_task_group() as group:
+        group.start_soon(relay._tell_waiting)
+        for crash in (["a", "b"], ["c", "d"]):
+            await anyio.sleep(0.03)
+            relay._tell_suspects(crash[:1])
+            await anyio.sleep(0.01)
+            relay._tell_suspects(crash[1:])
+            await anyio.sleep(0.09)
+            assert told.pop() == crash and not told
+        group.cancel_scope.cancel()
