Write the parts of a stream past the server's own steps

Change: once the head of a stream is sent, parts are framed and written to the server's connection directly, under its lock and with its waiting for a slow caller; a failing connection is told to the server as before.

--- a/knapweedrail/relay/deliveries.py
+++ b/knapweedrail/relay/deliveries.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
+from .bodies import BodyWriter, find_writer
 from .codecs import Headers
 
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -32,6 +33,7 @@
         self.first_byte_at: float | None = None
         self._last_of_connection = False
         self.complete = False
+        self._writer: BodyWriter | None = None
 
     def close_after(self) -> None:
         """Let the connection end with this answer."""
@@ -59,11 +61,15 @@
             self.longest_pause = max(pause, self.longest_pause or 0.0)
         else:
             await self._start(status, list(headers))
+            self._writer = find_writer(self._send)
         self._last_part_at = now
-        if data:
-            await self._send(
-                {"type": "http.response.body", "body": data, "more_body": True}
-            )
+        if not data:
+            return
+        if self._writer is not None and await self._writer.write(data):
+            return
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
 
     async def end(self) -> None:
         """Send the end mark of a stream."""
