--- a/knapweedrail/relay/deliveries.py
+++ b/knapweedrail/relay/deliveries.py
@@ -6,8 +6,8 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
-from .bodies import BodyWriter, find_writer
 from .codecs import Headers
+from .writers import BodyWriter, find_writer
 
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
--- a/knapweedrail/tests/test_relay_bodies.py
+++ b/knapweedrail/tests/test_relay_writers.py
@@ -5,8 +5,8 @@
 import anyio
 import pytest
 
-from ..relay.bodies import find_writer
 from ..relay.deliveries import Delivery
+from ..relay.writers import find_writer
 from ..servers import HttpServer, ServerLimits
 
 pytestmark = pytest.mark.anyio
