--- a/knapweedrail/benches/relays.py
+++ b/knapweedrail/benches/relays.py
@@ -139,7 +139,8 @@
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         group.start_soon(listener.serve, serve_runner)
-        entry = {"service": "e", "address": f"127.0.0.1:{port}", "state": "ready"}
+        entry = {"service": "e", "zone": "dc-0", "address": f"127.0.0.1:{port}"}
+        entry |= {"state": "ready", "born": number + 1, "slots": 8}
         objects.put("servers", f"i-{number}", entry)
     for number in range(MEMBERS):
         place = f"dc-{number % DATA_CENTRES}"
