Keep the platform's words in its folder in the soak and a benchmark too

Cause: the benchmark of relays and the soak's foreign entries spelt the platform's fields, and the soak called a runner's start as the wire does. Ruled out: moving the foreign entries into platform/ (they are the soak's choice). Change: names of an entry's fields in platform/names.py; encoders in the benchmark; started. Nothing of a relay changes. Before: four places named outside platform/. Conclusion: none.

--- a/knapweedrail/benches/relays.py
+++ b/knapweedrail/benches/relays.py
@@ -21,6 +21,19 @@
 import attrs
 import orjson
 
+from ..platform import names
+from ..platform.encoding import encode_configuration, encode_runner
+from ..relay.models import (
+    Account,
+    CallerLimits,
+    Configuration,
+    Endpoint,
+    Repetition,
+    Route,
+    Runner,
+    RunnerState,
+    Share,
+)
 from ..servers import HttpServer, ServerLimits
 from ..standins.objects import ObjectStore
 
@@ -46,19 +59,37 @@
 KINDS = {"plain": ("/a/", 0, 0), "50 events": ("/s/", 50, 50), "mixed": ("/s/", 9, 73)}
 """Path and fewest and most events of each kind of request."""
 
-ROUTE = {"host": "h", "timeoutMs": 8000, "service": "e"}
-CONFIGURATION = {
-    "version": 1,
-    "routes": [
-        {**ROUTE, "name": "plain", "pathPrefix": "/a/", "kind": "unsafe"},
-        {**ROUTE, "name": "stream", "pathPrefix": "/s/", "kind": "streaming"},
-    ],
-    "services": [{"name": "e"}],
-    "tenants": [
-        {"name": f"farm-{number}", "apiKeys": [f"k-{number}"], "prepaid": 10**9}
+CONFIGURATION = Configuration(
+    version=1,
+    routes=tuple(
+        Route(
+            name=name,
+            host="h",
+            prefix=prefix,
+            repetition=repetition,
+            timeout=8.0,
+            objective=8.0,
+            gap=1.0,
+            rank=0,
+            shares=(Share(endpoint="e", weight=1.0),),
+            max_runners=1,
+            needs_key=True,
+            resumable=False,
+        )
+        for name, prefix, repetition in (
+            ("plain", "/a/", Repetition.ONCE),
+            ("stream", "/s/", Repetition.STREAM),
+        )
+    ),
+    endpoints={"e": Endpoint(name="e", health_path="/health", max_connections=600)},
+    accounts={
+        f"farm-{number}": Account(
+            name=f"farm-{number}", keys=(f"k-{number}",), prepaid=10**9
+        )
         for number in range(ACCOUNTS)
-    ],
-}
+    },
+    limits=CallerLimits(),
+)
 
 
 @attrs.define
@@ -134,14 +165,27 @@
 
 async def fill(objects: ObjectStore, group: anyio.abc.TaskGroup) -> None:
     """Put the configuration, runners and members into the store."""
-    objects.put("config", "main", CONFIGURATION)
+    objects.put(
+        names.CONFIGURATION_KIND,
+        names.CONFIGURATION_NAME,
+        encode_configuration(CONFIGURATION),
+    )
     for number in range(RUNNERS):
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         group.start_soon(listener.serve, serve_runner)
-        entry = {"service": "e", "zone": "dc-0", "address": f"127.0.0.1:{port}"}
-        entry |= {"state": "ready", "born": number + 1, "slots": 8}
-        objects.put("servers", f"i-{number}", entry)
+        name, address = f"i-{number}", f"127.0.0.1:{port}"
+        state = RunnerState.READY
+        runner = Runner(
+            name=name,
+            endpoint="e",
+            address=address,
+            data_centre="dc-0",
+            slots=8,
+            state=state,
+            started=number + 1,
+        )
+        objects.put(names.RUNNERS_KIND, name, encode_runner(runner))
     for number in range(MEMBERS):
         place = f"dc-{number % DATA_CENTRES}"
         spec = {"holder": f"m-{number}/1", "address": "", "data_centre": place}
@@ -155,8 +199,8 @@
     ports = [one.getsockname()[1] for one in sockets]
     for one in sockets:
         one.close()
-    names = ("caller_address", "ready_address", "peer_address")
-    settings = {n: f"127.0.0.1:{p}" for n, p in zip(names, ports, strict=True)}
+    keys = ("caller_address", "ready_address", "peer_address")
+    settings = {n: f"127.0.0.1:{p}" for n, p in zip(keys, ports, strict=True)}
     settings |= {"host": f"h-{ports[0]}", "data_centre": "dc-0", "store_address": store}
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder, "relay.jsonc")
--- a/knapweedrail/platform/names.py
+++ b/knapweedrail/platform/names.py
@@ -62,6 +62,13 @@
 REPORT_MEMORY = "kvTotal"
 """Tokens that a runner's memory holds, all of them."""
 
+RUNNER_ENDPOINT = "service"
+RUNNER_ADDRESS = "address"
+RUNNER_DATA_CENTRE = "zone"
+RUNNER_SLOTS = "slots"
+RUNNER_STATE = "state"
+"""Fields of a runner's entry that each entry has."""
+
 STARTED = "born"
 """When a runner started, in all that it says of itself; Unix milliseconds."""
 
--- a/knapweedrail/soak/faults.py
+++ b/knapweedrail/soak/faults.py
@@ -274,7 +274,7 @@
         """Kill a runner and start it again under its name, with or without more."""
         async with self._hold(self._pick_runner, step) as runner:
             began_at = time.monotonic()
-            former = runner.born
+            former = runner.started
             async with anyio.create_task_group() as group:
                 if step.variant & CUT:
                     group.start_soon(self._cut_all, step.seconds)
--- a/knapweedrail/soak/foreign.py
+++ b/knapweedrail/soak/foreign.py
@@ -19,6 +19,14 @@
 LATER_MILLISECONDS = 3_600_000
 """How far in the future a start is that can't be true."""
 
+FIELDS = (
+    names.RUNNER_ENDPOINT,
+    names.RUNNER_ADDRESS,
+    names.RUNNER_DATA_CENTRE,
+    names.RUNNER_SLOTS,
+    names.RUNNER_STATE,
+)
+
 Change = Callable[[dict[str, Any]], Any]
 
 
@@ -31,16 +39,16 @@
 
 
 CHANGES: tuple[Change, ...] = (
-    *(_leave_out(field) for field in ("service", "address", "zone", "slots", "state")),
-    _replace("service", ["engine"]),
-    _replace("service", "unheard-of"),
-    _replace("address", 8080),
-    _replace("zone", 7),
-    _replace("slots", -1),
-    _replace("slots", 2**62),
-    _replace("slots", [8]),
-    _replace("state", "resting"),
-    _replace("state", None),
+    *map(_leave_out, FIELDS),
+    _replace(names.RUNNER_ENDPOINT, ["engine"]),
+    _replace(names.RUNNER_ENDPOINT, "unheard-of"),
+    _replace(names.RUNNER_ADDRESS, 8080),
+    _replace(names.RUNNER_DATA_CENTRE, 7),
+    _replace(names.RUNNER_SLOTS, -1),
+    _replace(names.RUNNER_SLOTS, 2**62),
+    _replace(names.RUNNER_SLOTS, [8]),
+    _replace(names.RUNNER_STATE, "resting"),
+    _replace(names.RUNNER_STATE, None),
     _leave_out(names.STARTED),
     _replace(names.STARTED, "yesterday"),
     lambda entry: entry | {names.STARTED: entry[names.STARTED] + 0.5},
--- a/knapweedrail/soak/records.py
+++ b/knapweedrail/soak/records.py
@@ -103,7 +103,7 @@
 
     Attributes:
         first: Number of the first event that it makes.
-        born: Start of the runner's life, Unix milliseconds.
+        started: Start of the runner's life, Unix milliseconds.
     """
 
     identity: str
@@ -111,7 +111,7 @@
     account: str
     at: float
     first: int
-    born: int = 0
+    started: int = 0
 
 
 @attrs.frozen
--- a/knapweedrail/soak/runners.py
+++ b/knapweedrail/soak/runners.py
@@ -47,12 +47,12 @@
         name: Its name in the list of runners.
         runs: File in which it writes what it ran.
         seed: Decides what it rejects and fails.
-        born: When it started, Unix milliseconds.
+        started: When it started, Unix milliseconds.
     """
 
-    def __init__(self, name: str, runs: Path, seed: int, born: int) -> None:
+    def __init__(self, name: str, runs: Path, seed: int, started: int) -> None:
         self._name = name
-        self._born = born
+        self._started = started
         self._runs = runs
         self._rng = random.Random(seed)
         methods = ["GET", "POST"]
@@ -65,7 +65,7 @@
             headers[_text(names.RUNNER_ID)] = self._name
             return Response(status_code=421, headers=headers)
         if request.url.path == _text(names.REPORT_TARGET):
-            report = {names.REPORT_MEMORY: CACHE_TOKENS, names.STARTED: self._born}
+            report = {names.REPORT_MEMORY: CACHE_TOKENS, names.STARTED: self._started}
             return JSONResponse(report)
         if self._rng.random() < FULL_SHARE:
             headers[_text(names.NOT_RUN)] = "1"
@@ -77,7 +77,7 @@
             "account": request.headers.get(_text(names.ACCOUNT), ""),
             "at": time.monotonic(),
             "first": first,
-            "born": self._born,
+            "started": self._started,
         }
         write_line(self._runs, line)
         headers[_text(names.SEAL)] = self._name
@@ -121,9 +121,9 @@
     parser.add_argument("--name", required=True)
     parser.add_argument("--runs", required=True, type=Path)
     parser.add_argument("--seed", type=int, default=0)
-    parser.add_argument("--born", type=int, default=0)
+    parser.add_argument("--started", type=int, default=0)
     arguments = parser.parse_args(argv)
-    runner = Runner(arguments.name, arguments.runs, arguments.seed, arguments.born)
+    runner = Runner(arguments.name, arguments.runs, arguments.seed, arguments.started)
     anyio.run(serve, runner)
 
 
--- a/knapweedrail/soak/worlds.py
+++ b/knapweedrail/soak/worlds.py
@@ -96,14 +96,14 @@
     """One runner, and the relays' way to it.
 
     Attributes:
-        born: When the process started, Unix milliseconds.
+        started: When the process started, Unix milliseconds.
         busy: Whether its life or its entry is being changed.
     """
 
     name: str
     process: Process
     link: Route
-    born: int
+    started: int
     busy: bool = False
 
 
@@ -190,9 +190,9 @@
     async def add_runner(self) -> None:
         """Start another runner and list it."""
         name = self._name_runner()
-        process, born = await self._start_runner(name)
+        process, started = await self._start_runner(name)
         link = await self._open_link(name, _find_address(process))
-        runner = RunnerHost(name, process, link, born)
+        runner = RunnerHost(name, process, link, started)
         self.runners.append(runner)
         self.list_runner(runner, RunnerState.READY)
 
@@ -200,9 +200,9 @@
         """Crash a runner, and start its next life at its address, not listed yet."""
         runner.process.close()
         name = self._name_runner()
-        process, born = await self._start_runner(name)
+        process, started = await self._start_runner(name)
         runner.link.target = _find_address(process)
-        successor = RunnerHost(name, process, runner.link, born)
+        successor = RunnerHost(name, process, runner.link, started)
         self.runners = [one for one in self.runners if one is not runner]
         self.runners.append(successor)
         return successor
@@ -210,7 +210,7 @@
     async def revive_runner(self, runner: RunnerHost) -> None:
         """Crash a runner, and start its next life under its name, not listed yet."""
         runner.process.close()
-        runner.process, runner.born = await self._start_runner(runner.name)
+        runner.process, runner.started = await self._start_runner(runner.name)
         runner.link.target = _find_address(runner.process)
 
     def _name_runner(self) -> str:
@@ -218,28 +218,28 @@
         return f"runner-{self._runner_lives}"
 
     async def _start_runner(self, name: str) -> tuple[Process, int]:
-        born = time.time_ns() // 1_000_000
+        started = time.time_ns() // 1_000_000
         process = Process(
             "knapweedrail.soak.runners",
             *("--name", name, "--runs", str(self._folder / f"{name}.runs")),
             *("--seed", str(self._seed + self._runner_lives)),
-            *("--born", str(born)),
+            *("--started", str(started)),
         )
         self._processes.append(process)
         process.start()
         await anyio.to_thread.run_sync(process.wait_ready)
-        return process, born
+        return process, started
 
     def list_runner(
-        self, runner: RunnerHost, state: RunnerState, born: int | None = None
+        self, runner: RunnerHost, state: RunnerState, started: int | None = None
     ) -> None:
         """Write a runner's entry in the store.
 
         Args:
-            born: Start of the life that writes, if it isn't the present one.
+            started: Start of the life that writes, if it isn't the present one.
         """
         spec = self._make_entry(runner, state)
-        spec[names.STARTED] = born or runner.born
+        spec[names.STARTED] = started or runner.started
         self.store.put(names.RUNNERS_KIND, runner.name, spec)
 
     def spoil_entry(self, runner: RunnerHost, rng: random.Random) -> None:
@@ -264,7 +264,7 @@
             slots=RUNNER_SLOTS,
             state=state,
         )
-        return encode_runner(entry) | {names.STARTED: runner.born}
+        return encode_runner(entry) | {names.STARTED: runner.started}
 
     def end_runner(self, runner: RunnerHost) -> None:
         """End a runner at once; its entry goes as the platform sees it silent."""
--- a/knapweedrail/tests/test_soak.py
+++ b/knapweedrail/tests/test_soak.py
@@ -118,7 +118,7 @@
         (
             "once",
             [WHOLE],
-            {"ran": [attrs.evolve(RUN, born=1), attrs.evolve(RUN, born=2)]},
+            {"ran": [attrs.evolve(RUN, started=1), attrs.evolve(RUN, started=2)]},
         ),
         (
             "refusal",
