Go on with a stalled stream that no other runner takes

Cause: after a silence of STALL_SECONDS a relay ended the run of a resumable stream before it knew whether another runner takes it.

Ruled out: waiting longer at the first runner only: it hides a dark runner for longer and leaves the loss where it is.

Change: the run is kept for 0.3 s while another runner is asked, and ended as soon as that one has begun; if none takes it, what the first one still sends is passed on.

--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
+import attrs
 
 from ..events import Event, log_event
 from .calls import Answered, Call, Failed, Failure
@@ -43,20 +45,73 @@
 """Status by which a runner says that the request is meant for another one."""
 
 
+@attrs.frozen
+class StalledStream:
+    """A run whose stream is silent for long, and may go on yet.
+
+    Attributes:
+        splitter: Has the part of an event that came last.
+    """
+
+    connection: RunnerConnection
+    answer: RunnerAnswer
+    splitter: EventSplitter
+
+
 class Attempt:
     """One runner's turn.
 
     Args:
         call: The request.
         view: The runner.
+        take_over: Called when this runner has begun a stream, before the caller gets
+            any of it.
     """
 
-    def __init__(self, call: Call, view: RunnerView) -> None:
+    def __init__(
+        self,
+        call: Call,
+        view: RunnerView,
+        take_over: Callable[[], Awaitable[None]],
+    ) -> None:
         self._call = call
         self._view = view
+        self._take_over = take_over
         self._life = view.life
         self._unread = False
         self._ran_before = call.may_have_run
+        self._stalled: StalledStream | None = None
+
+    @property
+    def stalled(self) -> bool:
+        """Whether it failed by a silence, and its run may go on; `close` ends it."""
+        return self._stalled is not None
+
+    async def resume(self) -> Answered | Failed:
+        """Pass on what the runner of a stalled stream still sends."""
+        stalled, self._stalled = self._stalled, None
+        assert stalled is not None
+        connection, splitter = stalled.connection, stalled.splitter
+        kept = False
+        try:
+            with anyio.move_on_after(self._call.measure_left()):
+                chunks = connection.receive_body()
+                data = await self._receive_events(chunks, splitter)
+                outcome, kept = await self._relay_stream(
+                    connection, stalled.answer, chunks, splitter, data
+                )
+                return outcome
+            return Failed(Failure.SILENT, "the stream took too long")
+        except ConnectionFailed as error:
+            return self._fail(error)
+        finally:
+            await self._end(connection, kept)
+
+    async def close(self) -> None:
+        """End the run of a stalled stream."""
+        stalled, self._stalled = self._stalled, None
+        if stalled is not None:
+            await self._end(stalled.connection, kept=False)
 
     async def run(self) -> Answered | Failed:
         """Send the request and pass on what the runner answers."""
@@ -82,17 +137,28 @@
             outcome, kept = await self._converse(connection)
             return outcome
         except ConnectionFailed as error:
-            if not (error.silent and services.pressure.is_late(time.monotonic())):
-                self._note_connection(error)
-                self._note_failure(certain=not error.sent)
-            failure = Failure.BROKEN if error.sent else Failure.NOT_SENT
-            return Failed(failure, f"{error.step}: {error.detail}")
+            return self._fail(error)
         finally:
             self._note_begun()
-            services.runners.note_ended(self._view)
-            if connection is not None and not kept:
-                with anyio.CancelScope(shield=True):
-                    await services.pool.drop(self._life, connection)
+            if not self.stalled:
+                await self._end(connection, kept)
+
+    def _fail(self, error: ConnectionFailed) -> Failed:
+        """Take in that the connection failed."""
+        late = self._call.services.pressure.is_late(time.monotonic())
+        if not (error.silent and late):
+            self._note_connection(error)
+            self._note_failure(certain=not error.sent)
+        failure = Failure.BROKEN if error.sent else Failure.NOT_SENT
+        return Failed(failure, f"{error.step}: {error.detail}")
+
+    async def _end(self, connection: RunnerConnection | None, kept: bool) -> None:
+        """End the runner's turn; it stops its work if the connection isn't kept."""
+        services = self._call.services
+        services.runners.note_ended(self._view)
+        if connection is not None and not kept:
+            with anyio.CancelScope(shield=True):
+                await services.pool.drop(self._life, connection)
 
     async def _converse(
         self, connection: RunnerConnection
@@ -136,6 +202,7 @@
             self._note_failure(certain=False)
             return Failed(Failure.SILENT, "the answer's body took too long"), False
         self._note_good(began_at)
+        await self._take_over()
         return await self._relay_stream(connection, answer, chunks, splitter, first)
 
     def _note_wait(self, began_at: float) -> None:
@@ -258,6 +325,7 @@
                     data = await self._receive_events(chunks, splitter)
                 if silence.cancelled_caught:
                     self._note_failure(certain=False)
+                    self._stalled = StalledStream(connection, answer, splitter)
                     return Failed(Failure.SILENT, "the stream stalled"), False
             await self._send_part(answer, splitter.rest)
             kept = self._keep(connection, answer)
--- a/knapweedrail/relay/exchanges.py
+++ b/knapweedrail/relay/exchanges.py
@@ -6,6 +6,8 @@
 import time
 from dataclasses import dataclass
 
+import anyio
+
 from ..events import Event, log_event
 from ..outcomes import Ran, Refusal, RefusalKind
 from .attempts import Attempt
@@ -16,6 +18,11 @@
 from .selection import choose_runner
 from .views import RunnerView
 
+HANDOVER_SECONDS = 0.3
+"""How long the run of a stalled stream is kept while another runner is asked to go on
+with it: one that is full says so within some milliseconds. Runs of one request may
+overlap for 0.4 s, of which a host's way to the runner takes a part."""
+
 MAX_CONNECTS = 4
 """Runners tried that take no connection. Nothing has run there, so only the caller's
 time is spent."""
@@ -48,6 +55,7 @@
         self._call = call
         self._reservation = reservation
         self._tried: set[RunnerLife] = set()
+        self._stalled: Attempt | None = None
 
     @property
     def route(self) -> Route:
@@ -60,6 +68,7 @@
             return await self._run()
         finally:
             self._reservation.settle(self.count_tokens())
+            await self._end_stalled()
 
     def cut_off(self) -> Broken | Refusal:
         """Return the final answer to a request that this process ends too soon for."""
@@ -89,8 +98,8 @@
         while True:
             view = self._choose()
             if view is None:
-                return self._give_up(last)
-            outcome = await Attempt(self._call, view).run()
+                return await self._go_on(last) or self._give_up(last)
+            outcome = await self._attempt(view)
             if not isinstance(outcome, Failed):
                 return outcome
             self._tried.add(view.life)
@@ -99,9 +108,52 @@
             if outcome.failure is Failure.NOT_SENT:
                 connects += 1
                 if connects >= MAX_CONNECTS:
-                    return self._give_up(last)
+                    return await self._go_on(last) or self._give_up(last)
             elif not self._may_repeat(outcome):
-                return await self._end(last, outcome)
+                return await self._go_on(last) or await self._end(last, outcome)
+
+    async def _attempt(self, view: RunnerView) -> Answered | Failed:
+        """Give a runner its turn."""
+        attempt = Attempt(self._call, view, self._end_stalled)
+        if self._stalled is None:
+            outcome = await attempt.run()
+        else:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._end_stalled_soon)
+                outcome = await attempt.run()
+                group.cancel_scope.cancel()
+        if attempt.stalled:
+            await self._end_stalled()
+            self._stalled = attempt
+        return outcome
+
+    async def _end_stalled_soon(self) -> None:
+        await anyio.sleep(HANDOVER_SECONDS)
+        await self._end_stalled()
+
+    async def _end_stalled(self) -> None:
+        """End a run whose stream has stalled, if there is one."""
+        stalled, self._stalled = self._stalled, None
+        if stalled is not None:
+            await stalled.close()
+
+    async def _go_on(self, last: Failed | None) -> Answered | Broken | None:
+        """Wait for a stalled stream after all, if its run is still there.
+
+        What goes wrong otherwise: a runner pauses to make room for more urgent work,
+        all others are full, and the caller is left with half an answer of which the
+        rest was about to come.
+        """
+        while self._stalled is not None:
+            stalled, self._stalled = self._stalled, None
+            outcome = await stalled.resume()
+            if isinstance(outcome, Answered):
+                return outcome
+            last = _choose_worse(last, outcome)
+            if not stalled.stalled:
+                return Broken(last.detail)
+            self._stalled = stalled
+        return None
 
     def _refuse_cut_off(self) -> Refusal | None:
         """Refuse what runs only in data centres that can't be reached from here."""
--- a/knapweedrail/tests/test_relay_streams.py
+++ b/knapweedrail/tests/test_relay_streams.py
@@ -80,3 +80,37 @@
         answer = await relay.call()
     assert answer.body == make_event(1) + make_event(2)
     assert answer.whole
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("thinks", [0.05, 1.0])
+async def test_the_runs_of_a_stalled_stream_hardly_overlap(thinks):
+    """A runner pauses, and another one goes on with its stream, at once or after some
+    thought. Worked on by both, the request would take two places, and its caller might
+    pay for it twice."""
+    ended = []
+
+    async def respond(stream, head):
+        if find_header(head, "last-event-id"):
+            asked_at = anyio.current_time()
+            await anyio.sleep(thinks)
+            await stream.send(make_stream_head(head) + make_chunk(make_event(2)))
+            with anyio.fail_after(2.0):
+                while not ended:
+                    await anyio.sleep(0.01)
+            assert ended[0] - asked_at < 0.4
+            await stream.send(make_chunk(make_event(3)) + make_chunk(b""))
+            return True
+        await stream.send(make_stream_head(head) + make_chunk(make_event(1)))
+        try:
+            await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            ended.append(anyio.current_time())
+        return False
+
+    route = make_route(Repetition.STREAM, resumable=True)
+    runners = ScriptedRunner(respond), ScriptedRunner(respond)
+    async with run_relay(make_configuration(route), *runners) as relay:
+        answer = await relay.call(knapweedrail_deadline_ms="6000")
+    assert answer.body == make_event(1) + make_event(2) + make_event(3)
+    assert answer.whole
