--- a/knapweedrail/platform/store.py
+++ b/knapweedrail/platform/store.py
@@ -61,8 +61,8 @@
             ),
             timeout=_limit(ANSWER_SECONDS),
             trust_env=False,
-            # The store speaks plain HTTP; reading the certificates of public
-            # authorities took a sixth of the time from the start to the first answer.
+            # The store speaks plain HTTP, and reading the certificates of public
+            # authorities would make each start longer.
             verify=False,
         )
 
--- a/knapweedrail/relay/accounts.py
+++ b/knapweedrail/relay/accounts.py
@@ -101,7 +101,9 @@
         Args:
             keepers: Number of relays that keep an account.
             keeps: Whether this one does.
-            starting: Whether it has seen too little traffic to know the demand.
+            starting: Whether it has seen too little traffic to know the demand. In the
+                middle of a day it holds nothing ahead for that: others do, and what a
+                host holds that dies again soon would be lost for nobody.
             recent: Age up to which the ledger's last view will do, seconds. While
                 requests wait for tokens, an older one is written again unchanged: the
                 condition fails if others gave tokens back, and brings what is there.
@@ -122,7 +124,7 @@
             free=prepaid - entry.committed,
             held=entry.count_held(but=self.holder),
             keepers=max(1, keepers),
-            starting=starting,
+            starting=starting and not entry.surely_used,
         )
         if keeps:
             change = plan_change(budget, self.allowance.position, demand, now)
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -316,8 +316,8 @@
             while data:
                 await self._send_part(answer, data)
                 if not self._may_go_elsewhere():
-                    # The time that is left bounds it already; another bound for each
-                    # event took a seventh of the time that passing streams on did.
+                    # The time that is left bounds it already, and a bound for each
+                    # event is dear where streams are most of the work.
                     data = await self._receive_events(chunks, splitter)
                     continue
                 data = b""
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -279,8 +279,8 @@
     async def _tell_waiting(self) -> None:
         """Tell other relays of suspects, those of one crash at a time.
 
-        It waits to be woken: a look ten times a second took some 7 % of what an idle
-        relay costs (share of the time outside of waiting, in a profile of 15 s).
+        It waits to be woken, as looks at a clock's pace are a part of what an idle
+        relay costs.
         """
         while True:
             if not self._told:
--- a/knapweedrail/relay/draws.py
+++ b/knapweedrail/relay/draws.py
@@ -56,9 +56,7 @@
 PEEK_SECONDS = 0.5
 """Age of a view of the ledger from which on it is looked at before it is written. The
 relays of three or four data centres write an account, so one that wrote last seconds
-ago often meets another's write, at two calls instead of one and a tenth: two in five
-of the changes planned in calm (9 and 89 relays alike), one in five on days of faults.
-"""
+ago often meets another's write, at two calls instead of one and a tenth."""
 
 RECENT_SECONDS = 1.5
 """How old a view of the ledger may be to refuse by it without looking again."""
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -284,8 +284,8 @@
             measures.first_byte.record(first - began_at, {"route": route})
         pause = call.delivery.longest_pause
         if pause is not None:
-            # Once a stream: recorded for each of its parts, it took a fifth of the
-            # processor time that passing streams on did.
+            # Once a stream, as recording each of its parts would cost more than
+            # passing it on.
             measures.gaps.record(pause, {"route": route})
         if not isinstance(outcome, Answered):
             return
--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -11,21 +11,18 @@
 
 HOLD_SECONDS = 20.0
 """How long relays that can't reach the store serve out of what they hold, while much is
-left: twice as long as most cuts, as demand may double while one lasts. At 14 s the
-largest account of a calm day ran out six seconds into its first cut."""
+left: twice as long as most cuts, as demand may double while one lasts."""
 
 HOLD_SHARE = 0.4
 """Part of what is left of a budget that all keepers together may hold. What is held is
 lost when its relay dies, so as a budget runs low less of it may be at risk. Each keeper
 may have an even share, and beyond it what the others leave: callers of an account may
-all come to one data centre, and with even shares only, that one had to refuse a third
-of them in a cut while the others held tokens that nobody asked for."""
+all come to one data centre while nobody asks the others for tokens."""
 
 HOLD_REQUESTS = 2.0
 """Largest requests that all keepers together hold beyond that, as demand comes by
-chance. Relays lend tokens to each other, so one margin serves all of them; with a
-margin at each of nine relays, a seventh of all prepaid tokens was lost when all lost
-power."""
+chance. Relays lend tokens to each other, so one margin serves all of them; a margin at
+each would be lost with each when all lose power."""
 
 START_SHARE = 0.08
 """Part of what was prepaid that all keepers together hold before they know the demand:
@@ -41,8 +38,7 @@
 
 RETURN_FACTOR = 1.4
 """How many times the target must be held before tokens go back. Demand comes in
-bursts; without it, each relay keeps what its highest one called for, and on a day
-with kills of all relays at once twice what was needed was lost with them."""
+bursts, and without it each relay keeps what its highest one called for."""
 
 RETURN_SHARE = 0.004
 """Part of what was prepaid that must be too much at least: less isn't worth a write."""
@@ -54,8 +50,7 @@
 
 STEADY_REQUESTS = 3.0
 """Largest requests that must have come within the memory of the demand before a relay
-borrows ahead. With one request in eight seconds a rate says nothing, and borrowing
-three seconds of it took four requests' tokens for each one."""
+borrows ahead. With one request in that time a rate says nothing."""
 
 IDLE_SECONDS = 1.0
 """Time without a request of an account after which all that was borrowed goes back."""
--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -32,8 +32,8 @@
 
 JITTER = (0.7, 1.3)
 """Bounds of what pauses are multiplied by, drawn each time. Relays start together; with
-equal pauses the keepers of an account looked at the same moments ever after, and two in
-five of their writes met another one's and were made again."""
+equal pauses the keepers of an account would look at the same moments ever after, and
+their writes would meet."""
 
 WAIT_SECONDS = 0.5
 """How long a request waits for tokens: a hundred answers of the store, or two relays
--- a/knapweedrail/relay/members.py
+++ b/knapweedrail/relay/members.py
@@ -148,8 +148,7 @@
         """Return whether this relay draws on the ledger for its data centre.
 
         Remembered until the next list: it is asked once a second for each account, and
-        ranking the relays each time was an eighth of what an idle relay costs (24 of
-        them, 12 accounts; 22 of 170 ms outside of waiting, in a profile of 15 s).
+        ranking the relays each time is a large part of what an idle relay costs.
         """
         if not self.settled:
             return False
--- a/knapweedrail/relay/options.py
+++ b/knapweedrail/relay/options.py
@@ -18,7 +18,7 @@
 """Part of the time in which a leaving runner must stop getting work that a relay waits
 after a change of the list before it asks for the next ones. While the runners of an
 endpoint are replaced one after the other, each change would cost a call of every
-relay. What it saves is not measured by itself."""
+relay."""
 
 MOST_MILLISECONDS = 3_600_000
 
--- a/knapweedrail/relay/patience.py
+++ b/knapweedrail/relay/patience.py
@@ -14,10 +14,7 @@
 PATIENCE_FACTOR = 0.4
 """How many times a route's objective prompts may wait at every runner before the relay
 sends no more there. Reading a prompt takes half of the objective at the median, so what
-comes behind a longer wait is surely late, and all that come after it as well. Worth of
-two overloaded days, one each of two deployments, by this factor: without a bound 0.18
-and 0.26; with every wait that was seen counted 1.0: 0.32 and 0.31, 0.6: 0.36 and 0.32,
-0.4: 0.46 and 0.40, 0.25: 0.40 and 0.42; as waits are counted now 0.4: 0.40 and 0.34."""
+comes behind a longer wait is surely late, and all that come after it as well."""
 
 RETURN_SPREAD = (1.0, 1.5)
 """Bounds of what the wait is multiplied by to say when to come back: as long as the
--- a/knapweedrail/relay/pressure.py
+++ b/knapweedrail/relay/pressure.py
@@ -9,15 +9,14 @@
 import random
 
 TICK_SECONDS = 0.1
-"""Pause between two measurements of the event loop's delay. What ten a second cost is
-not measured by itself."""
+"""Pause between two measurements of the event loop's delay."""
 
 MOST_SECONDS = 0.5
 """Bound on one measurement; all that matters is that it is far too long."""
 
 STILL_SECONDS = 2.0
 """A longer delay is taken for a process that stood still, which says nothing of its
-load. Chosen, not measured."""
+load."""
 
 QUICK_SECONDS = 0.15
 SLOW_SECONDS = 1.0
@@ -72,15 +71,12 @@
     The load it is for: the balancer spreads callers by a hash, so one small host may
     get ten times the requests of the next. Connections to sound runners then look timed
     out, all of them are given up one after another, and every caller there is refused
-    while other hosts are idle. The loop's limits are chosen; no load that was played
-    made it late for long. A host that
-    says early that it has enough keeps what it has in time, and the others' callers
-    don't notice the rest.
+    while other hosts are idle. A host that says early that it has enough keeps what it
+    has in time, and the others' callers don't notice the rest.
 
     The link shows it by the time that connections to runners take: their first packets
-    wait behind all else that goes out. A host that was sent 70 prompts of 9 KB a second
-    kept its callers for ten seconds and more, with its processor at a fifth, and gave
-    up one sound runner after the other; a full link is what that is put down to.
+    wait behind all else that goes out. Such a host would give up one sound runner after
+    the other, with its processor nearly idle.
     """
 
     def __init__(self) -> None:
--- a/knapweedrail/relay/shutdowns.py
+++ b/knapweedrail/relay/shutdowns.py
@@ -37,8 +37,8 @@
 right after a start the slow ones are those that haven't ended yet."""
 
 LEAST_ANSWERS = 16
-"""Answers from which on a route is judged by them alone. Chosen: of so many, one is
-slower than nineteen in twenty."""
+"""Answers from which on a route is judged by them alone: of so many, one is slower than
+nineteen in twenty."""
 
 KEPT_ANSWERS = 64
 """Answers by which a route is judged: at a few requests a second and host, the last
--- a/knapweedrail/tools/relay.py
+++ b/knapweedrail/tools/relay.py
@@ -76,8 +76,7 @@
     # once; a closed door costs each caller its attempt, while one that waits in the
     # listener's queue for the half second of imports is answered.
     # What they make stays for the life of the process. Looking for garbage among it
-    # took 0.04 of 0.74 s of a start's processor time (medians of 20 in turn), and each
-    # full collection later, which all streams wait for, 28 ms.
+    # would make each start longer, and all streams wait for each full collection.
     gc.disable()
     from .service import run_relay
 
