--- a/knapweedrail/tests/test_relay_recovery.py
+++ b/knapweedrail/tests/test_relay_recovery.py
@@ -63,7 +63,7 @@
         )
         self.holdings = None
 
-    async def start(self, group, clock=None):
+    async def start(self, group, clock=None, knows_demand=True):
         self.lives += 1
         self.clock = clock or self.clock.restart()
         member = Member(self.name, f"{self.name}/{self.lives}", "", f"dc-{self.name}")
@@ -76,7 +76,8 @@
             lambda: self.configuration,
             clock=self.clock,
         )
-        self.holdings._draws.first_request_at = float("-inf")
+        if knows_demand:
+            self.holdings._draws.first_request_at = float("-inf")
         await self.holdings.start(group)
 
     async def kill(self):
@@ -298,3 +299,26 @@
         assert used <= PREPAID - granted
 
     await run_hosts(1, scenario)
+
+
+async def test_a_relay_that_starts_in_the_middle_of_a_day_holds_nothing_ahead():
+    """Hosts die in series. What each holds of every account before anybody has asked
+    there would be lost at each death, to the end of the day."""
+
+    async def scenario(group, store, hosts):
+        first, second = hosts
+        for _ in range(4):
+            assert isinstance(await first.use(1000), Reservation)
+        first.clock.advance(2_000)
+        await first.kill()
+        await first.start(group)
+        assert isinstance(await first.use(1000), Reservation)
+        before = read_ledger(store).used
+        for _ in range(3):
+            await second.kill()
+            await second.start(group, knows_demand=False)
+            await anyio.sleep(0.1)
+        lost = read_ledger(store).used - before
+        assert lost <= 0.05 * PREPAID
+
+    await run_hosts(2, scenario)
