--- a/knapweedrail/relay/accounts.py
+++ b/knapweedrail/relay/accounts.py
@@ -53,6 +53,7 @@
             the account.
         doubtful: Hosts whose answer to a trade was lost; they may have lent.
         given_out: Tokens that it had given out when its grant was last written.
+        fresh: Whether nothing of the account was used when its ledger was first seen.
     """
 
     name: str
@@ -66,6 +67,7 @@
     drawing: int = 0
     doubtful: set[str] = attrs.field(factory=set)
     given_out: int = 0
+    fresh: bool = True
 
     @property
     def holder(self) -> str:
@@ -82,6 +84,8 @@
 
     def learn(self, entry: AccountLedger, revision: int, now: float) -> None:
         """Take over the ledger as it is stored."""
+        if self.revision is None:
+            self.fresh = not entry.surely_used
         self.entry = entry
         self.revision = revision
         self.seen_at = now
@@ -129,7 +133,7 @@
             free=prepaid - entry.committed,
             held=entry.count_held(but=self.holder),
             keepers=max(1, keepers),
-            starting=starting and not entry.surely_used,
+            starting=starting and self.fresh,
         )
         if keeps:
             change = plan_change(budget, self.allowance.position, demand, now)
--- a/knapweedrail/relay/boots.py
+++ b/knapweedrail/relay/boots.py
@@ -8,7 +8,10 @@
 from .openings import Boot, Moment
 
 _IDENTITY = pathlib.Path("/proc/sys/kernel/random/boot_id")
-_MILLISECONDS = 1000
+_IDENTITY_LENGTH = 12
+"""Hexadecimal digits that are kept of a boot's name: enough to tell the boots of one
+host apart, in a ledger that holds one for each holder."""
+
 _NANOSECONDS = 1_000_000
 
 
@@ -41,6 +44,6 @@
 def _read_identity() -> str:
     """Return what the system names this boot by; empty where it has no name for it."""
     try:
-        return _IDENTITY.read_text().strip()
+        return _IDENTITY.read_text().strip().replace("-", "")[:_IDENTITY_LENGTH]
     except OSError:
         return ""
--- a/knapweedrail/tests/test_relay_recovery.py
+++ b/knapweedrail/tests/test_relay_recovery.py
@@ -255,6 +255,28 @@
     await run_hosts(1, scenario)
 
 
+async def test_others_callers_take_nothing_from_a_start_at_the_beginning_of_a_day():
+    """A day begins, and an account is asked for at one host first. At the others its
+    first callers may meet a cut, and find what was held for them all the same."""
+
+    async def scenario(group, store, hosts):
+        first, second = hosts
+        await second.kill()
+        await second.start(group, knows_demand=False)
+        await anyio.sleep(0.1)
+        for _ in range(8):
+            assert isinstance(await first.use(1000), Reservation)
+        await anyio.sleep(1.5)
+        assert read_ledger(store).surely_used
+        assert isinstance(await second.use(10), Reservation)
+        second.holdings._draws.refresh_soon(second.holdings._get(ACCOUNT))
+        await anyio.sleep(1.5)
+        store.away = True
+        assert isinstance(await second.use(2000), Reservation)
+
+    await run_hosts(2, scenario)
+
+
 async def test_an_account_that_nobody_asks_for_costs_no_writes(monkeypatch):
     """Hundreds of thousands of accounts are quiet at any time, and each keeper looks at
     all of its own once a second. Were their grants written anew as they open, the store
