Stop a series of soaks also where the interpreter drops the stop

Cause, from its standard error: the signal came in a callback of a weak reference, while modules were read. What a handler raises there is printed and dropped, so the series went on to its end.

Change: the signal is noted as well, and the series ends after the seed that runs. Test: test_a_stop_that_the_interpreter_swallows_still_ends_a_series failed before.

--- a/knapweedrail/tests/test_soak.py
+++ b/knapweedrail/tests/test_soak.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+import weakref
 
 import attrs
 import pytest
@@ -15,6 +16,7 @@
 from ..soak.plots import classify, draw_run
 from ..soak.records import Disturbance, History, Kind, Ran, Sent, make_answer
 from ..soak.schedules import Step, draw_schedule
+from ..tools import soak as soak_tool
 from ..tools.soak import Plan, main, play, run_seed
 
 WHOLE = Sent(
@@ -285,6 +287,31 @@
     return True
 
 
+def test_a_stop_that_the_interpreter_swallows_still_ends_a_series(monkeypatch):
+    """Somebody stops a series of soaks just as the interpreter clears an object away.
+    It prints and drops what is raised there, and the series went on to its end."""
+    played = []
+
+    class Gone:
+        pass
+
+    def play_and_be_stopped(plan, keep, plot):
+        played.append(plan.seed)
+        gone = Gone()
+        reference = weakref.ref(gone, lambda _: os.kill(os.getpid(), signal.SIGTERM))
+        del gone
+        assert reference() is None
+        return []
+
+    monkeypatch.setattr(soak_tool, "run_seed", play_and_be_stopped)
+    before = signal.getsignal(signal.SIGTERM)
+    try:
+        assert main(["--seed", "1", "--count", "3"]) == 3
+    finally:
+        signal.signal(signal.SIGTERM, before)
+    assert played == [1]
+
+
 def test_a_soak_that_is_stopped_leaves_no_process_behind():
     """Somebody stops a series of soaks in the middle. Its relays and runners went on by
     themselves, and slowed down all that ran there afterwards."""
--- a/knapweedrail/tools/soak.py
+++ b/knapweedrail/tools/soak.py
@@ -193,12 +193,27 @@
     return parser
 
 
-def _stop(number: int, frame: object) -> None:
-    raise SystemExit(EXIT_STOPPED)
+class StopRequest:
+    """Whether this process was asked to stop.
 
+    What goes wrong with the exception alone: the interpreter prints and drops what is
+    raised while it clears an object away, and the series would go on to its end.
 
-def _play_seeds(arguments: argparse.Namespace) -> list[int]:
-    """Play all seeds; return those that broke a promise."""
+    Attributes:
+        asked: Whether the signal has come.
+    """
+
+    def __init__(self) -> None:
+        self.asked = False
+
+    def note(self, number: int, frame: object) -> None:
+        """Handle the signal."""
+        self.asked = True
+        raise SystemExit(EXIT_STOPPED)
+
+
+def _play_seeds(arguments: argparse.Namespace, stop: StopRequest) -> list[int]:
+    """Play all seeds, until asked to stop; return those that broke a promise."""
     first = arguments.seed
     if first is None:
         first = random.randrange(1_000_000)
@@ -217,6 +232,8 @@
             arguments.code,
         )
         findings = run_seed(plan, arguments.keep, arguments.plot)
+        if stop.asked:
+            break
         if findings:
             broken.append(seed)
             if arguments.shorten:
@@ -233,13 +250,16 @@
         parser.error("count, relays and runners are at least 1")
     # By default the signal would end this process at once, and leave its relays and
     # runners behind.
-    signal.signal(signal.SIGTERM, _stop)
-    broken: list[int] | None = None
+    stop = StopRequest()
+    signal.signal(signal.SIGTERM, stop.note)
+    broken: list[int] = []
     try:
-        broken = _play_seeds(arguments)
+        broken = _play_seeds(arguments, stop)
     except* SystemExit:
+        # Asked to stop, which is told below.
+        pass
+    if stop.asked:
         print("stopped", file=sys.stderr)
-    if broken is None:
         return EXIT_STOPPED
     print(f"{arguments.count} seeds, broken: {broken or 'none'}")
     return EXIT_BROKEN if broken else EXIT_KEPT
