Log how long a follower's call had waited, and how long nothing was heard

Cause: the incident's logs say that the store was away or back, not how long the call that found it had hung; that had to be worked out from other lines. Change: 201 and 202 of followers have waited and unheard, seconds; no change of logic. Verified: test_platform_store and test_relay_foreign pass.

--- a/knapweedrail/relay/followers.py
+++ b/knapweedrail/relay/followers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 from abc import abstractmethod
@@ -61,20 +62,23 @@
 
     async def run(self) -> None:
         while True:
+            began_at = time.monotonic()
             if self._revision is None:
                 outcome = await self._store.list_kind(self._kind)
             else:
                 outcome = await self._store.watch_kind(
                     self._kind, self._revision, self._watch_seconds
                 )
-            await self._handle(outcome)
+            await self._handle(outcome, time.monotonic() - began_at)
 
     async def _handle(
-        self, outcome: Listing | Changes | HistoryGone | Unavailable
+        self,
+        outcome: Listing | Changes | HistoryGone | Unavailable,
+        waited: float,
     ) -> None:
         match outcome:
             case Unavailable():
-                self._note_reach(False, outcome.detail)
+                self._note_reach(False, outcome.detail, waited)
                 await anyio.sleep(self._pause * (0.5 + random.random() / 2))
                 self._pause = min(LONGEST_PAUSE_SECONDS, 2 * self._pause)
                 return
@@ -91,18 +95,25 @@
                     else:
                         self.set(change.stored)
                 self._revision = outcome.revision
-        self._note_reach(True, "")
+        self._note_reach(True, "", waited)
         self.confirmed_at = time.monotonic()
         self.note_confirmed(self.confirmed_at)
         if isinstance(outcome, Changes) and outcome.changes:
             await anyio.sleep(self._batch_seconds)
 
-    def _note_reach(self, reached: bool, detail: str) -> None:
+    def _note_reach(self, reached: bool, detail: str, waited: float) -> None:
         if reached:
             self._pause = FIRST_PAUSE_SECONDS
         if reached != self._reachable:
             event = Event.PLATFORM_BACK if reached else Event.PLATFORM_AWAY
-            log_event(event, step=self.name, detail=detail)
+            unheard = time.monotonic() - self.confirmed_at
+            log_event(
+                event,
+                step=self.name,
+                detail=detail,
+                waited=round(waited, 3),
+                unheard=round(unheard, 3) if math.isfinite(unheard) else None,
+            )
         self._reachable = reached
 
     def note_confirmed(self, now: float) -> None:
