--- a/knapweedrail/platform/relays.py
+++ b/knapweedrail/platform/relays.py
@@ -11,6 +11,7 @@
 from ..relay.measures import CountedStore, RelayMeasures
 from ..relay.options import RelaySettings
 from ..relay.runners import RunnerTable
+from ..relay.stores import Store
 from . import names
 from .decoding import decode_configuration, decode_runner
 from .requests import PlatformCodec
@@ -31,6 +32,24 @@
     measures = RelayMeasures()
     malformed = MalformedObjects(measures.count_malformed)
     store = CountedStore(PlatformStore(settings.store_address), measures)
+    configuration, runners = make_followers(settings, store, malformed)
+    return Relay(
+        settings,
+        listener,
+        store,
+        configuration,
+        runners,
+        PlatformCodec(),
+        measures,
+        malformed,
+        count_left_out,
+    )
+
+
+def make_followers(
+    settings: RelaySettings, store: Store, malformed: MalformedObjects
+) -> tuple[ConfigurationFollower, RunnerFollower]:
+    """Return what follows the configuration, and what follows the list of runners."""
     configuration = ConfigurationFollower(
         store,
         names.CONFIGURATION_KIND,
@@ -48,14 +67,4 @@
         settings.batch_seconds,
         malformed,
     )
-    return Relay(
-        settings,
-        listener,
-        store,
-        configuration,
-        runners,
-        PlatformCodec(),
-        measures,
-        malformed,
-        count_left_out,
-    )
+    return configuration, runners
--- a/knapweedrail/standins/objects.py
+++ b/knapweedrail/standins/objects.py
@@ -71,6 +71,7 @@
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
         self._oldest = 0
         self._changed = anyio.Event()
+        self._losses = 0
         self.app = Starlette(
             routes=[
                 Route("/objects/{kind}", self._list, methods=["GET"]),
@@ -109,6 +110,10 @@
         self._events.clear()
         self._tell()
 
+    def lose_waiting(self) -> None:
+        """Never answer the watches that wait now."""
+        self._losses += 1
+
     def _note(self, kind: str, entry: _Entry, removed: bool) -> None:
         self._events.append((self.revision, kind, entry.render(), removed))
         self._tell()
@@ -148,9 +153,12 @@
     async def _watch(self, kind: str, request: Request) -> Response:
         since = int(request.query_params["watch"])
         wait = int(request.query_params.get("waitMs", "0")) / MILLISECONDS
+        losses = self._losses
         with anyio.move_on_after(wait):
             while since >= self._oldest and not self._find_events(kind, since):
                 await self._changed.wait()
+        if losses != self._losses:
+            await anyio.sleep_forever()
         if since < self._oldest:
             return _answer(410, {})
         events = self._find_events(kind, since)
