Notice within the time to be in touch that the store lost a call

Cause: the wait of a watch was the time to be in touch plus the bound on configurations less a second, 4 s, and 0.7 s for the answer. A watch that the store took while it was away is never answered, so a relay heard nothing for 4.7 s after the outage, and up to 1 s more by pauses. The two times don't add up: what was acknowledged at once after the outage must be known at its end plus the time to be in touch (3 s). The same held for silent connections, as the next call took another one that was silent too. Change: a watch on the configuration lasts 2.1 s (3.1 s where 4 s are given), its answer 0.35 s more. While the store is away one stale read for both followers, a tenth of a call, finds out that it is back; calls that wait then are given up, so the list of runners is read anew at once as well. The time for a whole answer is bounded. The kernel ends silent connections to the store as it does those to runners, and a client whose answer is overdue is replaced, as its other connections may be silent too. New configurations that come in quick succession are fetched together, at most half a second apart.

--- a/knapweedrail/platform/relays.py
+++ b/knapweedrail/platform/relays.py
@@ -9,7 +9,9 @@
 from ..relay.followers import ConfigurationFollower, RunnerFollower
 from ..relay.malformed import MalformedObjects
 from ..relay.measures import CountedStore, RelayMeasures
+from ..relay.members import MEMBER_KIND
 from ..relay.options import RelaySettings
+from ..relay.reach import StoreReach
 from ..relay.runners import RunnerTable
 from ..relay.stores import Store
 from . import names
@@ -50,21 +52,25 @@
     settings: RelaySettings, store: Store, malformed: MalformedObjects
 ) -> tuple[ConfigurationFollower, RunnerFollower]:
     """Return what follows the configuration, and what follows the list of runners."""
+    reach = StoreReach(store, MEMBER_KIND, settings.host)
     configuration = ConfigurationFollower(
         store,
         names.CONFIGURATION_KIND,
-        settings.watch_seconds,
+        settings.configuration_watch_seconds,
         decode_configuration,
         names.CONFIGURATION_NAME,
+        settings.configuration_batch_seconds,
         malformed,
+        reach,
     )
     runners = RunnerFollower(
         store,
         names.RUNNERS_KIND,
-        settings.watch_seconds,
+        settings.runner_watch_seconds,
         decode_runner,
         RunnerTable(DOUBT_SECONDS),
-        settings.batch_seconds,
+        settings.runner_batch_seconds,
         malformed,
+        reach,
     )
     return configuration, runners
--- a/knapweedrail/platform/store.py
+++ b/knapweedrail/platform/store.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 from typing import Any
 
+import anyio
 import httpx
 import orjson
 
@@ -23,23 +24,15 @@
     WriteOutcome,
     Written,
 )
+from .clients import ANSWER_SECONDS, StoreClient, limit_steps
 from .pages import parse_page
 
-ANSWER_SECONDS = 1.0
-"""Longest wait for an answer that is due at once: the store answers in milliseconds,
-and a slow one in some hundreds."""
-
-CONNECT_SECONDS = 0.3
-"""Longest wait for a connection. The first packet that is lost is sent again only after
-a second, so a new try finds out sooner that a cut has ended."""
-
-WATCH_GRACE_SECONDS = 0.7
+WATCH_GRACE_SECONDS = 0.35
 """How much later than its own end a waiting watch may be answered."""
 
-MAX_CONNECTIONS = 8
-"""Connections to the store: a few waiting watches, and calls beside them."""
-
-KEEPALIVE_SECONDS = 60.0
+READ_SECONDS = 2.0
+"""Longest time for a whole answer that is due at once: a page of a megabyte takes 1.6 s
+over the smallest links."""
 
 STALE = {"allowStale": "1"}
 """Asks for data that may be seconds old, at a tenth of the price."""
@@ -54,21 +47,11 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._client = httpx.AsyncClient(
-            base_url=f"http://{address}",
-            limits=httpx.Limits(
-                max_connections=MAX_CONNECTIONS, keepalive_expiry=KEEPALIVE_SECONDS
-            ),
-            timeout=_limit(ANSWER_SECONDS),
-            trust_env=False,
-            # The store speaks plain HTTP, and reading the certificates of public
-            # authorities would make each start longer.
-            verify=False,
-        )
+        self._client = StoreClient(address)
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._client.aclose()
+        await self._client.retire()
 
     async def list_kind(self, kind: str, stale: bool = False) -> Listing | Unavailable:
         objects: list[StoredObject] = []
@@ -93,7 +76,7 @@
     ) -> Changes | HistoryGone | Unavailable:
         query = {"watch": str(revision), "waitMs": str(int(seconds * 1000))}
         limit = seconds + WATCH_GRACE_SECONDS
-        page = await self._read("watch", f"/objects/{kind}", query, limit)
+        page = await self._read("watch", f"/objects/{kind}", query, limit, limit)
         if page == httpx.codes.GONE:
             return HistoryGone()
         if not isinstance(page, dict):
@@ -129,7 +112,8 @@
     async def delete(self, kind: str, name: str) -> WriteOutcome:
         # Of a removal only the status says something: there is no object to decode.
         try:
-            answer = await self._client.delete(f"/objects/{kind}/{name}")
+            async with self._borrow_client() as client:
+                answer = await client.delete(f"/objects/{kind}/{name}")
         except httpx.HTTPError as error:
             return Unknown("store.delete", self._address, repr(error))
         if answer.status_code == httpx.codes.NOT_FOUND:
@@ -139,27 +123,42 @@
         return self._away("delete", answer.status_code)
 
     async def _read(
-        self, step: str, path: str, query: dict[str, str], seconds: float
-    ) -> dict[str, Any] | int | httpx.HTTPError | ValueError:
-        """Return the page read, the status of another answer, or what went wrong."""
+        self,
+        step: str,
+        path: str,
+        query: dict[str, str],
+        seconds: float,
+        in_all: float = READ_SECONDS,
+    ) -> dict[str, Any] | int | httpx.HTTPError | TimeoutError | ValueError:
+        """Return the page read, the status of another answer, or what went wrong.
+
+        Args:
+            seconds: Longest wait for each part of the answer.
+            in_all: Longest wait for the whole of it.
+        """
         try:
-            answer = await self._client.get(path, params=query, timeout=_limit(seconds))
+            async with self._borrow_client() as client:
+                with anyio.fail_after(in_all):
+                    answer = await client.get(
+                        path, params=query, timeout=limit_steps(seconds)
+                    )
             if answer.status_code != httpx.codes.OK:
                 return answer.status_code
             return parse_page(answer.content)
-        except (httpx.HTTPError, ValueError) as error:
+        except (httpx.HTTPError, TimeoutError, ValueError) as error:
             return error
 
     async def _write(
         self, step: str, method: str, path: str, body: dict[str, Any]
     ) -> WriteOutcome:
         try:
-            answer = await self._client.request(
-                method,
-                path,
-                content=orjson.dumps(body),
-                headers={"content-type": "application/json"},
-            )
+            async with self._borrow_client() as client:
+                answer = await client.request(
+                    method,
+                    path,
+                    content=orjson.dumps(body),
+                    headers={"content-type": "application/json"},
+                )
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             return self._away(step, error)
         except httpx.HTTPError as error:
@@ -182,6 +181,23 @@
                 return self._away(step, answer.status_code)
         return Unknown(f"store.{step}", self._address, str(answer.status_code))
 
+    @contextlib.asynccontextmanager
+    async def _borrow_client(self) -> AsyncIterator[httpx.AsyncClient]:
+        """Lend the client for one call, and replace it if an answer is overdue.
+
+        Its other connections may be as silent as that one, and each would cost the
+        next call as long a wait.
+        """
+        client = self._client
+        try:
+            async with client.borrow() as http:
+                yield http
+        except (httpx.ReadTimeout, httpx.WriteTimeout, TimeoutError):
+            if client is self._client:
+                self._client = StoreClient(self._address)
+                await client.retire()
+            raise
+
     def _away(self, step: str, reason: object) -> Unavailable:
         return Unavailable(f"store.{step}", self._address, repr(reason))
 
@@ -190,10 +206,6 @@
 """What an answer raises that isn't the store's; nothing is known of it then."""
 
 
-def _limit(seconds: float) -> httpx.Timeout:
-    return httpx.Timeout(seconds, connect=CONNECT_SECONDS)
-
-
 def _decode_named(items: list[dict[str, Any]]) -> Iterator[StoredObject]:
     """Yield the objects of a page; one without a name tells of nothing."""
     for item in items:
--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -21,6 +21,7 @@
 import attrs
 import h11
 
+from .keepalive import set_timeouts
 from .models import RunnerLife
 
 RECEIVE_BYTES = 65_536
@@ -30,17 +31,6 @@
 """Longest wait for a connection: a runner is a few milliseconds away at the most, and
 the first packet that is lost is sent again only after a second."""
 
-UNACKNOWLEDGED_MILLISECONDS = 1200
-"""How long written bytes may stay unacknowledged before the kernel gives the
-connection up; two repetitions of a lost packet fit in."""
-
-KEEPALIVE_SECONDS = 1
-"""Pause before and between the kernel's probes of a quiet connection."""
-
-KEEPALIVE_PROBES = 2
-"""Probes unanswered before the kernel ends the connection: a peer without power, or
-one whose path has lost track of the connection, is known within three seconds."""
-
 HEADER_BYTES = 65_536
 """Largest status line and headers that a runner may send."""
 
@@ -222,21 +212,6 @@
     return RunnerConnection(stream, address)
 
 
-def set_timeouts(raw: socket.socket) -> None:
-    """Let the kernel end a connection whose peer no longer acknowledges anything.
-
-    A peer without power, or behind a cut, answers nothing, and a connection that some
-    device on the path has forgotten looks like a quiet one: reads would wait for ever.
-    """
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    raw.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS
-    )
-
-
 NoteConnection = Callable[[float, float], None]
 """Takes the seconds that a connection took, and the time."""
 
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -179,7 +179,7 @@
             Event.ROUTER_STARTED,
             host=self._settings.host,
             data_centre=self._settings.data_centre,
-            watch_seconds=self._settings.watch_seconds,
+            watch_seconds=self._settings.configuration_watch_seconds,
         )
 
     async def close(self, asked_at: float) -> None:
--- a/knapweedrail/relay/followers.py
+++ b/knapweedrail/relay/followers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import random
 import time
 from abc import abstractmethod
 from collections.abc import Callable
@@ -16,16 +15,11 @@
 from .lives import Reading, StartTelling
 from .malformed import MalformedObjects
 from .models import UNKNOWN_START, Configuration, Runner
+from .reach import StoreReach
 from .routes import RouteTable
 from .runners import RunnerTable
 from .stores import Changes, HistoryGone, Listing, Store, StoredObject
 
-FIRST_PAUSE_SECONDS = 0.2
-LONGEST_PAUSE_SECONDS = 1.0
-"""Pauses between calls while the store is away, doubled each time. All relays call
-again when it returns; a second is soon enough for every bound that the operators set,
-and spreads their calls."""
-
 
 class Follower(Task):
     """Follows all objects of one kind by a list and waiting watches.
@@ -39,6 +33,7 @@
         watch_seconds: Length of one watch.
         batch_seconds: Pause after changes, so that the next ones come together.
         malformed: Told of objects that can't be used.
+        reach: Shared by all followers of a store.
     """
 
     def __init__(
@@ -48,9 +43,11 @@
         watch_seconds: float,
         batch_seconds: float = 0.0,
         malformed: MalformedObjects | None = None,
+        reach: StoreReach | None = None,
     ) -> None:
         super().__init__(f"follow {kind}")
         self._malformed = malformed or MalformedObjects()
+        self._reach = reach or StoreReach(store, kind, kind)
         self._batch_seconds = batch_seconds
         self.confirmed_at = float("-inf")
         self._store = store
@@ -58,18 +55,22 @@
         self._watch_seconds = watch_seconds
         self._revision: int | None = None
         self._reachable = True
-        self._pause = FIRST_PAUSE_SECONDS
 
     async def run(self) -> None:
         while True:
             began_at = time.monotonic()
-            if self._revision is None:
-                outcome = await self._store.list_kind(self._kind)
-            else:
-                outcome = await self._store.watch_kind(
-                    self._kind, self._revision, self._watch_seconds
-                )
-            await self._handle(outcome, time.monotonic() - began_at)
+            outcome = None
+            with self._reach.wait():
+                outcome = await self._ask()
+            if outcome is not None:
+                await self._handle(outcome, time.monotonic() - began_at)
+
+    async def _ask(self) -> Listing | Changes | HistoryGone | Unavailable:
+        if self._revision is None:
+            return await self._store.list_kind(self._kind)
+        return await self._store.watch_kind(
+            self._kind, self._revision, self._watch_seconds
+        )
 
     async def _handle(
         self,
@@ -79,8 +80,7 @@
         match outcome:
             case Unavailable():
                 self._note_reach(False, outcome.detail, waited)
-                await anyio.sleep(self._pause * (0.5 + random.random() / 2))
-                self._pause = min(LONGEST_PAUSE_SECONDS, 2 * self._pause)
+                await self._reach.find_back(waited)
                 return
             case HistoryGone():
                 log_event(Event.HISTORY_GONE, kind=self._kind)
@@ -96,19 +96,17 @@
                         self.set(change.stored)
                 self._revision = outcome.revision
         self._note_reach(True, "", waited)
+        self._reach.note_answer()
         self.confirmed_at = time.monotonic()
         self.note_confirmed(self.confirmed_at)
         if isinstance(outcome, Changes) and outcome.changes:
             await anyio.sleep(self._batch_seconds)
 
     def _note_reach(self, reached: bool, detail: str, waited: float) -> None:
-        if reached:
-            self._pause = FIRST_PAUSE_SECONDS
         if reached != self._reachable:
-            event = Event.PLATFORM_BACK if reached else Event.PLATFORM_AWAY
             unheard = time.monotonic() - self.confirmed_at
             log_event(
-                event,
+                Event.PLATFORM_BACK if reached else Event.PLATFORM_AWAY,
                 step=self.name,
                 detail=detail,
                 waited=round(waited, 3),
@@ -153,9 +151,11 @@
         watch_seconds: float,
         decode: Callable[[object], Configuration],
         name: str,
+        batch_seconds: float = 0.0,
         malformed: MalformedObjects | None = None,
+        reach: StoreReach | None = None,
     ) -> None:
-        super().__init__(store, kind, watch_seconds, malformed=malformed)
+        super().__init__(store, kind, watch_seconds, batch_seconds, malformed, reach)
         self.table: RouteTable | None = None
         self._decode = decode
         self._name = name
@@ -215,8 +215,9 @@
         table: RunnerTable,
         batch_seconds: float = 0.0,
         malformed: MalformedObjects | None = None,
+        reach: StoreReach | None = None,
     ) -> None:
-        super().__init__(store, kind, watch_seconds, batch_seconds, malformed)
+        super().__init__(store, kind, watch_seconds, batch_seconds, malformed, reach)
         self.table = table
         self._decode_runner = decode
         self._telling = StartTelling()
--- a/knapweedrail/relay/options.py
+++ b/knapweedrail/relay/options.py
@@ -14,11 +14,19 @@
 MARGIN_SECONDS = 1.0
 """Kept off every bound for the answer's way and a busy process."""
 
+CATCH_UP_SECONDS = 0.9
+"""Kept of the time until a relay is in touch again: for the answer to a watch that has
+ended, and where it is overdue for a pause and the calls that catch up."""
+
+LEAST_WATCH_SECONDS = 1.0
+"""Shortest wait of a watch. Where bounds leave less, as with less than 1.9 s to be in
+touch again, they aren't met after an outage."""
+
 BATCH_SHARE = 0.25
-"""Part of the time in which a leaving runner must stop getting work that a relay waits
-after a change of the list before it asks for the next ones. While the runners of an
-endpoint are replaced one after the other, each change would cost a call of every
-relay."""
+"""Part of the time in which a change must be obeyed that a relay waits after one before
+it asks for the next ones. While the runners of an endpoint are replaced one after the
+other, or configurations come in quick succession, each change would cost a call of
+every relay."""
 
 MOST_MILLISECONDS = 3_600_000
 
@@ -68,17 +76,34 @@
     retry_window_seconds: float = seconds("Window over which retries count.", 10.0)
 
     @property
-    def watch_seconds(self) -> float:
-        """Longest wait of one watch.
+    def configuration_watch_seconds(self) -> float:
+        """Longest wait of a watch on the configuration.
+
+        A watch that the store has lost is noticed at its end, and the store must have
+        answered the next one within `contact`: from then on the bounds hold again, also
+        for what was acknowledged in the meantime.
+        """
+        seconds = self.contact_milliseconds / 1000 - CATCH_UP_SECONDS
+        return max(LEAST_WATCH_SECONDS, seconds)
+
+    @property
+    def runner_watch_seconds(self) -> float:
+        """Longest wait of a watch on the list of runners.
 
-        A watch whose connection went silent is noticed at its end. By then the bounds
-        on leaving runners and new configurations count again after `contact`.
+        It is given up sooner when the watch on the configuration finds that the store
+        was away. A runner's leaving counts only if the store was well for `contact`, so
+        a single watch that is lost must be noticed by the end of both times.
         """
-        bound = min(self.leaving_milliseconds, self.configuration_milliseconds)
-        return max(1.0, (self.contact_milliseconds + bound) / 1000 - MARGIN_SECONDS)
+        bound = self.contact_milliseconds + self.leaving_milliseconds
+        return max(LEAST_WATCH_SECONDS, bound / 1000 - MARGIN_SECONDS)
+
+    @property
+    def configuration_batch_seconds(self) -> float:
+        """Pause after a new configuration before the next is asked for."""
+        return BATCH_SHARE * self.configuration_milliseconds / 1000
 
     @property
-    def batch_seconds(self) -> float:
+    def runner_batch_seconds(self) -> float:
         """Pause after a change of the list of runners before the next is asked for."""
         return BATCH_SHARE * self.leaving_milliseconds / 1000
 
--- a/knapweedrail/standins/objects.py
+++ b/knapweedrail/standins/objects.py
@@ -28,12 +28,14 @@
     Attributes:
         away: Whether it answers 503 to everything.
         silent: Whether it takes calls and answers none.
+        delay: Time that each call waits, seconds.
         lose_answers: Number of next writes that are done and answered with 500.
         refuse: Number of next calls that are answered with 429.
     """
 
     away: bool = False
     silent: bool = False
+    delay: float = 0.0
     lose_answers: int = 0
     refuse: int = 0
 
@@ -126,6 +128,8 @@
         self.calls += 1
         if self.misbehaviour.silent:
             await anyio.sleep_forever()
+        if self.misbehaviour.delay:
+            await anyio.sleep(self.misbehaviour.delay)
         if self.misbehaviour.away:
             return _answer(503, {})
         if self.misbehaviour.refuse:
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -65,6 +65,7 @@
         self.away = False
         self.writes = 0
         self.conflicts = 0
+        self.peeks = 0
         self.stale: dict[tuple[str, str], StoredObject] = {}
 
     async def list_kind(self, kind: str, stale: bool = False) -> Listing | Unavailable:
@@ -78,6 +79,7 @@
         return await self.list_kind(kind)
 
     async def peek(self, kind: str, name: str) -> Any:
+        self.peeks += 1
         if self.away:
             return Unavailable("peek", "store", "away")
         known = self.stale.get((kind, name)) or self.objects.get((kind, name))
--- a/knapweedrail/tests/test_relay_followers.py
+++ b/knapweedrail/tests/test_relay_followers.py
@@ -1,24 +1,31 @@
 """How soon a relay hears what the store acknowledged, after each way to lose it."""
 
 import contextlib
+import time
 
 import anyio
+import hypothesis
 import pytest
+from hypothesis import strategies
 
+from ..platform.clients import ANSWER_SECONDS
 from ..platform.relays import make_followers
-from ..platform.store import PlatformStore
+from ..platform.store import WATCH_GRACE_SECONDS, PlatformStore
 from ..relay.malformed import MalformedObjects
 from ..relay.options import RelaySettings
+from ..relay.reach import FIRST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS, StoreReach
+from ..relay.stores import Missing
 from ..servers import HttpServer, ServerLimits
 from ..standins.objects import ObjectStore
 from ..standins.proxy import Route
 from ..standins.sources import Sources
+from .relays_in_memory import MemoryStore
 
 pytestmark = pytest.mark.anyio
 
 BOUNDS = [(3000, 2000, 2000), (4000, 3000, 3000)]
-"""Milliseconds: from the end of a disturbance until bounds hold again, for a configuration
-to be in force, and for a leaving runner to get no more work."""
+"""Milliseconds: from the end of a disturbance until bounds hold again, for a
+configuration to be in force, and for a leaving runner to get no more work."""
 
 RUNNER = {
     "service": "e",
@@ -137,3 +144,77 @@
         followed.silence_connections()
         followed.write()
         await followed.check_caught_up()
+
+
+async def test_a_call_under_way_outlives_the_client_that_is_replaced():
+    """Guards against writes whose answers are dropped as another call is overdue."""
+    async with follow_store(*BOUNDS[0]) as followed:
+        outcomes = []
+
+        async def peek_late():
+            outcomes.append(await followed.client.peek("config", "nothing"))
+
+        followed.objects.misbehaviour.delay = 0.8 * ANSWER_SECONDS
+        async with anyio.create_task_group() as group:
+            followed.objects.misbehaviour.silent = True
+            group.start_soon(followed.client.peek, "config", "main")
+            await anyio.sleep(0.7 * ANSWER_SECONDS)
+            followed.objects.misbehaviour.silent = False
+            group.start_soon(peek_late)
+        assert outcomes == [Missing()]
+
+
+@hypothesis.given(
+    contact=strategies.integers(1900, 60_000), leaving=strategies.integers(500, 60_000)
+)
+def test_no_path_of_news_is_longer_than_its_bound(contact, leaving):
+    """Guards against waits that are each short enough and together too long."""
+    settings = RelaySettings(
+        host="h",
+        data_centre="dc",
+        store_address="10.0.0.1:80",
+        contact_milliseconds=contact,
+        leaving_milliseconds=leaving,
+    )
+    lost = settings.configuration_watch_seconds + WATCH_GRACE_SECONDS
+    rejected = max(ANSWER_SECONDS + FIRST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS)
+    assert max(lost + FIRST_PAUSE_SECONDS, rejected) < contact / 1000
+    single = settings.runner_watch_seconds + WATCH_GRACE_SECONDS + FIRST_PAUSE_SECONDS
+    assert single < (contact + leaving) / 1000
+    batch = settings.configuration_batch_seconds
+    assert batch < settings.configuration_milliseconds / 2000
+
+
+async def test_one_read_finds_the_store_back_for_all_that_wait():
+    """Guards against calls that wait for an answer lost while the store was away, and
+    against each follower asking for itself when it is back."""
+    store = MemoryStore()
+    store.away = True
+    reach = StoreReach(store, "k", "n")
+    given_up = []
+
+    async def wait(name):
+        with reach.wait():
+            await anyio.sleep_forever()
+        given_up.append(name)
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(wait, "a watch")
+        group.start_soon(reach.find_back, 0.0)
+        group.start_soon(reach.find_back, 0.0)
+        await anyio.sleep(0.5)
+        assert not given_up
+        reads = store.peeks
+        store.away = False
+    assert given_up == ["a watch"]
+    assert store.peeks == reads + 1
+
+
+async def test_a_store_that_rejects_calls_is_not_asked_without_pause():
+    """Guards against a loop where cheap reads are answered and others are rejected."""
+    store = MemoryStore()
+    reach = StoreReach(store, "k", "n")
+    began_at = time.monotonic()
+    for _ in range(4):
+        await reach.find_back(0.0)
+    assert time.monotonic() - began_at > 2 * FIRST_PAUSE_SECONDS
--- a/knapweedrail/tests/test_settings.py
+++ b/knapweedrail/tests/test_settings.py
@@ -91,7 +91,8 @@
     for filled in (full, bare):
         found = parse_settings(filled, "f", RelaySettings)
         assert isinstance(found, RelaySettings), found
-        assert found.watch_seconds >= 1.0
+        assert found.configuration_watch_seconds >= 1.0
+        assert found.runner_watch_seconds >= 1.0
 
 
 VALUES = [
