Refuse nothing as unknown by an overdue configuration; set limits with it

An unknown key or route was final (401, 404) until the configuration had not been confirmed for 6 s, a figure made for a watch of 4 s; and callers' limits followed a new configuration at the next look of a second, up to 3.65 s after an outage. Change: a configuration is overdue a second after its watch's end (3.1 s, 4.1 s on grown sites), and such a refusal says "not now"; limits are set as the configuration is taken in. Tests: test_a_key_is_unknown_only_while_the_store_confirms_in_time[1.5-503] and test_limits_are_in_force_as_soon_as_their_configuration failed on the code before.

--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -165,6 +165,7 @@
         if self._metrics_server is not None:
             await self._metrics_server.start(group)
         group.start_soon(self._measures.watch_delay, self._pressure)
+        group.start_soon(self._follow_limits)
         for task in (
             self._configuration,
             self._runners,
@@ -271,7 +272,6 @@
             for runner in self._runners.table.prune(now):
                 log_event(Event.RUNNER_UNLISTED, runner=runner.name, forgotten=True)
             await self._pool.prune(now, self._runners.table.list_lives())
-            self._apply_limits()
             self._suspects.prune(now)
             if self._measures.has_many:
                 await self._measures.prepare_export()
@@ -297,10 +297,10 @@
     def _hear_suspects(self, lines: list[str]) -> None:
         self._suspects.hear(lines, time.monotonic())
 
-    def _apply_limits(self) -> None:
-        configuration = self._configuration.configuration
-        if configuration is not None:
-            limits = configuration.limits
+    async def _follow_limits(self) -> None:
+        while True:
+            await self._configuration.changed.wait()
+            limits = self._configuration.configuration.limits
             self._caller_server.set_limits(
                 ServerLimits(limits.header_bytes, limits.idle_seconds)
             )
--- a/knapweedrail/relay/followers.py
+++ b/knapweedrail/relay/followers.py
@@ -18,8 +18,13 @@
 from .reach import StoreReach
 from .routes import RouteTable
 from .runners import RunnerTable
+from .signals import Signal
 from .stores import Changes, HistoryGone, Listing, Store, StoredObject
 
+OVERDUE_SECONDS = 1.0
+"""How much later than its watch's own end a configuration may be confirmed: the
+answer's delay, a pause before the next, and half a second to spare."""
+
 
 class Follower(Task):
     """Follows all objects of one kind by a list and waiting watches.
@@ -157,6 +162,7 @@
     ) -> None:
         super().__init__(store, kind, watch_seconds, batch_seconds, malformed, reach)
         self.table: RouteTable | None = None
+        self.changed = Signal()
         self._decode = decode
         self._name = name
 
@@ -165,6 +171,10 @@
         """The configuration in force, if one is known."""
         return self.table.configuration if self.table else None
 
+    def is_overdue(self, now: float) -> bool:
+        """Return whether the store should have confirmed the configuration by now."""
+        return now - self.confirmed_at > self._watch_seconds + OVERDUE_SECONDS
+
     def replace_all(self, objects: tuple[StoredObject, ...]) -> None:
         for stored in objects:
             self.set(stored)
@@ -181,6 +191,7 @@
         if known is not None and found.version <= known.version:
             return
         self.table = RouteTable(found)
+        self.changed.give()
         log_event(
             Event.CONFIGURATION_IN_FORCE,
             version=found.version,
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -160,8 +160,10 @@
         return Admission(route, account)
 
     def _refuse_unknown(self, kind: RefusalKind, detail: str) -> Refusal:
-        age = time.monotonic() - self._configuration.confirmed_at
-        return refuse_unknown(kind, detail, age, self._services.rng)
+        now = time.monotonic()
+        age = now - self._configuration.confirmed_at
+        overdue = self._configuration.is_overdue(now)
+        return refuse_unknown(kind, detail, age, overdue, self._services.rng)
 
     async def _serve(
         self,
--- a/knapweedrail/relay/refusals.py
+++ b/knapweedrail/relay/refusals.py
@@ -20,10 +20,6 @@
 """HTTP status of each kind of refusal; all others say 503, which callers take as a
 promise that the request has not run."""
 
-STALE_SECONDS = 6.0
-"""Age of the configuration from which an unknown key or route may be a new one: a
-watch and its answer's delay, with a second to spare."""
-
 TOKENS_SECONDS = (2.0, 3.0)
 """Bounds of the time after which a caller whose budget is out of reach may come back:
 the store is asked again every second, and a cut seldom ends sooner."""
@@ -80,7 +76,7 @@
 
 
 def refuse_unknown(
-    kind: RefusalKind, detail: str, age: float, rng: random.Random
+    kind: RefusalKind, detail: str, age: float, overdue: bool, rng: random.Random
 ) -> Refusal:
     """Refuse a key or route that isn't in the configuration.
 
@@ -89,8 +85,9 @@
 
     Args:
         age: Time since the configuration was confirmed, seconds.
+        overdue: Whether it should have been confirmed again by now.
     """
-    if age > STALE_SECONDS:
+    if overdue:
         return refuse(
             RefusalKind.CONFIGURATION_UNDECIDED,
             f"{detail} in a configuration confirmed {age:.1f} s ago",
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -48,6 +48,7 @@
 from ..relay.suspects import Suspects
 
 KEY = "key-of-farm"
+WATCH_SECONDS = 1.0
 ACCOUNT = "farm"
 
 
@@ -332,7 +333,9 @@
     """Run a relay before runners that follow scripts."""
     store = store or MemoryStore()
     table = RunnerTable(doubt=1.9)
-    follower = ConfigurationFollower(store, "config", 1.0, lambda spec: spec, "main")
+    follower = ConfigurationFollower(
+        store, "config", WATCH_SECONDS, lambda spec: spec, "main"
+    )
     if configuration is not None:
         follower.set(store.put("config", "main", configuration))
         follower.confirmed_at = float("inf")
--- a/knapweedrail/tests/test_relay_exchanges.py
+++ b/knapweedrail/tests/test_relay_exchanges.py
@@ -9,6 +9,7 @@
 from ..relay.models import Repetition
 from ..relay.suspects import CRASHES, make_fingerprint
 from .relays_in_memory import (
+    WATCH_SECONDS,
     ScriptedRunner,
     answer_well,
     find_header,
@@ -274,6 +275,14 @@
         assert (await r.call(path="/b/x")).status == 503
 
 
+@pytest.mark.parametrize("late, status", [(0.5, 401), (1.5, 503)])
+async def test_a_key_is_unknown_only_while_the_store_confirms_in_time(late, status):
+    """Guards against final refusals by a relay whose watch the store has lost."""
+    async with run_relay(make_configuration(SAFE), ScriptedRunner(answer_well)) as r:
+        r.configuration.confirmed_at = time.monotonic() - WATCH_SECONDS - late
+        assert (await r.call(knapweedrail_key="other")).status == status
+
+
 async def test_a_relay_without_a_configuration_says_not_now():
     async with run_relay(None) as relay:
         answer = await relay.call()
--- a/knapweedrail/tests/test_relay_followers.py
+++ b/knapweedrail/tests/test_relay_followers.py
@@ -1,6 +1,7 @@
 """How soon a relay hears what the store acknowledged, after each way to lose it."""
 
 import contextlib
+import socket
 import time
 
 import anyio
@@ -9,7 +10,7 @@
 from hypothesis import strategies
 
 from ..platform.clients import ANSWER_SECONDS
-from ..platform.relays import make_followers
+from ..platform.relays import make_followers, make_relay
 from ..platform.store import WATCH_GRACE_SECONDS, PlatformStore
 from ..relay.malformed import MalformedObjects
 from ..relay.options import RelaySettings
@@ -100,6 +101,9 @@
         settings = RelaySettings(
             host="h",
             data_centre="dc",
+            caller_address="127.0.0.1:0",
+            ready_address="127.0.0.1:0",
+            peer_address="127.0.0.1:0",
             store_address=f"127.0.0.1:{link.port}",
             contact_milliseconds=contact,
             configuration_milliseconds=configuration,
@@ -146,6 +150,29 @@
         await followed.check_caught_up()
 
 
+async def test_limits_are_in_force_as_soon_as_their_configuration():
+    """Guards against callers cut off by the limits of an older configuration."""
+    async with follow_store(*BOUNDS[0]) as followed:
+        listener = socket.create_server(("127.0.0.1", 0))
+        relay = make_relay(followed.settings, listener, lambda: 0)
+        async with anyio.create_task_group() as group:
+            await relay.start(group)
+            limits = {"maxHeaderBytes": 5000, "idleTimeoutMs": 7000}
+            followed.version += 1
+            newer = make_configuration(followed.version) | {"limits": limits}
+            followed.objects.put("config", "main", newer)
+            await wait_for(lambda: relay._configuration.configuration is not None)
+            await wait_for(lambda: relay._configuration.configuration.version == 2)
+            assert relay._caller_server.limits == ServerLimits(5000, 7.0)
+            group.cancel_scope.cancel()
+
+
+async def wait_for(condition):
+    with anyio.fail_after(5):
+        while not condition():
+            await anyio.sleep(0.001)
+
+
 async def test_a_call_under_way_outlives_the_client_that_is_replaced():
     """Guards against writes whose answers are dropped as another call is overdue."""
     async with follow_store(*BOUNDS[0]) as followed:
