Ask a silent relay again once it has restarted, called, or eight seconds have passed

A relay that didn't answer was avoided by its address for up to 30 s, doubled at each silence: longer than the 12 s in which callers must be served after a loss, and also past the restart of that relay. Tokens that it held were out of reach meanwhile. Change: the silence is that of a life; one that the list or an answer tells of is asked at once, and so is one that has called this relay. The longest pause is 8 s. Tests: two, failed on the code before.

--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -77,6 +77,7 @@
             self._clock,
             malformed,
         )
+        self._neighbours = neighbours
         self._loans = Loans(neighbours, membership, self._changed)
         self._held: dict[str, HeldAccount] = {}
         self._released = False
@@ -117,6 +118,7 @@
         return Shortage.OUT_OF_REACH
 
     async def answer_trade(self, trade: Trade) -> TradeAnswer:
+        self._neighbours.note_heard(trade.holder)
         held = self._get(trade.account)
         allowance = held.allowance
         if self._released:
--- a/knapweedrail/relay/neighbours.py
+++ b/knapweedrail/relay/neighbours.py
@@ -35,9 +35,10 @@
 answers. It leaves a caller that waits for tokens time to ask one more relay."""
 
 AVOID_SECONDS = 2.0
-LONGEST_AVOID_SECONDS = 30.0
+LONGEST_AVOID_SECONDS = 8.0
 """How long a relay that didn't answer isn't asked again: about the time in which a dead
-one is replaced, doubled at each silence, as the list keeps those that never return."""
+one is replaced, doubled at each silence, as the list keeps those that never return. A
+fleet must serve again within some twelve seconds after a loss."""
 
 EMPTY_SECONDS = 0.5
 """How long a relay that had nothing of an account isn't asked for it again. A budget
@@ -88,6 +89,21 @@
     shortage: Shortage | None = None
 
 
+@attrs.frozen
+class Silence:
+    """Calls in a row that a relay's present life didn't answer.
+
+    Attributes:
+        holder: The life that was called.
+        count: Number of calls.
+        avoided_until: When it may be called again.
+    """
+
+    holder: str
+    count: int
+    avoided_until: float
+
+
 _SHORTAGES = {
     Shortage.SPENT: TradeReply.SPENT,
     Shortage.HELD_ELSEWHERE: TradeReply.HELD_ELSEWHERE,
@@ -112,13 +128,21 @@
 
     def __init__(self) -> None:
         self._channels: dict[str, Channel] = {}
-        self._avoided: dict[str, float] = {}
-        self._silences: dict[str, int] = {}
+        self._silences: dict[str, Silence] = {}
         self._empty: dict[tuple[str, str], tuple[float, Shortage | None]] = {}
 
     def is_avoided(self, member: Member, now: float) -> bool:
-        """Return whether a relay was silent lately."""
-        return now < self._avoided.get(member.address, 0.0)
+        """Return whether a relay's present life was silent lately."""
+        silence = self._silences.get(member.address)
+        if silence is None or silence.holder != member.holder:
+            return False
+        return now < silence.avoided_until
+
+    def note_heard(self, holder: str) -> None:
+        """Take in that a relay has called this one, so it can be reached."""
+        for address, silence in list(self._silences.items()):
+            if silence.holder == holder:
+                del self._silences[address]
 
     def recall_shortage(
         self, member: Member, account: str, now: float
@@ -134,10 +158,7 @@
         seconds = CALL_SECONDS + (LEND_SECONDS if trade.needed else 0.0)
         reply = await self._call(member, "Trade", request, seconds)
         if reply is None:
-            count = self._silences.get(member.address, 0)
-            pause = min(LONGEST_AVOID_SECONDS, AVOID_SECONDS * 2**count)
-            self._silences[member.address] = count + 1
-            self._avoided[member.address] = now + pause
+            self._note_silence(member, now)
             return None
         self._silences.pop(member.address, None)
         shortage = _FROM_WIRE.get(reply.shortage)
@@ -146,6 +167,13 @@
             self._empty[member.address, trade.account] = (until, shortage)
         return TradeAnswer(reply.lender, reply.total, shortage)
 
+    def _note_silence(self, member: Member, now: float) -> None:
+        before = self._silences.get(member.address)
+        again = before is not None and before.holder == member.holder
+        count = before.count + 1 if again else 1
+        pause = min(LONGEST_AVOID_SECONDS, AVOID_SECONDS * 2 ** (count - 1))
+        self._silences[member.address] = Silence(member.holder, count, now + pause)
+
     async def tell_suspects(self, members: list[Member], lines: list[str]) -> None:
         """Tell other relays of requests that were on runners as these crashed."""
         request = SuspectsRequest(lines=lines[:MOST_LINES])
--- a/knapweedrail/tests/test_relay_neighbours.py
+++ b/knapweedrail/tests/test_relay_neighbours.py
@@ -1,7 +1,11 @@
 """Calls from relay to relay, when the other one breaks them off."""
 
+import socket
+import time
+
 import anyio
 import anyio.abc
+import attrs
 import pytest
 
 from ..relay.members import Member
@@ -9,6 +13,9 @@
 
 pytestmark = pytest.mark.anyio
 
+RECOVERY_SECONDS = 12.0
+"""Time after a loss of hosts in which callers must be served again."""
+
 
 async def break_off(stream):
     """Take part of a call, and end the connection as a killed process does."""
@@ -45,3 +52,39 @@
         await neighbours.close()
         group.cancel_scope.cancel()
     assert went_on == [True, True, True]
+
+
+SILENCES = 8
+
+
+async def test_a_relay_that_was_silent_is_asked_again_once_it_has_restarted():
+    """Guards against tokens out of reach for half a minute after a host is back."""
+    neighbours = Neighbours()
+    port = free_port()
+    ended = Member("h", "h/1", f"127.0.0.1:{port}", "dc")
+    trade = Trade(account="farm", holder="x/1", lender="h/1", needed=5)
+    for _ in range(SILENCES):
+        assert await neighbours.trade(ended, trade) is None
+    now = time.monotonic()
+    assert neighbours.is_avoided(ended, now)
+    assert not neighbours.is_avoided(attrs.evolve(ended, holder="h/2"), now)
+
+
+async def test_a_relay_that_was_cut_off_is_asked_again_in_time():
+    """Guards against lenders who stay avoided for longer than a fleet may take to serve
+    again, though they have called meanwhile."""
+    neighbours = Neighbours()
+    member = Member("h", "h/1", f"127.0.0.1:{free_port()}", "dc")
+    trade = Trade(account="farm", holder="x/1", lender="h/1", needed=5)
+    for _ in range(SILENCES):
+        assert await neighbours.trade(member, trade) is None
+    now = time.monotonic()
+    assert not neighbours.is_avoided(member, now + RECOVERY_SECONDS)
+    assert neighbours.is_avoided(member, now)
+    neighbours.note_heard("h/1")
+    assert not neighbours.is_avoided(member, now)
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return server.getsockname()[1]
