Measure the wait of the patience test from the request that stands in line

The relay was right. Change: the same 0.6 s run from when the runner has the first request; what is asked is unchanged. Verified: passes with the delay of 0.6 s, and 8 times beside each other.

--- a/knapweedrail/tests/test_relay_patience.py
+++ b/knapweedrail/tests/test_relay_patience.py
@@ -160,6 +160,8 @@
                 await relay.call(leaves_after=2.0, **PROMPT, **usage)
 
             group.start_soon(wait_in_vain)
+            while not runner.heads:
+                await anyio.sleep(0.01)
             await anyio.sleep(1.5 * PATIENCE_FACTOR * objective)
             began_at = time.monotonic()
             usage = {"knapweedrail_token_usage": "100,10"}
