Give relays of the start tests ports of their own

Evidence: three runs beside each other fail in two of three by the same error; six runs one after the other pass. Change: the ready and the peer address are free ports.

--- a/knapweedrail/tests/test_relay_start.py
+++ b/knapweedrail/tests/test_relay_start.py
@@ -32,6 +32,8 @@
         "host": "host-1",
         "data_centre": "dc",
         "caller_address": caller_address,
+        "ready_address": "127.0.0.1:0",
+        "peer_address": "127.0.0.1:0",
         "store_address": "127.0.0.1:1",
     }
     path.write_bytes(orjson.dumps(settings))
