--- a/knapweedrail/tests/test_relay_followers.py
+++ b/knapweedrail/tests/test_relay_followers.py
@@ -24,6 +24,7 @@
 from ..standins.sources import Sources
 from . import relays_in_memory
 from .relays_in_memory import MemoryStore
+from .test_platform_store import RUNNER
 
 pytestmark = pytest.mark.anyio
 
@@ -31,16 +32,6 @@
 """Milliseconds: from the end of a disturbance until bounds hold again, for a
 configuration to be in force, and for a leaving runner to get no more work."""
 
-RUNNER = {
-    "service": "e",
-    "address": "10.0.0.1:80",
-    "zone": "dc",
-    "slots": 8,
-    "state": "ready",
-    "seq": 1,
-}
-
-
 MISSED_VERSIONS = 20
 LARGE_ROUTES = 500
 CHUNK_SECONDS = 0.1
--- a/knapweedrail/tests/test_relay_neighbours.py
+++ b/knapweedrail/tests/test_relay_neighbours.py
@@ -57,34 +57,31 @@
 SILENCES = 8
 
 
-async def test_a_relay_that_was_silent_is_asked_again_once_it_has_restarted():
-    """Guards against tokens out of reach for half a minute after a host is back."""
+async def call_in_vain():
+    """Return calls to a relay that doesn't answer, after many of them."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    member = Member("h", "h/1", f"127.0.0.1:{port}", "dc")
     neighbours = Neighbours()
-    port = free_port()
-    ended = Member("h", "h/1", f"127.0.0.1:{port}", "dc")
     trade = Trade(account="farm", holder="x/1", lender="h/1", needed=5)
     for _ in range(SILENCES):
-        assert await neighbours.trade(ended, trade) is None
-    now = time.monotonic()
-    assert neighbours.is_avoided(ended, now)
-    assert not neighbours.is_avoided(attrs.evolve(ended, holder="h/2"), now)
+        assert await neighbours.trade(member, trade) is None
+    assert neighbours.is_avoided(member, time.monotonic())
+    return neighbours, member
+
+
+async def test_a_relay_that_was_silent_is_asked_again_once_it_has_restarted():
+    """Guards against tokens out of reach for half a minute after a host is back."""
+    neighbours, ended = await call_in_vain()
+    restarted = attrs.evolve(ended, holder="h/2")
+    assert not neighbours.is_avoided(restarted, time.monotonic())
 
 
 async def test_a_relay_that_was_cut_off_is_asked_again_in_time():
     """Guards against lenders who stay avoided for longer than a fleet may take to serve
     again, though they have called meanwhile."""
-    neighbours = Neighbours()
-    member = Member("h", "h/1", f"127.0.0.1:{free_port()}", "dc")
-    trade = Trade(account="farm", holder="x/1", lender="h/1", needed=5)
-    for _ in range(SILENCES):
-        assert await neighbours.trade(member, trade) is None
+    neighbours, member = await call_in_vain()
     now = time.monotonic()
     assert not neighbours.is_avoided(member, now + RECOVERY_SECONDS)
-    assert neighbours.is_avoided(member, now)
-    neighbours.note_heard("h/1")
+    neighbours.note_heard(member.holder)
     assert not neighbours.is_avoided(member, now)
-
-
-def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return server.getsockname()[1]
