Set callers' limits in the step that puts their configuration in force

Cause: test_limits_are_in_force_as_soon_as_their_configuration failed once beside load. The limits were set by a task that a signal woke, one turn of the event loop after the configuration was in force; a request or a test that came in that turn met the limits of the version before. The test looked once a millisecond and so seldom saw that turn.

Ruled out: a lost signal (the task waits before the followers start, and sets the limits without a pause); a late load of the settings. The CancelledError that is printed beside it comes from the library's connection tasks as the test's group is cancelled, with either code.

Change: the follower passes each configuration on to its listeners in the same step; the task and its signal are gone. The test is stricter than before: it looks at every turn.

--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -23,6 +23,7 @@
 from .malformed import MalformedObjects
 from .measures import RelayMeasures, limit_accounts
 from .members import Member, Membership
+from .models import Configuration
 from .neighbours import Neighbours, make_server
 from .options import RelaySettings
 from .pressure import Pressure
@@ -146,6 +147,7 @@
         self._caller_server = HttpServer(
             self._gateway, settings.caller_address, ServerLimits(), listener
         )
+        configuration.subscribe(self._set_limits)
         self._measures = measures
         self._add_gauges(count_left_out)
         self._metrics_server: HttpServer | None = None
@@ -165,7 +167,6 @@
         if self._metrics_server is not None:
             await self._metrics_server.start(group)
         group.start_soon(self._measures.watch_delay, self._pressure)
-        group.start_soon(self._follow_limits)
         for task in (
             self._configuration,
             self._runners,
@@ -297,13 +298,11 @@
     def _hear_suspects(self, lines: list[str]) -> None:
         self._suspects.hear(lines, time.monotonic())
 
-    async def _follow_limits(self) -> None:
-        while True:
-            await self._configuration.changed.wait()
-            limits = self._configuration.configuration.limits
-            self._caller_server.set_limits(
-                ServerLimits(limits.header_bytes, limits.idle_seconds)
-            )
+    def _set_limits(self, configuration: Configuration) -> None:
+        limits = configuration.limits
+        self._caller_server.set_limits(
+            ServerLimits(limits.header_bytes, limits.idle_seconds)
+        )
 
     async def _answer_ready(self, scope: dict, receive: object, send: object) -> None:
         known = self._configuration.table is not None
--- a/knapweedrail/relay/followers.py
+++ b/knapweedrail/relay/followers.py
@@ -18,7 +18,6 @@
 from .reach import StoreReach
 from .routes import RouteTable
 from .runners import RunnerTable
-from .signals import Signal
 from .stores import Change, Changes, HistoryGone, Listing, Store, StoredObject
 
 OVERDUE_SECONDS = 1.0
@@ -171,7 +170,7 @@
     ) -> None:
         super().__init__(store, kind, watch_seconds, batch_seconds, malformed, reach)
         self.table: RouteTable | None = None
-        self.changed = Signal()
+        self._listeners: list[Callable[[Configuration], None]] = []
         self._taken_revision = 0
         self._decode = decode
         self._name = name
@@ -181,6 +180,10 @@
         """The configuration in force, if one is known."""
         return self.table.configuration if self.table else None
 
+    def subscribe(self, listener: Callable[[Configuration], None]) -> None:
+        """Have each configuration passed on before any request is handled by it."""
+        self._listeners.append(listener)
+
     def is_overdue(self, now: float) -> bool:
         """Return whether the store should have confirmed the configuration by now."""
         return now - self.confirmed_at > self._watch_seconds + OVERDUE_SECONDS
@@ -211,7 +214,8 @@
             return
         self.table = RouteTable(found)
         self._taken_revision = stored.revision
-        self.changed.give()
+        for listener in self._listeners:
+            listener(found)
         log_event(
             Event.CONFIGURATION_IN_FORCE,
             version=found.version,
--- a/knapweedrail/tests/test_relay_followers.py
+++ b/knapweedrail/tests/test_relay_followers.py
@@ -220,9 +220,10 @@
 
 
 async def wait_for(condition):
+    """Wait, and look at every turn of the event loop."""
     with anyio.fail_after(5):
         while not condition():
-            await anyio.sleep(0.001)
+            await anyio.sleep(0)
 
 
 async def test_a_call_under_way_outlives_the_client_that_is_replaced():
