--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -50,6 +50,7 @@
 
     JOB_FAILED = (601, "a request's run ended with an unexpected error")
 
+    STORE_CALLS = (211, "calls to the platform since the last such line, by purpose")
     HISTORY_GONE = (210, "the platform dropped its history; the kind is listed anew")
     CONFIGURATION_REMOVED = (410, "the configuration's object is gone; it stays")
     REQUEST_REFUSED = (602, "a request was refused; `ran` says what is known of it")
@@ -73,6 +74,9 @@
 
     TOKENS_LOST = (315, "tokens given back to a relay that ended before it took them")
     RELAYS_LISTED = (511, "the list of relays has changed")
+    SOURCE_CHOSEN = (512, "another relay is followed for what the platform tells it")
+    SOURCE_LOST = (513, "a relay that was followed is silent; `unheard` says how long")
+    NEWS_FETCHED = (514, "what another relay told has to be read from the platform")
 
     DATA_CENTRE_CUT_OFF = (
         708,
--- a/knapweedrail/platform/relays.py
+++ b/knapweedrail/platform/relays.py
@@ -62,6 +62,7 @@
         settings.configuration_batch_seconds,
         malformed,
         reach,
+        settings.configuration_limit_seconds,
     )
     runners = RunnerFollower(
         store,
@@ -72,5 +73,6 @@
         settings.runner_batch_seconds,
         malformed,
         reach,
+        settings.runner_limit_seconds,
     )
     return configuration, runners
--- a/knapweedrail/platform/store.py
+++ b/knapweedrail/platform/store.py
@@ -52,14 +52,18 @@
         objects: list[StoredObject] = []
         always = STALE if stale else {}
         query: dict[str, str] = always
+        revision: int | None = None
         while True:
             page = await self._read("list", f"/objects/{kind}", query, ANSWER_SECONDS)
             if not isinstance(page, dict):
                 return self._away("list", page)
             try:
                 objects.extend(_decode_named(page["entries"]))
+                if revision is None:
+                    # Of the first page: what changed there since, no later one shows.
+                    revision = int(page["asOf"])
                 if not page.get("morePages"):
-                    return Listing(tuple(objects), int(page["asOf"]))
+                    return Listing(tuple(objects), revision)
                 if query.get("after") == objects[-1].name:
                     return self._away("list", "a page that names no object")
                 query = always | {"after": objects[-1].name}
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -16,21 +16,23 @@
 from .calls import Services
 from .codecs import Codec
 from .connections import ConnectionPool
+from .dialers import GrpcDialer
 from .followers import ConfigurationFollower, RunnerFollower
 from .gateway import Gateway
 from .holdings import Holdings
 from .ledgers import name_holder
 from .malformed import MalformedObjects
-from .measures import RelayMeasures, limit_accounts
-from .members import Member, Membership
-from .models import Configuration
+from .measures import CountedStore, RelayMeasures, limit_accounts
+from .members import Membership
+from .models import Configuration, Member
 from .neighbours import Neighbours, make_server
+from .news import NewsFeed
 from .options import RelaySettings
 from .pressure import Pressure
 from .retries import RetryShare
 from .shutdowns import Shutdown
 from .signals import Signal
-from .stores import Store
+from .sources import NewsTiming
 from .successors import Successors
 from .suspects import Suspects
 
@@ -85,7 +87,7 @@
         self,
         settings: RelaySettings,
         listener: socket.socket,
-        store: Store,
+        store: CountedStore,
         configuration: ConfigurationFollower,
         runners: RunnerFollower,
         codec: Codec,
@@ -94,6 +96,7 @@
         count_left_out: Callable[[], int],
     ) -> None:
         self._settings = settings
+        self._store = store
         self._configuration = configuration
         self._runners = runners
         self._pool = ConnectionPool()
@@ -112,8 +115,18 @@
             lambda: configuration.configuration,
             malformed,
         )
+        self._news = NewsFeed(
+            self._membership,
+            self._neighbours,
+            GrpcDialer(),
+            (configuration, runners),
+            NewsTiming(settings.beat_seconds, settings.silence_seconds),
+        )
         self._peer_server = make_server(
-            self._holdings, self._hear_suspects, settings.peer_address
+            self._holdings,
+            self._hear_suspects,
+            self._news.serve,
+            settings.peer_address,
         )
         self._suspects = Suspects()
         self._pressure = Pressure()
@@ -171,10 +184,12 @@
             self._configuration,
             self._runners,
             self._membership,
+            self._news,
             self._holdings,
             self._successors,
         ):
             await task.start(group)
+        group.start_soon(self._store.log_calls)
         group.start_soon(self._prune)
         group.start_soon(self._tell_waiting)
         log_event(
@@ -205,6 +220,7 @@
         self._gateway.closing.shut = True
         left = shutdown.ends_at + FLUSH_SECONDS - time.monotonic()
         await self._caller_server.close(max(FLUSH_SECONDS, left))
+        await self._news.close()
         await self._membership.close()
         await self._holdings.close()
         await self._successors.close()
--- a/knapweedrail/relay/followers.py
+++ b/knapweedrail/relay/followers.py
@@ -15,7 +15,9 @@
 from .lives import Reading, StartTelling
 from .malformed import MalformedObjects
 from .models import UNKNOWN_START, Configuration, Runner
+from .news import NewsTaker, NoSupply
 from .reach import StoreReach
+from .replicas import News, OutOfStepError, Replica
 from .routes import RouteTable
 from .runners import RunnerTable
 from .stores import Change, Changes, HistoryGone, Listing, Store, StoredObject
@@ -25,16 +27,18 @@
 answer's delay, a pause before the next, and half a second to spare."""
 
 
-class Follower(Task):
+class Follower(Task, NewsTaker):
     """Follows all objects of one kind by a list and waiting watches.
 
     A connection on which nothing comes any more looks like a quiet kind. So each
-    watch has an end, after which the store must have answered.
+    watch has an end, after which the store must have answered. While other relays tell
+    what they know of the kind, it doesn't watch itself.
 
     Args:
         store: The platform's store.
         kind: The kind that is followed.
         watch_seconds: Length of one watch.
+        limit_seconds: Age up to which what is known counts.
         batch_seconds: Pause after changes, so that the next ones come together.
         malformed: Told of objects that can't be used.
         reach: Shared by all followers of a store.
@@ -48,8 +52,16 @@
         batch_seconds: float = 0.0,
         malformed: MalformedObjects | None = None,
         reach: StoreReach | None = None,
+        limit_seconds: float | None = None,
     ) -> None:
         super().__init__(f"follow {kind}")
+        if limit_seconds is None:
+            limit_seconds = watch_seconds + OVERDUE_SECONDS
+        self._limit_seconds = limit_seconds
+        self.replica = Replica(kind)
+        self.supply = NoSupply()
+        self._listing = True
+        self._needed_revision = 0
         self._malformed = malformed or MalformedObjects()
         self._reach = reach or StoreReach(store, kind, kind)
         self._batch_seconds = batch_seconds
@@ -57,11 +69,18 @@
         self._store = store
         self._kind = kind
         self._watch_seconds = watch_seconds
-        self._revision: int | None = None
         self._reachable = True
 
+    @property
+    def fetching(self) -> bool:
+        """Whether the store has to be read before news can be taken in."""
+        return self.replica.revision < self._needed_revision
+
     async def run(self) -> None:
+        await self._look()
         while True:
+            if await self._rest():
+                continue
             began_at = time.monotonic()
             outcome = None
             with self._reach.wait():
@@ -69,13 +88,60 @@
             if outcome is not None:
                 await self._handle(outcome, time.monotonic() - began_at)
 
+    def take_news(self, news: News, confirmed_at: float) -> None:
+        try:
+            changes = self.replica.take_news(news)
+        except OutOfStepError as error:
+            if error.fetch:
+                log_event(Event.NEWS_FETCHED, kind=self._kind, reason=str(error))
+                self._needed_revision = max(self._needed_revision, news.revision)
+                self._listing = True
+                self.supply.changed.give()
+            raise
+        self._take_changes(changes)
+        if confirmed_at > self.confirmed_at and not self.fetching:
+            self._listing = False
+            self.confirmed_at = confirmed_at
+            self.note_confirmed(time.monotonic())
+
+    async def _look(self) -> None:
+        """Begin with what the store knew some seconds ago, for a tenth of a call."""
+        outcome = await self._store.list_kind(self._kind, stale=True)
+        if isinstance(outcome, Listing):
+            self._take_list(outcome)
+
+    async def _rest(self) -> bool:
+        """Wait while other relays' word will do; return whether it did."""
+        if self.fetching:
+            return False
+        rest = self.supply.measure_rest(self._kind, self._limit_seconds)
+        if rest <= 0.0:
+            return False
+        with anyio.move_on_after(rest):
+            await self.supply.changed.wait()
+        return True
+
     async def _ask(self) -> Listing | Changes | HistoryGone | Unavailable:
-        if self._revision is None:
+        if self._listing:
             return await self._store.list_kind(self._kind)
         return await self._store.watch_kind(
-            self._kind, self._revision, self._watch_seconds
+            self._kind, self.replica.revision, self._watch_seconds
         )
 
+    def _take_list(self, listing: Listing) -> None:
+        if self.replica.replace_all(listing.objects, listing.revision):
+            self.replace_all(listing.objects)
+            self.supply.note_change()
+
+    def _take_changes(self, changes: list[Change]) -> None:
+        for change in self.order(tuple(changes)):
+            if change.removed:
+                self.remove(change.stored)
+            else:
+                self.set(change.stored)
+        if changes:
+            self.supply.note_change()
+
     async def _handle(
         self,
         outcome: Listing | Changes | HistoryGone | Unavailable,
@@ -84,22 +150,20 @@
         match outcome:
             case Unavailable():
                 self._note_reach(False, outcome.detail, waited)
-                self._revision = self.choose_start(self._revision)
+                self._listing = self._listing or self.lists_after_outage
                 await self._reach.find_back(waited)
+                self.supply.note_back()
                 return
             case HistoryGone():
                 log_event(Event.HISTORY_GONE, kind=self._kind)
-                self._revision = None
+                self._listing = True
             case Listing():
-                self.replace_all(outcome.objects)
-                self._revision = outcome.revision
+                self._take_list(outcome)
+                self._listing = False
             case Changes():
-                for change in self.order(outcome.changes):
-                    if change.removed:
-                        self.remove(change.stored)
-                    else:
-                        self.set(change.stored)
-                self._revision = outcome.revision
+                self._take_changes(
+                    self.replica.select(outcome.changes, outcome.revision)
+                )
         self._note_reach(True, "", waited)
         self._reach.note_answer()
         self.confirmed_at = time.monotonic()
@@ -128,14 +192,13 @@
             self._kind, stored.name, stored.revision, str(error), time.monotonic()
         )
 
-    def choose_start(self, revision: int | None) -> int | None:
-        """Return the revision to go on from after an outage; ``None`` to list anew."""
-        return revision
-
     def order(self, changes: tuple[Change, ...]) -> tuple[Change, ...]:
         """Return changes that came together in the order in which they are taken in."""
         return changes
 
+    lists_after_outage = False
+    """Whether a list is shorter after an outage than all changes since."""
+
     @abstractmethod
     def replace_all(self, objects: tuple[StoredObject, ...]) -> None:
         """Take in a whole list."""
@@ -157,6 +220,10 @@
         name: Name of the object that holds it.
     """
 
+    # A list has the newest version alone. A watch would bring each one since then in
+    # full, which takes seconds over a small link.
+    lists_after_outage = True
+
     def __init__(
         self,
         store: Store,
@@ -167,8 +234,17 @@
         batch_seconds: float = 0.0,
         malformed: MalformedObjects | None = None,
         reach: StoreReach | None = None,
+        limit_seconds: float | None = None,
     ) -> None:
-        super().__init__(store, kind, watch_seconds, batch_seconds, malformed, reach)
+        super().__init__(
+            store,
+            kind,
+            watch_seconds,
+            batch_seconds,
+            malformed,
+            reach,
+            limit_seconds,
+        )
         self.table: RouteTable | None = None
         self._listeners: list[Callable[[Configuration], None]] = []
         self._taken_revision = 0
@@ -186,12 +262,7 @@
 
     def is_overdue(self, now: float) -> bool:
         """Return whether the store should have confirmed the configuration by now."""
-        return now - self.confirmed_at > self._watch_seconds + OVERDUE_SECONDS
-
-    def choose_start(self, revision: int | None) -> int | None:
-        # A list has the newest version alone. A watch would bring each one since then
-        # in full, which takes seconds over a small link.
-        return None
+        return now - self.confirmed_at > self._limit_seconds
 
     def order(self, changes: tuple[Change, ...]) -> tuple[Change, ...]:
         # The newest first, so that older ones needn't be decoded.
@@ -251,8 +322,17 @@
         batch_seconds: float = 0.0,
         malformed: MalformedObjects | None = None,
         reach: StoreReach | None = None,
+        limit_seconds: float | None = None,
     ) -> None:
-        super().__init__(store, kind, watch_seconds, batch_seconds, malformed, reach)
+        super().__init__(
+            store,
+            kind,
+            watch_seconds,
+            batch_seconds,
+            malformed,
+            reach,
+            limit_seconds,
+        )
         self.table = table
         self._decode_runner = decode
         self._telling = StartTelling()
--- a/knapweedrail/relay/loans.py
+++ b/knapweedrail/relay/loans.py
@@ -8,7 +8,8 @@
 from .accounts import HeldAccount
 from .allowances import Loan
 from .grants import plan_return, plan_wanted
-from .members import Member, Membership
+from .members import Membership
+from .models import Member
 from .neighbours import Neighbours, Trade, TradeAnswer
 from .reservations import Shortage
 from .signals import Signal
--- a/knapweedrail/relay/measures.py
+++ b/knapweedrail/relay/measures.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
@@ -31,6 +32,9 @@
 TOLD_SECONDS = 1.0
 """Pause between two such lines."""
 
+CALLS_SECONDS = 10.0
+"""Pause between two lines on the calls to the store."""
+
 
 class RelayMeasures(Measures):
     """All metrics of a relay.
@@ -41,7 +45,7 @@
         repeats: Attempts after the first, by endpoint, and whether the retry share
             had one left.
         gaps: Longest pause of each stream, seconds, by route.
-        store_calls: Calls to the store by step and outcome.
+        store_calls: Calls to the store by step, kind and outcome.
         malformed: Objects of the store that couldn't be used, by kind, each change
             of one counted once.
         delays: Seconds by which the event loop was late.
@@ -121,7 +125,7 @@
 
 
 class CountedStore(Store):
-    """A store whose calls are counted by step and outcome.
+    """A store whose calls are counted by step, kind and outcome.
 
     Args:
         store: The store that is called.
@@ -131,29 +135,46 @@
     def __init__(self, store: Store, measures: RelayMeasures) -> None:
         self._store = store
         self._measures = measures
+        self._begun: Counter[str] = Counter()
 
     async def list_kind(self, kind: str, stale: bool = False) -> Any:
         step = "list-stale" if stale else "list"
-        return self._count(step, await self._store.list_kind(kind, stale))
+        return await self._count(step, kind, self._store.list_kind(kind, stale))
 
     async def watch_kind(self, kind: str, revision: int, seconds: float) -> Any:
-        outcome = await self._store.watch_kind(kind, revision, seconds)
-        return self._count("watch", outcome)
+        call = self._store.watch_kind(kind, revision, seconds)
+        return await self._count("watch", kind, call)
 
     async def peek(self, kind: str, name: str) -> Any:
-        return self._count("peek", await self._store.peek(kind, name))
+        return await self._count("peek", kind, self._store.peek(kind, name))
 
     async def create(self, kind: str, name: str, spec: Any) -> Any:
-        return self._count("create", await self._store.create(kind, name, spec))
+        return await self._count("create", kind, self._store.create(kind, name, spec))
 
     async def replace(self, kind: str, name: str, spec: Any, revision: int) -> Any:
-        outcome = await self._store.replace(kind, name, spec, revision)
-        return self._count("replace", outcome)
+        call = self._store.replace(kind, name, spec, revision)
+        return await self._count("replace", kind, call)
 
     async def delete(self, kind: str, name: str) -> Any:
-        return self._count("delete", await self._store.delete(kind, name))
-
-    def _count(self, step: str, outcome: Any) -> Any:
+        return await self._count("delete", kind, self._store.delete(kind, name))
+
+    async def log_calls(self) -> None:
+        """Write a line now and then on the calls that were begun, until cancelled."""
+        try:
+            while True:
+                await anyio.sleep(CALLS_SECONDS)
+                self._log_begun()
+        finally:
+            self._log_begun()
+
+    def _log_begun(self) -> None:
+        if self._begun:
+            log_event(Event.STORE_CALLS, calls=dict(self._begun))
+            self._begun.clear()
+
+    async def _count(self, step: str, kind: str, call: Awaitable[Any]) -> Any:
+        self._begun[f"{step} {kind}"] += 1
+        outcome = await call
         name = type(outcome).__name__.lower()
-        self._measures.store_calls.add(1, {"step": step, "outcome": name})
+        self._measures.store_calls.add(1, {"step": step, "kind": kind, "outcome": name})
         return outcome
--- a/knapweedrail/relay/members.py
+++ b/knapweedrail/relay/members.py
@@ -15,6 +15,8 @@
 from ..tasks import Task
 from .hashing import hash_pair
 from .malformed import MalformedObjects
+from .models import Member
+from .sources import plan_sources
 from .stores import Conflict, Listing, Missing, Store, StoredObject, Written
 
 MEMBER_KIND = "relay-members"
@@ -45,23 +47,6 @@
     return LIST_SECONDS * max(1.0, relays / LISTED_RELAYS)
 
 
-@attrs.frozen
-class Member:
-    """A relay that takes part.
-
-    Attributes:
-        host: Name of its host.
-        holder: Its present life.
-        address: Where it answers other relays; empty if it doesn't.
-        data_centre: Where its host stands.
-    """
-
-    host: str
-    holder: str
-    address: str = ""
-    data_centre: str = ""
-
-
 def rank_lenders(account: str, members: Iterable[Member]) -> list[Member]:
     """Return relays in the order in which they keep an account.
 
@@ -113,11 +98,14 @@
         self._malformed = malformed or MalformedObjects()
         self.member = member
         self.settled = False
+        self.looked = anyio.Event()
         self._known_before = False
+        self._revision: int | None = None
         self._spoilt = False
         self._store = store
         self._members: dict[str, Member] = {member.host: member}
         self._kept: dict[str, bool] = {}
+        self._ranked: tuple[list[Member], list[Member]] | None = None
 
     @property
     def count(self) -> int:
@@ -169,13 +157,23 @@
         if self._members.get(known.host) == known:
             self._members[known.host] = attrs.evolve(known, holder=holder)
 
+    def list_sources(self) -> tuple[list[Member], list[Member]]:
+        """Return the relays whose news to follow, for each source the best first."""
+        if self._ranked is None:
+            self._ranked = plan_sources(self.list_all(), self.member)
+        return self._ranked
+
     async def run(self) -> None:
+        while not await self._list(stale=True):
+            await anyio.sleep(RETRY_SECONDS)
+        self.looked.set()
         while not await self._enter():
             await anyio.sleep(RETRY_SECONDS)
         if not self._known_before:
+            # What was read may miss relays that start at the same time.
             await anyio.sleep(SETTLE_SECONDS)
-        while not await self._list(stale=False):
-            await anyio.sleep(RETRY_SECONDS)
+            while not await self._list(stale=False):
+                await anyio.sleep(RETRY_SECONDS)
         self.settled = True
         log_event(Event.RELAYS_LISTED, relays=self.count, settled=True)
         while True:
@@ -192,15 +190,22 @@
     async def _enter(self) -> bool:
         """Write this relay's entry; return whether that took effect."""
         spec = encode_member(self.member)
-        outcome = await self._store.create(MEMBER_KIND, self.member.host, spec)
-        if isinstance(outcome, Conflict):
-            # An earlier life of this host is listed, and so are the others' lives.
-            self._known_before = True
+        if self._revision is None:
+            outcome = await self._store.create(MEMBER_KIND, self.member.host, spec)
+        else:
             outcome = await self._store.replace(
-                MEMBER_KIND, self.member.host, spec, outcome.stored.revision
+                MEMBER_KIND, self.member.host, spec, self._revision
             )
-        if isinstance(outcome, (Conflict, Missing)):
-            return False
+        match outcome:
+            case Conflict(stored):
+                # An earlier life of this host is listed, and so are the others' lives.
+                self._known_before = True
+                self._revision = stored.revision
+                outcome = await self._store.replace(
+                    MEMBER_KIND, self.member.host, spec, stored.revision
+                )
+            case Missing():
+                self._revision = None
         return isinstance(outcome, Written)
 
     async def _list(self, stale: bool) -> bool:
@@ -209,12 +214,17 @@
         if not isinstance(outcome, Listing):
             return False
         found = {m.host: m for m in map(self._read_member, outcome.objects) if m}
+        for stored in outcome.objects:
+            if stored.name == self.member.host:
+                self._revision = stored.revision
+                self._known_before = True
         found[self.member.host] = self.member
         if set(found) != set(self._members):
             seconds = round(time.monotonic() - began_at, 3)
             log_event(Event.RELAYS_LISTED, relays=len(found), seconds=seconds)
         self._members = found
         self._kept.clear()
+        self._ranked = None
         return True
 
     def _read_member(self, stored: StoredObject) -> Member | None:
--- a/knapweedrail/relay/models.py
+++ b/knapweedrail/relay/models.py
@@ -264,3 +264,20 @@
 
     cache_tokens: int
     started: int = UNKNOWN_START
+
+
+@attrs.frozen
+class Member:
+    """A relay that takes part.
+
+    Attributes:
+        host: Name of its host.
+        holder: Its present life.
+        address: Where it answers other relays; empty if it doesn't.
+        data_centre: Where its host stands.
+    """
+
+    host: str
+    holder: str
+    address: str = ""
+    data_centre: str = ""
--- a/knapweedrail/relay/neighbours.py
+++ b/knapweedrail/relay/neighbours.py
@@ -4,7 +4,7 @@
 
 import time
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
@@ -23,7 +23,9 @@
     TradeReply,
     TradeRequest,
 )
-from .members import Member
+from .dialers import GrpcWatcherLink
+from .links import WatcherLink
+from .models import Member
 from .reservations import Shortage
 
 CALL_SECONDS = 0.08
@@ -114,6 +116,9 @@
 HearSuspects = Callable[[list[str]], None]
 """Takes what another relay told of requests that were on runners as these crashed."""
 
+TellNews = Callable[[WatcherLink], Awaitable[None]]
+"""Tells a relay that follows this one what is known of the store."""
+
 
 class TokenLender(ABC):
     """Holds tokens, and lends them to other relays."""
@@ -158,16 +163,21 @@
         seconds = CALL_SECONDS + (LEND_SECONDS if trade.needed else 0.0)
         reply = await self._call(member, "Trade", request, seconds)
         if reply is None:
-            self._note_silence(member, now)
+            self.note_silence(member, now)
             return None
-        self._silences.pop(member.address, None)
+        self.note_answer(member)
         shortage = _FROM_WIRE.get(reply.shortage)
         if shortage is not None:
             until = now + EMPTY_SECONDS
             self._empty[member.address, trade.account] = (until, shortage)
         return TradeAnswer(reply.lender, reply.total, shortage)
 
-    def _note_silence(self, member: Member, now: float) -> None:
+    def note_answer(self, member: Member) -> None:
+        """Take in that a relay has answered."""
+        self._silences.pop(member.address, None)
+
+    def note_silence(self, member: Member, now: float) -> None:
+        """Take in that a relay was called in vain."""
         before = self._silences.get(member.address)
         again = before is not None and before.holder == member.holder
         count = before.count + 1 if again else 1
@@ -231,9 +241,10 @@
 class _Service(RelaysBase):
     """Answers other relays."""
 
-    def __init__(self, lender: TokenLender, hear: HearSuspects) -> None:
+    def __init__(self, lender: TokenLender, hear: HearSuspects, tell: TellNews) -> None:
         self._lender = lender
         self._hear = hear
+        self._tell = tell
 
     async def Trade(self, stream: Stream) -> None:
         request = await stream.recv_message()
@@ -264,7 +275,12 @@
         self._hear(list(request.lines))
         await stream.send_message(SuspectsReply())
 
+    async def FollowNews(self, stream: Stream) -> None:
+        await self._tell(GrpcWatcherLink(stream))
+
 
-def make_server(lender: TokenLender, hear: HearSuspects, address: str) -> RpcServer:
+def make_server(
+    lender: TokenLender, hear: HearSuspects, tell: TellNews, address: str
+) -> RpcServer:
     """Return the server that answers other relays, not started yet."""
-    return RpcServer([_Service(lender, hear)], address)
+    return RpcServer([_Service(lender, hear, tell)], address)
--- /dev/null
+++ b/knapweedrail/relay/patches.py
@@ -0,0 +1,90 @@
+"""Differences between two JSON values.
+
+Pure. A configuration of hundreds of routes changes by a few fields at a time, and each
+change goes to every relay of the fleet over links of a few Mbit/s.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+import orjson
+
+
+class _Form(enum.StrEnum):
+    """Forms of a patch, the first item of its list."""
+
+    VALUE = "value"  # [VALUE, the new value]
+    FIELDS = "fields"  # [FIELDS, patches by key, keys that are gone]
+    ITEMS = "items"  # [ITEMS, patches by index], of a list of the same length
+    SPLICE = "splice"  # [SPLICE, where it begins, number of items gone, new items]
+
+
+def is_same(left: Any, right: Any) -> bool:
+    """Return whether two values are the same JSON, numbers by their type as well."""
+    return orjson.dumps(left) == orjson.dumps(right)
+
+
+def make_patch(old: Any, new: Any) -> list[Any]:
+    """Return what makes one value of another."""
+    if isinstance(old, dict) and isinstance(new, dict):
+        changed = {
+            key: make_patch(old[key], value) if key in old else [_Form.VALUE, value]
+            for key, value in new.items()
+            if key not in old or not is_same(old[key], value)
+        }
+        return [_Form.FIELDS, changed, [key for key in old if key not in new]]
+    if isinstance(old, list) and isinstance(new, list):
+        return _compare_lists(old, new)
+    return [_Form.VALUE, new]
+
+
+def _compare_lists(old: list[Any], new: list[Any]) -> list[Any]:
+    if len(old) == len(new):
+        pairs = enumerate(zip(old, new, strict=True))
+        changed = {
+            str(index): make_patch(before, after)
+            for index, (before, after) in pairs
+            if not is_same(before, after)
+        }
+        return [_Form.ITEMS, changed]
+    shorter = min(len(old), len(new))
+    start = 0
+    while start < shorter and is_same(old[start], new[start]):
+        start += 1
+    end = 0
+    while end < shorter - start and is_same(old[-1 - end], new[-1 - end]):
+        end += 1
+    return [_Form.SPLICE, start, len(old) - start - end, new[start : len(new) - end]]
+
+
+def apply_patch(old: Any, patch: list[Any]) -> Any:
+    """Return the value that a patch makes; the old one stays as it is.
+
+    Raises:
+        ValueError: If it isn't a patch of this value.
+    """
+    try:
+        return _apply(old, patch)
+    except (AttributeError, IndexError, KeyError, TypeError, ValueError) as error:
+        raise ValueError(f"not a patch of this value: {error!r:.200}") from error
+
+
+def _apply(old: Any, patch: list[Any]) -> Any:
+    match patch:
+        case [_Form.VALUE, value]:
+            return value
+        case [_Form.FIELDS, changed, gone]:
+            kept = {key: value for key, value in old.items() if key not in gone}
+            return kept | {
+                key: _apply(old.get(key), part) for key, part in changed.items()
+            }
+        case [_Form.ITEMS, changed]:
+            items = list(old)
+            for index, part in changed.items():
+                items[int(index)] = _apply(items[int(index)], part)
+            return items
+        case [_Form.SPLICE, start, gone, items]:
+            return [*old[:start], *items, *old[start + gone :]]
+    raise ValueError(f"no form of a patch: {patch!r:.50}")
--- /dev/null
+++ b/knapweedrail/relay/replicas.py
@@ -0,0 +1,361 @@
+"""What a relay knows of one kind of the store's objects, to tell others.
+
+Pure. A replica holds a revision of the store and all objects of its kind as they are
+there. What it tells leads on from a revision that its reader has, names each object
+that has changed since, and says how it is now; so a reader can take in what others tell
+it in any order, and nobody ever goes back.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import OrderedDict
+from typing import Any
+
+import attrs
+import orjson
+
+from .patches import apply_patch, make_patch
+from .stores import Change, StoredObject, Unreadable
+
+MOST_REMOVED = 1000
+"""Objects that are gone and still told of. A reader that hasn't heard of the oldest
+gets the whole list."""
+
+LARGE_BYTES = 2048
+"""Size from which on an object is told by its difference. Runners' entries are a few
+hundred bytes, configurations tens of thousands and more."""
+
+MOST_BYTES = 32_768
+"""Largest object or difference that is told to others. One relay of a data centre tells
+some eighty, over a link that carries a megabyte a second; the store's is a hundred
+times as wide, so that what is larger is fetched there."""
+
+MOST_PATCHES = 32
+"""Differences kept of one object."""
+
+
+class Told(enum.StrEnum):
+    """How a change is told."""
+
+    WRITTEN = "written"
+    REMOVED = "removed"
+    PATCHED = "patched"
+    UNREADABLE = "unreadable"
+    LARGE = "large"
+
+
+@attrs.frozen
+class NewsItem:
+    """One object that has changed.
+
+    Attributes:
+        name: Of the object.
+        revision: Of its last change.
+        told: How it is told.
+        value: What it holds, or held when it was removed; the differences, oldest
+            first; nothing if it is too large.
+        base: Revision of the object from which the differences lead on.
+    """
+
+    name: str
+    revision: int
+    told: Told
+    value: Any = None
+    base: int = 0
+
+
+@attrs.frozen
+class News:
+    """What has changed in a kind.
+
+    Attributes:
+        since: Revision from which it leads on; 0 if it names all objects there are.
+        revision: Revision to which it leads.
+    """
+
+    kind: str
+    since: int
+    revision: int
+    items: tuple[NewsItem, ...] = ()
+
+
+class OutOfStepError(Exception):
+    """News that doesn't lead on from what is known, or is too large to be told.
+
+    Attributes:
+        fetch: Whether what it tells of has to be read from the store.
+    """
+
+    def __init__(self, reason: str, fetch: bool) -> None:
+        super().__init__(reason)
+        self.fetch = fetch
+
+
+@attrs.frozen
+class _Patch:
+    base: int
+    revision: int
+    patch: list[Any]
+    size: int
+
+
+@attrs.define
+class Replica:
+    """All objects of one kind, as of a revision of the store.
+
+    Attributes:
+        revision: That revision; 0 before any was seen.
+        oldest: Revision from which on it can tell all changes.
+        keep_patches: Whether others are told, so that differences are worked out.
+    """
+
+    kind: str
+    revision: int = 0
+    oldest: int = 0
+    keep_patches: bool = False
+    _objects: dict[str, StoredObject] = attrs.field(factory=dict)
+    _removed: OrderedDict[str, tuple[int, StoredObject]] = attrs.field(
+        factory=OrderedDict
+    )
+    _patches: dict[str, list[_Patch]] = attrs.field(factory=dict)
+    _encoded: dict[int, bytes] = attrs.field(factory=dict)
+
+    def replace_all(self, objects: tuple[StoredObject, ...], revision: int) -> bool:
+        """Take in a whole list; return whether it is news.
+
+        A list may be as of an earlier revision than what is known; it tells nothing.
+        """
+        if revision <= self.revision:
+            return False
+        if not self.revision:
+            self.oldest = revision
+        names = {stored.name for stored in objects}
+        for name in [name for name in self._objects if name not in names]:
+            self._remove(self._objects[name], revision)
+        for stored in objects:
+            self._set(stored)
+        self._advance(revision)
+        return True
+
+    def select(self, changes: tuple[Change, ...], revision: int) -> list[Change]:
+        """Take in what the store says of changes; return those that are news."""
+        if revision <= self.revision:
+            return []
+        found = [change for change in changes if self._take(change, revision)]
+        self._advance(revision)
+        return found
+
+    def take_news(self, news: News) -> list[Change]:
+        """Take in what another relay tells; return what changed by it.
+
+        Raises:
+            OutOfStepError: If it can't be taken in; nothing has changed then.
+        """
+        if news.revision <= self.revision:
+            return []
+        if news.since > self.revision:
+            raise OutOfStepError(f"leads on from {news.since}", fetch=False)
+        found = [self._decode(item) for item in news.items]
+        if not news.since:
+            named = {item.name for item in news.items}
+            gone = [self._objects[n] for n in self._objects if n not in named]
+            found.extend(Change(stored, removed=True) for stored in gone)
+        if not self.revision:
+            self.oldest = news.revision
+        patched = {i.name: i for i in news.items if i.told is Told.PATCHED}
+        for item in patched.values():
+            self._keep_patches(item)
+        changed = [change for change in found if not self._knows(change)]
+        for change in changed:
+            if change.removed:
+                self._remove(change.stored, news.revision)
+            else:
+                self._set(change.stored, compare=change.stored.name not in patched)
+        self._advance(news.revision)
+        return changed
+
+    def tell(self, since: int) -> bytes:
+        """Return what changed since a revision, encoded; empty if nothing did.
+
+        Args:
+            since: What the reader knows; below `oldest` it is told all.
+        """
+        if since and since >= self.revision:
+            return b""
+        known = self._encoded.get(since)
+        if known is None:
+            known = encode_items(self._list_items(since))
+            self._encoded[since] = known
+        return known
+
+    def find_base(self, since: int) -> int:
+        """Return the revision that what is told leads on from; 0 for all there is."""
+        return since if since >= self.oldest else 0
+
+    def _advance(self, revision: int) -> None:
+        self.revision = revision
+        self._encoded.clear()
+
+    def _take(self, change: Change, revision: int) -> bool:
+        stored = change.stored
+        known = self._objects.get(stored.name)
+        if known is not None:
+            newer = stored.revision - known.revision
+            if newer < 0 or (newer == 0 and not change.removed):
+                return False
+        gone = self._removed.get(stored.name)
+        if gone is not None and stored.revision <= gone[0]:
+            return False
+        if change.removed:
+            self._remove(stored, revision)
+        else:
+            self._set(stored)
+        return True
+
+    def _set(self, stored: StoredObject, compare: bool = True) -> None:
+        known = self._objects.get(stored.name)
+        if known is not None and known.revision >= stored.revision:
+            return
+        if known is not None and compare and self.keep_patches:
+            self._compare(known, stored)
+        self._objects[stored.name] = stored
+        self._removed.pop(stored.name, None)
+
+    def _remove(self, stored: StoredObject, revision: int) -> None:
+        self._objects.pop(stored.name, None)
+        self._patches.pop(stored.name, None)
+        self._removed[stored.name] = (revision, stored)
+        self._removed.move_to_end(stored.name)
+        if len(self._removed) > MOST_REMOVED:
+            _, (oldest, _) = self._removed.popitem(last=False)
+            self.oldest = max(self.oldest, oldest)
+
+    def _knows(self, change: Change) -> bool:
+        known = self._objects.get(change.stored.name)
+        if change.removed:
+            return known is None and change.stored.name in self._removed
+        return known is not None and known.revision >= change.stored.revision
+
+    def _compare(self, known: StoredObject, stored: StoredObject) -> None:
+        """Keep the difference between two versions of a large object."""
+        unreadable = isinstance(known.spec, Unreadable)
+        if unreadable or isinstance(stored.spec, Unreadable) or _is_small(stored):
+            self._patches.pop(stored.name, None)
+            return
+        patch = make_patch(known.spec, stored.spec)
+        self._add_patch(stored.name, known.revision, stored.revision, patch)
+
+    def _add_patch(self, name: str, base: int, revision: int, patch: list[Any]) -> None:
+        kept = self._patches.setdefault(name, [])
+        if kept and kept[-1].revision != base:
+            kept.clear()
+        kept.append(_Patch(base, revision, patch, len(orjson.dumps(patch))))
+        del kept[:-MOST_PATCHES]
+
+    def _keep_patches(self, item: NewsItem) -> None:
+        """Pass on differences that another relay worked out."""
+        known = self._objects.get(item.name)
+        if not self.keep_patches or known is None or known.revision != item.base:
+            return
+        base = item.base
+        for number, (revision, patch) in enumerate(item.value):
+            last = number == len(item.value) - 1
+            self._add_patch(item.name, base, item.revision if last else revision, patch)
+            base = revision
+
+    def _list_items(self, since: int) -> list[NewsItem]:
+        base = self.find_base(since)
+        items = [
+            self._render(stored, base)
+            for stored in self._objects.values()
+            if not base or stored.revision > base
+        ]
+        if base:
+            items.extend(
+                NewsItem(name, stored.revision, Told.REMOVED, _get_spec(stored))
+                for name, (revision, stored) in self._removed.items()
+                if revision > base
+            )
+        return items
+
+    def _render(self, stored: StoredObject, base: int) -> NewsItem:
+        if isinstance(stored.spec, Unreadable):
+            return NewsItem(stored.name, stored.revision, Told.UNREADABLE)
+        if _is_small(stored):
+            return NewsItem(stored.name, stored.revision, Told.WRITTEN, stored.spec)
+        patches = self._find_patches(stored.name, base) if base else []
+        if patches and sum(patch.size for patch in patches) <= MOST_BYTES:
+            value = [[patch.revision, patch.patch] for patch in patches]
+            return NewsItem(
+                stored.name, stored.revision, Told.PATCHED, value, patches[0].base
+            )
+        if len(orjson.dumps(stored.spec)) <= MOST_BYTES:
+            return NewsItem(stored.name, stored.revision, Told.WRITTEN, stored.spec)
+        return NewsItem(stored.name, stored.revision, Told.LARGE)
+
+    def _find_patches(self, name: str, since: int) -> list[_Patch]:
+        """Return the differences that lead on from what a reader has of an object."""
+        kept = self._patches.get(name, [])
+        later = [patch for patch in kept if patch.revision > since]
+        if later and later[0].base > since:
+            return []
+        return later
+
+    def _decode(self, item: NewsItem) -> Change:
+        if item.told is Told.LARGE:
+            raise OutOfStepError(f"{item.name} is too large to be told", fetch=True)
+        spec = item.value
+        if item.told is Told.PATCHED:
+            spec = self._apply(item)
+        elif item.told is Told.UNREADABLE:
+            spec = Unreadable()
+        stored = StoredObject(item.name, item.revision, spec)
+        return Change(stored, removed=item.told is Told.REMOVED)
+
+    def _apply(self, item: NewsItem) -> Any:
+        known = self._objects.get(item.name)
+        if known is not None and known.revision >= item.revision:
+            return known.spec
+        if known is None or known.revision != item.base:
+            raise OutOfStepError(f"another version of {item.name}", fetch=True)
+        try:
+            spec = known.spec
+            for _, patch in item.value:
+                spec = apply_patch(spec, patch)
+        except (TypeError, ValueError) as error:
+            raise OutOfStepError(f"{item.name}: {error}", fetch=True) from error
+        return spec
+
+
+def encode_items(items: list[NewsItem]) -> bytes:
+    """Return items as they are sent."""
+    return orjson.dumps(
+        [
+            [item.name, item.revision, item.told.value, item.value, item.base]
+            for item in items
+        ]
+    )
+
+
+def decode_items(data: bytes) -> tuple[NewsItem, ...]:
+    """Decode items.
+
+    Raises:
+        ValueError: If they aren't what `encode_items` gives.
+    """
+    try:
+        return tuple(
+            NewsItem(str(name), int(revision), Told(told), value, int(base))
+            for name, revision, told, value, base in orjson.loads(data or b"[]")
+        )
+    except (TypeError, ValueError) as error:
+        raise ValueError(f"no news: {error!r:.200}") from error
+
+
+def _is_small(stored: StoredObject) -> bool:
+    return len(orjson.dumps(stored.spec)) < LARGE_BYTES
+
+
+def _get_spec(stored: StoredObject) -> Any:
+    return None if isinstance(stored.spec, Unreadable) else stored.spec
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -20,12 +20,13 @@
 from ..relay.gateway import Gateway
 from ..relay.holdings import Holdings
 from ..relay.measures import RelayMeasures
-from ..relay.members import Member, Membership
+from ..relay.members import Membership
 from ..relay.models import (
     Account,
     CallerLimits,
     Configuration,
     Endpoint,
+    Member,
     Repetition,
     Route,
     Runner,
--- a/knapweedrail/tests/test_platform_store.py
+++ b/knapweedrail/tests/test_platform_store.py
@@ -12,8 +12,8 @@
 from ..platform.store import PlatformStore
 from ..relay.followers import RunnerFollower
 from ..relay.holdings import Holdings
-from ..relay.members import MEMBER_KIND, Member, Membership
-from ..relay.models import Account, Repetition, RunnerState
+from ..relay.members import MEMBER_KIND, Membership
+from ..relay.models import Account, Member, Repetition, RunnerState
 from ..relay.neighbours import Neighbours
 from ..relay.reservations import Reservation, Shortage
 from ..relay.runners import RunnerTable
--- a/knapweedrail/tests/test_relay_draws.py
+++ b/knapweedrail/tests/test_relay_draws.py
@@ -8,8 +8,8 @@
 from ..relay.boots import BootClock
 from ..relay.draws import LEDGER_KIND, LedgerDraws
 from ..relay.ledgers import AccountLedger, Grant, decode_account, encode_account
-from ..relay.members import Member, Membership
-from ..relay.models import Repetition
+from ..relay.members import Membership
+from ..relay.models import Member, Repetition
 from ..relay.signals import Signal
 from .relays_in_memory import ACCOUNT, MemoryStore, make_configuration, make_route
 
--- a/knapweedrail/tests/test_relay_lending.py
+++ b/knapweedrail/tests/test_relay_lending.py
@@ -13,8 +13,8 @@
 from ..relay.draws import LEDGER_KIND
 from ..relay.holdings import Holdings, draw_pause
 from ..relay.ledgers import decode_account, name_holder
-from ..relay.members import Member, Membership, compute_pause, order_lenders
-from ..relay.models import Account, Repetition
+from ..relay.members import Membership, compute_pause, order_lenders
+from ..relay.models import Account, Member, Repetition
 from ..relay.neighbours import Neighbours, Trade, make_server
 from ..relay.reservations import Reservation, Shortage
 from .relays_in_memory import MemoryStore, make_configuration, make_route
@@ -29,6 +29,10 @@
 than callers do, and refused."""
 
 
+async def ignore(link):
+    """Tell a relay nothing that follows this one."""
+
+
 @pytest.fixture(autouse=True)
 def be_patient(monkeypatch):
     monkeypatch.setattr(holdings_module, "WAIT_SECONDS", PATIENCE_SECONDS)
@@ -62,7 +66,7 @@
         holdings = Holdings(
             self.store, neighbours, membership, lambda: self.configuration
         )
-        server = make_server(holdings, lambda lines: None, address)
+        server = make_server(holdings, lambda lines: None, ignore, address)
         await server.start()
         membership.member = attrs.evolve(member, address=server.address)
         self.holdings[host] = holdings
--- a/knapweedrail/tests/test_relay_neighbours.py
+++ b/knapweedrail/tests/test_relay_neighbours.py
@@ -8,7 +8,7 @@
 import attrs
 import pytest
 
-from ..relay.members import Member
+from ..relay.models import Member
 from ..relay.neighbours import Neighbours, Trade
 
 pytestmark = pytest.mark.anyio
--- /dev/null
+++ b/knapweedrail/tests/test_relay_news.py
@@ -0,0 +1,319 @@
+"""How old what relays believe of the store can get, in virtual time."""
+
+import anyio
+import pytest
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from ..relay.options import RelaySettings
+from ..relay.replicas import Replica
+from ..standins.looptime import run_virtual
+from ..standins.newsfleet import NewsFleet
+
+BOUNDS = {"base": (3000, 2000, 2000), "large": (5000, 4000, 4000)}
+"""Milliseconds: until bounds hold again after a disturbance, for a configuration to be
+in force, for a leaving runner to get no more work."""
+
+START_SECONDS = 12.0
+
+
+def make_settings(bounds):
+    contact, configuration, leaving = bounds
+    return RelaySettings(
+        host="h",
+        data_centre="dc",
+        store_address="10.0.0.1:80",
+        contact_milliseconds=contact,
+        configuration_milliseconds=configuration,
+        leaving_milliseconds=leaving,
+    )
+
+
+def play(sizes, scenario, bounds=BOUNDS["base"]):
+    """Play a scenario with a fleet; return the fleet."""
+
+    async def run(clock):
+        async with anyio.create_task_group() as group:
+            data_centres = {f"dc{n}": size for n, size in enumerate(sizes)}
+            fleet = NewsFleet(group, data_centres, make_settings(bounds))
+            fleet.change()
+            fleet.start_all()
+            await fleet.run_for(START_SECONDS)
+            fleet.worst_age = 0.0
+            await scenario(fleet)
+            fleet.watchers = fleet.count_watchers()
+            group.cancel_scope.cancel()
+        return fleet
+
+    return run_virtual(run)
+
+
+def list_watchers(fleet):
+    return [host for host, relay in fleet.relays.items() if relay.news.is_followed]
+
+
+def check(fleet):
+    """Check that each relay in touch knew in time what the store acknowledged."""
+    bound = fleet.settings.configuration_milliseconds / 1000
+    assert fleet.worst_age <= bound
+    assert not fleet.regressed
+
+
+async def change_for(fleet, seconds, pause=0.7, padding=0):
+    for _ in range(round(seconds / pause)):
+        fleet.change(padding)
+        await fleet.run_for(pause)
+
+
+@pytest.mark.parametrize("sizes", [[2, 2, 2], [9, 9, 9]])
+def test_most_relays_call_the_store_for_nothing_in_calm(sizes):
+    """Guards against a price that grows with each host."""
+
+    async def scenario(fleet):
+        before = fleet.store.price
+        await fleet.run_for(40)
+        fleet.calls = (fleet.store.price - before) / 40
+
+    fleet = play(sizes, scenario)
+    watchers = fleet.watchers
+    assert watchers == (3 if sizes[0] > 8 else 2)
+    a_watcher = 1 / fleet.settings.configuration_watch_seconds
+    a_watcher += 1 / fleet.settings.runner_watch_seconds
+    assert fleet.calls <= watchers * a_watcher + len(fleet.hosts) * 0.03
+
+
+@pytest.mark.parametrize("bounds", BOUNDS.values(), ids=BOUNDS)
+@pytest.mark.parametrize("way", ["kill", "lose_power", "pause"])
+@pytest.mark.parametrize("count", [1, 2])
+def test_the_end_of_watchers_makes_no_news_late(bounds, way, count):
+    """Guards against relays that wait for a watcher that is dead or stands still."""
+
+    async def scenario(fleet):
+        for _ in range(4):
+            for host in list_watchers(fleet)[:count]:
+                getattr(fleet, way)(host)
+            await change_for(fleet, 6.0)
+            for host in fleet.hosts:
+                if host in fleet.relays and host in fleet.store.lost:
+                    fleet.resume(host)
+            fleet.start_all()
+            await fleet.run_for(7.3)
+
+    check(play([3, 3, 3], scenario, bounds))
+
+
+@pytest.mark.parametrize("bounds", BOUNDS.values(), ids=BOUNDS)
+@pytest.mark.parametrize("sizes", [[2, 2, 2], [9, 9, 9]])
+def test_watchers_cut_off_from_the_store_make_no_news_late(bounds, sizes):
+    """Guards against relays that rely on one that hears nothing itself."""
+
+    async def scenario(fleet):
+        for _ in range(3):
+            lost = set(list_watchers(fleet)[:1])
+            fleet.store.lose(lost)
+            await change_for(fleet, 8.0)
+            fleet.store.restore(lost)
+            await change_for(fleet, 8.0)
+
+    check(play(sizes, scenario, bounds))
+
+
+@pytest.mark.parametrize("sizes", [[2, 2, 2], [9, 9, 9]])
+def test_a_data_centre_that_hears_no_other_one_goes_on(sizes):
+    """Guards against relays that wait for a source they can't hear any more."""
+
+    async def scenario(fleet):
+        here = {host for host, place in fleet.hosts.items() if place == "dc1"}
+        fleet.part(here, set(fleet.hosts) - here)
+        await change_for(fleet, 9.0)
+        fleet.join()
+        await change_for(fleet, 9.0)
+
+    check(play(sizes, scenario))
+
+
+def test_relays_that_hear_nobody_watch_for_themselves():
+    """Guards against relays that depend on each other when only the store is there."""
+
+    async def scenario(fleet):
+        fleet.part(set(fleet.hosts), set(fleet.hosts))
+        await change_for(fleet, 12.0)
+
+    fleet = play([3, 3, 3], scenario)
+    check(fleet)
+    assert fleet.watchers == 0
+
+
+def test_changes_around_outages_are_known_when_bounds_hold_again():
+    """Guards against old configurations after an outage of the store."""
+
+    async def scenario(fleet):
+        for seconds in (0.4, 2.3, 5.1):
+            fleet.store.set_down(True)
+            await change_for(fleet, seconds, pause=0.2)
+            fleet.store.set_down(False)
+            fleet.unstable_at = anyio.current_time()
+            await change_for(fleet, 4.0, pause=0.3)
+
+    check(play([3, 3, 3], scenario))
+
+
+def test_a_history_that_is_gone_takes_nothing_back():
+    """Guards against changes that are lost as the store forgets what it had told."""
+
+    async def scenario(fleet):
+        for _ in range(6):
+            fleet.change()
+            fleet.store.compact()
+            fleet.change()
+            await fleet.run_for(1.3)
+
+    check(play([3, 3, 3], scenario))
+
+
+def test_all_hosts_that_lose_power_hear_of_each_other_again():
+    """Guards against a fleet whose relays all watch for themselves after a loss."""
+
+    async def scenario(fleet):
+        for host in fleet.hosts:
+            fleet.lose_power(host)
+        await fleet.run_for(1.4)
+        before = fleet.store.price
+        fleet.start_all()
+        await change_for(fleet, 10.0)
+        fleet.calls = fleet.store.price - before
+
+    fleet = play([9, 9, 9], scenario)
+    check(fleet)
+    assert fleet.watchers <= 6
+    assert fleet.calls < 6 * len(fleet.hosts)
+
+
+def test_large_configurations_come_from_the_store():
+    """Guards against small links that are full while relays tell each other."""
+
+    async def scenario(fleet):
+        fleet.store.calls.clear()
+        await change_for(fleet, 4.0, pause=1.0, padding=5000)
+
+    fleet = play([9, 9, 9], scenario)
+    check(fleet)
+    assert fleet.store.calls["list config"] >= len(fleet.hosts) - fleet.watchers
+
+
+def test_a_storm_of_small_changes_costs_no_call_of_most_relays():
+    """Guards against a call of each relay for each version."""
+
+    async def scenario(fleet):
+        fleet.store.calls.clear()
+        await change_for(fleet, 5.0, pause=0.33, padding=100)
+
+    fleet = play([9, 9, 9], scenario)
+    check(fleet)
+    assert fleet.store.calls["list config"] == 0
+    assert fleet.store.calls["watch config"] <= 3 * 2 * 5.0 / 0.33
+
+
+FAULTS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["kill", "power", "pause", "resume", "lose", "restore", "part", "join"]
+            + ["down", "up", "compact", "start", "all", "watcher"]
+        ),
+        st.integers(0, 8),
+        st.floats(0.05, 3.0),
+    ),
+    max_size=12,
+)
+
+
+async def play_faults(fleet, faults):
+    hosts = list(fleet.hosts)
+    for fault, number, pause in faults:
+        host = hosts[number % len(hosts)]
+        place = {h for h in hosts if fleet.hosts[h] == fleet.hosts[host]}
+        match fault:
+            case "kill":
+                fleet.kill(host)
+            case "power":
+                fleet.lose_power(host)
+            case "pause":
+                fleet.pause(host)
+            case "resume":
+                fleet.resume(host)
+            case "lose":
+                fleet.store.lose({host})
+            case "restore":
+                fleet.store.restore({host})
+            case "part":
+                fleet.part(place, set(hosts) - place)
+            case "join":
+                fleet.join()
+            case "down" | "up":
+                fleet.store.set_down(fault == "down")
+            case "compact":
+                fleet.store.compact()
+            case "start":
+                fleet.start_all()
+            case "all":
+                for each in hosts:
+                    fleet.lose_power(each)
+            case "watcher":
+                for each in list_watchers(fleet)[:1]:
+                    fleet.lose_power(each)
+        fleet.change()
+        await fleet.run_for(pause)
+    fleet.store.set_down(False)
+    fleet.store.restore(set(hosts))
+    fleet.join()
+    fleet.start_all()
+    fleet.disturb(set(hosts))
+    await change_for(fleet, 8.0)
+
+
+@settings(
+    max_examples=20,
+    deadline=None,
+    derandomize=True,
+    phases=[Phase.explicit, Phase.generate],
+)
+@given(st.sampled_from([[2, 2, 2], [3, 3, 3], [9, 2]]), FAULTS)
+def test_no_schedule_of_faults_makes_news_late(sizes, faults):
+    """Guards against faults that meet, of which each by itself is borne."""
+
+    async def scenario(fleet):
+        await play_faults(fleet, faults)
+
+    fleet = play(sizes, scenario)
+    check(fleet)
+    newest = fleet.acknowledged[-1].version
+    assert all(relay.version >= newest - 3 for relay in fleet.relays.values())
+
+
+def test_a_watcher_that_drops_a_change_is_found(monkeypatch):
+    """Guards against a check that wouldn't notice what relays are never told."""
+    monkeypatch.setattr(Replica, "tell", lambda self, since: b"")
+
+    async def scenario(fleet):
+        await change_for(fleet, 12.0)
+
+    with pytest.raises(AssertionError):
+        check(play([3, 3, 3], scenario))
+
+
+def test_a_watch_that_is_longer_than_its_bound_is_found(monkeypatch):
+    """Guards against a check that wouldn't notice waits that add up."""
+    longer = property(lambda settings: 9.0)
+    monkeypatch.setattr(RelaySettings, "configuration_watch_seconds", longer)
+
+    async def scenario(fleet):
+        fleet.change()
+        await fleet.run_for(1.0)
+        fleet.store.set_down(True)
+        await fleet.run_for(0.3)
+        fleet.store.set_down(False)
+        fleet.unstable_at = anyio.current_time()
+        await change_for(fleet, 9.0)
+
+    with pytest.raises(AssertionError):
+        check(play([3, 3, 3], scenario))
--- /dev/null
+++ b/knapweedrail/tests/test_relay_patches.py
@@ -0,0 +1,48 @@
+"""Differences between two JSON values."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ..relay.patches import apply_patch, is_same, make_patch
+
+SCALARS = st.none() | st.booleans() | st.integers(-3, 3) | st.text("ab", max_size=2)
+VALUES = st.recursive(
+    SCALARS,
+    lambda children: (
+        st.lists(children, max_size=4)
+        | st.dictionaries(st.text("abc", max_size=1), children, max_size=3)
+    ),
+    max_leaves=12,
+)
+
+
+@given(VALUES, VALUES)
+def test_a_patch_makes_the_new_value_and_leaves_the_old_one(old, new):
+    """Guards against a configuration at some relays that nobody wrote."""
+    before = repr(old)
+    assert is_same(apply_patch(old, make_patch(old, new)), new)
+    assert repr(old) == before
+
+
+def test_a_truth_value_is_not_a_number():
+    """Guards against a field that changes its type unnoticed."""
+    assert apply_patch({"a": 1}, make_patch({"a": 1}, {"a": True}))["a"] is True
+
+
+def test_one_route_of_many_is_a_small_difference():
+    """Guards against whole configurations over small links."""
+    routes = [{"name": f"r-{n}", "padding": "x" * 100} for n in range(1000)]
+    changed = [*routes[:500], {"name": "new"}, *routes[500:]]
+    assert len(repr(make_patch({"routes": routes}, {"routes": changed}))) < 200
+    later = [*routes[:500], routes[500] | {"timeoutMs": 7}, *routes[501:]]
+    assert len(repr(make_patch({"routes": routes}, {"routes": later}))) < 200
+
+
+@pytest.mark.parametrize(
+    "patch", [["fields", {"a": ["items", {"0": ["value", 1]}]}, []], ["what"], "x", []]
+)
+def test_a_patch_of_another_value_is_told_from_a_sound_one(patch):
+    """Guards against half of a difference that is taken in."""
+    with pytest.raises(ValueError):
+        apply_patch({"b": []}, patch)
--- a/knapweedrail/tests/test_relay_recovery.py
+++ b/knapweedrail/tests/test_relay_recovery.py
@@ -7,8 +7,8 @@
 from ..relay import holdings as holdings_module
 from ..relay.holdings import Holdings
 from ..relay.ledgers import decode_account, encode_account
-from ..relay.members import Member, Membership
-from ..relay.models import Account, Repetition
+from ..relay.members import Membership
+from ..relay.models import Account, Member, Repetition
 from ..relay.neighbours import Neighbours
 from ..relay.openings import Boot, Moment
 from ..relay.reservations import Reservation, Shortage
--- /dev/null
+++ b/knapweedrail/tests/test_relay_sources.py
@@ -0,0 +1,111 @@
+"""Which relays watch the store for the others."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ..relay.models import Member
+from ..relay.sources import (
+    LOCAL_RELAYS,
+    NewsTiming,
+    Source,
+    plan_sources,
+    rank_watchers,
+)
+
+TIMING = NewsTiming(beat=1.0, silence=2.0)
+
+
+def make_fleet(*sizes):
+    return [
+        Member(
+            f"dc{place}-{number}", f"dc{place}-{number}/1", "10.0.0.1:1", f"dc{place}"
+        )
+        for place, size in enumerate(sizes)
+        for number in range(size)
+    ]
+
+
+def find_watchers(fleet):
+    """Return the relays that are followed when all answer."""
+    followed = set()
+    for member in fleet:
+        first, second = plan_sources(fleet, member)
+        chosen = [first[0].host] if first else []
+        chosen += [m.host for m in second if m.host not in chosen][:1]
+        followed.update(chosen)
+    return followed
+
+
+@pytest.mark.parametrize(
+    ("sizes", "watchers"),
+    [
+        ([2, 2, 2], 2),
+        ([3, 3, 3], 2),
+        ([2, 2, 1, 1], 2),
+        ([22, 22, 22, 22], 4),
+        ([39, 39, 39, 39, 39], 5),
+        ([28] * 18, 18),
+        ([1], 0),
+        ([2], 2),
+    ],
+)
+def test_few_relays_watch_for_all(sizes, watchers):
+    """Guards against a call of each relay of a fleet for each change."""
+    assert len(find_watchers(make_fleet(*sizes))) == watchers
+
+
+@given(st.lists(st.integers(1, 12), min_size=1, max_size=4), st.randoms())
+def test_all_choose_alike_and_two_that_differ(sizes, rng):
+    """Guards against relays that all watch, as each chooses by its own order."""
+    fleet = make_fleet(*sizes)
+    shuffled = rng.sample(fleet, len(fleet))
+    for member in fleet:
+        plan = plan_sources(fleet, member)
+        assert plan == plan_sources(shuffled, member)
+        assert all(member.host != m.host for part in plan for m in part)
+
+
+def test_a_data_centre_that_is_cut_off_has_a_watcher_of_its_own():
+    """Guards against news that all have to come from another data centre."""
+    fleet = make_fleet(LOCAL_RELAYS, LOCAL_RELAYS)
+    for member in fleet:
+        first, second = plan_sources(fleet, member)
+        assert all(m.data_centre == member.data_centre for m in first)
+        assert all(m.data_centre != member.data_centre for m in second)
+
+
+def test_each_watcher_tells_one_other_data_centre():
+    """Guards against one small host that tells all relays of a fleet."""
+    fleet = make_fleet(10, 10, 10)
+    seconds = {}
+    for member in fleet:
+        second = plan_sources(fleet, member)[1][0]
+        seconds.setdefault(second.host, set()).add(member.data_centre)
+    assert len(seconds) == 3
+    assert all(len(places) == 1 for places in seconds.values())
+
+
+def test_relays_without_an_address_are_not_followed():
+    """Guards against a source that nobody can reach."""
+    assert rank_watchers([Member("h", "h/1", "", "dc")]) == []
+
+
+def test_an_answer_that_was_long_on_its_way_confirms_nothing_later():
+    """Guards against old news that count as new at a host that stood still."""
+    source = Source(make_fleet(1)[0], heard_at=100.0)
+    source.note_confirmed("k", asked_at=90.0, age=3.0)
+    source.note_heard(100.0)
+    assert source.measure_trust("k", 100.0, TIMING, limit=13.0) == 0.0
+    assert source.measure_trust("k", 100.0, TIMING, limit=14.0) == 1.0
+    assert source.measure_trust("k", 100.0, TIMING, limit=40.0) == TIMING.silence
+
+
+def test_a_source_that_says_nothing_counts_no_more():
+    """Guards against a watcher that stands still and is trusted on."""
+    source = Source(make_fleet(1)[0], heard_at=100.0)
+    source.note_confirmed("k", asked_at=100.0, age=0.0)
+    assert not source.is_silent(101.9, TIMING)
+    assert source.is_silent(102.0, TIMING)
+    assert source.measure_trust("k", 102.0, TIMING, limit=40.0) == 0.0
+    assert source.measure_trust("other", 100.0, TIMING, limit=40.0) == 0.0
--- a/knapweedrail/wire/relays_grpc.py
+++ b/knapweedrail/wire/relays_grpc.py
@@ -22,6 +22,10 @@
     async def TellSuspects(self, stream: 'grpclib.server.Stream[relays_pb2.SuspectsRequest, relays_pb2.SuspectsReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def FollowNews(self, stream: 'grpclib.server.Stream[relays_pb2.NewsRequest, relays_pb2.NewsReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/knapweedrail.relays.Relays/Trade': grpclib.const.Handler(
@@ -36,6 +40,12 @@
                 relays_pb2.SuspectsRequest,
                 relays_pb2.SuspectsReply,
             ),
+            '/knapweedrail.relays.Relays/FollowNews': grpclib.const.Handler(
+                self.FollowNews,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                relays_pb2.NewsRequest,
+                relays_pb2.NewsReply,
+            ),
         }
 
 
@@ -54,3 +64,9 @@
             relays_pb2.SuspectsRequest,
             relays_pb2.SuspectsReply,
         )
+        self.FollowNews = grpclib.client.StreamStreamMethod(
+            channel,
+            '/knapweedrail.relays.Relays/FollowNews',
+            relays_pb2.NewsRequest,
+            relays_pb2.NewsReply,
+        )
