Find a planted watch that is too long, whichever kind finds the outage

Cause: the test of the planted fault lengthened the watch on the configuration alone; that on the runners, whose end comes by its phase, found the outage first. Both are longer now, and the check finds it.

--- a/knapweedrail/tests/test_relay_news.py
+++ b/knapweedrail/tests/test_relay_news.py
@@ -305,6 +305,7 @@
     """Guards against a check that wouldn't notice waits that add up."""
     longer = property(lambda settings: 9.0)
     monkeypatch.setattr(RelaySettings, "configuration_watch_seconds", longer)
+    monkeypatch.setattr(RelaySettings, "runner_watch_seconds", longer)
 
     async def scenario(fleet):
         fleet.change()
