Keep callers waiting until a start knows its first configuration

Cause: the callers' server answered as soon as its libraries were read, some 0.15 s before the first configuration was there.

Change: the listener's queue is taken up once the configuration is known, or after half a second, when the store is away and callers are told so.

--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -40,6 +40,10 @@
 """How long a runner whose entry vanished may still be used when no other is listed:
 entries that lapsed with the store are back within about two seconds."""
 
+FIRST_CONFIGURATION_SECONDS = 0.5
+"""How long a relay that starts keeps callers waiting for its first configuration: a
+hundred answers of the store. After that the store is away, and callers are told so."""
+
 PRUNE_SECONDS = 1.0
 """Pause between looks for idle connections and runners to forget."""
 
@@ -175,10 +179,15 @@
     async def start(self, group: anyio.abc.TaskGroup) -> None:
         """Start all tasks in ``group``."""
         await self._ready_server.start(group)
-        await self._caller_server.start(group)
         await self._peer_server.start()
         if self._metrics_server is not None:
             await self._metrics_server.start(group)
+        log_event(
+            Event.ROUTER_STARTED,
+            host=self._settings.host,
+            data_centre=self._settings.data_centre,
+            watch_seconds=self._settings.configuration_watch_seconds,
+        )
         group.start_soon(self._measures.watch_delay, self._pressure)
         for task in (
             self._configuration,
@@ -189,15 +198,15 @@
             self._successors,
         ):
             await task.start(group)
+        # Callers that came meanwhile wait in the listener's queue. After a loss of all
+        # hosts that is everybody, and each of them would be refused for want of a
+        # configuration that is there a moment later.
+        with anyio.move_on_after(FIRST_CONFIGURATION_SECONDS):
+            await self._configuration.known.wait()
+        await self._caller_server.start(group)
         group.start_soon(self._store.log_calls)
         group.start_soon(self._prune)
         group.start_soon(self._tell_waiting)
-        log_event(
-            Event.ROUTER_STARTED,
-            host=self._settings.host,
-            data_centre=self._settings.data_centre,
-            watch_seconds=self._settings.configuration_watch_seconds,
-        )
 
     async def close(self, asked_at: float) -> None:
         """Stop in good order, within the time that the settings give.
@@ -236,6 +245,7 @@
             await self._neighbours.close()
             await self._peer_server.close()
         self._measures.close()
+        self._store.log_begun()
         log_event(Event.ROUTER_STOPPED, left=self._gateway.under_way)
 
     def _add_gauges(self, count_left_out: Callable[[], int]) -> None:
--- a/knapweedrail/relay/followers.py
+++ b/knapweedrail/relay/followers.py
@@ -246,6 +246,7 @@
             limit_seconds,
         )
         self.table: RouteTable | None = None
+        self.known = anyio.Event()
         self._listeners: list[Callable[[Configuration], None]] = []
         self._taken_revision = 0
         self._decode = decode
@@ -285,6 +286,7 @@
             return
         self.table = RouteTable(found)
         self._taken_revision = stored.revision
+        self.known.set()
         for listener in self._listeners:
             listener(found)
         log_event(
--- a/knapweedrail/relay/news.py
+++ b/knapweedrail/relay/news.py
@@ -353,7 +353,8 @@
             kind: taker.replica.revision for kind, taker in self._takers.items()
         }
         try:
-            with anyio.fail_after(self._timing.silence):
+            # The first one opens the connection: a host without power gives no answer.
+            with anyio.fail_after(self._timing.beat):
                 await link.send(Reading(time.monotonic(), revisions))
         except (LinkLostError, TimeoutError):
             ended.set()
--- a/knapweedrail/servers.py
+++ b/knapweedrail/servers.py
@@ -57,6 +57,7 @@
         self.address = address
         self.limits = limits
         self._listener = listener
+        self._config: Config | None = None
         self._stop = anyio.Event()
         self._stopped = anyio.Event()
         self._under_way = 0
@@ -77,6 +78,8 @@
     def set_limits(self, limits: ServerLimits) -> None:
         """Change the limits; connections that are open keep their header limit."""
         self.limits = limits
+        if self._config is None:
+            return
         self._config.h11_max_incomplete_size = limits.max_header_bytes
         self._config.keep_alive_timeout = limits.keep_alive_seconds
 
