Look at an account that is given out instead of writing it again

Cause: while requests wait for tokens, a view of the ledger older than 1.5 s was written again unchanged, so that its condition shows whether others gave tokens back.

Change: after a sure look within six seconds, a look that may be old, a tenth of a call, is enough to refuse by, as held elsewhere with a time to come back. "Spent" rests on what is surely used, which never falls, so that it is true by any view.

Tests: an account that is given out costs two writes for twenty requests (twenty before); tokens that came back are found by the next sure look. The test's `age` makes the new look old as well.

--- a/knapweedrail/relay/accounts.py
+++ b/knapweedrail/relay/accounts.py
@@ -17,6 +17,14 @@
 from .models import Account
 from .openings import Moment, Opening
 
+RECENT_SECONDS = 1.5
+"""How old a view of the ledger may be to refuse by it without looking again."""
+
+CHECK_SECONDS = 6.0
+"""How long looks that may be old, a tenth of a call each, do for that. Of an account
+that is given out, each keeper would else write what it has again and again, to find
+that nobody gave anything back."""
+
 
 @attrs.frozen
 class Plan:
@@ -45,6 +53,8 @@
         entry: Its ledger as last seen.
         revision: Of the stored object; ``None`` before it was seen.
         seen_at: When it was last seen, seconds.
+        looked_at: When it was last looked at, by an answer that may be old; seconds.
+        checked_at: When it was last seen for certain, seconds.
         unreadable_at: When what the store has of it was last found unreadable; it was
             readable again since if that is before it was seen.
         refreshing: Whether a change of the ledger is under way.
@@ -61,6 +71,8 @@
     entry: AccountLedger = attrs.field(factory=AccountLedger)
     revision: int | None = None
     seen_at: float = float("-inf")
+    looked_at: float = float("-inf")
+    checked_at: float = float("-inf")
     unreadable_at: float = float("-inf")
     refreshing: bool = False
     borrowing: bool = False
@@ -82,6 +94,13 @@
         """
         return self.unreadable_at > self.seen_at and now - self.unreadable_at < recent
 
+    def is_recent(self, now: float) -> bool:
+        """Return whether a sure look would hardly bring more than is known."""
+        if now - self.seen_at < RECENT_SECONDS:
+            return True
+        looked = now - self.looked_at < RECENT_SECONDS
+        return looked and now - self.checked_at < CHECK_SECONDS
+
     def learn(self, entry: AccountLedger, revision: int, now: float) -> None:
         """Take over the ledger as it is stored."""
         if self.revision is None:
@@ -101,21 +120,21 @@
         keeps: bool,
         starting: bool,
         now: float,
-        recent: float,
         moment: Moment | None = None,
         started: Moment | None = None,
     ) -> Plan | None:
         """Return the ledger as it should be, or ``None`` if it will do as it is.
 
+        While requests wait for tokens, a view that isn't recent is written again
+        unchanged: the condition fails if others gave tokens back, and brings what is
+        there.
+
         Args:
             keepers: Number of relays that keep an account.
             keeps: Whether this one does.
             starting: Whether it has seen too little traffic to know the demand. In the
                 middle of a day it holds nothing ahead for that: others do, and what a
                 host holds that dies again soon would be lost for nobody.
-            recent: Age up to which the ledger's last view will do, seconds. While
-                requests wait for tokens, an older one is written again unchanged: the
-                condition fails if others gave tokens back, and brings what is there.
             moment: The present one on this host's clock; without it grants are open as
                 a whole.
             started: That at which this relay's life began.
@@ -140,7 +159,7 @@
         else:
             change = plan_draw(budget.free, self.allowance.free, demand, now)
         entered = known or not keeps
-        stale = self.drawing and now - self.seen_at >= recent
+        stale = self.drawing and not self.is_recent(now)
         free = max(0, self.allowance.free + change)
         pace = plan_pace(budget, free, demand, now)
         due = change or settled or stale or self._must_open(budget, pace, moment)
--- a/knapweedrail/relay/draws.py
+++ b/knapweedrail/relay/draws.py
@@ -11,7 +11,7 @@
 
 from ..events import Event, log_event
 from ..outcomes import Unavailable, Unknown
-from .accounts import HeldAccount, Plan
+from .accounts import RECENT_SECONDS, HeldAccount, Plan
 from .boots import BootClock
 from .grants import START_SECONDS
 from .ledgers import AccountLedger, decode_account, encode_account
@@ -58,9 +58,6 @@
 relays of three or four data centres write an account, so one that wrote last seconds
 ago often meets another's write, at two calls instead of one and a tenth."""
 
-RECENT_SECONDS = 1.5
-"""How old a view of the ledger may be to refuse by it without looking again."""
-
 
 class LedgerDraws:
     """Draws on ledgers, and gives back to them.
@@ -179,9 +176,11 @@
         match outcome:
             case Written(revision):
                 held.learn(planned, revision, time.monotonic())
+                held.checked_at = held.seen_at
                 return True
             case Conflict(stored):
                 self._learn(held, stored)
+                held.checked_at = time.monotonic()
             case Missing():
                 held.revision = None
         return False
@@ -197,7 +196,6 @@
             self._membership.keeps(held.name),
             self._is_starting(),
             time.monotonic(),
-            RECENT_SECONDS,
             self._clock.read(),
             self._clock.started,
         )
@@ -232,17 +230,20 @@
         Returns:
             Whether the store answered, or wasn't asked.
         """
-        if self.failed or time.monotonic() - held.seen_at < PEEK_SECONDS:
+        last_at = max(held.seen_at, held.looked_at)
+        if self.failed or time.monotonic() - last_at < PEEK_SECONDS:
             return True
         began_at = time.monotonic()
         found = await self._store.peek(LEDGER_KIND, held.name)
         if isinstance(found, Unavailable):
             self._note_reach(found, time.monotonic() - began_at)
             return False
+        now = time.monotonic()
+        held.looked_at = now
         if isinstance(found, StoredObject) and found.revision > (held.revision or 0):
             self._learn(held, found)
-            # It may be seconds old: too old to refuse anybody by it.
-            held.seen_at = time.monotonic() - RECENT_SECONDS
+            # It may be seconds old.
+            held.seen_at = now - RECENT_SECONDS
         return True
 
     def _find_shortage(
@@ -256,7 +257,7 @@
             tokens,
             held.allowance.free,
             self.reachable and not self._is_unreadable(held),
-            time.monotonic() - held.seen_at < RECENT_SECONDS,
+            held.is_recent(time.monotonic()),
         )
 
     def _is_unreadable(self, held: HeldAccount) -> bool:
--- a/knapweedrail/standins/newsfleet.py
+++ b/knapweedrail/standins/newsfleet.py
@@ -72,6 +72,10 @@
 STALE_PRICE = 0.1
 DOUBT_SECONDS = 1.9
 
+MESSAGE_BYTES = 150
+"""Of a message that tells no change: two kinds of some forty bytes, and as much for
+HTTP/2, TCP and IP."""
+
 
 class PlayedStore:
     """The store's state, its history, and what each relay's calls meet.
@@ -323,6 +327,14 @@
             self.back.close()
 
 
+@attrs.define
+class Traffic:
+    """What a relay has told others."""
+
+    messages: int = 0
+    bytes: int = 0
+
+
 class _FollowerEnd(FollowerLink):
     def __init__(self, link: PlayedLink) -> None:
         self._link = link
@@ -335,13 +347,17 @@
 
 
 class _WatcherEnd(WatcherLink):
-    def __init__(self, link: PlayedLink) -> None:
+    def __init__(self, link: PlayedLink, traffic: Traffic) -> None:
         self._link = link
+        self._traffic = traffic
 
     async def receive(self) -> Reading:
         return await self._link.there.receive()
 
     async def send(self, telling: Telling) -> None:
+        self._traffic.messages += 1
+        changes = sum(len(state.changes) for state in telling.kinds)
+        self._traffic.bytes += MESSAGE_BYTES + changes
         self._link.back.send(telling)
 
 
@@ -454,6 +470,7 @@
         self.acknowledged: list[Acknowledged] = []
         self.unstable_at = -math.inf
         self.worst_age = 0.0
+        self.traffic: dict[str, Traffic] = {}
         self.regressed: list[str] = []
         self.hosts = {
             f"{data_centre}-{number}": data_centre
@@ -600,7 +617,8 @@
             link.close()
             return
         self.links.add(link)
-        relay.group.start_soon(relay.news.serve, _WatcherEnd(link))
+        traffic = self.traffic.setdefault(host, Traffic())
+        relay.group.start_soon(relay.news.serve, _WatcherEnd(link, traffic))
 
     def judge(self) -> None:
         """Take in how old what each relay in touch believes is now."""
--- a/knapweedrail/tests/test_relay_draws.py
+++ b/knapweedrail/tests/test_relay_draws.py
@@ -3,13 +3,14 @@
 import anyio
 import pytest
 
-from ..relay.accounts import HeldAccount
+from ..relay.accounts import CHECK_SECONDS, RECENT_SECONDS, HeldAccount
 from ..relay.allowances import Allowance
 from ..relay.boots import BootClock
 from ..relay.draws import LEDGER_KIND, LedgerDraws
 from ..relay.ledgers import AccountLedger, Grant, decode_account, encode_account
 from ..relay.members import Membership
 from ..relay.models import Member, Repetition
+from ..relay.reservations import Shortage
 from ..relay.signals import Signal
 from .relays_in_memory import ACCOUNT, MemoryStore, make_configuration, make_route
 
@@ -53,7 +54,7 @@
 
     def age(self):
         """Make the view of the ledger old."""
-        self.held.seen_at = float("-inf")
+        self.held.seen_at = self.held.looked_at = float("-inf")
 
 
 async def run_draws(scenario):
@@ -145,3 +146,35 @@
         assert not drawing.draws.reachable
 
     await run_draws(scenario)
+
+
+async def test_an_account_that_is_given_out_costs_hardly_a_write():
+    """Guards against a write of each keeper for each request of a spent account."""
+
+    async def scenario(drawing):
+        full = AccountLedger(0, {OTHER: Grant(PREPAID, 0)})
+        drawing.store.put(LEDGER_KIND, ACCOUNT, encode_account(full))
+        for _ in range(20):
+            drawing.held.seen_at -= RECENT_SECONDS
+            drawing.held.looked_at -= RECENT_SECONDS
+            assert await drawing.draw(1000) is Shortage.HELD_ELSEWHERE
+
+    drawing = await run_draws(scenario)
+    assert drawing.store.writes + drawing.store.conflicts <= 2
+    assert drawing.store.peeks <= 21
+
+
+async def test_tokens_that_came_back_are_found_by_the_next_sure_look():
+    """Guards against callers who are refused on and on by looks that are old."""
+
+    async def scenario(drawing):
+        full = AccountLedger(0, {OTHER: Grant(PREPAID, 0)})
+        drawing.store.put(LEDGER_KIND, ACCOUNT, encode_account(full))
+        assert await drawing.draw(1000) is Shortage.HELD_ELSEWHERE
+        drawing.store.stale[LEDGER_KIND, ACCOUNT] = drawing.stored
+        drawing.store.put(LEDGER_KIND, ACCOUNT, encode_account(AccountLedger(0, {})))
+        drawing.age()
+        drawing.held.checked_at -= CHECK_SECONDS
+        assert await drawing.draw(1000) is None
+
+    await run_draws(scenario)
