Let a fleet that starts for the first time find its watchers before it reads lists

Cause: at the first start nobody is listed yet, so each relay read the configuration, the runners and, after a second, the relays in full, and watched for itself until its watches ended: 6.6 calls a host in virtual time (195 hosts).

Change: the platform says whether the fleet starts for the first time (`first_start`); then a relay waits up to eight seconds for a source. It knows who started with it by lists that may be old: the second one that shows its own entry. A fresh list only if five don't.

A new relay by itself is settled after two to five seconds (one before); until then it draws tokens for itself, as before.

--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -125,6 +125,7 @@
             GrpcDialer(),
             (configuration, runners),
             NewsTiming(settings.beat_seconds, settings.silence_seconds),
+            settings.first_start,
         )
         self._peer_server = make_server(
             self._holdings,
--- a/knapweedrail/relay/members.py
+++ b/knapweedrail/relay/members.py
@@ -31,8 +31,15 @@
 of them every five seconds would be all of the 23 KB/s that a host has for control."""
 
 SETTLE_SECONDS = 1.0
-"""Time from a relay's own entry to its first list. Relays that start together enter
-themselves within it; before, each would take itself for the only one."""
+"""Pause before each list that a relay waits for which was never listed before. Relays
+that start together enter themselves within it."""
+
+SETTLED_LISTS = 2
+"""Lists with a relay's own entry after which it knows those that entered themselves at
+the same time. A list may be old; one that shows the entry is younger than that."""
+
+MOST_LISTS = 5
+"""Lists that may be old which a relay waits for, before it has a new one."""
 
 RETRY_SECONDS = 0.5
 """Pause between tries while the store doesn't answer."""
@@ -100,6 +107,7 @@
         self.settled = False
         self.looked = anyio.Event()
         self._known_before = False
+        self._listed = False
         self._revision: int | None = None
         self._spoilt = False
         self._store = store
@@ -170,10 +178,7 @@
         while not await self._enter():
             await anyio.sleep(RETRY_SECONDS)
         if not self._known_before:
-            # What was read may miss relays that start at the same time.
-            await anyio.sleep(SETTLE_SECONDS)
-            while not await self._list(stale=False):
-                await anyio.sleep(RETRY_SECONDS)
+            await self._wait_for_others()
         self.settled = True
         log_event(Event.RELAYS_LISTED, relays=self.count, settled=True)
         while True:
@@ -183,6 +188,19 @@
                 # Relays that start later can't read it, and would do without this one.
                 self._spoilt = not await self._enter()
 
+    async def _wait_for_others(self) -> None:
+        """Wait until relays that start at the same time are listed; before, each would
+        take itself for the only one."""
+        shown = 0
+        for _ in range(MOST_LISTS):
+            await anyio.sleep(SETTLE_SECONDS)
+            if await self._list(stale=True) and self._listed:
+                shown += 1
+            if shown == SETTLED_LISTS:
+                return
+        while not await self._list(stale=False):
+            await anyio.sleep(RETRY_SECONDS)
+
     async def leave(self) -> None:
         """Take this relay's entry out of the store."""
         await self._store.delete(MEMBER_KIND, self.member.host)
@@ -218,6 +236,8 @@
             if stored.name == self.member.host:
                 self._revision = stored.revision
                 self._known_before = True
+        own = found.get(self.member.host)
+        self._listed = own is not None and own.holder == self.member.holder
         found[self.member.host] = self.member
         if set(found) != set(self._members):
             seconds = round(time.monotonic() - began_at, 3)
--- a/knapweedrail/relay/news.py
+++ b/knapweedrail/relay/news.py
@@ -37,6 +37,10 @@
 """How long a relay that starts waits for the list of relays before it watches the
 store for itself: some tens of the store's answers."""
 
+FIRST_START_SECONDS = 8.0
+"""The same, in a fleet that starts for the first time: until its relays are listed, and
+have found whom to follow. Each would read all lists for itself otherwise."""
+
 
 class Supply(ABC):
     """What may spare a follower its own calls to the store."""
@@ -137,6 +141,7 @@
         dialer: Opens links to them.
         takers: Take in the news, one of each kind.
         timing: How often sources are asked.
+        first_start: Whether the whole fleet starts for the first time.
     """
 
     def __init__(
@@ -146,8 +151,10 @@
         dialer: Dialer,
         takers: Sequence[NewsTaker],
         timing: NewsTiming,
+        first_start: bool = False,
     ) -> None:
         super().__init__("news")
+        self._first_start = first_start
         self.changed = Signal()
         self._membership = membership
         self._neighbours = neighbours
@@ -188,6 +195,8 @@
             for source in self._sources
             if source is not None
         ]
+        if self._first_start:
+            rests.append(self._started_at + FIRST_START_SECONDS - now)
         if self._membership.count > 1:
             # Its sources are found meanwhile, which start at the same time as it does
             # when all hosts lost power.
--- a/knapweedrail/relay/options.py
+++ b/knapweedrail/relay/options.py
@@ -67,6 +67,11 @@
         "address", "Where metrics are served; empty: nowhere.", "", address=0
     )
     store_address: str = setting("address", "The platform's store.", address=1)
+    first_start: bool = setting(
+        "yes or no",
+        "Whether the whole fleet starts for the first time, and none is listed yet.",
+        False,
+    )
     contact_milliseconds: int = milliseconds(
         "Time after a disturbance from which bounds hold again.", 3000
     )
--- a/knapweedrail/standins/newsfleet.py
+++ b/knapweedrail/standins/newsfleet.py
@@ -528,6 +528,7 @@
             PlayedDialer(self, host),
             (configuration, runners),
             NewsTiming(settings.beat_seconds, settings.silence_seconds),
+            first_start=host not in self._seen,
         )
         self._group.start_soon(
             self._run, member, configuration, runners, news, membership
