--- a/knapweedrail/relay/followers.py
+++ b/knapweedrail/relay/followers.py
@@ -15,12 +15,12 @@
 from .lives import Reading, StartTelling
 from .malformed import MalformedObjects
 from .models import UNKNOWN_START, Configuration, Runner
-from .news import NewsTaker, NoSupply
 from .reach import StoreReach
 from .replicas import News, OutOfStepError, Replica
 from .routes import RouteTable
 from .runners import RunnerTable
 from .stores import Change, Changes, HistoryGone, Listing, Store, StoredObject
+from .supplies import NewsTaker, NoSupply
 
 OVERDUE_SECONDS = 1.0
 """How much later than its watch's own end a configuration may be confirmed: the
