Tell whether a request that an orderly stop lost had been read

Not traced to the end: if nobody had read it, the system reset the connection, and the case is one that is allowed; if it had been read, it is a loss. What callers saw didn't tell.

Change: a caller notes whether its connection was reset before any answer, and the finding says so. The check is as it was.

Fields are compared in any order now.

--- a/knapweedrail/relay/patches.py
+++ b/knapweedrail/relay/patches.py
@@ -22,8 +22,13 @@
 
 
 def is_same(left: Any, right: Any) -> bool:
-    """Return whether two values are the same JSON, numbers by their type as well."""
-    return orjson.dumps(left) == orjson.dumps(right)
+    """Return whether two values are the same JSON: numbers by their type as well, the
+    fields of an object in any order."""
+    return _render(left) == _render(right)
+
+
+def _render(value: Any) -> bytes:
+    return orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
 
 
 def make_patch(old: Any, new: Any) -> list[Any]:
--- a/knapweedrail/soak/callers.py
+++ b/knapweedrail/soak/callers.py
@@ -129,6 +129,7 @@
         status = 0
         whole = False
         connected = left = True
+        reset = False
         url = host.url + sent.path
         try:
             async with client.stream("POST", url, headers=headers, content=b"x") as got:
@@ -141,6 +142,7 @@
             # What came of the answer is noted all the same; the judge says whether
             # the relay may have broken it off.
             connected = not isinstance(error, httpx.ConnectError)
+            reset = status == 0 and was_reset(error)
             left = False
         finally:
             noted = attrs.evolve(
@@ -150,6 +152,16 @@
                 body=bytes(body),
                 connected=connected,
                 left=left,
+                reset=reset,
                 ended_at=time.monotonic(),
             )
             self._history.sent.append(noted)
+
+
+def was_reset(error: BaseException | None) -> bool:
+    """Return whether a call failed as the other end reset its connection."""
+    while error is not None:
+        if isinstance(error, ConnectionResetError):
+            return True
+        error = error.__cause__ or error.__context__
+    return False
--- a/knapweedrail/soak/judges.py
+++ b/knapweedrail/soak/judges.py
@@ -245,7 +245,8 @@
         Finding(
             "stop",
             f"{sent.identity} at {stop.target}: sent {sent.sent_at - stop.began_at:.3f}"
-            f" s after the signal, lost at {sent.ended_at - stop.began_at:.3f} s",
+            f" s after the signal, lost at {sent.ended_at - stop.began_at:.3f} s"
+            f"{', reset' if sent.reset else ''}",
         )
         for stop in history.disturbances
         if stop.kind == STOP
--- a/knapweedrail/soak/records.py
+++ b/knapweedrail/soak/records.py
@@ -81,6 +81,8 @@
         body: What came of it.
         connected: Whether the relay accepted its connection.
         left: Whether the caller ended it.
+        reset: Whether its connection was reset before any answer came. The system does
+            so where a connection is closed with bytes that nobody has read.
     """
 
     identity: str
@@ -98,6 +100,7 @@
     body: bytes
     connected: bool = True
     left: bool = False
+    reset: bool = False
 
 
 @attrs.frozen
