Say the order of a follower's arguments, and one name for one margin

Found in reading the diff: two constants of different length were both called OVERDUE_SECONDS, and an argument was described out of its order. Nothing else changed.

--- a/knapweedrail/relay/followers.py
+++ b/knapweedrail/relay/followers.py
@@ -38,10 +38,11 @@
         store: The platform's store.
         kind: The kind that is followed.
         watch_seconds: Length of one watch.
-        limit_seconds: Age up to which what is known counts.
         batch_seconds: Pause after changes, so that the next ones come together.
         malformed: Told of objects that can't be used.
         reach: Shared by all followers of a store.
+        limit_seconds: Age up to which what is known counts; `OVERDUE_SECONDS` past a
+            watch's end if left out.
     """
 
     def __init__(
--- a/knapweedrail/relay/options.py
+++ b/knapweedrail/relay/options.py
@@ -22,7 +22,7 @@
 """Shortest wait of a watch. Where bounds leave less, as with less than 1.8 s to be in
 touch again, they aren't met after an outage."""
 
-OVERDUE_SECONDS = 0.2
+SPARE_SECONDS = 0.2
 """How much later than that a configuration may be confirmed, before a key or route that
 it doesn't know may be one of a newer version."""
 
@@ -108,7 +108,7 @@
         """Age up to which a configuration counts as confirmed: it is by each watch, of
         this relay or of one that tells it."""
         watch = self.configuration_watch_seconds + self.beat_seconds
-        return watch + CATCH_UP_SECONDS + OVERDUE_SECONDS
+        return watch + CATCH_UP_SECONDS + SPARE_SECONDS
 
     @property
     def runner_watch_seconds(self) -> float:
@@ -126,7 +126,7 @@
     def runner_limit_seconds(self) -> float:
         """Age up to which the list of runners counts as confirmed."""
         watch = self.runner_watch_seconds + self.beat_seconds
-        return watch + CATCH_UP_SECONDS + OVERDUE_SECONDS
+        return watch + CATCH_UP_SECONDS + SPARE_SECONDS
 
     @property
     def beat_seconds(self) -> float:
