Take tokens back for an account that nobody has asked for here

Cause: what comes back is counted off the demand as it was when somebody last asked, by a factor that grows with the time since. Long ago, or never, it is the quotient by zero: the lender's answer failed ("Application error", ZeroDivisionError in note_return), and the borrower took it for silent. No token is lost by it: the lender has counted what came, and the next message tells its totals.

Change: of a demand that has decayed to nothing, nothing is counted off. The test fails with the ZeroDivisionError on the former code.

--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -112,7 +112,8 @@
     def note_return(self, tokens: int, now: float) -> None:
         """Count off what was asked for and came back unspent."""
         decay = math.exp((self._last - now) / MEMORY_SECONDS)
-        self._sum = max(0.0, self._sum - tokens / decay)
+        # Of a demand that was long ago, or never, nothing is left to count off.
+        self._sum = max(0.0, self._sum - tokens / decay) if decay else 0.0
 
     def is_idle(self, now: float) -> bool:
         """Return whether nobody has asked for tokens lately, nor waits for any."""
--- a/knapweedrail/tests/test_relay_grants.py
+++ b/knapweedrail/tests/test_relay_grants.py
@@ -151,3 +151,13 @@
     assert is_too_open(budget, 20_000, pace, 6_000)
     assert not is_too_open(budget, 12_000, pace, 6_000)
     assert not is_too_open(budget, 20_000, pace, 0)
+
+
+def test_tokens_that_come_back_to_an_account_nobody_asked_for_are_taken():
+    """Guards against a lender that fails as a borrower gives back what others lent."""
+    demand = Demand()
+    demand.note_return(100, now=1e6)
+    assert demand.estimate_rate(1e6) == 0.0
+    demand.note_request(50, now=1.0)
+    demand.note_return(50, now=1e6)
+    assert demand.estimate_rate(1e6) == 0.0
