--- a/knapweedrail/standins/newsfleet.py
+++ b/knapweedrail/standins/newsfleet.py
@@ -17,16 +17,8 @@
 import anyio.abc
 import attrs
 
-from ..outcomes import Unavailable
 from ..relay.followers import ConfigurationFollower, RunnerFollower
-from ..relay.links import (
-    Dialer,
-    FollowerLink,
-    LinkLostError,
-    Reading,
-    Telling,
-    WatcherLink,
-)
+from ..relay.links import Dialer, FollowerLink
 from ..relay.members import MEMBER_KIND, Membership
 from ..relay.models import (
     CallerLimits,
@@ -41,325 +33,15 @@
 from ..relay.options import RelaySettings
 from ..relay.reach import StoreReach
 from ..relay.runners import RunnerTable
-from ..relay.signals import Signal
 from ..relay.sources import NewsTiming
-from ..relay.stores import (
-    Change,
-    Changes,
-    Conflict,
-    HistoryGone,
-    Listing,
-    Missing,
-    Store,
-    StoredObject,
-    WriteOutcome,
-    Written,
-)
+from .playedlinks import FollowerEnd, PlayedLink, Traffic, WatcherEnd
+from .playedstore import PlayedStore, StoreOfHost
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 RUNNERS_KIND = "servers"
-
-STORE_SECONDS = 0.004
-LINK_SECONDS = 0.001
-CALL_SECONDS = 1.0
-"""Longest wait for an answer of the store that is due at once."""
-
-WATCH_GRACE_SECONDS = 0.3
-STALE_SECONDS = 2.0
-"""How old what is read for less may be."""
-
-STALE_PRICE = 0.1
 DOUBT_SECONDS = 1.9
 
-MESSAGE_BYTES = 150
-"""Of a message that tells no change: two kinds of some forty bytes, and as much for
-HTTP/2, TCP and IP."""
-
-
-class PlayedStore:
-    """The store's state, its history, and what each relay's calls meet.
-
-    Attributes:
-        down: Whether it takes calls and answers none.
-        lost: Hosts that it can't be reached from.
-        price: Of all calls, one that may be stale at a tenth.
-        calls: By step and kind.
-    """
-
-    def __init__(self) -> None:
-        self.revision = 1
-        self.down = False
-        self.lost: set[str] = set()
-        self.price = 0.0
-        self.calls: Counter[str] = Counter()
-        self.changed = Signal()
-        self._objects: dict[tuple[str, str], StoredObject] = {}
-        self._events: list[tuple[float, int, str, Change]] = []
-        self._oldest = 0
-        self._breaks: Counter[str] = Counter()
-
-    def put(self, kind: str, name: str, spec: Any) -> int:
-        """Write an object; return its revision."""
-        self.revision += 1
-        stored = StoredObject(name, self.revision, spec)
-        self._objects[kind, name] = stored
-        self._note(kind, Change(stored, removed=False))
-        return self.revision
-
-    def remove(self, kind: str, name: str) -> int:
-        """Remove an object; return the revision of that."""
-        self.revision += 1
-        stored = self._objects.pop((kind, name))
-        self._note(kind, Change(stored, removed=True))
-        return self.revision
-
-    def find(self, kind: str, name: str) -> StoredObject | None:
-        """Return an object as it is."""
-        return self._objects.get((kind, name))
-
-    def compact(self) -> None:
-        """Forget all that has changed so far."""
-        self._events.clear()
-        self._oldest = self.revision
-
-    def lose(self, hosts: set[str]) -> None:
-        """Cut hosts off; what waits there is never answered."""
-        self.lost |= hosts
-        self._breaks.update(hosts)
-
-    def restore(self, hosts: set[str]) -> None:
-        """Let hosts reach it again."""
-        self.lost -= hosts
-
-    def set_down(self, down: bool) -> None:
-        """Let it go down, or come back."""
-        if down:
-            self._breaks["all"] += 1
-        self.down = down
-
-    def count_breaks(self, host: str) -> tuple[int, int]:
-        """Return a number that changes when what a host waits for is lost."""
-        return self._breaks[host], self._breaks["all"]
-
-    def is_lost(self, host: str) -> bool:
-        """Return whether a host's calls get no answer now."""
-        return self.down or host in self.lost
-
-    def list_objects(self, kind: str, stale: bool) -> Listing:
-        """Return all objects of a kind, as they were a while ago if that will do."""
-        objects = {n: o for (k, n), o in self._objects.items() if k == kind}
-        revision = self.revision
-        if stale:
-            since = time.monotonic() - STALE_SECONDS
-            revision = self._rewind(kind, objects, since)
-        return Listing(tuple(objects.values()), revision)
-
-    def list_changes(self, kind: str, since: int) -> Changes | HistoryGone:
-        """Return what changed in a kind after a revision."""
-        if since < self._oldest:
-            return HistoryGone()
-        found = [
-            change
-            for _, revision, of_kind, change in self._events
-            if of_kind == kind and revision > since
-        ]
-        return Changes(tuple(found), self.revision)
-
-    def _rewind(self, kind: str, objects: dict[str, StoredObject], since: float) -> int:
-        revision = self.revision
-        names = set()
-        for at, changed, of_kind, change in reversed(self._events):
-            if at <= since:
-                break
-            revision = changed - 1
-            if of_kind == kind:
-                objects.pop(change.stored.name, None)
-                names.add(change.stored.name)
-        for at, _, of_kind, change in self._events:
-            if at <= since and of_kind == kind and change.stored.name in names:
-                objects.pop(change.stored.name, None)
-                if not change.removed:
-                    objects[change.stored.name] = change.stored
-        return revision
-
-    def _note(self, kind: str, change: Change) -> None:
-        self._events.append((time.monotonic(), self.revision, kind, change))
-        self.changed.give()
-
-
-class StoreOfHost(Store):
-    """The store as one host's relay calls it."""
-
-    def __init__(self, played: PlayedStore, host: str) -> None:
-        self._played = played
-        self._host = host
-
-    async def list_kind(self, kind: str, stale: bool = False) -> Listing | Unavailable:
-        if not await self._call("list-stale" if stale else "list", kind):
-            return self._away()
-        return self._played.list_objects(kind, stale)
-
-    async def watch_kind(
-        self, kind: str, revision: int, seconds: float
-    ) -> Changes | HistoryGone | Unavailable:
-        before = self._played.count_breaks(self._host)
-        limit = seconds + WATCH_GRACE_SECONDS
-        began_at = time.monotonic()
-        if not await self._call("watch", kind, limit):
-            return self._away()
-        found = await self._wait_for_changes(kind, revision, seconds)
-        if before != self._played.count_breaks(self._host):
-            await anyio.sleep(max(0.0, began_at + limit - time.monotonic()))
-            return self._away()
-        return found
-
-    async def peek(self, kind: str, name: str) -> StoredObject | Missing | Unavailable:
-        if not await self._call("peek", kind):
-            return self._away()
-        return self._played.find(kind, name) or Missing()
-
-    async def create(self, kind: str, name: str, spec: Any) -> WriteOutcome:
-        if not await self._call("create", kind):
-            return self._away()
-        known = self._played.find(kind, name)
-        if known is not None:
-            return Conflict(known)
-        return Written(self._played.put(kind, name, spec))
-
-    async def replace(
-        self, kind: str, name: str, spec: Any, revision: int
-    ) -> WriteOutcome:
-        if not await self._call("replace", kind):
-            return self._away()
-        known = self._played.find(kind, name)
-        if known is None:
-            return Missing()
-        if known.revision != revision:
-            return Conflict(known)
-        return Written(self._played.put(kind, name, spec))
-
-    async def delete(self, kind: str, name: str) -> WriteOutcome:
-        if not await self._call("delete", kind):
-            return self._away()
-        return Written(self._played.remove(kind, name))
-
-    async def _wait_for_changes(
-        self, kind: str, revision: int, seconds: float
-    ) -> Changes | HistoryGone:
-        with anyio.move_on_after(seconds):
-            while True:
-                found = self._played.list_changes(kind, revision)
-                if isinstance(found, HistoryGone) or found.changes:
-                    return found
-                await self._played.changed.wait()
-        return self._played.list_changes(kind, revision)
-
-    async def _call(self, step: str, kind: str, limit: float = CALL_SECONDS) -> bool:
-        self._played.calls[f"{step} {kind}"] += 1
-        cheap = step in ("list-stale", "peek")
-        self._played.price += STALE_PRICE if cheap else 1.0
-        if self._played.is_lost(self._host):
-            await anyio.sleep(limit)
-            return False
-        await anyio.sleep(STORE_SECONDS)
-        return True
-
-    def _away(self) -> Unavailable:
-        return Unavailable("store", "played", "no answer")
-
-
-class _Pipe:
-    """One direction of a link; what is sent arrives after a while, or never."""
-
-    def __init__(self) -> None:
-        self._send, self._receive = anyio.create_memory_object_stream(math.inf)
-        self.severed = False
-
-    def send(self, message: Any) -> None:
-        """Send a message.
-
-        Raises:
-            LinkLostError: If the other end was closed.
-        """
-        if self.severed:
-            return
-        try:
-            self._send.send_nowait((time.monotonic() + LINK_SECONDS, message))
-        except anyio.ClosedResourceError as error:
-            raise LinkLostError("closed") from error
-
-    async def receive(self) -> Any:
-        """Wait for the next message.
-
-        Raises:
-            LinkLostError: If the other end was closed.
-        """
-        try:
-            due, message = await self._receive.receive()
-        except anyio.EndOfStream as error:
-            raise LinkLostError("closed") from error
-        await anyio.sleep(max(0.0, due - time.monotonic()))
-        return message
-
-    def close(self) -> None:
-        """End it at the sender's side."""
-        self._send.close()
-
-
-@attrs.define(eq=False)
-class PlayedLink:
-    """A link between two hosts."""
-
-    ends: frozenset[str]
-    there: _Pipe = attrs.field(factory=_Pipe)
-    back: _Pipe = attrs.field(factory=_Pipe)
-
-    def sever(self) -> None:
-        """Lose all that is on its way from now on, without a word."""
-        self.there.severed = True
-        self.back.severed = True
-
-    def close(self) -> None:
-        """End it, which both sides hear."""
-        if not self.there.severed:
-            self.there.close()
-            self.back.close()
-
-
-@attrs.define
-class Traffic:
-    """What a relay has told others."""
-
-    messages: int = 0
-    bytes: int = 0
-
-
-class _FollowerEnd(FollowerLink):
-    def __init__(self, link: PlayedLink) -> None:
-        self._link = link
-
-    async def send(self, reading: Reading) -> None:
-        self._link.there.send(reading)
-
-    async def receive(self) -> Telling:
-        return await self._link.back.receive()
-
-
-class _WatcherEnd(WatcherLink):
-    def __init__(self, link: PlayedLink, traffic: Traffic) -> None:
-        self._link = link
-        self._traffic = traffic
-
-    async def receive(self) -> Reading:
-        return await self._link.there.receive()
-
-    async def send(self, telling: Telling) -> None:
-        self._traffic.messages += 1
-        changes = sum(len(state.changes) for state in telling.kinds)
-        self._traffic.bytes += MESSAGE_BYTES + changes
-        self._link.back.send(telling)
-
 
 class PlayedDialer(Dialer):
     """Opens links of one host to the others of a fleet."""
@@ -376,7 +58,7 @@
         else:
             self._fleet.connect(member.host, link)
         try:
-            yield _FollowerEnd(link)
+            yield FollowerEnd(link)
         finally:
             link.close()
             self._fleet.links.discard(link)
@@ -619,7 +301,7 @@
             return
         self.links.add(link)
         traffic = self.traffic.setdefault(host, Traffic())
-        relay.group.start_soon(relay.news.serve, _WatcherEnd(link, traffic))
+        relay.group.start_soon(relay.news.serve, WatcherEnd(link, traffic))
 
     def judge(self) -> None:
         """Take in how old what each relay in touch believes is now."""
