Say in a refusal's log line whether ended relays hold the tokens

Cause: after a loss of all hosts a line told what is held elsewhere, not by whom: a settlement that is under way, one that never comes and tokens in other relays' hands look alike.

--- a/knapweedrail/explanations.py
+++ b/knapweedrail/explanations.py
@@ -103,7 +103,8 @@
         f" {fields.get('available')} available here, {fields.get('reserved')} reserved;"
         f" the ledger, seen {fields.get('age')} s before, had {fields.get('free')} free"
         f" of {fields.get('prepaid')}, and other relays held"
-        f" {fields.get('held_elsewhere')}"
+        f" {fields.get('held_elsewhere')}, of it {fields.get('held_by_ended')} relays"
+        f" that have ended; {fields.get('surely_used')} are used for certain"
     )
 
 
--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -160,6 +160,8 @@
             "prepaid": account.prepaid,
             "free": (account.prepaid or 0) - held.entry.committed,
             "held_elsewhere": held.entry.count_held(but=self._holder),
+            "held_by_ended": held.entry.count_ended(self._membership.is_present),
+            "surely_used": held.entry.surely_used,
             "revision": held.revision,
             "age": round(time.monotonic() - held.seen_at, 2),
         }
--- a/knapweedrail/relay/ledgers.py
+++ b/knapweedrail/relay/ledgers.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -116,6 +117,18 @@
             if holder != but
         )
 
+    def count_ended(self, is_present: Callable[[str], bool]) -> int:
+        """Return the tokens that holders which are gone have not reported as spent.
+
+        Args:
+            is_present: Returns whether a holder is still there.
+        """
+        return sum(
+            max(0, grant.tokens - grant.spent)
+            for holder, grant in self.grants.items()
+            if not is_present(holder)
+        )
+
     def copy(self) -> AccountLedger:
         """Return a copy that can be changed by itself."""
         return AccountLedger(self.used, dict(self.grants))
--- a/knapweedrail/relay/members.py
+++ b/knapweedrail/relay/members.py
@@ -165,6 +165,11 @@
         if self._members.get(known.host) == known:
             self._members[known.host] = attrs.evolve(known, holder=holder)
 
+    def is_present(self, holder: str) -> bool:
+        """Return whether a holder is the present life of a relay, as far as known."""
+        member = self._members.get(holder.rpartition("/")[0])
+        return member is not None and member.holder == holder
+
     def list_sources(self) -> tuple[list[Member], list[Member]]:
         """Return the relays whose news to follow, for each source the best first."""
         if self._ranked is None:
--- a/knapweedrail/tests/test_relay_ledger.py
+++ b/knapweedrail/tests/test_relay_ledger.py
@@ -331,3 +331,12 @@
     lender.take_back("b/1", loan.returned, loan.spent)
     assert borrower.record(entry).spent == 0
     assert lender.record(entry).spent == 60
+
+
+def test_what_ended_holders_have_is_told_from_what_others_hold():
+    """Guards against a refusal whose log doesn't say whether tokens wait for a
+    settlement."""
+    entry = AccountLedger(10, {"a/1": Grant(80, 30), "a/2": Grant(20, 5)})
+    assert entry.count_ended(lambda holder: holder != "a/1") == 50
+    assert entry.count_held(but="a/2") == 50
+    assert entry.count_ended(lambda holder: True) == 0
