Show that a loss of all power takes what is left of budgets that run low

At the loss relays hold 10 to 13 in 100 of what was prepaid, half of what is left, and none of it comes back.

--- /dev/null
+++ b/knapweedrail/tests/test_relay_power_loss.py
@@ -0,0 +1,81 @@
+"""Accounts that run low keep serving their callers after all hosts lost power."""
+
+import random
+
+import anyio
+import pytest
+
+from ..standins.looptime import run_virtual
+from ..standins.tokenfleet import Kind, TokenFleet
+
+DATA_CENTRES = {"dc-a": 2, "dc-b": 2, "dc-c": 1, "dc-d": 1}
+KINDS = [
+    Kind(prompt=11_992, output=380, seconds=2.0, per_second=9.45),
+    Kind(prompt=826, output=290, seconds=1.5, per_second=21.2),
+    Kind(prompt=2_368, output=25, seconds=0.5, per_second=15.0),
+]
+WEIGHTS = {f"account-{rank}": 1 / (rank + 1) for rank in range(6)}
+START_SECONDS = 12.0
+DOWN_SECONDS = 2.0
+RECOVERY_SECONDS = 12.0
+SERVED_SHARE = 0.25
+LOST_SHARE = 0.03
+"""Part of a budget from which on callers are owed nothing more."""
+
+
+def make_budgets(seconds):
+    """Return budgets that last so long at the mean demand."""
+    tokens = sum((k.prompt + k.output * 2 / 3) * k.per_second for k in KINDS)
+    whole = sum(WEIGHTS.values())
+    return {name: int(tokens * seconds * w / whole) for name, w in WEIGHTS.items()}
+
+
+def play(lasts, seed, scenario):
+    """Play a scenario with a fleet whose budgets last so many seconds."""
+
+    async def run(clock):
+        random.seed(seed)
+        async with anyio.create_task_group() as group:
+            fleet = TokenFleet(group, DATA_CENTRES, make_budgets(lasts), seed)
+            fleet.start_all()
+            await anyio.sleep(START_SECONDS)
+            found = await scenario(fleet)
+            group.cancel_scope.cancel()
+        for consumption in fleet.consumption.values():
+            assert consumption.used <= consumption.prepaid
+        return found
+
+    return run_virtual(run)
+
+
+async def cut_all(fleet, seconds):
+    fleet.isolate(fleet.hosts)
+    tally = await fleet.send_for(seconds, KINDS, WEIGHTS)
+    fleet.join()
+    return tally
+
+
+async def lose_all_power(fleet):
+    for host in fleet.hosts:
+        fleet.lose_power(host)
+    await fleet.send_for(DOWN_SECONDS, KINDS, WEIGHTS)
+    fleet.start_all()
+
+
+@pytest.mark.parametrize("lasts", [40, 45, 50])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_callers_are_served_some_time_after_all_hosts_lost_power(lasts, seed):
+    """Guards against budgets that are written off unused when all hosts lose power."""
+
+    async def scenario(fleet):
+        await fleet.send_for(5.0, KINDS, WEIGHTS)
+        await cut_all(fleet, 8.0)
+        await fleet.send_for(11.0, KINDS, WEIGHTS)
+        await cut_all(fleet, 8.8)
+        await fleet.send_for(8.3, KINDS, WEIGHTS)
+        await lose_all_power(fleet)
+        await fleet.send_for(RECOVERY_SECONDS, KINDS, WEIGHTS)
+        return await fleet.send_for(4.0, KINDS, WEIGHTS)
+
+    tally = play(lasts, seed, scenario)
+    assert tally.served >= SERVED_SHARE * tally.owed
