Hold less of a budget the sooner it will be used up

Cause: relays held up to 0.4 of what is left of an account, whatever was left; twenty seconds of a demand that uses the budget up in forty are all of that. A loss of power proves nothing of what a holder used, so all that is held is written off.

Ruled out: the start (plain calls are served 2 s after the return), runners, a settlement by a clock (hosts' clocks step, the boot's clock starts anew; no bound is sure).

Change: the part that is held shrinks with the time for which the budget will last, by what all holders' callers ask for (their grants' rates in the ledger). What a cut refuses of such a budget is served after it; what dies is served never.

--- a/knapweedrail/relay/accounts.py
+++ b/knapweedrail/relay/accounts.py
@@ -6,6 +6,7 @@
 
 from .allowances import Allowance
 from .grants import (
+    OPEN_FACTOR,
     Budget,
     Pace,
     is_too_open,
@@ -151,6 +152,7 @@
             prepaid=prepaid,
             free=prepaid - entry.committed,
             held=entry.count_held(but=self.holder),
+            others_rate=entry.sum_rates(but=self.holder) / OPEN_FACTOR,
             keepers=max(1, keepers),
             starting=starting and self.fresh,
         )
--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -14,10 +14,16 @@
 left: twice as long as most cuts, as demand may double while one lasts."""
 
 HOLD_SHARE = 0.4
-"""Part of what is left of a budget that all keepers together may hold. What is held is
-lost when its relay dies, so as a budget runs low less of it may be at risk. Each keeper
-may have an even share, and beyond it what the others leave: callers of an account may
-all come to one data centre while nobody asks the others for tokens."""
+"""Largest part of what is left of a budget that all keepers together may hold. What is
+held is lost when its relay dies. Each keeper may have an even share, and beyond it what
+the others leave: callers of an account may all come to one data centre while nobody
+asks the others for tokens."""
+
+PLENTY_SECONDS = 80.0
+"""How long the rest of a budget must last for relays to hold that part of it; of one
+that lasts half as long, half the part. What callers are refused in a cut they can have
+after it, as long as the budget isn't used up by then; what is lost with a relay, never.
+So the sooner a budget will be used up, the less there is to gain by holding it."""
 
 HOLD_REQUESTS = 2.0
 """Largest requests that all keepers together hold beyond that, as demand comes by
@@ -154,6 +160,8 @@
         prepaid: Tokens in all.
         free: Tokens that nobody was granted.
         held: Tokens that other relays were granted and haven't reported as spent.
+        others_rate: Tokens that other relays' callers ask for in a second, as far as
+            the ledger tells.
         keepers: Number of relays that draw on the ledger for others.
         starting: Whether this relay has seen too little traffic to know its demand.
     """
@@ -162,6 +170,7 @@
     free: int
     held: int
     keepers: int
+    others_rate: float = 0.0
     starting: bool = False
 
 
@@ -190,12 +199,27 @@
 ) -> int:
     """Return the tokens that a keeper should have available."""
     margin = HOLD_REQUESTS * demand.largest / budget.keepers
-    need = demand.estimate_rate(now) * HOLD_SECONDS + margin
+    rate = demand.estimate_rate(now)
+    need = rate * HOLD_SECONDS + margin
     if budget.starting:
         need = max(need, START_SHARE * budget.prepaid / budget.keepers)
     left = max(0, budget.free) + budget.held + max(0, position.available)
-    even = HOLD_SHARE * left / budget.keepers
-    return int(min(need, max(even, HOLD_SHARE * left - budget.held)))
+    share = compute_share(left, rate + budget.others_rate)
+    even = share * left / budget.keepers
+    return int(min(need, max(even, share * left - budget.held)))
+
+
+def compute_share(left: float, rate: float) -> float:
+    """Return the part of what is left of a budget that all keepers may hold.
+
+    The load it is for: an account whose callers ask for more than it has, while hosts
+    lose power one after the other or all at once.
+
+    Args:
+        left: Tokens.
+        rate: Tokens that all callers ask for in a second.
+    """
+    return HOLD_SHARE * min(1.0, left / max(1.0, rate * PLENTY_SECONDS))
 
 
 def plan_change(budget: Budget, position: Position, demand: Demand, now: float) -> int:
--- a/knapweedrail/tests/test_relay_grants.py
+++ b/knapweedrail/tests/test_relay_grants.py
@@ -6,6 +6,7 @@
     Demand,
     Pace,
     Position,
+    compute_share,
     compute_target,
     is_too_open,
     plan_change,
@@ -30,9 +31,16 @@
     return Position(granted=available, spent=0, reserved=0)
 
 
-def make_budget(free, held=0, keepers=6, prepaid=MILLION, starting=False):
+def make_budget(
+    free, held=0, keepers=6, prepaid=MILLION, starting=False, others_rate=0.0
+):
     return Budget(
-        prepaid=prepaid, free=free, held=held, keepers=keepers, starting=starting
+        prepaid=prepaid,
+        free=free,
+        held=held,
+        keepers=keepers,
+        others_rate=others_rate,
+        starting=starting,
     )
 
 
@@ -161,3 +169,25 @@
     demand.note_request(50, now=1.0)
     demand.note_return(50, now=1e6)
     assert demand.estimate_rate(1e6) == 0.0
+
+
+def test_little_is_held_of_a_budget_that_is_soon_used_up():
+    """Guards against a loss of power that takes what the callers of the last seconds
+    would have had."""
+    demand = make_demand(rate=2_000)
+    plenty = make_budget(free=MILLION, others_rate=10_000)
+    most = compute_target(plenty, make_position(0), demand, 100.0)
+    assert most >= 8 * 2_000
+    held = [0] * 6
+    for number in range(6):
+        low = make_budget(120_000 - sum(held), sum(held), others_rate=10_000)
+        held[number] = compute_target(low, make_position(0), demand, 100.0)
+    assert sum(held) <= 0.03 * MILLION
+
+
+def test_the_sooner_a_budget_is_used_up_the_smaller_the_part_that_is_held():
+    shares = [compute_share(left, 10_000) for left in range(0, MILLION, 50_000)]
+    assert shares == sorted(shares)
+    assert compute_share(MILLION, 10_000) == HOLD_SHARE
+    assert compute_share(0, 10_000) == 0.0
+    assert compute_share(MILLION, 0.0) == HOLD_SHARE
