Remind hosts to settle what their earlier lives drew

Cause: a host settles an earlier life's grant only when it plans a change of that account. One that drew for itself while no lender answered, or kept the account before hosts came and went, keeps it no more after its restart, borrows, and never reads the ledger.

Change: who keeps an account reminds the present life of such a host by the message that passes between them anyway; it looks at the ledger and settles, and enters no grant of its own. A caller in a life that isn't listed yet is taken in at once. No call of the store unless there is something to settle.

--- a/knapweedrail/relay/accounts.py
+++ b/knapweedrail/relay/accounts.py
@@ -14,7 +14,13 @@
     plan_draw,
     plan_pace,
 )
-from .ledgers import AccountLedger, Grant, Settlement, settle_earlier
+from .ledgers import (
+    AccountLedger,
+    Grant,
+    Settlement,
+    list_earlier,
+    settle_earlier,
+)
 from .models import Account
 from .openings import Moment, Opening
 
@@ -65,6 +71,8 @@
         doubtful: Hosts whose answer to a trade was lost; they may have lent.
         given_out: Tokens that it had given out when its grant was last written.
         fresh: Whether nothing of the account was used when its ledger was first seen.
+        reminded: When hosts were last reminded of what their earlier lives hold, by
+            holder; seconds.
     """
 
     name: str
@@ -81,6 +89,7 @@
     doubtful: set[str] = attrs.field(factory=set)
     given_out: int = 0
     fresh: bool = True
+    reminded: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def holder(self) -> str:
@@ -143,10 +152,13 @@
         prepaid = account.prepaid or 0
         known = self.holder in self.entry.grants
         demand = self.allowance.demand
-        if not (keeps or known or self.drawing):
+        draws = bool(keeps or known or self.drawing)
+        if not (draws or list_earlier(self.entry, self.holder)):
             return None
         entry = self.entry.copy()
         settled = settle_earlier(entry, self.holder, started)
+        if not draws:
+            return Plan(entry, 0, settled, prepaid, prepaid - entry.committed)
         grant = self.allowance.record(entry)
         budget = Budget(
             prepaid=prepaid,
--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -119,10 +119,14 @@
 
     async def answer_trade(self, trade: Trade) -> TradeAnswer:
         self._neighbours.note_heard(trade.holder)
+        self._membership.note_caller(trade.holder)
         held = self._get(trade.account)
         allowance = held.allowance
         if self._released:
             return TradeAnswer(self._holder, 0, Shortage.OUT_OF_REACH)
+        if held.revision is None:
+            # The caller may know of a grant that an earlier life here has left.
+            self._draws.refresh_soon(held)
         if trade.lender == self._holder:
             came = allowance.take_back(trade.holder, trade.returned, trade.spent)
             if came:
@@ -198,6 +202,8 @@
     async def _look_after(self, held: HeldAccount) -> None:
         await self._loans.return_excess(held)
         await self._loans.settle_doubts(held)
+        if self._membership.keeps(held.name):
+            await self._loans.remind_hosts(held)
 
     async def _collect(
         self, account: Account, held: HeldAccount, tokens: int
--- a/knapweedrail/relay/ledgers.py
+++ b/knapweedrail/relay/ledgers.py
@@ -152,6 +152,19 @@
     return f"{host}/{life}"
 
 
+def get_host(holder: str) -> str:
+    """Return the name of a holder's host."""
+    return holder.rpartition("/")[0]
+
+
+def list_earlier(account: AccountLedger, holder: str) -> list[str]:
+    """Return the earlier lives of a holder's host that have a grant."""
+    host = get_host(holder)
+    return [
+        name for name in account.grants if name != holder and get_host(name) == host
+    ]
+
+
 def settle_earlier(
     account: AccountLedger, holder: str, started: Moment | None = None
 ) -> list[Settlement]:
@@ -163,14 +176,8 @@
         started: When the holder's own life began, by which the others had ended;
             ``None`` if that isn't known.
     """
-    host = holder.rpartition("/")[0]
-    over = [
-        name
-        for name in account.grants
-        if name != holder and name.rpartition("/")[0] == host
-    ]
     settled = []
-    for name in over:
+    for name in list_earlier(account, holder):
         settlement = _settle(name, account.grants.pop(name), started)
         account.used += settlement.used
         settled.append(settlement)
--- a/knapweedrail/relay/loans.py
+++ b/knapweedrail/relay/loans.py
@@ -14,6 +14,10 @@
 from .reservations import Shortage
 from .signals import Signal
 
+REMIND_SECONDS = 4.0
+"""Pause between reminders of one ended life. Its host settles within some answers of
+the store, and what the reminding relay knows of the ledger is seconds old."""
+
 
 class Loans:
     """Borrows tokens for this relay.
@@ -83,6 +87,23 @@
                 if not self._neighbours.is_avoided(member, time.monotonic()):
                     await self._trade(held, member)
 
+    async def remind_hosts(self, held: HeldAccount) -> None:
+        """Remind hosts of what their earlier lives hold.
+
+        Only the host itself can tell how long they lived. One that doesn't keep the
+        account any more has no other reason to look at its ledger.
+        """
+        now = time.monotonic()
+        for holder, grant in list(held.entry.grants.items()):
+            member = self._membership.find_later(holder)
+            if member is None or grant.tokens <= grant.spent:
+                continue
+            if now - held.reminded.get(holder, float("-inf")) < REMIND_SECONDS:
+                continue
+            if not self._neighbours.is_avoided(member, now):
+                held.reminded[holder] = now
+                await self._trade(held, member)
+
     async def give_back(
         self, held: HeldAccount, lender: Member, tokens: int
     ) -> TradeAnswer | None:
--- a/knapweedrail/relay/members.py
+++ b/knapweedrail/relay/members.py
@@ -14,6 +14,7 @@
 from ..events import Event, log_event
 from ..tasks import Task
 from .hashing import hash_pair
+from .ledgers import get_host
 from .malformed import MalformedObjects
 from .models import Member
 from .sources import plan_sources
@@ -165,9 +166,20 @@
         if self._members.get(known.host) == known:
             self._members[known.host] = attrs.evolve(known, holder=holder)
 
+    def find_later(self, holder: str) -> Member | None:
+        """Return the present life of a holder's host if that is another one."""
+        member = self._members.get(get_host(holder))
+        return member if member is not None and member.holder != holder else None
+
+    def note_caller(self, holder: str) -> None:
+        """Take in that a relay has called, perhaps in a life that isn't listed yet."""
+        known = self.find_later(holder)
+        if known is not None:
+            self.note_life(known, holder)
+
     def is_present(self, holder: str) -> bool:
         """Return whether a holder is the present life of a relay, as far as known."""
-        member = self._members.get(holder.rpartition("/")[0])
+        member = self._members.get(get_host(holder))
         return member is not None and member.holder == holder
 
     def list_sources(self) -> tuple[list[Member], list[Member]]:
--- a/knapweedrail/standins/tokenfleet.py
+++ b/knapweedrail/standins/tokenfleet.py
@@ -91,6 +91,7 @@
     """One life of a relay."""
 
     member: Member
+    membership: Membership
     holdings: Holdings
     group: anyio.abc.TaskGroup
 
@@ -207,7 +208,7 @@
         self, member: Member, holdings: Holdings, membership: Membership
     ) -> None:
         async with anyio.create_task_group() as group:
-            self.relays[member.host] = TokenRelay(member, holdings, group)
+            self.relays[member.host] = TokenRelay(member, membership, holdings, group)
             await membership.start(group)
             await holdings.start(group)
 
@@ -233,6 +234,10 @@
         self._parted |= set(hosts)
         self.store.lose(set(hosts))
 
+    def part(self, hosts: list[str]) -> None:
+        """Cut hosts off from all others; they reach the store."""
+        self._parted |= set(hosts)
+
     def join(self) -> None:
         """Let all hosts reach each other and the store again."""
         self.store.restore(set(self._hosts))
@@ -247,6 +252,15 @@
         stored = self.store.find(LEDGER_KIND, account)
         return decode_account(stored.spec) if stored else AccountLedger()
 
+    def keeps(self, host: str, account: str) -> bool:
+        """Return whether a host draws on the ledger for its data centre."""
+        return self.relays[host].membership.keeps(account)
+
+    def count_ended(self, account: str) -> int:
+        """Return the tokens of an account at holders that have ended."""
+        present = {relay.member.holder for relay in self.relays.values()}
+        return self.read_ledger(account).count_ended(present.__contains__)
+
     async def send_for(
         self, seconds: float, kinds: list[Kind], weights: dict[str, float]
     ) -> Tally:
--- a/knapweedrail/tests/test_relay_power_loss.py
+++ b/knapweedrail/tests/test_relay_power_loss.py
@@ -79,3 +79,24 @@
 
     tally = play(lasts, seed, scenario)
     assert tally.served >= SERVED_SHARE * tally.owed
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_what_a_relay_drew_for_itself_is_settled_by_its_next_life(seed):
+    """Guards against tokens that stay out of reach, since the host that drew them keeps
+    the account no more after its restart."""
+
+    async def scenario(fleet):
+        account = next(iter(WEIGHTS))
+        host = next(h for h in fleet.hosts if not fleet.keeps(h, account))
+        fleet.part([host])
+        await fleet.send_for(4.0, KINDS, WEIGHTS)
+        fleet.kill(host)
+        assert fleet.count_ended(account) > 0
+        fleet.join()
+        await anyio.sleep(1.0)
+        fleet.start(host)
+        await anyio.sleep(RECOVERY_SECONDS)
+        return fleet.count_ended(account)
+
+    assert play(200, seed, scenario) == 0
