Hold that part of a budget only if it will last for two minutes

Cause: budgets of 45 s with five kills of a third of the hosts before the loss of power still served too few: 65 of 555 owed from twelve seconds after the return on.

Left: with budgets of 30 s, five kills and a loss of power 8 in 100 are lost, and none of 522 owed are served at the end.

--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -19,7 +19,7 @@
 the others leave: callers of an account may all come to one data centre while nobody
 asks the others for tokens."""
 
-PLENTY_SECONDS = 80.0
+PLENTY_SECONDS = 120.0
 """How long the rest of a budget must last for relays to hold that part of it; of one
 that lasts half as long, half the part. What callers are refused in a cut they can have
 after it, as long as the budget isn't used up by then; what is lost with a relay, never.
