--- a/knapweedrail/tests/test_relay_grants.py
+++ b/knapweedrail/tests/test_relay_grants.py
@@ -2,6 +2,7 @@
 
 from ..relay.grants import (
     HOLD_SHARE,
+    PLENTY_SECONDS,
     Budget,
     Demand,
     Pace,
@@ -186,8 +187,10 @@
 
 
 def test_the_sooner_a_budget_is_used_up_the_smaller_the_part_that_is_held():
-    shares = [compute_share(left, 10_000) for left in range(0, MILLION, 50_000)]
-    assert shares == sorted(shares)
-    assert compute_share(MILLION, 10_000) == HOLD_SHARE
-    assert compute_share(0, 10_000) == 0.0
-    assert compute_share(MILLION, 0.0) == HOLD_SHARE
+    rate = 10_000
+    plenty = int(PLENTY_SECONDS * rate)
+    shares = [compute_share(left, rate) for left in range(0, plenty + 1, rate)]
+    assert shares == sorted(set(shares))
+    assert (shares[0], shares[-1]) == (0.0, HOLD_SHARE)
+    assert compute_share(2 * plenty, rate) == HOLD_SHARE
+    assert compute_share(plenty, 0.0) == HOLD_SHARE
