Tell of headers of runners' answers that no relay reads

Cause: what a runner says in a header that is new isn't heeded, and nothing in the logs or metrics shows that it was said.

Change: line 711, once a name and process, with the runner that sent it.

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -98,6 +98,8 @@
     RUNNER_OUTDATED = (710, "an entry of a runner's earlier life came late; it is left")
     RUNNER_CRASHED = (705, "a runner is gone; what ran there is under suspicion")
 
+    HEADER_UNREAD = (711, "runners answer with a header whose meaning isn't known here")
+
     @property
     def number(self) -> int:
         """The event's number in the catalogue."""
--- a/knapweedrail/platform/names.py
+++ b/knapweedrail/platform/names.py
@@ -58,6 +58,24 @@
 )
 """Headers that concern one connection; each side of the relay has its own."""
 
+READ_ANSWERS = frozenset(
+    {
+        REQUEST_ID,
+        SEAL,
+        LOAD,
+        NOT_RUN,
+        RUNNER_ID,
+        RETRY_AFTER,
+        b"knapweedrail-weight-versions",
+        b"content-type",
+        b"content-encoding",
+        b"cache-control",
+        b"date",
+        b"server",
+    }
+)
+"""Headers of answers that are read, or whose meaning doesn't concern a relay."""
+
 REPORT_TARGET = b"/report"
 REPORT_MEMORY = "kvTotal"
 """Tokens that a runner's memory holds, all of them."""
--- a/knapweedrail/platform/requests.py
+++ b/knapweedrail/platform/requests.py
@@ -110,6 +110,7 @@
     ) -> RunnerAnswer:
         found = {name.lower(): value for name, value in headers}
         dropped = names.CONNECTION_ONLY | _list_connection_headers(headers)
+        unread = found.keys() - dropped - names.READ_ANSWERS
         running, waiting, slots = _read_load(found.get(names.LOAD))
         identity = found.get(names.REQUEST_ID)
         runner = found.get(names.RUNNER_ID)
@@ -127,6 +128,7 @@
             headers=tuple(item for item in headers if item[0].lower() not in dropped),
             idle_seconds=_read_keep_alive(found.get(b"keep-alive")),
             runner=None if runner is None else runner.decode("latin-1"),
+            unread=tuple(sorted(name.decode("latin-1") for name in unread)),
         )
 
     def encode_report_request(
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -248,7 +248,10 @@
     async def _receive_answer(self, connection: RunnerConnection) -> RunnerAnswer:
         head = await connection.receive_head()
         headers = list(head.headers.raw_items())
-        return self._call.services.codec.decode_answer(head.status_code, headers)
+        services = self._call.services
+        answer = services.codec.decode_answer(head.status_code, headers)
+        services.unread.note(answer.unread, self._view.runner.name)
+        return answer
 
     def _limit_first_byte(self) -> float:
         """Return how long this attempt may take to its first byte, seconds."""
--- a/knapweedrail/relay/calls.py
+++ b/knapweedrail/relay/calls.py
@@ -13,6 +13,7 @@
 from .codecs import Codec
 from .connections import ConnectionPool
 from .deliveries import Delivery
+from .headers import UnreadHeaders
 from .measures import RelayMeasures
 from .models import CallerRequest, Endpoint, Route, Runner, RunnerAnswer
 from .pressure import Pressure
@@ -79,6 +80,7 @@
     pressure: Pressure
     count_relays: Callable[[], int]
     note_successor: Callable[[Runner, str], None]
+    unread: UnreadHeaders = attrs.field(factory=UnreadHeaders)
 
 
 @attrs.define(kw_only=True)
--- a/knapweedrail/relay/models.py
+++ b/knapweedrail/relay/models.py
@@ -238,6 +238,7 @@
         idle_seconds: How long the runner keeps an idle connection; ``None`` if it
             doesn't say.
         runner: Name of the runner that answers; ``None`` if it doesn't say.
+        unread: Names of headers whose meaning isn't known.
     """
 
     status: int
@@ -251,6 +252,7 @@
     headers: tuple[tuple[bytes, bytes], ...]
     idle_seconds: float | None
     runner: str | None = None
+    unread: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/knapweedrail/tests/test_platform_requests.py
+++ b/knapweedrail/tests/test_platform_requests.py
@@ -127,3 +127,10 @@
 def test_a_load_that_cannot_be_read_is_no_load(text):
     answer = CODEC.decode_answer(200, [(b"Knapweedrail-Server-Load", text)])
     assert answer.running is None
+
+
+def test_headers_of_an_answer_that_no_relay_reads_are_named():
+    """Guards against a runner's word that is passed on and heeded by nobody."""
+    headers = [(b"X-New", b"1"), (b"Content-Type", b"text/plain"), (b"Date", b"now")]
+    headers += [(b"Knapweedrail-Server-Load", b"1,2,3"), (b"Keep-Alive", b"timeout=5")]
+    assert PlatformCodec().decode_answer(200, headers).unread == ("x-new",)
