Keep the limit that a runner names in routers of our own interface, too

Cause: the same as in the relay: a router knew no limit over all routers. Its runners couldn't even name one: a load report with another field counted as none, and the runner as unreachable.

Change: a report may name the requests a second that the runner takes from all routers. The decision who sends and when is the relay's own (limits, hashing, now beside both); a router that must wait for its turn has no room there, and wakes for it.

--- a/knapweedrail/dispatch.py
+++ b/knapweedrail/dispatch.py
@@ -13,6 +13,7 @@
 from .estimates import Estimates
 from .fleets import Fleet, RunnerState
 from .isolation import Isolation
+from .limits import FindStanding, stand_alone
 from .models import ENGINE, Endpoint, Rules, Runner
 from .outcomes import Ran, Refusal
 from .placement import PLACEMENTS
@@ -56,6 +57,8 @@
         rules: The operators' choices.
         rng: Source of all random choices.
         placement: Kind of placing policy; by the endpoint's kind when empty.
+        find_standing: Returns this router's place among those that may send to a
+            runner which limits its requests.
     """
 
     def __init__(
@@ -65,12 +68,14 @@
         rules: Rules,
         rng: random.Random,
         placement: str = "",
+        find_standing: FindStanding = stand_alone,
     ) -> None:
         load_plugins()
         kind = "affinity" if endpoint.kind == ENGINE else "balanced"
         self.endpoint = endpoint
         self.data_centre = data_centre
         self._rng = rng
+        self._find_standing = find_standing
         self._placement = PLACEMENTS.create(placement or kind)
         self._refusals = Refusals(endpoint.name)
         self._estimates = Estimates()
@@ -182,6 +187,8 @@
         if state is None or not state.note_report(report, now):
             return
         self._supervisor.note_report(state, report.as_of, now)
+        state.limited.note_named(report.limit, now, self._rng)
+        self._wait_for_turn(state, now)
         self._fleet.refresh(state, now)
         self._due = now if self.waiting else self._due
 
@@ -327,6 +334,9 @@
         entry.crash_noted = False
         self._running[entry.work.id] = entry
         state.note_start(entry.work.id, now)
+        if state.limited.limit is not None:
+            state.limited.limit.sent_at = now
+            self._wait_for_turn(state, now)
         state.suspects += entry.suspect
         self._fleet.refresh(state, now)
         # Where routers with the same old report have sent too much to one runner, its
@@ -334,6 +344,14 @@
         priority = SHORT_PRIORITY if entry.work.short else LONG_PRIORITY
         return Start(entry.work.id, state.name, priority)
 
+    def _wait_for_turn(self, state: RunnerState, now: float) -> None:
+        """Keep work from a runner for as long as its limit asks."""
+        limit, pause = state.limited.limit, 0.0
+        if limit is not None:
+            standing = self._find_standing(state.name, limit.rate)
+            pause = limit.measure_pause(standing, 0, now)
+        self._supervisor.wait_for_turn(state, pause, now)
+
     # Ends of runs
 
     def _note_end(
--- a/knapweedrail/endpoints.py
+++ b/knapweedrail/endpoints.py
@@ -11,6 +11,7 @@
 import httpx_sse
 import orjson
 
+from .limits import read_rate
 from .models import Holder
 from .outcomes import Unavailable, Unknown
 from .work import LoadReport
@@ -179,7 +180,9 @@
         """Ask a runner for its load."""
         try:
             response = await self._client.get(f"http://{address}/load", timeout=1.0)
-            return LoadReport(**orjson.loads(response.content))
+            report = LoadReport(**orjson.loads(response.content))
+            limit = None if report.limit is None else read_rate(str(report.limit))
+            return attrs.evolve(report, limit=limit)
         except (httpx.HTTPError, TypeError, ValueError) as error:
             return Unavailable("runner.load", address, repr(error))
 
--- a/knapweedrail/fleets.py
+++ b/knapweedrail/fleets.py
@@ -5,6 +5,7 @@
 import random
 from collections import deque
 
+from .limits import LimitRecord
 from .work import LoadReport
 
 HISTORY_SECONDS = 10.0
@@ -65,6 +66,8 @@
         "backoff",
         "full_backoff",
         "suspects",
+        "limited",
+        "turn_at",
     )
 
     def __init__(self, name: str, slots: int, own_data_centre: bool) -> None:
@@ -90,6 +93,8 @@
         self.backoff = 0.0
         self.full_backoff = 0.0
         self.suspects = 0
+        self.limited = LimitRecord()
+        self.turn_at = float("-inf")
 
     @property
     def load(self) -> int:
@@ -236,7 +241,8 @@
     def refresh(self, runner: RunnerState, now: float) -> None:
         """Bring the sets up to date after a change of this runner."""
         usable = runner.usable(now)
-        free = runner.free if usable and runner.full_until <= now else 0
+        waits = max(runner.full_until, runner.turn_at) > now
+        free = runner.free if usable and not waits else 0
         slots = runner.slots if usable and not runner.on_trial else 0
         counted_free = 0 if runner.on_trial else free
         old_free, old_slots = self._counted.get(runner.name, (0, 0))
--- a/knapweedrail/relay/limits.py
+++ b/knapweedrail/limits.py
@@ -1,4 +1,4 @@
-"""Decision: which relays send to a runner that limits its requests, and when.
+"""Decision: who sends to a runner that limits its requests, and when.
 
 Pure: the clock is passed in.
 
@@ -11,11 +11,15 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 import random
+from collections.abc import Callable, Iterable
 
 import attrs
 
+from .hashing import hash_pair
+
 USED_SHARE = 0.8
 """Part of a limit that its senders use together. Relays that come or go are listed some
 seconds late, and meanwhile there is a sender more."""
@@ -64,6 +68,11 @@
     sends: bool
 
 
+FindStanding = Callable[[str, float], Standing]
+"""Returns the own place among the senders to a runner with a limit of so many requests
+a second."""
+
+
 def stand_alone(runner: str, rate: float) -> Standing:
     """Return the place of a relay that knows of no other."""
     return Standing(relays=1, senders=1, sends=True)
@@ -74,6 +83,12 @@
     return max(1, min(relays, 1 + int(rate / SENDER_RATE)))
 
 
+def rank_senders(runner: str, names: Iterable[str], count: int) -> list[str]:
+    """Return those that send to a runner which limits its requests, chosen alike by
+    all that know the same names."""
+    return heapq.nsmallest(count, names, key=lambda name: hash_pair(f"@{runner}", name))
+
+
 @attrs.define
 class RunnerLimit:
     """A limit that a runner has named, and what this relay sent since.
--- a/knapweedrail/members.py
+++ b/knapweedrail/members.py
@@ -11,6 +11,7 @@
 
 from .beliefs import Beliefs, Member, News, Rounds
 from .events import Event, log_event
+from .limits import Standing, count_senders, rank_senders
 from .lives import LifeEnded, OwnLife, Place
 from .models import Holder
 from .outcomes import Failure, Unavailable
@@ -158,6 +159,14 @@
         """Return the beliefs about all other routers."""
         return self._beliefs.members(anyio.current_time())
 
+    def find_standing(self, runner: str, rate: float) -> Standing:
+        """Return this router's place among those that may send to a limited runner."""
+        names = {member.holder.name for member in self.members()}
+        names.add(self.settings.name)
+        senders = count_senders(rate, len(names))
+        sends = self.settings.name in rank_senders(runner, names, senders)
+        return Standing(len(names), senders, sends)
+
     def own_data_centre_members(self) -> tuple[Member, ...]:
         """Return the beliefs about the other routers of this data centre."""
         return self._beliefs.own_members(anyio.current_time())
--- a/knapweedrail/platform/requests.py
+++ b/knapweedrail/platform/requests.py
@@ -8,8 +8,8 @@
 
 import orjson
 
+from ..limits import read_rate
 from ..relay.codecs import Codec
-from ..relay.limits import read_rate
 from ..relay.models import (
     CallerRequest,
     Malformed,
--- a/knapweedrail/pools.py
+++ b/knapweedrail/pools.py
@@ -9,6 +9,7 @@
 
 from .dispatch import Dispatcher
 from .endpoints import EngineClient, RunnerClient, ServiceClient
+from .limits import FindStanding, stand_alone
 from .models import ENGINE, Configuration, Endpoint, Rules
 from .schedulers import Reconfigure, Scheduler
 
@@ -37,6 +38,8 @@
         group: Task group in which schedulers run.
         data_centre: Where this router stands.
         placement: Kind of placing policy; empty for the endpoint kind's own.
+        find_standing: Returns this router's place among those that may send to a
+            runner which limits its requests.
     """
 
     def __init__(
@@ -44,10 +47,12 @@
         group: anyio.abc.TaskGroup,
         data_centre: str,
         placement: str = "",
+        find_standing: FindStanding = stand_alone,
     ) -> None:
         self.data_centre = data_centre
         self._group = group
         self._placement = placement
+        self._find_standing = find_standing
         self._pools: dict[str, Pool] = {}
         self._retired: list[Pool] = []
 
@@ -100,6 +105,7 @@
             rules,
             random.Random(),
             placement=self._placement,
+            find_standing=self._find_standing,
         )
         scheduler = Scheduler(endpoint, dispatcher, client)
         await scheduler.start(self._group)
--- a/knapweedrail/relay/calls.py
+++ b/knapweedrail/relay/calls.py
@@ -10,11 +10,11 @@
 
 import attrs
 
+from ..limits import LimitNews
 from .codecs import Codec
 from .connections import ConnectionPool
 from .deliveries import Delivery
 from .headers import UnreadHeaders
-from .limits import LimitNews
 from .measures import RelayMeasures
 from .models import CallerRequest, Endpoint, Route, Runner, RunnerAnswer
 from .pressure import Pressure
--- a/knapweedrail/relay/daemons.py
+++ b/knapweedrail/relay/daemons.py
@@ -12,6 +12,7 @@
 import anyio.abc
 
 from ..events import Event, log_event
+from ..limits import LimitNews
 from ..servers import HttpServer, ServerLimits
 from .calls import Services
 from .codecs import Codec
@@ -21,7 +22,6 @@
 from .gateway import Gateway
 from .holdings import Holdings
 from .ledgers import name_holder
-from .limits import LimitNews
 from .malformed import MalformedObjects
 from .measures import CountedStore, RelayMeasures, limit_accounts
 from .members import Membership
--- a/knapweedrail/relay/members.py
+++ b/knapweedrail/relay/members.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 import time
 from collections.abc import Iterable
@@ -13,10 +12,10 @@
 
 from ..addresses import check_address
 from ..events import Event, log_event
+from ..hashing import hash_pair
+from ..limits import Standing, count_senders, rank_senders
 from ..tasks import Task
-from .hashing import hash_pair
 from .ledgers import get_host
-from .limits import Standing, count_senders
 from .malformed import MalformedObjects
 from .models import Member
 from .sources import plan_sources
@@ -68,11 +67,6 @@
     return sorted(members, key=lambda member: hash_pair(account, member.host))
 
 
-def rank_senders(runner: str, hosts: Iterable[str], count: int) -> list[str]:
-    """Return the hosts whose relays send to a runner that limits its requests."""
-    return heapq.nsmallest(count, hosts, key=lambda host: hash_pair(f"@{runner}", host))
-
-
 def order_lenders(
     account: str, members: Iterable[Member], data_centre: str, holder: str
 ) -> list[Member]:
--- a/knapweedrail/relay/neighbours.py
+++ b/knapweedrail/relay/neighbours.py
@@ -15,6 +15,7 @@
 
 from ..addresses import split_address
 from ..events import Event, log_event
+from ..limits import LimitNews
 from ..rpc import RpcServer
 from ..wire.relays_grpc import RelaysBase, RelaysStub
 from ..wire.relays_pb2 import (
@@ -27,7 +28,6 @@
     TradeRequest,
 )
 from .dialers import GrpcWatcherLink
-from .limits import LimitNews
 from .links import WatcherLink
 from .models import Member
 from .reservations import Shortage
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -7,11 +7,11 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import attrs
 
-from .limits import LimitNews, Standing, stand_alone
+from ..limits import FindStanding, LimitNews, stand_alone
 from .lives import Lives, Reading
 from .models import UNKNOWN_START, Runner, RunnerLife, RunnerState
 from .views import RunnerView
@@ -62,11 +62,6 @@
 while others have room, and a trial now and then tells when it is well again."""
 
 
-FindStanding = Callable[[str, float], Standing]
-"""Returns this relay's place among the senders to a runner with a limit of so many
-requests a second."""
-
-
 class RunnerTable:
     """All runners, by name, with what was seen of each.
 
--- a/knapweedrail/relay/selection.py
+++ b/knapweedrail/relay/selection.py
@@ -8,7 +8,7 @@
 import random
 import statistics
 
-from .hashing import hash_pair
+from ..hashing import hash_pair
 from .models import CallerRequest, PromptPart, RunnerLife
 from .runners import MOST_SLOW_FACTOR, SLOW_FACTOR, RunnerTable
 from .views import RunnerView
--- a/knapweedrail/relay/sources.py
+++ b/knapweedrail/relay/sources.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from .hashing import hash_pair
+from ..hashing import hash_pair
 from .models import Member
 
 SOURCES = 2
--- a/knapweedrail/relay/views.py
+++ b/knapweedrail/relay/views.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from .limits import LimitRecord
+from ..limits import LimitRecord
 from .models import Runner, RunnerLife
 
 REPORT_SECONDS = 1.0
--- a/knapweedrail/routers.py
+++ b/knapweedrail/routers.py
@@ -171,7 +171,11 @@
         await self.membership.start(group)
 
     async def _start_requests(self, group: anyio.abc.TaskGroup) -> None:
-        self.pools = Pools(group, self.settings.data_centre)
+        self.pools = Pools(
+            group,
+            self.settings.data_centre,
+            find_standing=self.membership.find_standing,
+        )
         self.membership.on_exchange(QuarantinePart(self.pools))
         self.intake = Intake(
             group, self.table, self.finder, self.pools, lambda: self.life
--- a/knapweedrail/standins/limitfleet.py
+++ b/knapweedrail/standins/limitfleet.py
@@ -13,8 +13,7 @@
 
 import attrs
 
-from ..relay.limits import LimitNews, Standing, count_senders
-from ..relay.members import rank_senders
+from ..limits import LimitNews, Standing, count_senders, rank_senders
 from ..relay.models import CallerRequest, Runner, RunnerState
 from ..relay.runners import RunnerTable
 from ..relay.selection import choose_runner
--- a/knapweedrail/supervision.py
+++ b/knapweedrail/supervision.py
@@ -103,6 +103,12 @@
         state.blocked_after = _find_horizon(state, now)
         state.full_until = self._plan_wake(state, state.full_backoff, now)
 
+    def wait_for_turn(self, state: RunnerState, pause: float, now: float) -> None:
+        """Give a runner nothing until its limit lets this router send again."""
+        state.turn_at = now + pause
+        if pause > 0:
+            heapq.heappush(self._wakes, (state.turn_at, state.name))
+
     def note_report(self, state: RunnerState, as_of: float, now: float) -> None:
         """Use a runner again that shows that it is there."""
         self._plan_expiry(state)
--- a/knapweedrail/work.py
+++ b/knapweedrail/work.py
@@ -83,6 +83,8 @@
         as_of: Seconds at which this held: on the wire Unix time by the runner's
             clock, for the dispatcher on the same clock as its events.
         leaving: Whether it takes no new work.
+        limit: Requests a second that it takes from all routers together; ``None`` for
+            any number.
     """
 
     running: int
@@ -90,6 +92,7 @@
     slots: int
     as_of: float
     leaving: bool = False
+    limit: float | None = None
 
 
 @attrs.frozen
