--- a/knapweedrail/tests/test_relay_limits.py
+++ b/knapweedrail/tests/test_relay_limits.py
@@ -1,12 +1,15 @@
 """Runners that limit their requests get no more than that from all relays together."""
 
 import contextlib
+import random
 import time
 
 import anyio
 import pytest
 
-from ..relay.models import Repetition
+from ..limits import LimitNews
+from ..relay.models import Member, Repetition
+from ..relay.neighbours import Neighbours, make_server
 from ..standins.limitfleet import LimitFleet, allow
 from .relays_in_memory import (
     ScriptedRunner,
@@ -183,3 +186,54 @@
         assert 0.5 * 3.0 * 20 <= runner.served - served <= 3.0 * 20
         assert fleet.count_worst(runner.name) <= allow(3.0)
     assert fleet.refused > 0
+
+
+async def test_relays_tell_each_other_of_limits():
+    """Guards against a change of a limit that the others hear of by chance."""
+    heard = []
+    server = make_server(
+        None, lambda lines: None, None, "127.0.0.1:0", hear_limits=heard.extend
+    )
+    await server.start()
+    neighbours = Neighbours()
+    member = Member("b", "b/1", server.address, "dc")
+    news = [LimitNews("i-0", 17, 1.5, 3), LimitNews("i-1", 0, 0.0, 1)]
+    await neighbours.tell_limits([member], news)
+    await neighbours.close()
+    await server.close()
+    assert heard == news
+
+
+async def test_a_rejection_and_another_runners_answer_end_no_limit():
+    """Guards against a limit that is forgotten while the runner is in need."""
+    answers = [("200", "2.0"), ("503", None), ("421", None), ("200", None)]
+    limits = []
+    for status, limit in answers:
+
+        async def respond(stream, head, status=status, limit=limit):
+            more = {"Knapweedrail-Server-Limit": limit} if limit else {}
+            if status == "503":
+                more["Knapweedrail-Not-Executed"] = "1"
+            await stream.send(make_answer(head, status=int(status), **more))
+            return True
+
+        runner = ScriptedRunner(respond)
+        async with run_relay(make_configuration(SAFE), runner) as relay:
+            view = relay.table.list_views("e", 0.0)[0]
+            view.limited.note_named(2.0, time.monotonic() - 60, random.Random(1))
+            await relay.call()
+            limits.append(view.limited.limit is not None)
+    assert limits == [True, True, True, False]
+
+
+async def test_callers_are_refused_at_once_when_every_runner_waits_for_its_turn():
+    """Guards against callers that wait until their deadline for a limited runner."""
+    runner = ScriptedRunner(answer_well)
+    async with run_relay(make_configuration(SAFE), runner) as relay:
+        view = relay.table.list_views("e", 0.0)[0]
+        view.limited.note_named(0.5, time.monotonic(), random.Random(1))
+        began_at = time.monotonic()
+        answer = await relay.call()
+        assert time.monotonic() - began_at < 0.2
+    assert (answer.status, runner.heads) == (503, [])
+    assert float(answer.headers["retry-after"]) >= 1 / 0.5
