Rank the senders to limited runners in one place

Cause: relay and router each kept who sends, the router for each load report anew: ranking 500 names takes 0.56 ms, and two reports a second of 125 limited runners would be an eighth of a core.

Change: limits.Senders ranks and remembers, for both; the router takes its names every two seconds.

--- a/knapweedrail/limits.py
+++ b/knapweedrail/limits.py
@@ -89,6 +89,36 @@
     return heapq.nsmallest(count, names, key=lambda name: hash_pair(f"@{runner}", name))
 
 
+class Senders:
+    """Who sends to limited runners, as one of those that may sees it.
+
+    Args:
+        own: Its name.
+    """
+
+    def __init__(self, own: str) -> None:
+        self._own = own
+        self._names = {own}
+        self._sends: dict[tuple[str, int], bool] = {}
+
+    def set_names(self, names: Iterable[str]) -> None:
+        """Take in who there is."""
+        known = {self._own, *names}
+        if known != self._names:
+            self._names = known
+            self._sends.clear()
+
+    def find_standing(self, runner: str, rate: float) -> Standing:
+        """Return the own place among those that may send to a limited runner."""
+        senders = count_senders(rate, len(self._names))
+        key = (runner, senders)
+        if key not in self._sends:
+            # Kept, as it is asked for each request and ranks hundreds of names.
+            chosen = rank_senders(runner, self._names, senders)
+            self._sends[key] = self._own in chosen
+        return Standing(len(self._names), senders, self._sends[key])
+
+
 @attrs.define
 class RunnerLimit:
     """A limit that a runner has named, and what this relay sent since.
--- a/knapweedrail/members.py
+++ b/knapweedrail/members.py
@@ -11,7 +11,7 @@
 
 from .beliefs import Beliefs, Member, News, Rounds
 from .events import Event, log_event
-from .limits import Standing, count_senders, rank_senders
+from .limits import Senders, Standing
 from .lives import LifeEnded, OwnLife, Place
 from .models import Holder
 from .outcomes import Failure, Unavailable
@@ -40,6 +40,11 @@
 25 bytes are 6 KB a second of the 23 KB that a router may send."""
 
 
+NAMES_SECONDS = 2.0
+"""How long the names of all routers are kept by which senders to limited runners are
+chosen: they are asked for at each load report of such a runner."""
+
+
 @attrs.frozen
 class MembershipSettings:
     """What the membership needs from the settings.
@@ -101,6 +106,8 @@
         self._clients = clients
         self._rng = rng or random.Random()
         self._registrar = Registrar(platform, self._rng)
+        self._senders = Senders(settings.name)
+        self._named_at = float("-inf")
         self._beliefs = Beliefs(
             settings.name, settings.data_centre, settings.heartbeat_seconds
         )
@@ -161,11 +168,11 @@
 
     def find_standing(self, runner: str, rate: float) -> Standing:
         """Return this router's place among those that may send to a limited runner."""
-        names = {member.holder.name for member in self.members()}
-        names.add(self.settings.name)
-        senders = count_senders(rate, len(names))
-        sends = self.settings.name in rank_senders(runner, names, senders)
-        return Standing(len(names), senders, sends)
+        now = anyio.current_time()
+        if now - self._named_at >= NAMES_SECONDS:
+            self._senders.set_names(member.holder.name for member in self.members())
+            self._named_at = now
+        return self._senders.find_standing(runner, rate)
 
     def own_data_centre_members(self) -> tuple[Member, ...]:
         """Return the beliefs about the other routers of this data centre."""
--- a/knapweedrail/relay/members.py
+++ b/knapweedrail/relay/members.py
@@ -13,7 +13,7 @@
 from ..addresses import check_address
 from ..events import Event, log_event
 from ..hashing import hash_pair
-from ..limits import Standing, count_senders, rank_senders
+from ..limits import Senders, Standing
 from ..tasks import Task
 from .ledgers import get_host
 from .malformed import MalformedObjects
@@ -115,7 +115,7 @@
         self._store = store
         self._members: dict[str, Member] = {member.host: member}
         self._kept: dict[str, bool] = {}
-        self._sends: dict[tuple[str, int], bool] = {}
+        self._senders = Senders(member.host)
         self._ranked: tuple[list[Member], list[Member]] | None = None
 
     @property
@@ -168,13 +168,8 @@
 
         A relay that doesn't know the others yet sends nothing there.
         """
-        senders = count_senders(rate, self.count)
-        key = (runner, senders)
-        if key not in self._sends:
-            chosen = rank_senders(runner, self._members, senders)
-            self._sends[key] = self.member.host in chosen
-        sends = self.settled and self._sends[key]
-        return Standing(self.count, senders, sends)
+        standing = self._senders.find_standing(runner, rate)
+        return standing if self.settled else attrs.evolve(standing, sends=False)
 
     def note_life(self, known: Member, holder: str) -> None:
         """Take in that another life of a relay's host answered than was known."""
@@ -276,7 +271,7 @@
             log_event(Event.RELAYS_LISTED, relays=len(found), seconds=seconds)
         self._members = found
         self._kept.clear()
-        self._sends.clear()
+        self._senders.set_names(found)
         self._ranked = None
         return True
 
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -348,8 +348,7 @@
         follower.confirmed_at = float("inf")
     membership = Membership(store, Member(host, f"{host}/1", "", "dc"))
     membership.settled = True
-    for other in others:
-        membership._members[other] = Member(other, f"{other}/1", "", "dc")
+    membership._senders.set_names(others)
     table.find_standing = membership.find_standing
     holdings = Holdings(store, Neighbours(), membership, lambda: configuration)
     pool = ConnectionPool()
--- a/knapweedrail/tests/test_limits.py
+++ b/knapweedrail/tests/test_limits.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ..dispatch import Dispatcher, Ended, EndedKind, LoadReport, Work
-from ..limits import Standing, count_senders, rank_senders, read_rate
+from ..limits import Senders, read_rate
 from ..models import ENGINE, Endpoint, Rules, Runner
 from ..standins.limitfleet import allow
 
@@ -17,22 +17,15 @@
 
 
 def make_dispatcher(name, names, heeds=True):
-    """Return a router's dispatcher; one that doesn't heed limits takes itself for the
-    only sender of a high one."""
+    """Return a router's dispatcher; one that doesn't heed the others takes itself for
+    the only one."""
 
-    def find_standing(runner, rate):
-        senders = count_senders(rate, len(names))
-        return Standing(
-            len(names), senders, name in rank_senders(runner, names, senders)
-        )
-
-    def ignore(runner, rate):
-        return Standing(1, 1, True)
-
-    find = find_standing if heeds else ignore
+    senders = Senders(name)
+    if heeds:
+        senders.set_names(names)
     endpoint = Endpoint("llm", ENGINE, RUNNERS, 64)
     dispatcher = Dispatcher(
-        endpoint, "a", Rules(), random.Random(name), find_standing=find
+        endpoint, "a", Rules(), random.Random(name), find_standing=senders.find_standing
     )
     dispatcher.set_runners(RUNNERS, 0.0)
     return dispatcher
