Tell callers of limited runners when some relay has a turn

Cause, all found by reading the diff: a relay that isn't a sender told callers to come back after its own next trial, up to the route's whole time, though the senders have turns sooner; a limit of 0 was told to others as no limit; a keeper reminded itself of its own earlier life by a call, and would have called relays without an address.

Change: the time is that of the next turn of any sender; 0 counts as the least limit; neither relay is called. test_a_runner_that_takes_nothing_is_not_told_of_as_one_without_a_limit failed before.

--- a/knapweedrail/limits.py
+++ b/knapweedrail/limits.py
@@ -78,6 +78,12 @@
     return Standing(relays=1, senders=1, sends=True)
 
 
+def measure_next_turn(rates: Iterable[float]) -> float:
+    """Return after which time a sender has a turn at one of several limited runners,
+    seconds."""
+    return 1.0 / max(LEAST_RATE, USED_SHARE * sum(rates))
+
+
 def count_senders(rate: float, relays: int) -> int:
     """Return how many relays send to a runner with a limit of so many a second."""
     return max(1, min(relays, 1 + int(rate / SENDER_RATE)))
@@ -151,12 +157,9 @@
             rank: Urgency of the request, 0 first.
         """
         if not standing.sends:
-            # The last word is of a sender's turn at the latest, and nobody told more.
-            quiet = standing.relays / (TRIAL_SHARE * self.rate) * self.spread
-            trial_at = max(self.heard_at, self.sent_at) + max(
-                LEAST_TRIAL_SECONDS, quiet
-            )
-            return max(0.0, trial_at - now)
+            pause = self.spread * standing.relays / (TRIAL_SHARE * self.rate)
+            quiet_since = max(self.heard_at, self.sent_at)
+            return max(0.0, quiet_since + max(LEAST_TRIAL_SECONDS, pause) - now)
         turn = self.measure_turn(standing)
         yielded = YIELD_SHARE * turn * min(rank, MOST_RANK) / MOST_RANK
         return max(0.0, self.sent_at + turn + yielded - now)
@@ -199,7 +202,7 @@
             rate: Requests a second; ``None`` if the answer names no limit.
         """
         self._set(rate, now, rng)
-        known = rate or 0.0
+        known = 0.0 if rate is None else max(LEAST_RATE, rate)
         news = (known > 0) != (self.told > 0)
         if known and self.told:
             change = known / self.told
--- a/knapweedrail/relay/exchanges.py
+++ b/knapweedrail/relay/exchanges.py
@@ -241,26 +241,20 @@
             late = last is not None and last.failure is Failure.SILENT
             kind = RefusalKind.DEADLINE if late else RefusalKind.OUTCOME_UNKNOWN
             return self._refuse(kind, Ran.UNKNOWN, detail, None)
-        retry_after = draw_retry(self._call.services.rng)
-        pause = self._measure_limits()
-        if pause is not None and last is None:
-            detail = "every runner has limited its requests"
-            retry_after += min(pause, self._call.route.timeout)
-        kind = RefusalKind.FULL if last or pause else RefusalKind.NO_ENDPOINT
-        return self._refuse(kind, Ran.NOT_RUN, detail, retry_after)
-
-    def _measure_limits(self) -> float | None:
-        """Return the shortest time until a runner's limit lets this relay send.
+        return self._refuse_unsent(last, detail)
 
-        ``None`` if there is a runner that may be sent to now, or no runner at all.
-        """
-        call, now = self._call, time.monotonic()
-        runners = call.services.runners
-        views = runners.list_views(call.endpoint.name, now)
-        rank = call.ranks.busy
-        return (
-            min((runners.measure_pause(v, rank, now) for v in views), default=0) or None
+    def _refuse_unsent(self, last: Failed | None, detail: str) -> Refusal:
+        """Refuse what no runner has run, with the time to come back."""
+        call = self._call
+        retry_after = draw_retry(call.services.rng)
+        turn = call.services.runners.measure_next_turn(
+            call.endpoint.name, call.ranks.busy, time.monotonic()
         )
+        if last is None and turn is not None:
+            detail = "every runner has limited its requests"
+            retry_after += min(turn, call.route.timeout)
+        kind = RefusalKind.FULL if last or turn else RefusalKind.NO_ENDPOINT
+        return self._refuse(kind, Ran.NOT_RUN, detail, retry_after)
 
     def _refuse(
         self, kind: RefusalKind, ran: Ran, detail: str, retry_after: float | None
--- a/knapweedrail/relay/loans.py
+++ b/knapweedrail/relay/loans.py
@@ -96,7 +96,9 @@
         now = time.monotonic()
         for holder, grant in list(held.entry.grants.items()):
             member = self._membership.find_later(holder)
-            if member is None or grant.tokens <= grant.spent:
+            if member is None or not member.address or grant.tokens <= grant.spent:
+                continue
+            if member.holder == self._holder:
                 continue
             if now - held.reminded.get(holder, float("-inf")) < REMIND_SECONDS:
                 continue
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from ..limits import FindStanding, LimitNews, stand_alone
+from ..limits import FindStanding, LimitNews, measure_next_turn, stand_alone
 from .lives import Lives, Reading
 from .models import UNKNOWN_START, Runner, RunnerLife, RunnerState
 from .views import RunnerView
@@ -300,9 +300,8 @@
             return None
         if not view.limited.note_named(rate, now, self._rng):
             return None
-        return LimitNews(
-            view.life.name, view.life.started, rate or 0.0, view.limited.number
-        )
+        record, life = view.limited, view.life
+        return LimitNews(life.name, life.started, record.told, record.number)
 
     def hear_limit(self, news: LimitNews, now: float) -> bool:
         """Take in what another relay tells of a limit; return whether it is news."""
@@ -327,6 +326,19 @@
         """Return whether a runner's limit lets this relay send it a request now."""
         return self.measure_pause(view, rank, now) <= 0
 
+    def measure_next_turn(
+        self, endpoint: str, rank: int | None, now: float
+    ) -> float | None:
+        """Return after which time some relay may send to a runner of an endpoint.
+
+        ``None`` if this one may send to one now, or there is no runner.
+        """
+        views = self.list_views(endpoint, now)
+        if not views or any(self.admits(view, rank, now) for view in views):
+            return None
+        limits = [view.limited.limit for view in views]
+        return measure_next_turn(limit.rate for limit in limits if limit is not None)
+
     def is_rested(self, view: RunnerView, now: float) -> bool:
         """Return whether nothing that was seen keeps work from a runner."""
         cut = now < self._cut_until.get(view.runner.data_centre, float("-inf"))
--- a/knapweedrail/tests/test_limits.py
+++ b/knapweedrail/tests/test_limits.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ..dispatch import Dispatcher, Ended, EndedKind, LoadReport, Work
-from ..limits import Senders, read_rate
+from ..limits import LimitRecord, Senders, Standing, read_rate
 from ..models import ENGINE, Endpoint, Rules, Runner
 from ..standins.limitfleet import allow
 
@@ -93,3 +93,14 @@
 def test_what_is_no_number_names_no_limit(text):
     """Guards against a limit of another writer's making that stops all requests."""
     assert read_rate(text) is None
+
+
+def test_a_runner_that_takes_nothing_is_not_told_of_as_one_without_a_limit():
+    """Guards against relays that send to a runner which has lowered its limit to 0."""
+    record, rng = LimitRecord(), random.Random(1)
+    assert record.note_named(2.0, 1.0, rng)
+    assert record.note_named(0.0, 2.0, rng)
+    assert record.told > 0
+    assert record.limit.measure_pause(Standing(9, 1, True), 0, 60.0) > 60.0
+    assert record.note_named(None, 3.0, rng)
+    assert record.told == 0
