--- a/knapweedrail/standins/tokenfleet.py
+++ b/knapweedrail/standins/tokenfleet.py
@@ -33,6 +33,9 @@
 SETTLE_SECONDS = 1.5
 """How long a request counts at its most after it has ended."""
 
+OUTPUT_SHARES = (0.33, 1.0)
+"""Bounds of the part of its largest output that a request uses."""
+
 UNIX_MILLISECONDS = 1_800_000_000_000
 
 
@@ -278,28 +281,19 @@
                 return self.tally
             kind = self._rng.choices(kinds, [kind.per_second for kind in kinds])[0]
             account = self._rng.choices(list(weights), list(weights.values()))[0]
-            self._group.start_soon(self._request, kind, account, self.tally)
+            self._request(kind, account, self.tally)
 
-    async def _request(self, kind: Kind, account: str, tally: Tally) -> None:
-        """One caller's request, at any host that is there."""
+    def _request(self, kind: Kind, account: str, tally: Tally) -> None:
+        """Send one caller's request, to any host that is there."""
         relay = self.relays.get(self._rng.choice(self.hosts))
         if relay is None:
             return
-        consumption = self.consumption[account]
-        most = kind.prompt + kind.output
-        owed = consumption.covers(most)
+        owed = self.consumption[account].covers(kind.prompt + kind.output)
         tally.owed += owed
-        done = anyio.Event()
-        relay.group.start_soon(self._serve, relay, kind, account, tally, owed, done)
+        relay.group.start_soon(self._serve, relay, kind, account, tally, owed)
 
     async def _serve(
-        self,
-        relay: TokenRelay,
-        kind: Kind,
-        account: str,
-        tally: Tally,
-        owed: bool,
-        done: anyio.Event,
+        self, relay: TokenRelay, kind: Kind, account: str, tally: Tally, owed: bool
     ) -> None:
         most = kind.prompt + kind.output
         consumption = self.consumption[account]
@@ -309,7 +303,7 @@
         if not isinstance(found, Reservation):
             return
         tally.served += owed
-        used = kind.prompt + round(kind.output * self._rng.uniform(0.33, 1.0))
+        used = kind.prompt + round(kind.output * self._rng.uniform(*OUTPUT_SHARES))
         consumption.used += used
         consumption.pending += most - used
         self._group.start_soon(self._forget, consumption, most - used, kind.seconds)
