Let what is held of a budget fall steeply once it lasts less than half a minute

Cause: the part shrank in proportion over two minutes.

Change: the whole part of a budget that lasts thirty seconds, and by the third power less below. A holder whose grant opens whoever asks tells nothing of its callers' demand (its rate counted as one before); nobody fetches tokens ahead for an account that isn't asked for; 0.002 of the prepaid too much is given back (0.004).

--- a/knapweedrail/relay/accounts.py
+++ b/knapweedrail/relay/accounts.py
@@ -7,6 +7,7 @@
 from .allowances import Allowance
 from .grants import (
     OPEN_FACTOR,
+    OPEN_SECONDS,
     Budget,
     Pace,
     is_too_open,
@@ -52,6 +53,22 @@
     free: int
 
 
+def estimate_others(entry: AccountLedger, but: str) -> float:
+    """Return the tokens a second that the callers of all holders but one ask for.
+
+    A grant opens as fast as its callers may ask, or as a whole in some seconds while
+    its holder doesn't know them; such a rate says nothing of them.
+    """
+    rates = [
+        grant.opening.rate
+        for holder, grant in entry.grants.items()
+        if holder != but
+        and grant.opening is not None
+        and grant.opening.rate * OPEN_SECONDS > grant.tokens - grant.spent
+    ]
+    return sum(rates) / OPEN_FACTOR
+
+
 @attrs.define
 class HeldAccount:
     """One account, as this relay holds it.
@@ -164,7 +181,7 @@
             prepaid=prepaid,
             free=prepaid - entry.committed,
             held=entry.count_held(but=self.holder),
-            others_rate=entry.sum_rates(but=self.holder) / OPEN_FACTOR,
+            others_rate=estimate_others(entry, self.holder),
             keepers=max(1, keepers),
             starting=starting and self.fresh,
         )
--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -19,11 +19,15 @@
 the others leave: callers of an account may all come to one data centre while nobody
 asks the others for tokens."""
 
-PLENTY_SECONDS = 120.0
-"""How long the rest of a budget must last for relays to hold that part of it; of one
-that lasts half as long, half the part. What callers are refused in a cut they can have
-after it, as long as the budget isn't used up by then; what is lost with a relay, never.
-So the sooner a budget will be used up, the less there is to gain by holding it."""
+PLENTY_SECONDS = 30.0
+"""How long the rest of a budget must last for relays to hold that part of it. What
+callers are refused in a cut they can have after it, as long as the budget isn't used up
+by then; what is lost with a relay, never. So the sooner a budget will be used up, the
+less there is to gain by holding it, and the more to lose."""
+
+SCARCITY_POWER = 3
+"""Power with which the part falls below that: of a budget that lasts half as long, an
+eighth of it may be held."""
 
 HOLD_REQUESTS = 2.0
 """Largest requests that all keepers together hold beyond that, as demand comes by
@@ -46,7 +50,7 @@
 """How many times the target must be held before tokens go back. Demand comes in
 bursts, and without it each relay keeps what its highest one called for."""
 
-RETURN_SHARE = 0.004
+RETURN_SHARE = 0.002
 """Part of what was prepaid that must be too much at least: less isn't worth a write."""
 
 BORROW_SECONDS = 3.0
@@ -219,7 +223,8 @@
         left: Tokens.
         rate: Tokens that all callers ask for in a second.
     """
-    return HOLD_SHARE * min(1.0, left / max(1.0, rate * PLENTY_SECONDS))
+    plenty = min(1.0, left / max(1.0, rate * PLENTY_SECONDS))
+    return HOLD_SHARE * plenty**SCARCITY_POWER
 
 
 def plan_change(budget: Budget, position: Position, demand: Demand, now: float) -> int:
@@ -228,7 +233,10 @@
     available = position.available
     short = demand.unmet > available
     wanted = max(target, available + demand.unmet if short else 0)
-    if short or available < REFILL_SHARE * target:
+    # Of an account that nobody asks for, the part that may be held grows as its demand
+    # is forgotten; fetching that would cost a write for nothing.
+    asked = budget.starting or not demand.is_idle(now)
+    if short or (asked and available < REFILL_SHARE * target):
         return max(0, min(max(0, budget.free), wanted - available))
     excess = available - target
     if available > RETURN_FACTOR * target and excess > RETURN_SHARE * budget.prepaid:
--- a/knapweedrail/relay/ledgers.py
+++ b/knapweedrail/relay/ledgers.py
@@ -117,14 +117,6 @@
             if holder != but
         )
 
-    def sum_rates(self, but: str) -> int:
-        """Return the tokens a second by which others' grants open."""
-        return sum(
-            grant.opening.rate
-            for holder, grant in self.grants.items()
-            if holder != but and grant.opening is not None
-        )
-
     def count_ended(self, is_present: Callable[[str], bool]) -> int:
         """Return the tokens that holders which are gone have not reported as spent.
 
--- a/knapweedrail/tests/test_relay_grants.py
+++ b/knapweedrail/tests/test_relay_grants.py
@@ -1,5 +1,6 @@
 """How many tokens relays hold, under the loads that make it hard."""
 
+from ..relay.accounts import estimate_others
 from ..relay.grants import (
     HOLD_SHARE,
     OPEN_FACTOR,
@@ -16,6 +17,7 @@
     plan_pace,
 )
 from ..relay.ledgers import AccountLedger, Grant
+from ..relay.openings import Boot, Moment, Opening
 from ..relay.reservations import Shortage, find_shortage
 
 MILLION = 1_000_000
@@ -203,3 +205,13 @@
     demand = make_demand(rate=4000)
     pace = plan_pace(make_budget(free=MILLION // 2), 275_000, demand, 100.0)
     assert pace.rate <= OPEN_FACTOR * 4400
+
+
+def test_a_grant_that_opens_whoever_asks_tells_nothing_of_its_callers():
+    """Guards against quiet holders whose grants make a budget seem soon used up."""
+    moment = Moment(Boot("b", 0), 0)
+    quiet = Grant(24_000, 0, Opening(0, 2_000, moment))
+    busy = Grant(24_000, 4_000, Opening(0, 8_000, moment))
+    entry = AccountLedger(0, {"a/1": busy, "b/1": quiet, "c/1": Grant(500, 0)})
+    assert estimate_others(entry, but="c/1") == 8_000 / OPEN_FACTOR
+    assert estimate_others(entry, but="a/1") == 0.0
