--- a/knapweedrail/tests/test_relay_suspects.py
+++ b/knapweedrail/tests/test_relay_suspects.py
@@ -76,7 +76,7 @@
     """A runner crashes and all its requests end at once, each with word of its own.
     The others hear of them by one call, soon enough not to run them too."""
     relay = Relay.__new__(Relay)
-    relay._told, relay._told_more = [], Signal()
+    relay._told, relay._told_more, relay._limits = [], Signal(), {}
     relay._membership = types.SimpleNamespace(list_others=lambda: ["other"])
     told = []
 
