End a stopped soak between two turns of its loop

The signal's handler raised wherever the soak was, also between the fork of a process and the line that keeps its handle; nobody ended that one.

Ruled out: a process that was ended and not yet collected: all that are known are waited for as they are killed. A slow end: `World.close` waits for each.

Change: the handler raises from a callback of the loop, where no start is under way; without a loop it raises at once, as before.

Conclusion: mended. The older test meets the same moment by chance alone.

--- a/knapweedrail/tests/test_soak.py
+++ b/knapweedrail/tests/test_soak.py
@@ -371,6 +371,29 @@
     assert played == [1]
 
 
+def test_a_stop_while_a_process_starts_leaves_none_behind(monkeypatch):
+    """Guards against a process that outlives a soak which is stopped as it starts."""
+    started = []
+    start = subprocess.Popen
+
+    def start_and_stop_the_soak(*args, **kwargs):
+        process = start(*args, **kwargs)
+        started.append(process)
+        if len(started) == 3:
+            os.kill(os.getpid(), signal.SIGTERM)
+        return process
+
+    monkeypatch.setattr(subprocess, "Popen", start_and_stop_the_soak)
+    before = signal.getsignal(signal.SIGTERM)
+    try:
+        assert main(["--seed", "1", "--relays", "1", "--runners", "2"]) == 3
+        assert [process.poll() is None for process in started] == [False] * 3
+    finally:
+        signal.signal(signal.SIGTERM, before)
+        for process in started:
+            process.kill()
+
+
 def test_a_soak_that_is_stopped_leaves_no_process_behind():
     """Somebody stops a series of soaks in the middle. Its relays and runners went on by
     themselves, and slowed down all that ran there afterwards."""
--- a/knapweedrail/tools/soak.py
+++ b/knapweedrail/tools/soak.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import argparse
+import asyncio
 import random
 import shutil
 import signal
@@ -16,6 +17,7 @@
 import time
 from collections.abc import Sequence
 from pathlib import Path
+from typing import NoReturn
 
 import anyio
 import attrs
@@ -198,7 +200,8 @@
     """Whether this process was asked to stop.
 
     What goes wrong with the exception alone: the interpreter prints and drops what is
-    raised while it clears an object away, and the series would go on to its end.
+    raised while it clears an object away, and the series would go on to its end; and
+    raised in the middle of a process's start, it would leave that process behind.
 
     Attributes:
         asked: Whether the signal has come.
@@ -210,7 +213,15 @@
     def note(self, number: int, frame: object) -> None:
         """Handle the signal."""
         self.asked = True
-        raise SystemExit(EXIT_STOPPED)
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            _exit_stopped()
+        loop.call_soon_threadsafe(_exit_stopped)
+
+
+def _exit_stopped() -> NoReturn:
+    raise SystemExit(EXIT_STOPPED)
 
 
 def _play_seeds(arguments: argparse.Namespace, stop: StopRequest) -> list[int]:
