Close a server's idle connection only when no request waits on it

What callers saw: as a relay ended, a request sent 0.2 to 0.3 s before the close of its connection had no answer (soak, stops-in-turn and stops-at-start, once each under load).

Cause: the server library closes an idle connection some turns of the loop after its server begins to end, or its idle time to be over, and drops what came meanwhile. On a busy host those turns take long. Its wait also loses a cancellation that comes as the wait ends, so a request that had begun was closed as well.

Ruled out: the relay's own count of requests under way (such a request never reached it, as its log has no line); a close of connections whose answer is under way.

Change: a connection class of the library's own that waits until nothing is unread for more turns than the library takes to pass bytes on.

--- a/knapweedrail/servers.py
+++ b/knapweedrail/servers.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
+import select
 import socket
 from typing import Any
 
 import anyio
 import anyio.abc
 import attrs
+from hypercorn.asyncio import run as library
 from hypercorn.asyncio import serve
+from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.config import Config
 
 from .addresses import split_address
@@ -21,6 +25,50 @@
 STEP_SECONDS = 0.05
 """Pause between looks whether answers are still under way."""
 
+QUIET_TURNS = 8
+"""Turns of the loop within which the library passes on what it has read; it takes
+four."""
+
+MOST_TURNS = 100
+"""Turns after which a connection is closed whatever waits on it."""
+
+
+class Connection(TCPServer):
+    """The library's connection, which is closed only when no request waits on it.
+
+    What goes wrong without: as its server ends, or its idle time does, the library
+    closes an idle connection some turns of the loop later, whatever came meanwhile.
+    Where turns are slow, on a busy host, a caller is told that nothing was wrong with
+    its request, and has no answer.
+    """
+
+    async def _idle_timeout(self) -> None:
+        # The library cancels this task as soon as a request has begun. Its own
+        # `wait_for` loses a cancellation that comes as the wait ends.
+        with anyio.move_on_after(self.config.keep_alive_timeout):
+            await self.context.terminated.wait()
+        await self._wait_until_quiet()
+        await asyncio.shield(self._initiate_server_close())
+
+    async def _wait_until_quiet(self) -> None:
+        quiet = 0
+        for _ in range(MOST_TURNS):
+            quiet = 0 if self._has_unread() else quiet + 1
+            if quiet > QUIET_TURNS:
+                return
+            await asyncio.sleep(0)
+
+    def _has_unread(self) -> bool:
+        if self.writer.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self.writer.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+
+# The library has no other way to say which class its connections are of.
+library.TCPServer = Connection
+
 
 @attrs.frozen
 class ServerLimits:
--- a/knapweedrail/tests/test_servers.py
+++ b/knapweedrail/tests/test_servers.py
@@ -1,5 +1,8 @@
 """Tests of the HTTP servers' ends, orderly and not."""
 
+import socket
+import time
+
 import anyio
 import httpx
 import pytest
@@ -163,3 +166,54 @@
             await function()
 
     anyio.run(bounded)
+
+
+@pytest.mark.parametrize("turn", range(12))
+def test_a_request_that_came_well_before_its_close_is_answered(turn):
+    """Guards against requests that are read and dropped as a late loop ends."""
+
+    async def run():
+        tap = Tap()
+        async with anyio.create_task_group() as group:
+            server = HttpServer(tap.app, "127.0.0.1:0", ServerLimits())
+            await server.start(group)
+            host, _, port = server.address.partition(":")
+            with socket.create_connection((host, int(port))) as caller:
+                caller.setblocking(False)
+                caller.sendall(REQUEST)
+                await read_until(caller, b"ok")
+                await anyio.sleep(IDLE_SECONDS)
+                group.start_soon(server.close, 5.0)
+                for _ in range(turn):
+                    await anyio.sleep(0)
+                if not is_closed(caller):
+                    caller.sendall(REQUEST)
+                    time.sleep(LATE_SECONDS)
+                    await read_until(caller, b"ok")
+
+    anyio.run(run)
+
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+IDLE_SECONDS = 0.02
+"""How long nobody asks before the server closes."""
+
+LATE_SECONDS = 0.05
+"""How late the loop is."""
+
+
+def is_closed(caller):
+    try:
+        return caller.recv(1, socket.MSG_PEEK) == b""
+    except BlockingIOError:
+        return False
+
+
+async def read_until(caller, end):
+    received = b""
+    while not received.endswith(end):
+        await anyio.wait_readable(caller)
+        part = caller.recv(65_536)
+        assert part, f"closed after {received!r}"
+        received += part
