Hold some of a budget that runs low, so that not every request costs a write

Cause: the part of a budget that relays hold falls to nothing as it runs low, so each keeper's target is less than a request or two, and every few requests fill it up.

Change: all keepers together may hold 1.6 in 100 of the prepaid, at most half of what is left, however soon it is used up: with each keeper's even share at worst 3 in 100, as much as an account may lose before its callers are owed anything. With it the falling part begins at 35 s and half of what is left (30 s and 0.4 before).

--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -13,13 +13,13 @@
 """How long relays that can't reach the store serve out of what they hold, while much is
 left: twice as long as most cuts, as demand may double while one lasts."""
 
-HOLD_SHARE = 0.4
+HOLD_SHARE = 0.5
 """Largest part of what is left of a budget that all keepers together may hold. What is
 held is lost when its relay dies. Each keeper may have an even share, and beyond it what
 the others leave: callers of an account may all come to one data centre while nobody
 asks the others for tokens."""
 
-PLENTY_SECONDS = 30.0
+PLENTY_SECONDS = 35.0
 """How long the rest of a budget must last for relays to hold that part of it. What
 callers are refused in a cut they can have after it, as long as the budget isn't used up
 by then; what is lost with a relay, never. So the sooner a budget will be used up, the
@@ -29,6 +29,10 @@
 """Power with which the part falls below that: of a budget that lasts half as long, an
 eighth of it may be held."""
 
+LEAST_SHARE = 0.016
+"""Part of what was prepaid that all keepers together may hold however soon the budget
+is used up. Smaller holdings would be filled up with a write for every few requests."""
+
 HOLD_REQUESTS = 2.0
 """Largest requests that all keepers together hold beyond that, as demand comes by
 chance. Relays lend tokens to each other, so one margin serves all of them; a margin at
@@ -209,8 +213,8 @@
         need = max(need, START_SHARE * budget.prepaid / budget.keepers)
     left = max(0, budget.free) + budget.held + max(0, position.available)
     share = compute_share(left, rate + budget.others_rate)
-    even = share * left / budget.keepers
-    return int(min(need, max(even, share * left - budget.held)))
+    most = max(share * left, min(HOLD_SHARE * left, LEAST_SHARE * budget.prepaid))
+    return int(min(need, max(most / budget.keepers, most - budget.held)))
 
 
 def compute_share(left: float, rate: float) -> float:
--- a/knapweedrail/tests/test_relay_grants.py
+++ b/knapweedrail/tests/test_relay_grants.py
@@ -199,6 +199,15 @@
     assert compute_share(plenty, 0.0) == HOLD_SHARE
 
 
+def test_a_budget_that_runs_low_costs_no_write_for_every_few_requests():
+    """Guards against keepers that hold so little that each request asks for more."""
+    demand = make_demand(rate=2_000)
+    low = make_budget(60_000, others_rate=10_000)
+    target = compute_target(low, make_position(0), demand, 100.0)
+    assert target >= 0.01 * MILLION
+    assert target <= HOLD_SHARE * 60_000
+
+
 def test_a_grant_whose_demand_is_known_opens_no_faster_than_callers_may_ask():
     """Guards against a death in or after a cut that takes many seconds of a demand, as
     the whole grant has opened meanwhile."""
