Let only a good answer to a later request end or raise a runner's limit

Cause: any answer without the header ended a limit, also one that the runner made before it named it and that another answer had overtaken, and a runner's own error. Until the next answer a relay then sent that runner as much as before, and told others so.

Ruled out: rejections and other runners' answers, which ended no limit already.

Change: an answer to a request that was sent before the limit was last heard of can lower it, not raise or end it; an answer that isn't a success ends none.

Evidence: both tests failed before: a limit of 2 a second was gone after an answer to a request sent half a second earlier, and after a status of 500.

Conclusion: mended in relays. Routers go by load reports, of which an older one is dropped already.

--- a/knapweedrail/limits.py
+++ b/knapweedrail/limits.py
@@ -195,12 +195,26 @@
     number: int = 0
     told: float = 0.0
 
-    def note_named(self, rate: float | None, now: float, rng: random.Random) -> bool:
+    def note_named(
+        self,
+        rate: float | None,
+        now: float,
+        rng: random.Random,
+        sent_at: float = float("inf"),
+    ) -> bool:
         """Take in what an answer of the runner says; return whether that is news.
 
+        Answers on several connections overtake each other. One to a request that was
+        sent before the limit was last heard of may be older than that.
+
         Args:
             rate: Requests a second; ``None`` if the answer names no limit.
+            sent_at: When its request was sent; seconds.
         """
+        limit = self.limit
+        if limit is not None and sent_at < limit.heard_at:
+            if rate is None or rate > limit.rate:
+                return False
         self._set(rate, now, rng)
         known = 0.0 if rate is None else max(LEAST_RATE, rate)
         news = (known > 0) != (self.told > 0)
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -44,6 +44,8 @@
 MISDIRECTED = 421
 """Status by which a runner says that the request is meant for another one."""
 
+SUCCESSES = range(200, 300)
+
 
 @attrs.frozen
 class StalledStream:
@@ -184,7 +186,7 @@
                 )
                 answer = await self._receive_answer(connection)
                 self._note_load(answer)
-                self._note_limit(answer)
+                self._note_limit(answer, began_at)
                 if answer.identity == request.identity and _streams(answer):
                     chunks = connection.receive_body()
                     first = await self._receive_events(chunks, splitter)
@@ -388,16 +390,16 @@
                 self._view, answer.running, answer.waiting, time.monotonic()
             )
 
-    def _note_limit(self, answer: RunnerAnswer) -> None:
+    def _note_limit(self, answer: RunnerAnswer, sent_at: float) -> None:
         """Take in the limit that the runner names, or that it names none any more."""
         call = self._call
         if answer.status == MISDIRECTED or answer.identity != call.request.identity:
             return
-        if answer.limit is None and answer.not_run:
-            # A rejection is made before the runner looks at the rest.
+        if answer.limit is None and answer.status not in SUCCESSES:
+            # Rejections and errors may be made before the runner looks at the rest.
             return
         news = call.services.runners.note_limit(
-            self._view, answer.limit, time.monotonic()
+            self._view, answer.limit, time.monotonic(), sent_at
         )
         if news is not None:
             log_event(
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -289,16 +289,17 @@
         view.reported_at = now
 
     def note_limit(
-        self, view: RunnerView, rate: float | None, now: float
+        self, view: RunnerView, rate: float | None, now: float, sent_at: float
     ) -> LimitNews | None:
         """Take in the limit that a runner's answer names; return what is news of it.
 
         Args:
             rate: Requests a second from all relays; ``None`` if it names no limit.
+            sent_at: When the request was sent that it answers; seconds.
         """
         if view.superseded:
             return None
-        if not view.limited.note_named(rate, now, self._rng):
+        if not view.limited.note_named(rate, now, self._rng, sent_at):
             return None
         record, life = view.limited, view.life
         return LimitNews(life.name, life.started, record.told, record.number)
--- a/knapweedrail/standins/limitfleet.py
+++ b/knapweedrail/standins/limitfleet.py
@@ -198,12 +198,12 @@
         due = self.now >= runner.named_at + CONTACT_SECONDS
         if due and self.now >= told_at + TOLD_SECONDS and runner.limit is not None:
             runner.arrivals.append(self.now)
-        named = runner.limit
+        named, sent_at = runner.limit, self.now
         pause = self._rng.uniform(*ANSWER_SECONDS)
-        self.at(pause, lambda: self._answer(relay, view, named))
+        self.at(pause, lambda: self._answer(relay, view, named, sent_at))
 
     def _answer(
-        self, relay: PlayedRelay, view: RunnerView, named: float | None
+        self, relay: PlayedRelay, view: RunnerView, named: float | None, sent_at: float
     ) -> None:
         relay.table.note_ended(view)
         if self.relays.get(relay.host) is not relay:
@@ -212,7 +212,7 @@
             relay.told_at.setdefault(view.runner.name, self.now)
         if not self._heeds(relay.host):
             return
-        news = relay.table.note_limit(view, named, self.now)
+        news = relay.table.note_limit(view, named, self.now, sent_at)
         if news is not None:
             self._tell(relay, news)
 
--- a/knapweedrail/tests/test_relay_limits.py
+++ b/knapweedrail/tests/test_relay_limits.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from ..limits import LimitNews
+from ..limits import LimitNews, LimitRecord
 from ..relay.models import Member, Repetition
 from ..relay.neighbours import Neighbours, make_server
 from ..standins.limitfleet import LimitFleet, allow
@@ -204,9 +204,15 @@
     assert heard == news
 
 
-async def test_a_rejection_and_another_runners_answer_end_no_limit():
+async def test_only_a_good_answer_of_the_runner_ends_its_limit():
     """Guards against a limit that is forgotten while the runner is in need."""
-    answers = [("200", "2.0"), ("503", None), ("421", None), ("200", None)]
+    answers = [
+        ("200", "2.0"),
+        ("503", None),
+        ("421", None),
+        ("500", None),
+        ("200", None),
+    ]
     limits = []
     for status, limit in answers:
 
@@ -223,7 +229,17 @@
             view.limited.note_named(2.0, time.monotonic() - 60, random.Random(1))
             await relay.call()
             limits.append(view.limited.limit is not None)
-    assert limits == [True, True, True, False]
+    assert limits == [True, True, True, True, False]
+
+
+def test_an_answer_that_was_overtaken_ends_no_limit():
+    """Guards against a limit forgotten for an answer that is older than it."""
+    record, rng = LimitRecord(), random.Random(1)
+    record.note_named(2.0, 10.0, rng, sent_at=9.0)
+    assert not record.note_named(None, 10.2, rng, sent_at=9.5)
+    assert record.limit is not None
+    assert record.note_named(None, 11.0, rng, sent_at=10.5)
+    assert record.limit is None
 
 
 async def test_callers_are_refused_at_once_when_every_runner_waits_for_its_turn():
