Hold as much of a budget that runs low as a keeper gives out in 0.8 s

Cause: what keepers held of a budget that runs low was less than a request or two, and a request that found too little was given just what it asked for.

Change: each keeper holds 0.8 s of its own demand whatever is left, at most its part of half of it; what waits is fetched on top of that.

--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -29,9 +29,9 @@
 """Power with which the part falls below that: of a budget that lasts half as long, an
 eighth of it may be held."""
 
-LEAST_SHARE = 0.016
-"""Part of what was prepaid that all keepers together may hold however soon the budget
-is used up. Smaller holdings would be filled up with a write for every few requests."""
+LEAST_SECONDS = 0.8
+"""How long a keeper serves out of what it holds, however soon the budget is used up.
+With less, every request would cost a write."""
 
 HOLD_REQUESTS = 2.0
 """Largest requests that all keepers together hold beyond that, as demand comes by
@@ -213,8 +213,9 @@
         need = max(need, START_SHARE * budget.prepaid / budget.keepers)
     left = max(0, budget.free) + budget.held + max(0, position.available)
     share = compute_share(left, rate + budget.others_rate)
-    most = max(share * left, min(HOLD_SHARE * left, LEAST_SHARE * budget.prepaid))
-    return int(min(need, max(most / budget.keepers, most - budget.held)))
+    most = share * left
+    least = min(rate * LEAST_SECONDS, HOLD_SHARE * left / budget.keepers)
+    return int(min(need, max(least, most / budget.keepers, most - budget.held)))
 
 
 def compute_share(left: float, rate: float) -> float:
@@ -236,7 +237,7 @@
     target = compute_target(budget, position, demand, now)
     available = position.available
     short = demand.unmet > available
-    wanted = max(target, available + demand.unmet if short else 0)
+    wanted = target + demand.unmet if short else target
     # Of an account that nobody asks for, the part that may be held grows as its demand
     # is forgotten; fetching that would cost a write for nothing.
     asked = budget.starting or not demand.is_idle(now)
