Count a soak's lost request from when its last byte was written

Cause: the judge counted from when the caller began, not from when its request was written. Traced with lines at both ends: the relay closed a connection 2.24 s after the signal that it had held open for 0.19 s and on which nothing had come; the caller, late by 0.7 s on that machine, wrote afterwards and got a broken pipe.

Change: callers note when the last byte is written; the judge counts the 0.2 s from then, as the rule does ("later than lossSlackMs after its last byte was sent"). As strict as the rule: a request that was written 0.3 s before, or is reset with its bytes unread, is still found.

--- a/knapweedrail/soak/callers.py
+++ b/knapweedrail/soak/callers.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from typing import Any
 
 import anyio
 import attrs
@@ -21,6 +22,9 @@
 
 LEAVE_SECONDS = 0.15
 
+WRITTEN = "http11.send_request_body.complete"
+"""Step of the client library that ends as the last byte of a request is written."""
+
 PROBE_SHARE = 0.1
 """Requests on a route that only the newest versions have, or have no more."""
 
@@ -131,8 +135,18 @@
         connected = left = True
         reset = False
         url = host.url + sent.path
+        written_at: float | None = None
+
+        async def note_step(name: str, info: dict[str, Any]) -> None:
+            nonlocal written_at
+            if name == WRITTEN:
+                written_at = time.monotonic()
+
+        extensions = {"trace": note_step}
         try:
-            async with client.stream("POST", url, headers=headers, content=b"x") as got:
+            async with client.stream(
+                "POST", url, headers=headers, content=b"x", extensions=extensions
+            ) as got:
                 status = got.status_code
                 async for chunk in got.aiter_raw():
                     body += chunk
@@ -153,6 +167,7 @@
                 connected=connected,
                 left=left,
                 reset=reset,
+                written_at=written_at,
                 ended_at=time.monotonic(),
             )
             self._history.sent.append(noted)
--- a/knapweedrail/soak/judges.py
+++ b/knapweedrail/soak/judges.py
@@ -265,8 +265,9 @@
     if sent.whole or sent.left or not sent.connected or took >= sent.kind.timeout:
         return False
     if not ran and sent.status == 0:
-        # It may have crossed the close of its connection.
-        return took > SLACK_SECONDS
+        # It may have crossed the close of its connection, also as its caller was late.
+        written_at = sent.written_at
+        return written_at is not None and sent.ended_at - written_at > SLACK_SECONDS
     late = sent.sent_at > stop.began_at + LATE_SECONDS
     return late or sent.ended_at < stop.began_at + KEPT_SHARE * STOP_SECONDS
 
--- a/knapweedrail/soak/records.py
+++ b/knapweedrail/soak/records.py
@@ -83,6 +83,7 @@
         left: Whether the caller ended it.
         reset: Whether its connection was reset before any answer came. The system does
             so where a connection is closed with bytes that nobody has read.
+        written_at: When its last byte was written; ``None`` if it never was.
     """
 
     identity: str
@@ -101,6 +102,11 @@
     connected: bool = True
     left: bool = False
     reset: bool = False
+    written_at: float | None = attrs.field()
+
+    @written_at.default
+    def _write_at_once(self) -> float:
+        return self.sent_at
 
 
 @attrs.frozen
--- a/knapweedrail/tests/test_soak.py
+++ b/knapweedrail/tests/test_soak.py
@@ -297,6 +297,19 @@
     assert run_seed(plan, tmp_path) == []
 
 
+@pytest.mark.parametrize(
+    ("written_at", "lost"), [(None, False), (11.9, False), (11.7, True), (10.6, True)]
+)
+def test_a_request_is_lost_if_it_was_written_well_before_its_connection_ended(
+    written_at, lost
+):
+    """Guards against a late caller's time to connect taken for the relay's."""
+    sent = attrs.evolve(
+        CUT, status=0, sent_at=10.5, written_at=written_at, ended_at=12.0
+    )
+    assert judge_all(sent, disturbances=[STOPPED], ran=[]) == ["stop"] * lost
+
+
 def test_a_wrong_command_line_is_refused():
     with pytest.raises(SystemExit) as error:
         main(["--count", "0"])
@@ -314,6 +327,8 @@
     logs = "".join(file.read_text() for file in tmp_path.glob("relay-*.log"))
     assert "706 runner_succeeded" in logs
     assert judge(history) == []
+    whole = [one for one in history.sent if one.whole]
+    assert all(one.sent_at < one.written_at < one.ended_at for one in whole)
 
 
 @pytest.mark.anyio
