Hold a start's part of a budget before it is known how long that lasts

A test without a clock of its own fails before, too.

Change: while a relay starts, its part of the start is held whatever the budget seems to last, at most its part of half of what is left.

--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -209,12 +209,15 @@
     margin = HOLD_REQUESTS * demand.largest / budget.keepers
     rate = demand.estimate_rate(now)
     need = rate * HOLD_SECONDS + margin
+    least = rate * LEAST_SECONDS
     if budget.starting:
-        need = max(need, START_SHARE * budget.prepaid / budget.keepers)
+        # How long the budget will last isn't known yet, either.
+        least = max(least, START_SHARE * budget.prepaid / budget.keepers)
+        need = max(need, least)
     left = max(0, budget.free) + budget.held + max(0, position.available)
     share = compute_share(left, rate + budget.others_rate)
     most = share * left
-    least = min(rate * LEAST_SECONDS, HOLD_SHARE * left / budget.keepers)
+    least = min(least, HOLD_SHARE * left / budget.keepers)
     return int(min(need, max(least, most / budget.keepers, most - budget.held)))
 
 
--- a/knapweedrail/tests/test_relay_grants.py
+++ b/knapweedrail/tests/test_relay_grants.py
@@ -209,6 +209,18 @@
     assert plan_change(low, make_position(0), demand, 100.0) == 1_000 + target
 
 
+def test_the_first_second_of_a_day_says_nothing_of_how_long_a_budget_lasts():
+    """Guards against a start that holds nothing, as others' first callers seem to use a
+    budget up at once."""
+    demand = Demand()
+    demand.note_request(10, now=0.0)
+    starting = make_budget(
+        free=MILLION - 20_000, keepers=2, starting=True, others_rate=200_000
+    )
+    target = compute_target(starting, make_position(0), demand, 0.5)
+    assert target >= 0.04 * MILLION
+
+
 def test_a_grant_whose_demand_is_known_opens_no_faster_than_callers_may_ask():
     """Guards against a death in or after a cut that takes many seconds of a demand, as
     the whole grant has opened meanwhile."""
