Put what a newcomer would stumble over in order

Ruled out: any change of behaviour. Change: what goes wrong without the server's connection class is said plainly, a test's constants stand at its head, a name that was used once is gone. Figures: test_servers and test_relay_grants pass. Conclusion: reads better.

--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -215,8 +215,7 @@
         least = max(least, START_SHARE * budget.prepaid / budget.keepers)
         need = max(need, least)
     left = max(0, budget.free) + budget.held + max(0, position.available)
-    share = compute_share(left, rate + budget.others_rate)
-    most = share * left
+    most = left * compute_share(left, rate + budget.others_rate)
     least = min(least, HOLD_SHARE * left / budget.keepers)
     return int(min(need, max(least, most / budget.keepers, most - budget.held)))
 
--- a/knapweedrail/servers.py
+++ b/knapweedrail/servers.py
@@ -38,8 +38,8 @@
 
     What goes wrong without: as its server ends, or its idle time does, the library
     closes an idle connection some turns of the loop later, whatever came meanwhile.
-    Where turns are slow, on a busy host, a caller is told that nothing was wrong with
-    its request, and has no answer.
+    Where turns are slow, on a busy host, a caller's request is read and its connection
+    closed without an answer.
     """
 
     async def _idle_timeout(self) -> None:
--- a/knapweedrail/tests/test_servers.py
+++ b/knapweedrail/tests/test_servers.py
@@ -15,6 +15,14 @@
 
 PARTS = 5
 
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+IDLE_SECONDS = 0.02
+"""How long nobody asks before the server closes."""
+
+LATE_SECONDS = 0.05
+"""How late the loop is."""
+
 
 class Tap:
     """An application whose stream goes on when it is told to."""
@@ -194,15 +202,6 @@
     anyio.run(run)
 
 
-REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
-
-IDLE_SECONDS = 0.02
-"""How long nobody asks before the server closes."""
-
-LATE_SECONDS = 0.05
-"""How late the loop is."""
-
-
 def is_closed(caller):
     try:
         return caller.recv(1, socket.MSG_PEEK) == b""
