Keep an object that was removed and created again within one answer

Cause: a removal is recorded with the revision of the whole answer of a watch. A new creation of the same object later in that answer has at most that revision, so it was taken for older than the removal and dropped, until the object changed again. A runner whose entry lapsed in an outage and came back in the same answer stayed unlisted for all relays that follow the one that watches.

Change: within an answer, a removal hides only what is older than the answer before it.

Measured: test_object_created_again_after_its_removal_is_kept failed before, passes now.

--- a/knapweedrail/relay/replicas.py
+++ b/knapweedrail/relay/replicas.py
@@ -209,8 +209,10 @@
             newer = stored.revision - known.revision
             if newer < 0 or (newer == 0 and not change.removed):
                 return False
+        # A removal of the same answer is recorded with the revision of that answer,
+        # which may be the one of a later change in it.
         removal = self._removed.get(stored.name)
-        if removal is not None and stored.revision <= removal[0]:
+        if removal is not None and stored.revision <= min(removal[0], self.revision):
             return False
         if change.removed:
             self._remove(stored, revision)
--- a/knapweedrail/tests/test_relay_replicas.py
+++ b/knapweedrail/tests/test_relay_replicas.py
@@ -219,3 +219,18 @@
     assert source.find_base(5) == 0
     send_updates(source, subscriber)
     assert not read_objects(subscriber)
+
+
+def test_object_created_again_after_its_removal_is_kept():
+    """Guards against losing an object whose removal and new creation come in one answer
+    of the store, such as the entry of a runner that lapsed and came back."""
+    history = History()
+    history.write("a", 1)
+    replica = Replica("kind")
+    replica.apply_list(tuple(history.objects.values()), history.revision)
+    known = history.revision
+    history.remove("a")
+    history.write("a", 2)
+    changes = history.list_changes(known, history.revision)
+    assert replica.apply_changes(changes, history.revision) == list(changes)
+    assert read_objects(replica) == history.objects
