Have sources withdraw what they say once they have lost the store

Cause: a source that loses the store keeps its links, and what it said last counts as current for its subscribers for as long as a watch of theirs would last, 4 to 9 s. With two sources in a fleet where a third of the hosts loses the store, one subscriber in nine has lost both, though it could ask the store itself.

Change: a source tells its subscribers at once that it has lost the store or found it again. They no longer rely on it, and ask the store if the other source can't help either.

--- a/knapweedrail/relay/peer_updates.py
+++ b/knapweedrail/relay/peer_updates.py
@@ -26,7 +26,8 @@
 
     @abstractmethod
     def notify_change(self) -> None:
-        """Notify that changes of the store were received."""
+        """Notify that changes of the store were received, or that it was lost or
+        found again."""
 
     @abstractmethod
     def notify_store_available(self) -> None:
@@ -63,6 +64,11 @@
     confirmed_at: float
     peer_updates: PeerUpdates
 
+    @property
+    @abstractmethod
+    def store_available(self) -> bool:
+        """Whether its last call to the store was answered, if it calls at all."""
+
     @property
     @abstractmethod
     def fetching(self) -> bool:
--- a/knapweedrail/relay/sources.py
+++ b/knapweedrail/relay/sources.py
@@ -74,6 +74,10 @@
         known = self.confirmed_at.get(kind, float("-inf"))
         self.confirmed_at[kind] = max(known, asked_at - age)
 
+    def withdraw_confirmation(self, kind: str) -> None:
+        """Record that the source can't vouch for its state of a kind any more."""
+        self.confirmed_at.pop(kind, None)
+
     def has_timed_out(self, now: float, timing: FeedTiming) -> bool:
         """Return whether the source must be dropped."""
         return now - self.last_reply_at >= timing.timeout
--- a/knapweedrail/relay/update_feed.py
+++ b/knapweedrail/relay/update_feed.py
@@ -55,12 +55,14 @@
         clock: Clock value of its last request, seconds.
         sent_revisions: Last revision sent to it, by kind.
         reply_due: Whether its last request still needs a reply.
+        store_available: Whether this relay could reach the store as of the last reply.
         update_available: Notified when there may be something to send.
     """
 
     clock: float
     sent_revisions: dict[str, int]
     reply_due: bool = True
+    store_available: bool = True
     update_available: Notifier = attrs.field(factory=Notifier)
 
     def record_sent(self, reply: FeedReply) -> None:
@@ -197,9 +199,13 @@
         try:
             while True:
                 reply = self._make_reply(subscriber)
-                if subscriber.reply_due or any(
-                    update.changes for update in reply.kinds
+                available = self._is_store_available()
+                if (
+                    subscriber.reply_due
+                    or subscriber.store_available != available
+                    or any(update.changes for update in reply.kinds)
                 ):
+                    subscriber.store_available = available
                     subscriber.record_sent(reply)
                     await link.send(reply)
                     continue
@@ -214,11 +220,17 @@
         ]
         return FeedReply(subscriber.clock, tuple(kinds))
 
+    def _is_store_available(self) -> bool:
+        """Return whether the last calls of all watchers to the store were answered."""
+        return all(each.store_available for each in self._receivers.values())
+
     def _make_update(
         self, receiver: UpdateReceiver, sent_revision: int
     ) -> EncodedUpdate:
         replica = receiver.replica
-        age = time.monotonic() - receiver.confirmed_at
+        age = math.inf
+        if self._is_store_available():
+            age = time.monotonic() - receiver.confirmed_at
         return EncodedUpdate(
             kind=replica.kind,
             since=replica.find_base(sent_revision),
@@ -363,5 +375,8 @@
             if not receiver.fetching:
                 raise
             return
-        if update.age is not None:
+        if update.age is None:
+            source.withdraw_confirmation(update.kind)
+            self.changed.notify_all()
+        else:
             source.record_confirmation(update.kind, clock, update.age)
--- a/knapweedrail/relay/watchers.py
+++ b/knapweedrail/relay/watchers.py
@@ -73,6 +73,10 @@
         self._watch_seconds = watch_seconds
         self._store_available = True
 
+    @property
+    def store_available(self) -> bool:
+        return self._store_available
+
     @property
     def fetching(self) -> bool:
         """Whether the store must be read before updates of peers can be applied."""
@@ -189,7 +193,9 @@
                     else None
                 ),
             )
-        self._store_available = available
+        if available != self._store_available:
+            self._store_available = available
+            self.peer_updates.notify_change()
 
     def record_confirmation(self, now: float) -> None:
         """Record that the known state was confirmed as current.
--- a/knapweedrail/tests/test_relay_update_feed.py
+++ b/knapweedrail/tests/test_relay_update_feed.py
@@ -118,6 +118,23 @@
     check(run_scenario(sizes, scenario, bounds))
 
 
+@pytest.mark.parametrize("bounds", BOUNDS.values(), ids=BOUNDS)
+@pytest.mark.parametrize("sizes", [[3, 3, 3], [9, 9, 9]])
+def test_loss_of_the_store_at_all_sources_delays_no_update_beyond_bounds(sizes, bounds):
+    """Guards against relays that could ask the store, but wait for sources that have
+    lost it."""
+
+    async def scenario(fleet):
+        for _ in range(3):
+            lost = set(list_followed_hosts(fleet))
+            fleet.store.lose(lost)
+            await change_for(fleet, 8.0)
+            fleet.store.restore(lost)
+            await change_for(fleet, 8.0)
+
+    check(run_scenario(sizes, scenario, bounds))
+
+
 @pytest.mark.parametrize("sizes", [[2, 2, 2], [9, 9, 9]])
 def test_partitioned_data_centre_stays_up_to_date(sizes):
     """Guards against relays that wait for a source that they can't reach any more."""
