Send little to cold runners, and nothing to evacuated data centres

Cause: nothing read a runner's coldness or the operator's evacuations.

Change: a cold runner gets requests from a few relays only, chosen alike by all, in turns that keep its largest burst even if all of them send in the same second. Runners are cold by their entries, by their answers, by an unknown age, and after the end of an evacuation. Evacuations are the third kind that the update feed carries; their runners are no candidates. Settings evacuation_milliseconds, cold_factor and cold_reserve are read off the platform's sheet; without them nothing is watched or limited.

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -155,6 +155,11 @@
     )
     RUNNER_CRASHED = (705, "a runner is gone; the requests that ran there are suspects")
 
+    EVACUATION_BEGUN = (713, "nothing more is sent to a data centre's runners")
+    EVACUATION_ENDED = (
+        714,
+        "a data centre's runners get requests again; at first as cold ones",
+    )
     RUNNER_LIMITED = (712, "a runner limits its request rate; 0 if the limit has ended")
     HEADER_UNREAD = (711, "runners answer with a header that the relay does not know")
 
--- a/knapweedrail/platform/decoding.py
+++ b/knapweedrail/platform/decoding.py
@@ -17,7 +17,7 @@
     RunnerState,
     Share,
 )
-from .entries import DRAINING, READY, parse_entry
+from .entries import DRAINING, READY, UNSTATED, parse_entry
 from .start_times import decode_start_time
 
 _RETRY_POLICIES = {
@@ -87,6 +87,7 @@
         slots=entry.slots,
         state=_STATES[entry.state],
         started=started,
+        cold_left=None if entry.cold_left == UNSTATED else entry.cold_left / 1000,
     )
 
 
@@ -122,6 +123,8 @@
         cache_tokens=int(engine.get("kvCapacity") or 0),
         # Despite its name, this is the number of tokens in one event of a stream.
         tokens_per_event=max(1, int(engine.get("stride") or 1)),
+        cold_seconds=float(item.get("coldS") or 0),
+        cold_rate=float(item.get("coldPerS") or 0),
     )
 
 
--- a/knapweedrail/platform/encoding.py
+++ b/knapweedrail/platform/encoding.py
@@ -57,6 +57,8 @@
         "slots": runner.slots,
         "state": _STATES[runner.state],
     }
+    if runner.cold_left is not None:
+        spec[names.COLD_LEFT] = round(runner.cold_left * 1000)
     if runner.started:
         spec[names.STARTED] = runner.started
     return spec
@@ -85,6 +87,8 @@
         "name": endpoint.name,
         "healthPath": endpoint.health_path,
         "maxConns": endpoint.max_connections,
+        "coldS": endpoint.cold_seconds,
+        "coldPerS": endpoint.cold_rate,
         "engine": {
             "kvCapacity": endpoint.cache_tokens,
             "stride": endpoint.tokens_per_event,
--- a/knapweedrail/platform/entries.py
+++ b/knapweedrail/platform/entries.py
@@ -13,6 +13,7 @@
 import attrs
 
 from ..addresses import check_address
+from . import names
 from .converters import require_integer, require_number, require_string
 
 READY = "ready"
@@ -25,6 +26,13 @@
 MAX_TEXT_LENGTH = 253
 """Longest text field, as for a host name."""
 
+MAX_COLD_MILLISECONDS = 3_600_000
+"""Longest time for which a valid entry says that its runner stays cold. An entry by a
+foreign writer could otherwise keep a runner from its work for good."""
+
+UNSTATED = float("inf")
+"""Time to stay cold of an entry that doesn't state any; JSON has no such number."""
+
 _NAME = re.compile(r"[\w.:/+=~@-]{1,%d}" % MAX_TEXT_LENGTH, re.ASCII)
 """Names are sent in headers and in comma-separated messages between relays."""
 
@@ -50,9 +58,18 @@
         raise ValueError(f"unknown state: {value!r:.50}")
 
 
+def _check_cold_left(entry: Any, field: attrs.Attribute, value: float) -> None:
+    if value != UNSTATED and not 0 <= value <= MAX_COLD_MILLISECONDS:
+        raise ValueError(f"time to stay cold out of range: {value!r:.50}")
+
+
 @attrs.frozen(kw_only=True)
 class RunnerEntry:
-    """An entry as a runner writes it; fields with defaults are checked but not used."""
+    """An entry as a runner writes it.
+
+    Fields with defaults are checked, but only the time to stay cold is used, in
+    milliseconds.
+    """
 
     service: str = attrs.field(converter=require_string, validator=_check_text)
     address: str = attrs.field(converter=require_string, validator=_check_address)
@@ -61,11 +78,13 @@
     state: str = attrs.field(converter=require_string, validator=_check_state)
     version: str = attrs.field(converter=require_string, default="")
     seq: int = attrs.field(converter=require_integer, default=0)
-    cold_left: float = attrs.field(converter=require_number, default=0.0)
+    cold_left: float = attrs.field(
+        converter=require_number, validator=_check_cold_left, default=UNSTATED
+    )
 
 
 _FIELDS = {field.name: field.name for field in attrs.fields(RunnerEntry)}
-_FIELDS["cold_left"] = "coldLeftMs"
+_FIELDS["cold_left"] = names.COLD_LEFT
 """Names in the stored object, by field."""
 
 
--- a/knapweedrail/platform/names.py
+++ b/knapweedrail/platform/names.py
@@ -14,6 +14,7 @@
 UNPREFIXED_LIMIT = b"server-limit"
 """Name of the limit header without the prefix of most platform headers."""
 
+COLD = b"knapweedrail-cold-ms"
 NOT_RUN = b"knapweedrail-not-executed"
 RETRY_AFTER = b"retry-after"
 RUNNER_ID = b"knapweedrail-instance-id"
@@ -30,6 +31,7 @@
         LOAD,
         LIMIT,
         UNPREFIXED_LIMIT,
+        COLD,
         NOT_RUN,
         RUNNER_ID,
         PRIORITY,
@@ -71,6 +73,7 @@
         LOAD,
         LIMIT,
         UNPREFIXED_LIMIT,
+        COLD,
         NOT_RUN,
         RUNNER_ID,
         RETRY_AFTER,
@@ -95,9 +98,14 @@
 RUNNER_STATE = "state"
 """Fields that every runner's entry has."""
 
+COLD_LEFT = "coldLeftMs"
+"""Field of entries: how long the runner stays cold, milliseconds."""
+
 STARTED = "born"
 """Field of entries and reports: when the runner started, Unix milliseconds."""
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 RUNNERS_KIND = "servers"
+EVACUATIONS_KIND = "evacuations"
+"""Its objects are named after the data centre to which nothing more is to be sent."""
--- a/knapweedrail/platform/relays.py
+++ b/knapweedrail/platform/relays.py
@@ -5,6 +5,8 @@
 import socket
 from collections.abc import Callable
 
+from ..relay.cold_starts import BurstAllowance
+from ..relay.evacuations import EvacuationWatcher
 from ..relay.malformed import MalformedObjects
 from ..relay.members import MEMBER_KIND
 from ..relay.metrics import InstrumentedStore, RelayMetrics
@@ -35,13 +37,14 @@
     metrics = RelayMetrics()
     malformed = MalformedObjects(metrics.count_malformed)
     store = InstrumentedStore(PlatformStore(settings.store_address), metrics)
-    configuration, runners = make_watchers(settings, store, malformed)
+    configuration, runners, evacuations = make_watchers(settings, store, malformed)
     return Relay(
         settings,
         listener,
         store,
         configuration,
         runners,
+        evacuations,
         PlatformCodec(),
         metrics,
         malformed,
@@ -51,8 +54,9 @@
 
 def make_watchers(
     settings: RelaySettings, store: Store, malformed: MalformedObjects
-) -> tuple[ConfigurationWatcher, RunnerWatcher]:
-    """Return the watchers of the configuration and of the list of runners."""
+) -> tuple[ConfigurationWatcher, RunnerWatcher, EvacuationWatcher | None]:
+    """Return the watchers of the configuration, the list of runners and the
+    evacuations; ``None`` for the last if there are no evacuations."""
     probe = StoreProbe(store, MEMBER_KIND, settings.host)
     configuration = ConfigurationWatcher(
         store,
@@ -70,10 +74,25 @@
         names.RUNNERS_KIND,
         settings.runner_watch_seconds,
         decode_runner,
-        RunnerTable(VANISHED_GRACE_SECONDS),
+        RunnerTable(
+            VANISHED_GRACE_SECONDS,
+            BurstAllowance(settings.cold_factor, settings.cold_reserve),
+        ),
         settings.runner_batch_seconds,
         malformed,
         probe,
         settings.runner_max_age_seconds,
     )
-    return configuration, runners
+    if not settings.evacuation_milliseconds:
+        return configuration, runners, None
+    evacuations = EvacuationWatcher(
+        store,
+        names.EVACUATIONS_KIND,
+        settings.evacuation_watch_seconds,
+        runners.table,
+        settings.evacuation_batch_seconds,
+        malformed,
+        probe,
+        settings.evacuation_max_age_seconds,
+    )
+    return configuration, runners, evacuations
--- a/knapweedrail/platform/requests.py
+++ b/knapweedrail/platform/requests.py
@@ -20,6 +20,7 @@
 )
 from . import names
 from .converters import require_integer
+from .entries import MAX_COLD_MILLISECONDS
 from .start_times import decode_start_time
 
 MAX_PROMPT_PARTS = 64
@@ -136,6 +137,7 @@
             limit=_parse_limit(
                 found.get(names.LIMIT, found.get(names.UNPREFIXED_LIMIT))
             ),
+            cold_left=_parse_cold_left(found.get(names.COLD)),
             unknown_headers=tuple(sorted(name.decode("latin-1") for name in unknown)),
         )
 
@@ -239,6 +241,13 @@
     return None if value is None else read_rate(value.decode("latin-1"))
 
 
+def _parse_cold_left(value: bytes | None) -> float | None:
+    milliseconds = _parse_number(value)
+    if milliseconds is None or milliseconds > MAX_COLD_MILLISECONDS:
+        return None
+    return milliseconds / 1000
+
+
 def _parse_keep_alive(value: bytes | None) -> float | None:
     for part in (value or b"").split(b","):
         name, _, number = part.strip().partition(b"=")
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -205,6 +205,7 @@
                 answer = await self._receive_answer(connection)
                 self._record_load(answer)
                 self._record_limit(answer, began_at)
+                self._record_cold_left(answer)
                 if answer.identity == request.identity and _is_event_stream(answer):
                     chunks = connection.receive_body()
                     first_events = await self._receive_events(chunks, splitter)
@@ -447,6 +448,12 @@
                 self._view, answer.running, answer.waiting, time.monotonic()
             )
 
+    def _record_cold_left(self, answer: RunnerAnswer) -> None:
+        if answer.cold_left is not None and answer.status != MISDIRECTED:
+            self._context.services.runners.record_cold_left(
+                self._view, answer.cold_left, time.monotonic()
+            )
+
     def _record_limit(self, answer: RunnerAnswer, sent_at: float) -> None:
         """Record the rate limit in an answer, or that the runner no longer has one."""
         context = self._context
--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -217,7 +217,7 @@
         views = [
             v
             for v in views
-            if runners.is_within_limit(v, context.priorities.by_account_and_route, now)
+            if runners.may_send(v, context.priorities.by_account_and_route, now)
         ]
         available = [view for view in views if runners.is_available(view, now)]
         wait = estimate_shortest_wait(
@@ -305,9 +305,12 @@
             context.priorities.by_account_and_route,
             time.monotonic(),
         )
+        evacuated = context.services.runners.list_evacuated(context.endpoint.name)
         if last_failure is None and limit_wait is not None:
-            detail = "every runner has limited its requests"
+            detail = "every runner has limited its requests or is cold"
             retry_after += min(limit_wait, context.route.timeout)
+        elif last_failure is None and evacuated:
+            detail = f"no runner outside of evacuated data centres: {evacuated}"
         kind = (
             RefusalKind.FULL if last_failure or limit_wait else RefusalKind.NO_ENDPOINT
         )
--- a/knapweedrail/relay/models.py
+++ b/knapweedrail/relay/models.py
@@ -75,6 +75,9 @@
         max_connections: Connections that a runner accepts from all callers together.
         cache_tokens: Tokens that fit into a runner's cache; 0 for a plain service.
         tokens_per_event: Largest number of tokens in one event of a stream.
+        cold_seconds: How long a runner is cold after it has started.
+        cold_rate: Requests per second from all relays together that a cold runner
+            tolerates; 0 if its runners need no such care.
     """
 
     name: str
@@ -82,6 +85,8 @@
     max_connections: int
     cache_tokens: int = 0
     tokens_per_event: int = 1
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -160,6 +165,8 @@
         address: ``host:port``; another runner may reuse it later.
         slots: Requests that it processes concurrently.
         started: Start time of this incarnation, Unix milliseconds.
+        cold_left: How long it stays cold as of its entry, seconds; ``None`` if the
+            entry doesn't say.
     """
 
     name: str
@@ -169,6 +176,7 @@
     slots: int
     state: RunnerState
     started: int = UNKNOWN_START
+    cold_left: float | None = None
 
     @property
     def incarnation(self) -> RunnerIncarnation:
@@ -245,6 +253,7 @@
         runner: Name of the runner that answers; ``None`` if not given.
         limit: Requests per second that the runner accepts from all relays together;
             ``None`` if it gives no limit.
+        cold_left: How long the runner stays cold, seconds; ``None`` if not given.
         unknown_headers: Names of headers whose meaning isn't known.
     """
 
@@ -260,6 +269,7 @@
     idle_seconds: float | None
     runner: str | None = None
     limit: float | None = None
+    cold_left: float | None = None
     unknown_headers: tuple[str, ...] = ()
 
 
--- a/knapweedrail/relay/options.py
+++ b/knapweedrail/relay/options.py
@@ -84,6 +84,18 @@
     configuration_milliseconds: int = milliseconds(
         "Time in which a configuration must be in force.", 2000
     )
+    evacuation_milliseconds: int = milliseconds(
+        "Time in which an evacuation must be in force; 0: there are none.", 0
+    )
+    cold_factor: float = setting(
+        "share",
+        "Requests to a cold runner in one second, as a multiple of its rate.",
+        1.0,
+        minimum=0,
+    )
+    cold_reserve: float = setting(
+        "requests", "Requests to a cold runner beyond that.", 0.0, minimum=0
+    )
     stop_seconds: float = seconds(
         "Time from the request to stop until the process is killed.", 8.0
     )
@@ -135,6 +147,27 @@
         watch = self.runner_watch_seconds + self.heartbeat_seconds
         return watch + CATCH_UP_SECONDS + MAX_AGE_SLACK_SECONDS
 
+    @property
+    def evacuation_watch_seconds(self) -> float:
+        """Longest wait of a watch on the evacuations, seconds.
+
+        Bounded in the same way as the watch on the list of runners.
+        """
+        bound = self.contact_milliseconds + self.evacuation_milliseconds
+        seconds = bound / 1000 - MARGIN_SECONDS - self.heartbeat_seconds
+        return max(MIN_WATCH_SECONDS, seconds)
+
+    @property
+    def evacuation_max_age_seconds(self) -> float:
+        """Age up to which the evacuations count as confirmed, seconds."""
+        watch = self.evacuation_watch_seconds + self.heartbeat_seconds
+        return watch + CATCH_UP_SECONDS + MAX_AGE_SLACK_SECONDS
+
+    @property
+    def evacuation_batch_seconds(self) -> float:
+        """Pause after a change of the evacuations before the next request, seconds."""
+        return BATCH_SHARE * self.evacuation_milliseconds / 1000
+
     @property
     def heartbeat_seconds(self) -> float:
         """Interval of heartbeats to a relay that sends updates, seconds."""
--- a/knapweedrail/relay/process.py
+++ b/knapweedrail/relay/process.py
@@ -16,6 +16,7 @@
 from ..servers import HttpServer, ServerLimits
 from .codecs import Codec
 from .connections import ConnectionPool
+from .evacuations import EvacuationWatcher
 from .gateway import Gateway
 from .grpc_links import GrpcDialer
 from .holdings import Holdings
@@ -90,6 +91,8 @@
         store: Client of the platform's store.
         configuration: Watches the operator's configuration in the store.
         runners: Watches the list of runners in the store.
+        evacuations: Watches the evacuated data centres in the store; ``None`` if there
+            are no evacuations.
         codec: Encodes and decodes the platform's headers.
         metrics: Metrics of the process.
         malformed: Records objects in the store that can't be used.
@@ -103,6 +106,7 @@
         store: InstrumentedStore,
         configuration: ConfigurationWatcher,
         runners: RunnerWatcher,
+        evacuations: EvacuationWatcher | None,
         codec: Codec,
         metrics: RelayMetrics,
         malformed: MalformedObjects,
@@ -112,6 +116,10 @@
         self._store = store
         self._configuration = configuration
         self._runners = runners
+        self._evacuations = evacuations
+        self._watchers = (configuration, runners)
+        if evacuations is not None:
+            self._watchers += (evacuations,)
         self._pool = ConnectionPool()
         self._peers = PeerClient()
         member = Member(
@@ -132,7 +140,7 @@
             self._membership,
             self._peers,
             GrpcDialer(),
-            (configuration, runners),
+            self._watchers,
             FeedTiming(settings.heartbeat_seconds, settings.heartbeat_timeout_seconds),
             settings.first_start,
         )
@@ -179,6 +187,7 @@
             self._gateway, settings.caller_address, ServerLimits(), listener
         )
         configuration.subscribe(self._set_limits)
+        configuration.subscribe(self._set_endpoints)
         self._metrics = metrics
         self._add_gauges(count_dropped)
         self._metrics_server: HttpServer | None = None
@@ -204,8 +213,7 @@
         )
         group.start_soon(self._metrics.monitor_loop_delay, self._overload)
         for task in (
-            self._configuration,
-            self._runners,
+            *self._watchers,
             self._membership,
             self._update_feed,
             self._holdings,
@@ -217,6 +225,8 @@
         # would be refused because of a configuration that arrives a moment later.
         with anyio.move_on_after(FIRST_CONFIGURATION_SECONDS):
             await self._configuration.loaded.wait()
+            if self._evacuations is not None:
+                await self._evacuations.loaded.wait()
         await self._caller_server.start(group)
         group.start_soon(self._store.report_calls)
         group.start_soon(self._prune)
@@ -267,6 +277,8 @@
         add = self._metrics.add_gauge
         add("ages_seconds", "Age of what is known", self._read_ages)
         add("runners", "Runners listed, by endpoint", self._count_runners)
+        add("runners_cold", "Runners that may be cold, by endpoint", self._count_cold)
+        add("evacuated", "Evacuated data centres", self._read_evacuated)
         add("tokens_available", "Tokens held and free, by account", self._read_tokens)
         add(
             "lines_left_out",
@@ -292,6 +304,12 @@
         listed = self._runners.table.count_listed()
         return {name: count for name, count in listed.items() if name in endpoints}
 
+    def _count_cold(self) -> dict[str, float]:
+        return self._runners.table.count_cold(time.monotonic())
+
+    def _read_evacuated(self) -> dict[str, float]:
+        return dict.fromkeys(self._runners.table.evacuated, 1.0)
+
     def _read_tokens(self) -> dict[str, float]:
         configuration = self._configuration.configuration
         accounts = (configuration.accounts if configuration else None) or {}
@@ -364,6 +382,9 @@
             ServerLimits(limits.header_bytes, limits.idle_seconds)
         )
 
+    def _set_endpoints(self, configuration: Configuration) -> None:
+        self._runners.table.endpoints = configuration.endpoints
+
     async def _answer_ready(self, scope: dict, receive: object, send: object) -> None:
         configured = self._configuration.table is not None
         out_of_rotation = self._overload.is_out_of_rotation(time.monotonic())
--- a/knapweedrail/relay/runner_views.py
+++ b/knapweedrail/relay/runner_views.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..limits import LimitRecord
+from .cold_starts import ColdState
 from .models import Runner, RunnerIncarnation
 
 LOAD_REPORT_TTL_SECONDS = 1.0
@@ -45,6 +46,7 @@
             Set only for a runner that was found at another runner's address and isn't
             listed yet.
         limit_record: The rate limit that its answers state, if any.
+        cold: Whether it may be cold after a start, and when this relay last sent to it.
         superseded: Whether a later incarnation of the runner is known. Results of its
             remaining requests then say nothing about the later one.
     """
@@ -70,6 +72,7 @@
     unlisted_at: float | None = None
     absent_since: float | None = None
     limit_record: LimitRecord = attrs.field(factory=LimitRecord)
+    cold: ColdState = attrs.field(factory=ColdState)
     superseded: bool = False
 
     @incarnation.default
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -12,8 +12,15 @@
 import attrs
 
 from ..limits import FindStanding, LimitNews, measure_next_turn, stand_alone
+from .cold_starts import BurstAllowance, make_limit
 from .incarnations import EntryResult, IncarnationTracker
-from .models import UNKNOWN_START, Runner, RunnerIncarnation, RunnerState
+from .models import (
+    UNKNOWN_START,
+    Endpoint,
+    Runner,
+    RunnerIncarnation,
+    RunnerState,
+)
 from .runner_views import RunnerView
 
 PREFIX_TTL_SECONDS = 9.0
@@ -78,15 +85,23 @@
         grace_seconds: How long a runner whose entry vanished without notice is kept in
             reserve, seconds. While the store is unavailable, entries of healthy runners
             expire; they reappear within about two seconds of its return.
+        burst_allowance: How far beyond its rate a cold runner may be burdened.
 
     Attributes:
+        endpoints: Endpoints of the configuration in force, by name.
+        evacuated: Data centres to whose runners nothing more is sent.
         mean_prompt_tokens: Moving average of the prompt tokens per request.
         find_standing: Returns this relay's place among the relays that may send to a
             runner which limits its requests.
     """
 
-    def __init__(self, grace_seconds: float) -> None:
+    def __init__(
+        self, grace_seconds: float, burst_allowance: BurstAllowance = BurstAllowance()
+    ) -> None:
         self._grace_seconds = grace_seconds
+        self._burst_allowance = burst_allowance
+        self.endpoints: dict[str, Endpoint] = {}
+        self.evacuated: frozenset[str] = frozenset()
         self._views: dict[str, RunnerView] = {}
         self._by_endpoint: dict[str, dict[str, RunnerView]] = {}
         self.mean_prompt_tokens = 0.0
@@ -111,12 +126,14 @@
         """Return the endpoint's runners that may get requests.
 
         Returns:
-            The listed runners that are ready, or, if there is none, those whose entries
-            vanished less than the grace period ago.
+            The listed runners that are ready and in no evacuated data centre, or, if
+            there is none, those whose entries vanished less than the grace period ago.
         """
         self._expire_absent(now)
         views = self._by_endpoint.get(endpoint, {}).values()
         ready = [v for v in views if v.runner.state is RunnerState.READY]
+        if self.evacuated:
+            ready = [v for v in ready if v.runner.data_centre not in self.evacuated]
         listed = [v for v in ready if v.unlisted_at is None]
         if listed:
             return listed
@@ -134,9 +151,31 @@
             for endpoint, views in self._by_endpoint.items()
         }
 
-    def set_runner(self, runner: Runner) -> EntryResult:
+    def list_evacuated(self, endpoint: str) -> list[str]:
+        """Return the evacuated data centres in which an endpoint has a ready runner."""
+        views = self._by_endpoint.get(endpoint, {}).values()
+        ready = (v.runner for v in views if v.runner.state is RunnerState.READY)
+        return sorted({runner.data_centre for runner in ready} & self.evacuated)
+
+    def set_evacuated(self, data_centres: frozenset[str], now: float) -> None:
+        """Set the data centres to whose runners nothing more is sent.
+
+        The runners of one that is taken back may have become cold shortly before, and
+        their entries that say so may come later than the end of the evacuation.
+        """
+        taken_back = self.evacuated - data_centres
+        self.evacuated = data_centres
+        for view in self._views.values():
+            if view.runner.data_centre in taken_back:
+                view.cold.suspect(now)
+
+    def set_runner(self, runner: Runner, now: float = 0.0) -> EntryResult:
         """Apply a new or changed entry of a runner.
 
+        Args:
+            runner: The runner as its entry describes it.
+            now: Monotonic time, seconds.
+
         Returns:
             Whether and how the entry was applied; one of an earlier incarnation isn't.
         """
@@ -151,7 +190,10 @@
         if view is None:
             view = RunnerView(runner)
             self._views[runner.name] = view
-        elif view.runner.endpoint != runner.endpoint:
+            self._record_start(view, now)
+        elif runner.cold_left is not None and runner.cold_left != view.runner.cold_left:
+            view.cold.record_statement(runner.cold_left, now)
+        if view.runner.endpoint != runner.endpoint:
             self._remove_from_endpoint(view.runner)
         view.runner = runner
         view.unlisted_at = None
@@ -159,6 +201,13 @@
         self._by_endpoint.setdefault(runner.endpoint, {})[runner.name] = view
         return result
 
+    def _record_start(self, view: RunnerView, now: float) -> None:
+        """Record how long a runner that wasn't known yet may stay cold."""
+        if view.runner.cold_left is None:
+            view.cold.suspect(now)
+        else:
+            view.cold.record_statement(view.runner.cold_left, now)
+
     def _supersede(self, view: RunnerView) -> None:
         """End an incarnation whose runner has restarted.
 
@@ -194,7 +243,7 @@
         if known is not None and known.runner.started >= successor.started:
             return False
         ready = attrs.evolve(successor, state=RunnerState.READY)
-        if self.set_runner(ready) is EntryResult.OUTDATED:
+        if self.set_runner(ready, now) is EntryResult.OUTDATED:
             return False
         ended = self._views.get(incarnation.name)
         if ended is not None and ended.incarnation == incarnation:
@@ -239,7 +288,7 @@
         """Apply a complete list of runners."""
         listed = list(runners)
         for runner in listed:
-            self.set_runner(runner)
+            self.set_runner(runner, now)
         for name in set(self._views) - {runner.name for runner in listed}:
             self.remove_runner(name, now)
 
@@ -276,6 +325,7 @@
     ) -> None:
         """Count a request sent to a runner, and its prompt tokens."""
         view.running += 1
+        view.cold.sent_at = now
         if view.limit_record.limit is not None:
             view.limit_record.limit.sent_at = now
         view.pending_prompt_tokens += tokens
@@ -362,6 +412,37 @@
             return False
         return view.limit_record.hear(news, now, self._rng)
 
+    def record_cold_left(self, view: RunnerView, seconds: float, now: float) -> None:
+        """Record for how long an answer says that its runner stays cold, seconds."""
+        if not view.superseded and seconds > 0:
+            view.cold.record_statement(seconds, now)
+
+    def is_cold(self, view: RunnerView, now: float) -> bool:
+        """Return whether a runner may be cold, so that only few relays may send."""
+        endpoint = self.endpoints.get(view.runner.endpoint)
+        if endpoint is None or endpoint.cold_rate <= 0:
+            return False
+        return view.cold.measure_left(endpoint.cold_seconds, now) > 0
+
+    def count_cold(self, now: float) -> dict[str, float]:
+        """Return the number of listed runners that may be cold, by endpoint."""
+        return {
+            name: float(sum(self.is_cold(view, now) for view in views.values()))
+            for name, views in self._by_endpoint.items()
+            if name in self.endpoints
+        }
+
+    def compute_cold_delay(self, view: RunnerView, now: float) -> float:
+        """Return the time until this relay may send to a runner as far as it depends on
+        its coldness, seconds."""
+        if not self.is_cold(view, now):
+            return 0.0
+        endpoint = self.endpoints[view.runner.endpoint]
+        limit = make_limit(endpoint, self._burst_allowance)
+        standing = self.find_standing(view.runner.name, limit.sender_rate)
+        pause = limit.measure_pause(standing, view.cold.sent_at, now)
+        return min(pause, view.cold.measure_left(endpoint.cold_seconds, now))
+
     def compute_limit_delay(
         self, view: RunnerView, priority: int | None, now: float
     ) -> float:
@@ -376,11 +457,12 @@
         standing = self.find_standing(view.runner.name, limit.rate)
         return limit.measure_pause(standing, priority or 0, now)
 
-    def is_within_limit(
-        self, view: RunnerView, priority: int | None, now: float
-    ) -> bool:
-        """Return whether a runner's limit lets this relay send a request now."""
-        return self.compute_limit_delay(view, priority, now) <= 0
+    def may_send(self, view: RunnerView, priority: int | None, now: float) -> bool:
+        """Return whether a runner's limit and its coldness let this relay send now."""
+        return (
+            self.compute_limit_delay(view, priority, now) <= 0
+            and self.compute_cold_delay(view, now) <= 0
+        )
 
     def compute_limit_wait(
         self, endpoint: str, priority: int | None, now: float
@@ -391,12 +473,13 @@
             ``None`` if this relay may send to one now, or the endpoint has no runner.
         """
         views = self.list_views(endpoint, now)
-        if not views or any(
-            self.is_within_limit(view, priority, now) for view in views
-        ):
+        if not views or any(self.may_send(view, priority, now) for view in views):
             return None
         limits = [view.limit_record.limit for view in views]
-        return measure_next_turn(limit.rate for limit in limits if limit is not None)
+        rates = [limit.rate for limit in limits if limit is not None]
+        cold = make_limit(self.endpoints.get(endpoint), self._burst_allowance)
+        rates.extend(cold.used_rate for view in views if self.is_cold(view, now))
+        return measure_next_turn(rates)
 
     def is_available(self, view: RunnerView, now: float) -> bool:
         """Return whether a runner is neither ejected, backing off nor partitioned."""
--- a/knapweedrail/relay/successors.py
+++ b/knapweedrail/relay/successors.py
@@ -105,7 +105,10 @@
             if report is None or report.cache_tokens <= 0:
                 continue
             successor = attrs.evolve(
-                mismatch.runner, name=mismatch.name, started=report.started
+                mismatch.runner,
+                name=mismatch.name,
+                started=report.started,
+                cold_left=None,
             )
             if self._table.add_successor(
                 mismatch.runner.incarnation, successor, time.monotonic()
--- a/knapweedrail/relay/watchers.py
+++ b/knapweedrail/relay/watchers.py
@@ -375,11 +375,12 @@
             self.table.remove_runner(stored.name, time.monotonic())
             return
         log_event(
-            _ENTRY_EVENTS[self.table.set_runner(runner)],
+            _ENTRY_EVENTS[self.table.set_runner(runner, time.monotonic())],
             runner=runner.name,
             started=runner.started,
             endpoint=runner.endpoint,
             state=runner.state.value,
+            cold_left=runner.cold_left,
             revision=stored.revision,
         )
 
--- a/knapweedrail/standins/limitfleet.py
+++ b/knapweedrail/standins/limitfleet.py
@@ -108,17 +108,22 @@
 
     def start(self, host: str, listed: bool = False) -> None:
         """Start a relay's next life; the others hear of a new host some time later."""
-        table = RunnerTable(grace_seconds=1.9)
+        table = self._make_table(host)
         hosts = [*self.relays] if host in self.relays else [*self.relays, host]
         relay = PlayedRelay(host, table, hosts, next(self._versions))
         table.find_standing = lambda runner, rate: self._stand(relay, runner, rate)
-        for name in self.runners:
-            table.set_runner(_make_runner(name))
         known = host in self.relays
         self.relays[host] = relay
         if not (listed or known):
             self.at(LIST_SECONDS, self._list)
 
+    def _make_table(self, host: str) -> RunnerTable:
+        """Return what a relay knows of the runners when it starts."""
+        table = RunnerTable(grace_seconds=1.9)
+        for name in self.runners:
+            table.set_runner(make_runner(name))
+        return table
+
     def stop(self, host: str) -> None:
         """End a relay for good; the others hear of it some time later."""
         del self.relays[host]
@@ -249,12 +254,13 @@
     return EXCESS_FACTOR * WINDOW_SECONDS * rate + EXCESS_REQUESTS
 
 
-def _make_runner(name: str) -> Runner:
+def make_runner(name: str, data_centre: str = "dc") -> Runner:
+    """Return a ready runner."""
     return Runner(
         name=name,
         endpoint=ENDPOINT,
         address="127.0.0.1:1",
-        data_centre="dc",
+        data_centre=data_centre,
         slots=8,
         state=RunnerState.READY,
     )
--- a/knapweedrail/standins/newsfleet.py
+++ b/knapweedrail/standins/newsfleet.py
@@ -17,6 +17,7 @@
 import anyio.abc
 import attrs
 
+from ..relay.evacuations import EvacuationWatcher
 from ..relay.links import Dialer, SourceLink
 from ..relay.members import MEMBER_KIND, Membership
 from ..relay.models import (
@@ -33,13 +34,14 @@
 from ..relay.sources import FeedTiming
 from ..relay.store_probe import StoreProbe
 from ..relay.update_feed import UpdateFeed
-from ..relay.watchers import ConfigurationWatcher, RunnerWatcher
+from ..relay.watchers import ConfigurationWatcher, KindWatcher, RunnerWatcher
 from .playedlinks import FollowerEnd, PlayedLink, Traffic, WatcherEnd
 from .playedstore import PlayedStore, StoreOfHost
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 RUNNERS_KIND = "servers"
+EVACUATIONS_KIND = "evacuations"
 DOUBT_SECONDS = 1.9
 
 
@@ -130,6 +132,14 @@
     at: float
 
 
+@attrs.define
+class EvacuationRecord:
+    """Whether a data centre is evacuated, and when that was acknowledged."""
+
+    evacuated: bool
+    at: float
+
+
 class NewsFleet:
     """A fleet of relays.
 
@@ -152,6 +162,8 @@
         self.acknowledged: list[Acknowledged] = []
         self.unstable_at = -math.inf
         self.worst_age = 0.0
+        self.worst_evacuation_age = 0.0
+        self.evacuations: dict[str, EvacuationRecord] = {}
         self.traffic: dict[str, Traffic] = {}
         self.regressed: list[str] = []
         self.hosts = {
@@ -173,6 +185,24 @@
         self.acknowledged.append(Acknowledged(self._version, time.monotonic()))
         return self._version
 
+    def evacuate(self, data_centre: str) -> None:
+        """Have the store acknowledge that a data centre is evacuated."""
+        self.store.put(EVACUATIONS_KIND, data_centre, {})
+        self.evacuations[data_centre] = EvacuationRecord(True, time.monotonic())
+
+    def take_back(self, data_centre: str) -> None:
+        """Have the store acknowledge the end of an evacuation."""
+        self.store.remove(EVACUATIONS_KIND, data_centre)
+        self.evacuations[data_centre] = EvacuationRecord(False, time.monotonic())
+
+    def turn(self, data_centre: str) -> None:
+        """Evacuate a data centre, or take it back if it is evacuated."""
+        known = self.evacuations.get(data_centre)
+        if known is not None and known.evacuated:
+            self.take_back(data_centre)
+        else:
+            self.evacuate(data_centre)
+
     def start(self, host: str) -> None:
         """Start a relay's next life."""
         self._lives[host] += 1
@@ -203,17 +233,30 @@
             probe=probe,
             limit_seconds=settings.runner_max_age_seconds,
         )
+        watchers: list[KindWatcher] = [configuration, runners]
+        if settings.evacuation_milliseconds:
+            watchers.append(
+                EvacuationWatcher(
+                    store,
+                    EVACUATIONS_KIND,
+                    settings.evacuation_watch_seconds,
+                    runners.table,
+                    settings.evacuation_batch_seconds,
+                    probe=probe,
+                    limit_seconds=settings.evacuation_max_age_seconds,
+                )
+            )
         membership = Membership(store, member)
         news = UpdateFeed(
             membership,
             PeerClient(),
             PlayedDialer(self, host),
-            (configuration, runners),
+            watchers,
             FeedTiming(settings.heartbeat_seconds, settings.heartbeat_timeout_seconds),
             first_start=host not in self._seen,
         )
         self._group.start_soon(
-            self._run, member, configuration, runners, news, membership
+            self._run, member, configuration, runners, news, membership, watchers[2:]
         )
 
     async def _run(
@@ -223,6 +266,7 @@
         runners: RunnerWatcher,
         news: UpdateFeed,
         membership: Membership,
+        others: list[KindWatcher],
     ) -> None:
         async with anyio.create_task_group() as group:
             self.relays[member.host] = PlayedRelay(
@@ -234,7 +278,7 @@
                 group,
                 time.monotonic(),
             )
-            for task in (configuration, runners, membership, news):
+            for task in (configuration, runners, *others, membership, news):
                 await task.start(group)
 
     def start_all(self) -> None:
@@ -317,6 +361,13 @@
                 if told.version > relay.version:
                     self.worst_age = max(self.worst_age, now - told.at)
                     break
+            self._judge_evacuations(relay.runners.table.evacuated, now)
+
+    def _judge_evacuations(self, believed: frozenset[str], now: float) -> None:
+        for data_centre, record in self.evacuations.items():
+            if (data_centre in believed) != record.evacuated:
+                age = now - record.at
+                self.worst_evacuation_age = max(self.worst_evacuation_age, age)
 
     def _judge_version(self, host: str, relay: PlayedRelay) -> None:
         holder, known = self._seen.get(host, ("", 0))
--- a/knapweedrail/tests/test_relay_watchers.py
+++ b/knapweedrail/tests/test_relay_watchers.py
@@ -65,13 +65,16 @@
 class StoreFixture:
     """A store behind a link, and a relay's watchers of it."""
 
-    def __init__(self, objects, link, settings, client, configuration, runners):
+    def __init__(
+        self, objects, link, settings, client, configuration, runners, evacuations
+    ):
         self.objects = objects
         self.link = link
         self.settings = settings
         self.client = client
         self.configuration = configuration
         self.runners = runners
+        self.evacuations = evacuations
         self.version = 1
 
     async def drop_calls(self, seconds):
@@ -93,15 +96,18 @@
             connection.frozen = True
 
     def write(self, routes=0):
-        """Write a newer configuration and a leaving runner."""
+        """Write a newer configuration, a leaving runner and an evacuation."""
         self.version += 1
         self.objects.put("config", "main", make_configuration(self.version, routes))
         self.objects.put("servers", "i-1", RUNNER | {"state": "draining"})
+        self.objects.put("evacuations", f"dc-{self.version}", {})
 
     def is_up_to_date(self):
         known = self.configuration.configuration
         listed = self.runners.table.list_views("e", 0.0)
-        return known is not None and known.version == self.version and not listed
+        evacuated = f"dc-{self.version}" in self.runners.table.evacuated
+        current = known is not None and known.version == self.version
+        return current and evacuated and not listed
 
     async def check_catches_up_in_time(self):
         """Check that the writes are applied by the time when bounds hold again."""
@@ -128,6 +134,7 @@
             contact_milliseconds=contact,
             configuration_milliseconds=configuration,
             leaving_milliseconds=leaving,
+            evacuation_milliseconds=5000,
         )
         objects.put("config", "main", make_configuration(1))
         objects.put("servers", "i-1", RUNNER)
