Split the memory of prefixes and the reachability off the runner table

runners.py had grown to 568 lines with three jobs. The runners to which prompt prefixes were sent, and which data centres can be reached, are parts of their own now. No logic changes; relay tests pass.

--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import random
-from collections import OrderedDict
 from collections.abc import Iterable
 
 import attrs
@@ -21,16 +20,10 @@
     RunnerIncarnation,
     RunnerState,
 )
+from .prefixes import PrefixMemory
+from .reachability import Reachability
 from .runner_views import RunnerView
 
-PREFIX_TTL_SECONDS = 9.0
-"""How long a prefix that was sent to a runner is assumed to be in its prefix cache.
-Runners evict the least recently used prefixes, and their caches fill up after about ten
-seconds of heavy load."""
-
-MAX_PREFIXES = 10_000
-"""Maximum number of prefixes remembered, about 2 MB; the oldest are evicted first."""
-
 REJECTION_BACKOFF_SECONDS = 0.15
 """How long a runner that rejected a request for lack of capacity gets no further one:
 about the time in which one of its slots becomes free. A request sent sooner wastes one
@@ -53,21 +46,6 @@
 again in about the same time. Each trial after an ejection costs a caller at most one
 retry."""
 
-PARTITION_SECONDS = 1.0
-"""How long the runners of a data centre get no requests after a request to one of them
-timed out and none of them answered recently. After that, one request tries again.
-During a network partition this delays one caller per second by some hundred
-milliseconds, instead of one caller per runner."""
-
-RECENT_ANSWER_SECONDS = 1.0
-"""Maximum age of an answer that shows that a data centre is reachable. At twelve
-requests per second over three data centres, about four answers arrive from each in this
-time."""
-
-MIN_UNREACHABLE_DATA_CENTRES = 2
-"""Minimum number of other data centres that must be unreachable for the relay's own one
-to count as partitioned."""
-
 SLOW_FACTOR = 3.0
 """Latency relative to the median from which a runner is passed over while others have
 capacity. Runners of one service normally differ by up to about a factor of two."""
@@ -91,6 +69,7 @@
         endpoints: Endpoints of the configuration in force, by name.
         evacuated: Data centres to whose runners nothing more is sent.
         mean_prompt_tokens: Moving average of the prompt tokens per request.
+        prefixes: Runners to which prompt prefixes were recently sent.
         find_standing: Returns this relay's place among the relays that may send to a
             runner which limits its requests.
     """
@@ -106,11 +85,8 @@
         self._by_endpoint: dict[str, dict[str, RunnerView]] = {}
         self.mean_prompt_tokens = 0.0
         self._incarnations = IncarnationTracker()
-        self._prefixes: OrderedDict[str, tuple[RunnerIncarnation, float]] = (
-            OrderedDict()
-        )
-        self._last_answer_at: dict[str, float] = {}
-        self._partitioned_until: dict[str, float] = {}
+        self.prefixes = PrefixMemory()
+        self._reachability = Reachability()
         self._unlisted_successors: set[str] = set()
         self._rng = random.Random()
         self.find_standing: FindStanding = stand_alone
@@ -361,19 +337,8 @@
 
     def record_prefix(self, prefix: str, view: RunnerView, now: float) -> None:
         """Record that a runner has a prefix in its prefix cache."""
-        if view.superseded:
-            return
-        self._prefixes[prefix] = (view.incarnation, now)
-        self._prefixes.move_to_end(prefix)
-        if len(self._prefixes) > MAX_PREFIXES:
-            self._prefixes.popitem(last=False)
-
-    def find_runner_with_prefix(
-        self, prefix: str, now: float
-    ) -> RunnerIncarnation | None:
-        """Return the incarnation to which a prefix was recently sent, if any."""
-        incarnation, at = self._prefixes.get(prefix, (None, float("-inf")))
-        return incarnation if now - at < PREFIX_TTL_SECONDS else None
+        if not view.superseded:
+            self.prefixes.record(prefix, view.incarnation, now)
 
     def record_load_report(
         self, view: RunnerView, running: int, waiting: int, now: float
@@ -483,48 +448,25 @@
 
     def is_available(self, view: RunnerView, now: float) -> bool:
         """Return whether a runner is neither ejected, backing off nor partitioned."""
-        partitioned = now < self._partitioned_until.get(
-            view.runner.data_centre, float("-inf")
+        data_centre = view.runner.data_centre
+        return self._reachability.is_reachable(data_centre, now) and view.is_available(
+            now
         )
-        return not partitioned and view.is_available(now)
 
     def record_timeout(self, view: RunnerView, now: float) -> bool:
         """Record that a request to a runner timed out without any response.
 
-        A crashed runner refuses connections; one without power or behind a network
-        partition doesn't respond at all. If other runners of its data centre answered
-        recently, only the runner is at fault, otherwise most likely the whole data
-        centre is unreachable.
-
         Returns:
-            Whether the data centre newly counts as unreachable.
+            Whether the runner's data centre newly counts as unreachable.
         """
-        data_centre = view.runner.data_centre
         if view.superseded:
             return False
-        if (
-            now - self._last_answer_at.get(data_centre, float("-inf"))
-            < RECENT_ANSWER_SECONDS
-        ):
-            return False
-        already_known = now < self._partitioned_until.get(data_centre, float("-inf"))
-        self._partitioned_until[data_centre] = now + PARTITION_SECONDS
-        return not already_known
+        return self._reachability.record_timeout(view.runner.data_centre, now)
 
     def is_partitioned(self, data_centre: str, now: float) -> bool:
-        """Return whether a data centre seems to be partitioned from all others.
-
-        If two or more others are unreachable at once, it is most likely this one that
-        is partitioned; a single one may have lost power.
-        """
-        unreachable = {
-            name for name, until in self._partitioned_until.items() if now < until
-        }
-        unreachable.discard(data_centre)
-        if len(unreachable) < MIN_UNREACHABLE_DATA_CENTRES:
-            return False
-        others = {view.runner.data_centre for view in self._views.values()}
-        return others - {data_centre} <= unreachable
+        """Return whether a data centre seems to be partitioned from all others."""
+        known = {view.runner.data_centre for view in self._views.values()}
+        return self._reachability.is_partitioned(data_centre, known, now)
 
     def has_runner_in(self, endpoint: str, data_centre: str, now: float) -> bool:
         """Return whether an endpoint has a runner in a data centre."""
@@ -535,8 +477,7 @@
         """Record a successful answer and its time to the first byte, seconds."""
         if view.superseded:
             return
-        self._last_answer_at[view.runner.data_centre] = now
-        self._partitioned_until.pop(view.runner.data_centre, None)
+        self._reachability.record_answer(view.runner.data_centre, now)
         view.failure_rate -= EWMA_WEIGHT * view.failure_rate
         if view.failure_rate < EJECTION_FAILURE_RATE / 2:
             view.ejection_seconds = 0.0
--- a/knapweedrail/relay/selection.py
+++ b/knapweedrail/relay/selection.py
@@ -89,7 +89,7 @@
     """
     shared = find_shared_part(parts)
     preferred = min(views, key=lambda v: hash_pair(shared.name, v.runner.name))
-    recent = table.find_runner_with_prefix(shared.name, now)
+    recent = table.prefixes.find(shared.name, now)
     median_latency = _compute_median_latency(views)
 
     def compute_cost(view: RunnerView) -> float:
--- a/knapweedrail/standins/coldfleet.py
+++ b/knapweedrail/standins/coldfleet.py
@@ -221,7 +221,7 @@
             return
         self.sent += 1
         shared = find_shared_part(request.parts)
-        known = relay.table.find_runner_with_prefix(shared.name, self.now)
+        known = relay.table.prefixes.find(shared.name, self.now)
         self.moved += known is not None and known != view.incarnation
         relay.table.record_prefix(shared.name, view, self.now)
         token = object()
--- a/knapweedrail/tests/test_relay_incarnations.py
+++ b/knapweedrail/tests/test_relay_incarnations.py
@@ -104,9 +104,7 @@
     watched.write("i-0", NEW, seq=1)
     (view,) = watched.find()
     assert is_clean(view)
-    assert (
-        watched.table.find_runner_with_prefix("part", 10.1) != view.runner.incarnation
-    )
+    assert watched.table.prefixes.find("part", 10.1) != view.runner.incarnation
 
 
 async def test_late_results_of_an_ended_incarnation_do_not_affect_the_next():
@@ -127,7 +125,7 @@
     (view,) = watched.find()
     assert is_clean(view, 12.5)
     assert table.is_available(view, 12.5)
-    assert table.find_runner_with_prefix("part", 12.5) != view.runner.incarnation
+    assert table.prefixes.find("part", 12.5) != view.runner.incarnation
 
 
 async def test_answer_of_an_ended_incarnation_does_not_end_a_partition():
--- a/knapweedrail/tests/test_relay_isolation.py
+++ b/knapweedrail/tests/test_relay_isolation.py
@@ -10,7 +10,8 @@
     MIN_OUT_OF_ROTATION_SECONDS,
     OverloadMonitor,
 )
-from ..relay.runners import PARTITION_SECONDS, RunnerTable
+from ..relay.reachability import PARTITION_SECONDS
+from ..relay.runners import RunnerTable
 from .relays_in_memory import (
     ScriptedRunner,
     answer_normally,
