Reword limits.py in the terms of the field

Names and texts only: LimitNews is LimitUpdate, note_named record_stated, hear merge, told sent. Names on the wire stay. Logic unchanged; the tests of limits, dispatch and purity pass.

--- a/knapweedrail/dispatch.py
+++ b/knapweedrail/dispatch.py
@@ -187,7 +187,7 @@
         if state is None or not state.note_report(report, now):
             return
         self._supervisor.note_report(state, report.as_of, now)
-        state.limited.note_named(report.limit, now, self._rng)
+        state.limited.record_stated(report.limit, now, self._rng)
         self._wait_for_turn(state, now)
         self._fleet.refresh(state, now)
         self._due = now if self.waiting else self._due
--- a/knapweedrail/limits.py
+++ b/knapweedrail/limits.py
@@ -2,11 +2,11 @@
 
 Pure: the clock is passed in.
 
-The load it is for: a runner in need that names how many requests a second it takes from
-all relays together, mostly one or two, while six to hundreds of relays have callers. In
-equal shares each relay would have one request in minutes, and as many bursts of one as
-there are relays. So a few relays, chosen alike by all without a word, share what the
-runner takes, and the others place their requests elsewhere.
+Handles an overloaded runner that states how many requests a second it accepts from all
+relays together, usually one or two, while six to hundreds of relays have callers. With
+equal shares each relay would have one request in minutes, and all might send theirs at
+the same time. So a few relays, which all relays choose alike without communicating,
+share the limit, and the others send their requests to other runners.
 """
 
 from __future__ import annotations
@@ -21,41 +21,41 @@
 from .hashing import hash_pair
 
 USED_SHARE = 0.8
-"""Part of a limit that its senders use together. Relays that come or go are listed some
-seconds late, and meanwhile there is a sender more."""
+"""Part of a limit that its senders use together. Relays that start or stop are listed
+some seconds late, and meanwhile there may be another sender."""
 
 SENDER_RATE = 1.0
-"""Requests a second of a limit for each further sender. A relay of hundreds sees few
-requests, so that one alone would leave most of a high limit unused."""
+"""Requests a second of a limit for each further sender. One of hundreds of relays gets
+few requests, so alone it would leave most of a high limit unused."""
 
 TRIAL_SHARE = 0.2
 """Part of a limit that the relays which aren't its senders use together to find out
-whether it holds on, where no sender tells them."""
+whether it still applies, if no sender reports that."""
 
 TRIAL_SPREAD = (1.0, 2.0)
-"""Bounds of what the pause before a trial is multiplied by, drawn for each relay: all
-of them hear of a limit within seconds, and mustn't try together."""
+"""Bounds of the random factor of the pause before a trial. All relays learn of a limit
+within seconds, and must not try at the same time."""
 
-LEAST_TRIAL_SECONDS = 10.0
+MIN_TRIAL_SECONDS = 10.0
 """Shortest pause before a trial."""
 
 YIELD_SHARE = 0.5
-"""Part of the pause between two requests for which the least urgent ones leave a free
-turn to others; the most urgent ones take it at once."""
+"""Part of the pause between two requests that the least urgent ones wait in addition,
+so that more urgent ones come first."""
 
-TOLD_FACTOR = 1.25
-"""How many times larger or smaller a limit must have become to tell other relays."""
+CHANGE_FACTOR = 1.25
+"""Factor by which a limit must have changed to be sent to other relays."""
 
-LEAST_RATE = 1e-3
-"""Limits below it count as this: a request in twenty minutes."""
+MIN_RATE = 1e-3
+"""Smallest limit, requests a second: one in about twenty minutes."""
 
-MOST_RANK = 9
+MAX_RANK = 9
 """Rank of the least urgent requests."""
 
 
 @attrs.frozen
 class Standing:
-    """A relay's place among all that may send to a limited runner.
+    """A relay's role among all that may send to a limited runner.
 
     Attributes:
         relays: Number of relays.
@@ -69,34 +69,33 @@
 
 
 FindStanding = Callable[[str, float], Standing]
-"""Returns the own place among the senders to a runner with a limit of so many requests
-a second."""
+"""Returns the own standing for a runner by its name and limit, requests a second."""
 
 
 def stand_alone(runner: str, rate: float) -> Standing:
-    """Return the place of a relay that knows of no other."""
+    """Return the standing of a relay that knows of no other."""
     return Standing(relays=1, senders=1, sends=True)
 
 
 def measure_next_turn(rates: Iterable[float]) -> float:
-    """Return after which time a sender has a turn at one of several limited runners,
+    """Return the mean time until a sender may send to one of several limited runners,
     seconds."""
-    return 1.0 / max(LEAST_RATE, USED_SHARE * sum(rates))
+    return 1.0 / max(MIN_RATE, USED_SHARE * sum(rates))
 
 
 def count_senders(rate: float, relays: int) -> int:
-    """Return how many relays send to a runner with a limit of so many a second."""
+    """Return the number of senders to a runner with a limit, requests a second."""
     return max(1, min(relays, 1 + int(rate / SENDER_RATE)))
 
 
 def rank_senders(runner: str, names: Iterable[str], count: int) -> list[str]:
-    """Return those that send to a runner which limits its requests, chosen alike by
-    all that know the same names."""
+    """Return the senders to a limited runner: the same for all that know the same
+    names."""
     return heapq.nsmallest(count, names, key=lambda name: hash_pair(f"@{runner}", name))
 
 
 class Senders:
-    """Who sends to limited runners, as one of those that may sees it.
+    """The senders to limited runners, as seen by one relay or router.
 
     Args:
         own: Its name.
@@ -108,18 +107,18 @@
         self._sends: dict[tuple[str, int], bool] = {}
 
     def set_names(self, names: Iterable[str]) -> None:
-        """Take in who there is."""
+        """Set the names of all relays or routers."""
         known = {self._own, *names}
         if known != self._names:
             self._names = known
             self._sends.clear()
 
     def find_standing(self, runner: str, rate: float) -> Standing:
-        """Return the own place among those that may send to a limited runner."""
+        """Return the own standing for a limited runner."""
         senders = count_senders(rate, len(self._names))
         key = (runner, senders)
         if key not in self._sends:
-            # Kept, as it is asked for each request and ranks hundreds of names.
+            # Cached: it is needed for each request and ranks hundreds of names.
             chosen = rank_senders(runner, self._names, senders)
             self._sends[key] = self._own in chosen
         return Standing(len(self._names), senders, self._sends[key])
@@ -127,13 +126,13 @@
 
 @attrs.define
 class RunnerLimit:
-    """A limit that a runner has named, and what this relay sent since.
+    """A limit that a runner has stated, and when this relay last sent to it.
 
     Attributes:
         rate: Requests a second from all relays together.
-        heard_at: When it was last heard of; seconds.
-        spread: What this relay's pause before a trial is multiplied by.
-        sent_at: When this relay last sent a request there; seconds.
+        heard_at: When it was last stated or received, seconds.
+        spread: Random factor of this relay's pause before a trial.
+        sent_at: When this relay last sent a request to the runner, seconds.
     """
 
     rate: float
@@ -141,9 +140,9 @@
     spread: float
     sent_at: float
 
-    def change(self, rate: float, now: float) -> None:
-        """Take in that it was named again, perhaps with another figure."""
-        self.rate = max(LEAST_RATE, rate)
+    def update(self, rate: float, now: float) -> None:
+        """Update the limit, which was stated or received again."""
+        self.rate = max(MIN_RATE, rate)
         self.heard_at = now
 
     def measure_turn(self, standing: Standing) -> float:
@@ -151,7 +150,7 @@
         return standing.senders / (USED_SHARE * self.rate)
 
     def measure_pause(self, standing: Standing, rank: int, now: float) -> float:
-        """Return after which time a request may be sent; 0 for now.
+        """Return the time until a request may be sent, seconds.
 
         Args:
             rank: Urgency of the request, 0 first.
@@ -159,20 +158,21 @@
         if not standing.sends:
             pause = self.spread * standing.relays / (TRIAL_SHARE * self.rate)
             quiet_since = max(self.heard_at, self.sent_at)
-            return max(0.0, quiet_since + max(LEAST_TRIAL_SECONDS, pause) - now)
+            return max(0.0, quiet_since + max(MIN_TRIAL_SECONDS, pause) - now)
         turn = self.measure_turn(standing)
-        yielded = YIELD_SHARE * turn * min(rank, MOST_RANK) / MOST_RANK
+        yielded = YIELD_SHARE * turn * min(rank, MAX_RANK) / MAX_RANK
         return max(0.0, self.sent_at + turn + yielded - now)
 
 
 @attrs.frozen
-class LimitNews:
-    """What one relay tells others of a runner's limit.
+class LimitUpdate:
+    """A runner's limit as one relay sends it to others.
 
     Attributes:
-        started: Start of the runner's life.
-        rate: Requests a second; 0 where there is no limit any more.
-        number: Rises with each change that any relay has seen; the highest is the news.
+        started: Start time of the runner's incarnation, Unix milliseconds.
+        rate: Requests a second; 0 if there is no limit any more.
+        number: Rises with each change that any relay has seen; the highest is the
+            newest.
     """
 
     runner: str
@@ -183,32 +183,32 @@
 
 @attrs.define
 class LimitRecord:
-    """What is known of one runner's limit.
+    """State of one runner's limit.
 
     Attributes:
-        limit: The present one, if there is one.
-        number: Of the last change that was seen or heard of.
-        told: The limit as all relays may know it; 0 for none.
+        limit: The current limit, if there is one.
+        number: Number of the last change that was seen or received.
+        sent: The limit as last sent to or received from other relays; 0 for none.
     """
 
     limit: RunnerLimit | None = None
     number: int = 0
-    told: float = 0.0
+    sent: float = 0.0
 
-    def note_named(
+    def record_stated(
         self,
         rate: float | None,
         now: float,
         rng: random.Random,
         sent_at: float = float("inf"),
     ) -> bool:
-        """Take in what an answer of the runner says; return whether that is news.
+        """Record what an answer states; return whether to send it to other relays.
 
-        Answers on several connections overtake each other. One to a request that was
-        sent before the limit was last heard of may be older than that.
+        Answers on several connections overtake each other. The answer to a request
+        that was sent before the limit was last received may be older than that.
 
         Args:
-            rate: Requests a second; ``None`` if the answer names no limit.
+            rate: Requests a second; ``None`` if the answer states no limit.
             sent_at: When its request was sent; seconds.
         """
         limit = self.limit
@@ -216,23 +216,23 @@
             if rate is None or rate > limit.rate:
                 return False
         self._set(rate, now, rng)
-        known = 0.0 if rate is None else max(LEAST_RATE, rate)
-        news = (known > 0) != (self.told > 0)
-        if known and self.told:
-            change = known / self.told
-            news = not 1 / TOLD_FACTOR < change < TOLD_FACTOR
-        if news:
+        known = 0.0 if rate is None else max(MIN_RATE, rate)
+        changed = (known > 0) != (self.sent > 0)
+        if known and self.sent:
+            ratio = known / self.sent
+            changed = not 1 / CHANGE_FACTOR < ratio < CHANGE_FACTOR
+        if changed:
             self.number += 1
-            self.told = known
-        return news
+            self.sent = known
+        return changed
 
-    def hear(self, news: LimitNews, now: float, rng: random.Random) -> bool:
-        """Take in what another relay tells; return whether it wasn't known."""
-        if news.number <= self.number:
+    def merge(self, update: LimitUpdate, now: float, rng: random.Random) -> bool:
+        """Merge a limit received from another relay; return whether it was new."""
+        if update.number <= self.number:
             return False
-        self.number = news.number
-        self.told = news.rate
-        self._set(news.rate or None, now, rng)
+        self.number = update.number
+        self.sent = update.rate
+        self._set(update.rate or None, now, rng)
         return True
 
     def _set(self, rate: float | None, now: float, rng: random.Random) -> None:
@@ -240,16 +240,17 @@
             self.limit = None
             return
         if self.limit is None:
-            # The turns of a sender that has just begun to count start with a pause.
+            # A new sender starts with a pause.
             spread = rng.uniform(*TRIAL_SPREAD)
-            self.limit = RunnerLimit(max(LEAST_RATE, rate), now, spread, now)
-        self.limit.change(rate, now)
+            self.limit = RunnerLimit(max(MIN_RATE, rate), now, spread, now)
+        self.limit.update(rate, now)
 
 
 def read_rate(text: str) -> float | None:
-    """Return the limit that a text names, requests a second; ``None`` for none.
+    """Return the limit stated by a text, requests a second.
 
-    A text that is no number counts as none.
+    Returns:
+        ``None`` if the text isn't a valid limit.
     """
     try:
         rate = float(text)
--- a/knapweedrail/relay/cold_starts.py
+++ b/knapweedrail/relay/cold_starts.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from ..limits import LEAST_RATE, USED_SHARE, Standing
+from ..limits import MIN_RATE, USED_SHARE, Standing
 from .models import Endpoint
 
 BURST_SHARE = 0.75
@@ -54,12 +54,12 @@
     def sender_rate(self) -> float:
         """Rate by which the number of senders is computed, requests a second: as many
         as may all send in the same second."""
-        return max(LEAST_RATE, BURST_SHARE * self.burst - 1)
+        return max(MIN_RATE, BURST_SHARE * self.burst - 1)
 
     @property
     def used_rate(self) -> float:
         """Rate that the senders use together, requests a second."""
-        return USED_SHARE * max(LEAST_RATE, min(self.rate, self.sender_rate))
+        return USED_SHARE * max(MIN_RATE, min(self.rate, self.sender_rate))
 
     def measure_turn(self, standing: Standing) -> float:
         """Return the pause between two requests of a sender, seconds."""
--- a/knapweedrail/relay/peers.py
+++ b/knapweedrail/relay/peers.py
@@ -19,7 +19,7 @@
 
 from ..addresses import split_address
 from ..events import Event, log_event
-from ..limits import LimitNews
+from ..limits import LimitUpdate
 from ..rpc import RpcServer
 from ..wire.relays_grpc import RelaysBase, RelaysStub
 from ..wire.relays_pb2 import (
@@ -130,7 +130,7 @@
 SuspectsHandler = Callable[[list[str]], None]
 """Handles another relay's report of requests that ran on crashed runners."""
 
-LimitsHandler = Callable[[list[LimitNews]], None]
+LimitsHandler = Callable[[list[LimitUpdate]], None]
 """Handles another relay's report of limits of runners."""
 
 FeedHandler = Callable[[SubscriberLink], Awaitable[None]]
@@ -224,7 +224,9 @@
                     self._call, member, "TellSuspects", request, CALL_SECONDS
                 )
 
-    async def send_limits(self, members: list[Member], limits: list[LimitNews]) -> None:
+    async def send_limits(
+        self, members: list[Member], limits: list[LimitUpdate]
+    ) -> None:
         """Report to other relays which limits of runners have changed."""
         entries = [
             RunnerLimit(**attrs.asdict(limit))
@@ -339,7 +341,7 @@
             return
         self._handle_limits(
             [
-                LimitNews(limit.runner, limit.started, limit.rate, limit.number)
+                LimitUpdate(limit.runner, limit.started, limit.rate, limit.number)
                 for limit in request.limits
             ]
         )
@@ -349,7 +351,7 @@
         await self._serve_feed(GrpcSubscriberLink(stream))
 
 
-def _ignore_limits(limits: list[LimitNews]) -> None:
+def _ignore_limits(limits: list[LimitUpdate]) -> None:
     """Ignore limits of runners; for a relay that sends requests to no runner."""
 
 
--- a/knapweedrail/relay/process.py
+++ b/knapweedrail/relay/process.py
@@ -12,7 +12,7 @@
 import anyio.abc
 
 from ..events import Event, log_event
-from ..limits import LimitNews
+from ..limits import LimitUpdate
 from ..servers import HttpServer, ServerLimits
 from .codecs import Codec
 from .connections import ConnectionPool
@@ -155,7 +155,7 @@
         self._overload = OverloadMonitor()
         self._pending_suspects: list[str] = []
         self._pending_added = Notifier()
-        self._pending_limits: dict[str, LimitNews] = {}
+        self._pending_limits: dict[str, LimitUpdate] = {}
         runners.table.find_standing = self._membership.find_standing
         self._successors = SuccessorDetector(
             self._pool,
@@ -363,15 +363,15 @@
         self._pending_suspects.extend(lines)
         self._pending_added.notify_all()
 
-    def _queue_limit(self, news: LimitNews) -> None:
-        self._pending_limits[news.runner] = news
+    def _queue_limit(self, update: LimitUpdate) -> None:
+        self._pending_limits[update.runner] = update
         self._pending_added.notify_all()
 
-    def _receive_limits(self, limits: list[LimitNews]) -> None:
+    def _receive_limits(self, limits: list[LimitUpdate]) -> None:
         """Apply limits of runners, and forward those that were new to this relay."""
-        for news in limits:
-            if self._runners.table.merge_limit(news, time.monotonic()):
-                self._queue_limit(news)
+        for update in limits:
+            if self._runners.table.merge_limit(update, time.monotonic()):
+                self._queue_limit(update)
 
     def _receive_suspects(self, lines: list[str]) -> None:
         self._suspects.merge(lines, time.monotonic())
--- a/knapweedrail/relay/request_context.py
+++ b/knapweedrail/relay/request_context.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from ..limits import LimitNews
+from ..limits import LimitUpdate
 from .codecs import Codec
 from .connections import ConnectionPool
 from .metrics import RelayMetrics
@@ -100,7 +100,7 @@
     overload: OverloadMonitor
     count_relays: Callable[[], int]
     report_mismatch: Callable[[Runner, str], None]
-    send_limit: Callable[[LimitNews], None] = lambda news: None
+    send_limit: Callable[[LimitUpdate], None] = lambda update: None
     unknown_headers: UnknownHeaderLog = attrs.field(factory=UnknownHeaderLog)
 
 
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from ..limits import FindStanding, LimitNews, measure_next_turn, stand_alone
+from ..limits import FindStanding, LimitUpdate, measure_next_turn, stand_alone
 from .cold_starts import BurstAllowance, make_limit
 from .incarnations import EntryResult, IncarnationTracker
 from .models import (
@@ -350,7 +350,7 @@
 
     def record_limit(
         self, view: RunnerView, rate: float | None, now: float, sent_at: float
-    ) -> LimitNews | None:
+    ) -> LimitUpdate | None:
         """Record the rate limit that a runner's answer states.
 
         Args:
@@ -363,19 +363,19 @@
         """
         if view.superseded:
             return None
-        if not view.limit_record.note_named(rate, now, self._rng, sent_at):
+        if not view.limit_record.record_stated(rate, now, self._rng, sent_at):
             return None
         record, incarnation = view.limit_record, view.incarnation
-        return LimitNews(
-            incarnation.name, incarnation.started, record.told, record.number
+        return LimitUpdate(
+            incarnation.name, incarnation.started, record.sent, record.number
         )
 
-    def merge_limit(self, news: LimitNews, now: float) -> bool:
+    def merge_limit(self, update: LimitUpdate, now: float) -> bool:
         """Merge a limit received from another relay; return whether it was new."""
-        view = self._views.get(news.runner)
-        if view is None or view.incarnation.started != news.started:
+        view = self._views.get(update.runner)
+        if view is None or view.incarnation.started != update.started:
             return False
-        return view.limit_record.hear(news, now, self._rng)
+        return view.limit_record.merge(update, now, self._rng)
 
     def record_cold_left(self, view: RunnerView, seconds: float, now: float) -> None:
         """Record for how long an answer says that its runner stays cold, seconds."""
--- a/knapweedrail/standins/limitfleet.py
+++ b/knapweedrail/standins/limitfleet.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from ..limits import LimitNews, Standing, count_senders, rank_senders
+from ..limits import LimitUpdate, Standing, count_senders, rank_senders
 from ..relay.models import CallerRequest, Runner, RunnerState
 from ..relay.runner_views import RunnerView
 from ..relay.runners import RunnerTable
@@ -221,13 +221,13 @@
         if news is not None:
             self._tell(relay, news)
 
-    def _tell(self, relay: PlayedRelay, news: LimitNews) -> None:
+    def _tell(self, relay: PlayedRelay, news: LimitUpdate) -> None:
         others = [host for host in self.relays if host != relay.host]
         for host in self._rng.sample(others, min(TOLD_RELAYS, len(others))):
             if not {host, relay.host} & self._parted:
                 self.at(TELL_SECONDS, lambda host=host: self._hear(host, news))
 
-    def _hear(self, host: str, news: LimitNews) -> None:
+    def _hear(self, host: str, news: LimitUpdate) -> None:
         relay = self.relays.get(host)
         if relay is None or self.now < relay.frozen_until or not self._heeds(host):
             return
--- a/knapweedrail/tests/test_limits.py
+++ b/knapweedrail/tests/test_limits.py
@@ -98,9 +98,9 @@
 def test_a_runner_that_takes_nothing_is_not_told_of_as_one_without_a_limit():
     """Guards against relays that send to a runner which has lowered its limit to 0."""
     record, rng = LimitRecord(), random.Random(1)
-    assert record.note_named(2.0, 1.0, rng)
-    assert record.note_named(0.0, 2.0, rng)
-    assert record.told > 0
+    assert record.record_stated(2.0, 1.0, rng)
+    assert record.record_stated(0.0, 2.0, rng)
+    assert record.sent > 0
     assert record.limit.measure_pause(Standing(9, 1, True), 0, 60.0) > 60.0
-    assert record.note_named(None, 3.0, rng)
-    assert record.told == 0
+    assert record.record_stated(None, 3.0, rng)
+    assert record.sent == 0
--- a/knapweedrail/tests/test_relay_limits.py
+++ b/knapweedrail/tests/test_relay_limits.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from ..limits import LimitNews, LimitRecord
+from ..limits import LimitRecord, LimitUpdate
 from ..relay.models import Member, RetryPolicy
 from ..relay.peers import PeerClient, make_server
 from ..standins.limitfleet import LimitFleet, allow
@@ -200,7 +200,7 @@
     await server.start()
     peers = PeerClient()
     member = Member("b", "b/1", server.address, "dc")
-    news = [LimitNews("i-0", 17, 1.5, 3), LimitNews("i-1", 0, 0.0, 1)]
+    news = [LimitUpdate("i-0", 17, 1.5, 3), LimitUpdate("i-1", 0, 0.0, 1)]
     await peers.send_limits([member], news)
     await peers.close()
     await server.close()
@@ -229,7 +229,9 @@
         runner = ScriptedRunner(respond)
         async with run_relay(make_configuration(SAFE), runner) as relay:
             view = relay.table.list_views("e", 0.0)[0]
-            view.limit_record.note_named(2.0, time.monotonic() - 60, random.Random(1))
+            view.limit_record.record_stated(
+                2.0, time.monotonic() - 60, random.Random(1)
+            )
             await relay.call()
             limits.append(view.limit_record.limit is not None)
     assert limits == [True, True, True, True, False]
@@ -238,10 +240,10 @@
 def test_overtaken_answer_does_not_lift_a_limit():
     """Guards against dropping a limit because of an answer that is older than it."""
     record, rng = LimitRecord(), random.Random(1)
-    record.note_named(2.0, 10.0, rng, sent_at=9.0)
-    assert not record.note_named(None, 10.2, rng, sent_at=9.5)
+    record.record_stated(2.0, 10.0, rng, sent_at=9.0)
+    assert not record.record_stated(None, 10.2, rng, sent_at=9.5)
     assert record.limit is not None
-    assert record.note_named(None, 11.0, rng, sent_at=10.5)
+    assert record.record_stated(None, 11.0, rng, sent_at=10.5)
     assert record.limit is None
 
 
@@ -250,7 +252,7 @@
     runner = ScriptedRunner(answer_normally)
     async with run_relay(make_configuration(SAFE), runner) as relay:
         view = relay.table.list_views("e", 0.0)[0]
-        view.limit_record.note_named(0.5, time.monotonic(), random.Random(1))
+        view.limit_record.record_stated(0.5, time.monotonic(), random.Random(1))
         began_at = time.monotonic()
         answer = await relay.call()
         assert time.monotonic() - began_at < 0.2
