--- a/knapweedrail/quarantine.py
+++ b/knapweedrail/quarantine.py
@@ -7,8 +7,8 @@
 import attrs
 
 MAX_FINGERPRINTS = 10_000
-"""Maximum number of fingerprints, about 2 MB with two losses each; the oldest are evicted
-first."""
+"""Maximum number of fingerprints, about 2 MB with two losses each; the oldest are
+evicted first."""
 
 QUARANTINE_SECONDS = 3600.0
 """Time after which a request may be tried again: the model may have been fixed, or
