Log when a host leaves the load balancer's rotation

Change: events 110 and 111, with the loop's delay and the time that connections take. No decision changes.

Measured: the test fails without the lines, passes with them.

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -125,6 +125,11 @@
         "the event loop was delayed by a busy or paused process, for `seconds`",
     )
     LOOP_ERROR = (109, "the event loop caught an error that no task handled")
+    ROTATION_LEFT = (
+        110,
+        "this host is overloaded or cut off and its readiness check fails",
+    )
+    ROTATION_JOINED = (111, "this host's readiness check passes again")
     LINES_LEFT_OUT = (
         106,
         "log lines were dropped because there were too many, by event",
--- a/knapweedrail/relay/metrics.py
+++ b/knapweedrail/relay/metrics.py
@@ -91,6 +91,7 @@
             overload: Gets each measured delay.
         """
         logged_at = float("-inf")
+        was_out = False
         while True:
             due = time.monotonic() + SAMPLE_INTERVAL_SECONDS
             await anyio.sleep(SAMPLE_INTERVAL_SECONDS)
@@ -98,6 +99,10 @@
             late = max(0.0, now - due)
             overload.record_loop_delay(late, now)
             self.delays.record(late)
+            is_out = overload.is_out_of_rotation(now)
+            if is_out != was_out:
+                was_out = is_out
+                log_rotation(overload, now)
             if (
                 late >= LATE_LOG_THRESHOLD_SECONDS
                 and now - logged_at >= LATE_LOG_INTERVAL_SECONDS
@@ -127,6 +132,18 @@
         await send({"type": "http.response.body", "body": body})
 
 
+def log_rotation(overload: OverloadMonitor, now: float) -> None:
+    """Log that this host has left the load balancer's rotation or is back."""
+    event = Event.ROTATION_JOINED
+    if overload.is_out_of_rotation(now):
+        event = Event.ROTATION_LEFT
+    log_event(
+        event,
+        loop_delay=round(overload.loop_delay, 3),
+        connect_time=round(overload.estimate_connect_time(now), 3),
+    )
+
+
 def read_per_account(
     accounts: dict[str, Account], read: Callable[[str], float]
 ) -> dict[str, float]:
--- a/knapweedrail/tests/test_relay_overload.py
+++ b/knapweedrail/tests/test_relay_overload.py
@@ -6,6 +6,7 @@
 import attrs
 import pytest
 
+from ..events import Event
 from ..relay import connections, gateway, metrics, overload
 from ..relay.models import RetryPolicy
 from ..relay.overload import (
@@ -159,6 +160,23 @@
     assert 0 < monitor.loop_delay < 0.2
 
 
+@pytest.mark.anyio
+async def test_leaving_and_joining_the_rotation_are_logged_once(monkeypatch):
+    """Guards against a host that sends callers elsewhere without a trace in its log."""
+    logged = []
+    monkeypatch.setattr(metrics, "log_event", lambda event, **_: logged.append(event))
+    monitor = OverloadMonitor()
+    monkeypatch.setattr(monitor, "record_loop_delay", lambda *sample: None)
+    async with anyio.create_task_group() as group:
+        group.start_soon(metrics.RelayMetrics().monitor_loop_delay, monitor)
+        for until in (float("inf"), float("-inf")):
+            monitor._out_of_rotation_until = until
+            await anyio.sleep(4 * SAMPLE_INTERVAL_SECONDS)
+        group.cancel_scope.cancel()
+    found = [event for event in logged if event is not Event.LOOP_LATE]
+    assert found == [Event.ROTATION_LEFT, Event.ROTATION_JOINED]
+
+
 @pytest.mark.anyio
 async def test_partition_between_data_centres_is_not_a_saturated_link(monkeypatch):
     """Another data centre is partitioned off and connections to its runners time out,
