--- a/knapweedrail/loops.py
+++ b/knapweedrail/loops.py
@@ -1,4 +1,4 @@
-"""The event loop of a relay: its kind, and what it finds wrong, as log events."""
+"""What the event loop itself finds wrong, as log events."""
 
 from __future__ import annotations
 
@@ -7,11 +7,6 @@
 
 from .events import Event, log_event
 
-LOOP_OPTIONS = {"use_uvloop": True}
-"""Options of the library that runs the event loop. A relay spends most of its processor
-time on reading and writing events of streams, which libuv does with fewer calls of the
-kernel: each read of the standard loop costs two changes of what it waits for."""
-
 
 def log_loop_errors() -> None:
     """Have the running loop write its errors to the log, instead of tracebacks.
--- a/knapweedrail/tools/service.py
+++ b/knapweedrail/tools/service.py
@@ -10,7 +10,7 @@
 import eliot
 
 from ..events import Event, log_event
-from ..loops import LOOP_OPTIONS, log_loop_errors
+from ..loops import log_loop_errors
 from ..platform.relays import make_relay
 from ..relay.logs import LogWriter
 from ..relay.options import RelaySettings
@@ -33,7 +33,7 @@
     eliot.add_destinations(logs)
     stopped = True
     try:
-        anyio.run(_serve, settings, listener, clock, logs, backend_options=LOOP_OPTIONS)
+        anyio.run(_serve, settings, listener, clock, logs)
     except* OSError as errors:
         for error in errors.exceptions:
             print(f"knapweedrail-relay: {error}", file=sys.stderr)
