Connect to runners through another host where the path is lost

What callers saw: hosts that were partitioned from all runners refused them, although hosts beside them reached every runner. 4 of 138 first attempts were served beside 175 of 175, and 0 of 105 beside 194 of 196.

Cause: a host knew only one way to a runner. Each request ended as full after four connect timeouts, runners were ejected and reported as crashed though none was.

Change: after two runners in a row couldn't be connected to, another relay is asked by CONNECT to connect to the runner and to pass on bytes. The asking host keeps the reservation, limits, retry budget and outcome. Lost paths are probed every half second. Relays state their address for tunnels in their entry; those of earlier versions aren't asked.

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -165,6 +165,15 @@
         714,
         "a data centre's runners get requests again; at first as cold ones",
     )
+    PATH_LOST = (715, "this host can't connect to a runner that another host reaches")
+    PATH_RESTORED = (716, "this host can connect to a runner again")
+    TUNNEL_FAILED = (
+        717,
+        "no other relay connected to a runner that this host can't reach",
+    )
+    TUNNEL_DECLINED = (718, "this relay didn't connect another relay to a runner")
+    TUNNEL_BROKEN = (719, "another relay went away while it asked for a connection")
+    TUNNELS_OFF = (720, "the address for tunnels can't be bound; none are opened")
     RUNNER_LIMITED = (712, "a runner limits its request rate; 0 if the limit has ended")
     HEADER_UNREAD = (711, "runners answer with a header that the relay does not know")
 
--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -14,6 +14,7 @@
 import socket
 import struct
 import time
+from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Callable
 
 import anyio
@@ -44,7 +45,9 @@
 
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""``struct linger`` with a zero timeout: the kernel resets the connection on close."""
+_NO_RESET_ON_CLOSE = struct.pack("ii", 0, 0)
+"""``struct linger`` with a zero timeout, with which the kernel resets the connection on
+close, and its default."""
 
 
 @attrs.frozen
@@ -174,11 +177,7 @@
         caller has disconnected, and the runner processes an abandoned request. A reset
         discards them.
         """
-        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        with contextlib.suppress(OSError):
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        with anyio.CancelScope(shield=True):
-            await anyio.aclose_forcefully(self._stream)
+        await reset_stream(self._stream)
 
     async def _next_event(self, step: str) -> object:
         while True:
@@ -200,16 +199,36 @@
         return ConnectionFailed(self.address, step, repr(error), self.sent)
 
 
-async def open_connection(address: str) -> RunnerConnection:
-    """Connect to a runner.
+def set_reset_on_close(stream: anyio.abc.SocketStream, reset: bool) -> None:
+    """Set whether the kernel resets a connection when it is closed.
+
+    That includes the end of the process, whatever ends it.
+    """
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    linger = _RESET_ON_CLOSE if reset else _NO_RESET_ON_CLOSE
+    with contextlib.suppress(OSError):
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+async def reset_stream(stream: anyio.abc.SocketStream) -> None:
+    """Reset a connection and discard all bytes that are still to be sent."""
+    set_reset_on_close(stream, True)
+    with anyio.CancelScope(shield=True):
+        await anyio.aclose_forcefully(stream)
+
+
+async def open_stream(
+    address: str, timeout: float = CONNECT_SECONDS
+) -> anyio.abc.SocketStream:
+    """Open a connection whose peer is monitored by the kernel.
 
     Raises:
-        ConnectionFailed: If there is no connection within `CONNECT_SECONDS`; nothing
+        ConnectionFailed: If there is no connection within ``timeout`` seconds; nothing
             was sent.
     """
     host, _, port = address.rpartition(":")
     try:
-        with anyio.fail_after(CONNECT_SECONDS):
+        with anyio.fail_after(timeout):
             stream = await anyio.connect_tcp(host, int(port))
     except (OSError, TimeoutError, ValueError) as error:
         timed_out = isinstance(error, TimeoutError)
@@ -217,7 +236,17 @@
             address, "connect", repr(error), False, timed_out
         ) from error
     set_timeouts(stream.extra(anyio.abc.SocketAttribute.raw_socket))
-    return RunnerConnection(stream, address)
+    return stream
+
+
+async def open_connection(address: str) -> RunnerConnection:
+    """Connect to a runner.
+
+    Raises:
+        ConnectionFailed: If there is no connection within `CONNECT_SECONDS`; nothing
+            was sent.
+    """
+    return RunnerConnection(await open_stream(address), address)
 
 
 RecordConnectTime = Callable[[float, float], None]
@@ -225,6 +254,51 @@
 its end."""
 
 
+class Connector(ABC):
+    """Opens connections to runners."""
+
+    @abstractmethod
+    def may_reuse(self, runner: RunnerIncarnation) -> bool:
+        """Return whether idle connections to a runner may still work."""
+
+    @abstractmethod
+    async def connect(
+        self,
+        runner: RunnerIncarnation,
+        address: str,
+        record_connect_time: RecordConnectTime,
+    ) -> RunnerConnection:
+        """Connect to a runner.
+
+        Raises:
+            ConnectionFailed: If there is no connection; nothing was sent.
+        """
+
+
+class DirectConnector(Connector):
+    """Connects to runners directly, whatever other relays reach."""
+
+    def may_reuse(self, runner: RunnerIncarnation) -> bool:
+        return True
+
+    async def connect(
+        self,
+        runner: RunnerIncarnation,
+        address: str,
+        record_connect_time: RecordConnectTime,
+    ) -> RunnerConnection:
+        began_at = time.monotonic()
+        try:
+            connection = await open_connection(address)
+        except ConnectionFailed as error:
+            if error.timed_out:
+                record_connect_time(CONNECT_SECONDS, time.monotonic())
+            raise
+        now = time.monotonic()
+        record_connect_time(now - began_at, now)
+        return connection
+
+
 class ConnectionPool:
     """Idle connections to runners, by incarnation.
 
@@ -232,11 +306,15 @@
     been closed by the runner or forgotten by a device on the path, and the others can
     reach their idle timeout.
 
+    Args:
+        connector: Opens new connections; by default directly.
+
     Attributes:
         open_counts: Number of open connections, idle or in use, by incarnation.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, connector: Connector | None = None) -> None:
+        self._connector = connector or DirectConnector()
         self._idle: dict[RunnerIncarnation, list[RunnerConnection]] = {}
         self.open_counts: dict[RunnerIncarnation, int] = {}
 
@@ -257,7 +335,7 @@
             ConnectionFailed: If no idle connection is usable and a new one fails.
         """
         idle = self._idle.get(runner, [])
-        while idle:
+        while idle and self._connector.may_reuse(runner):
             connection = idle.pop()
             fresh = now - connection.idle_since < connection.idle_seconds
             same_address = connection.address == address
@@ -266,18 +344,10 @@
             await self.discard(runner, connection)
         self.open_counts[runner] = self.open_counts.get(runner, 0) + 1
         try:
-            connection = await open_connection(address)
-        except ConnectionFailed as error:
-            if error.timed_out:
-                record_connect_time(CONNECT_SECONDS, time.monotonic())
-            self._count_closed(runner)
-            raise
+            return await self._connector.connect(runner, address, record_connect_time)
         except BaseException:
             self._count_closed(runner)
             raise
-        ready_at = time.monotonic()
-        record_connect_time(ready_at - now, ready_at)
-        return connection
 
     def release(
         self,
--- a/knapweedrail/relay/members.py
+++ b/knapweedrail/relay/members.py
@@ -326,6 +326,7 @@
         "holder": member.holder,
         "address": member.address,
         "data_centre": member.data_centre,
+        "tunnel_address": member.tunnel_address,
     }
 
 
@@ -338,12 +339,15 @@
     if not isinstance(spec, dict):
         raise ValueError(f"not a relay's entry: {spec!r:.50}")
     texts = [spec.get(key) for key in ("holder", "address", "data_centre")]
+    # Relays of earlier versions don't state it.
+    texts.append(spec.get("tunnel_address", ""))
     if not all(isinstance(text, str) for text in texts):
         raise ValueError(f"not a relay's entry: {spec!r:.200}")
     member = Member(name, *texts)
     if member.holder.rpartition("/")[0] != name:
         raise ValueError(f"holder {member.holder!r:.100} doesn't belong to this host")
-    fault = check_address(member.address) if member.address else None
-    if fault is not None:
-        raise ValueError(f"{fault:.100}")
+    for address in filter(None, (member.address, member.tunnel_address)):
+        fault = check_address(address)
+        if fault is not None:
+            raise ValueError(f"{fault:.100}")
     return member
--- a/knapweedrail/relay/metrics.py
+++ b/knapweedrail/relay/metrics.py
@@ -48,6 +48,8 @@
         repeats: Attempts after the first, by endpoint and by whether the retry budget
             allowed them.
         gaps: Longest pause of each stream, seconds, by route.
+        tunnels: Connections to runners through other relays by side (``asked`` or
+            ``asking``) and outcome.
         store_calls: Calls to the store by step, kind and outcome.
         malformed: Objects of the store that couldn't be used, by kind; each revision of
             an object is counted once.
@@ -59,6 +61,9 @@
         self.refusals = self.make_counter("refusals", "Refusals by kind")
         self.attempts = self.make_counter("attempts", "Attempts at runners")
         self.repeats = self.make_counter("repeats", "Attempts after the first")
+        self.tunnels = self.make_counter(
+            "tunnels", "Connections to runners through other relays"
+        )
         self.store_calls = self.make_counter("store_calls", "Calls to the store")
         self.malformed = self.make_counter(
             "malformed_objects", "Objects of the store that couldn't be used, by kind"
--- a/knapweedrail/relay/models.py
+++ b/knapweedrail/relay/models.py
@@ -295,9 +295,12 @@
         holder: Identifies its present incarnation as a holder of tokens.
         address: ``host:port`` of its server for other relays; empty if it has none.
         data_centre: Data centre of its host.
+        tunnel_address: ``host:port`` where it connects other relays to runners; empty
+            if it doesn't.
     """
 
     host: str
     holder: str
     address: str = ""
     data_centre: str = ""
+    tunnel_address: str = ""
--- a/knapweedrail/relay/options.py
+++ b/knapweedrail/relay/options.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from ..addresses import MAX_PORT
 from ..settings import count, seconds, setting
 from ..shapes import NAME
 
@@ -69,6 +70,14 @@
     metrics_address: str = setting(
         "address", "Where metrics are served; empty: nowhere.", "", address=0
     )
+    tunnel_port_offset: int = count(
+        "ports",
+        "Connections to runners are opened for other relays at the port of "
+        "`peer_address` plus this; 0: nowhere.",
+        0,
+        0,
+        MAX_PORT,
+    )
     store_address: str = setting("address", "The platform's store.", address=1)
     first_start: bool = setting(
         "yes or no",
@@ -107,6 +116,14 @@
     )
     retry_window_seconds: float = seconds("Window over which retries count.", 10.0)
 
+    @property
+    def tunnel_address(self) -> str:
+        """Where connections to runners are opened for other relays; empty: nowhere."""
+        if not self.tunnel_port_offset:
+            return ""
+        host, port = self.peer_address.rsplit(":", 1)
+        return f"{host}:{int(port) + self.tunnel_port_offset}"
+
     @property
     def configuration_watch_seconds(self) -> float:
         """Longest wait of a watch on the configuration, seconds.
--- a/knapweedrail/relay/process.py
+++ b/knapweedrail/relay/process.py
@@ -16,6 +16,7 @@
 from ..servers import HttpServer, ServerLimits
 from .codecs import Codec
 from .connections import ConnectionPool
+from .connectors import TunnellingConnector
 from .evacuations import EvacuationWatcher
 from .gateway import Gateway
 from .grpc_links import GrpcDialer
@@ -35,6 +36,7 @@
 from .sources import FeedTiming
 from .successors import SuccessorDetector
 from .suspects import Suspects
+from .tunnel_server import TunnelServer
 from .update_feed import UpdateFeed
 from .watchers import ConfigurationWatcher, RunnerWatcher
 
@@ -120,13 +122,13 @@
         self._watchers = (configuration, runners)
         if evacuations is not None:
             self._watchers += (evacuations,)
-        self._pool = ConnectionPool()
         self._peers = PeerClient()
         member = Member(
             settings.host,
             name_holder(settings.host, secrets.token_hex(4)),
             settings.peer_address,
             settings.data_centre,
+            settings.tunnel_address,
         )
         self._membership = Membership(store, member, malformed)
         self._holdings = Holdings(
@@ -153,6 +155,24 @@
         )
         self._suspects = Suspects()
         self._overload = OverloadMonitor()
+        rng = random.Random()
+        self._connector = TunnellingConnector(
+            runners.table,
+            self._membership.list_others,
+            lambda: self._overload.may_cause_timeouts(time.monotonic()),
+            rng,
+            metrics,
+        )
+        self._pool = ConnectionPool(self._connector)
+        self._tunnel_server: TunnelServer | None = None
+        if settings.tunnel_address:
+            self._tunnel_server = TunnelServer(
+                settings.tunnel_address,
+                runners.table,
+                self._connector,
+                lambda: self._overload.is_out_of_rotation(time.monotonic()),
+                metrics,
+            )
         self._pending_suspects: list[str] = []
         self._pending_added = Notifier()
         self._pending_limits: dict[str, LimitUpdate] = {}
@@ -173,7 +193,7 @@
                 settings.retry_window_seconds,
             ),
             data_centre=settings.data_centre,
-            rng=random.Random(),
+            rng=rng,
             metrics=metrics,
             suspects=self._suspects,
             send_suspects=self._queue_suspects,
@@ -218,8 +238,10 @@
             self._update_feed,
             self._holdings,
             self._successors,
+            self._connector,
         ):
             await task.start(group)
+        await self._start_tunnel_server(group)
         # Connections that arrive meanwhile wait in the listener's backlog. After an
         # outage of all hosts every caller is among them, and without this wait each
         # would be refused because of a configuration that arrives a moment later.
@@ -232,6 +254,17 @@
         group.start_soon(self._prune)
         group.start_soon(self._send_pending)
 
+    async def _start_tunnel_server(self, group: anyio.abc.TaskGroup) -> None:
+        """Start to open tunnels; this host serves its own callers without them."""
+        if self._tunnel_server is None:
+            return
+        try:
+            await self._tunnel_server.start(group)
+        except OSError as error:
+            address = self._tunnel_server.address
+            log_event(Event.TUNNELS_OFF, address=address, error=repr(error))
+            self._tunnel_server = None
+
     async def close(self, requested_at: float) -> None:
         """Shut down gracefully within the grace period of the settings.
 
@@ -244,6 +277,8 @@
         """
         shutdown = Shutdown(requested_at, self._settings.stop_seconds)
         self._gateway.drain.begin(shutdown)
+        if self._tunnel_server is not None:
+            self._tunnel_server.draining = True
         log_event(
             Event.ROUTER_STOPPING,
             under_way=self._gateway.active_requests,
@@ -254,6 +289,10 @@
         self._gateway.drain.closing_connections = True
         left = shutdown.answers_due_at + FLUSH_SECONDS - time.monotonic()
         await self._caller_server.close(max(FLUSH_SECONDS, left))
+        if self._tunnel_server is not None:
+            await self._tunnel_server.drain(shutdown.answers_due_at)
+            await self._tunnel_server.close()
+        await self._connector.close()
         await self._update_feed.close()
         await self._membership.close()
         await self._holdings.close()
@@ -278,6 +317,7 @@
         add("ages_seconds", "Age of what is known", self._read_ages)
         add("runners", "Runners listed, by endpoint", self._count_runners)
         add("runners_cold", "Runners that may be cold, by endpoint", self._count_cold)
+        add("paths_lost", "Runners without a direct path", self._count_lost_paths)
         add("evacuated", "Evacuated data centres", self._read_evacuated)
         add("tokens_available", "Tokens held and free, by account", self._read_tokens)
         add(
@@ -307,6 +347,9 @@
     def _count_cold(self) -> dict[str, float]:
         return self._runners.table.count_cold(time.monotonic())
 
+    def _count_lost_paths(self) -> dict[str, float]:
+        return {"all": float(self._connector.lost_count)}
+
     def _read_evacuated(self) -> dict[str, float]:
         return dict.fromkeys(self._runners.table.evacuated, 1.0)
 
@@ -336,6 +379,7 @@
             for runner in self._runners.table.prune(now):
                 log_event(Event.RUNNER_UNLISTED, runner=runner.name, forgotten=True)
             await self._pool.prune(now, self._runners.table.list_incarnations())
+            self._connector.prune()
             self._suspects.prune(now)
             if self._metrics.has_many:
                 await self._metrics.prepare_export()
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -453,6 +453,16 @@
             now
         )
 
+    def readmit(self, incarnations: Iterable[RunnerIncarnation], now: float) -> None:
+        """End the ejection of runners that are sound, as another relay reaches them."""
+        for incarnation in incarnations:
+            view = self._views.get(incarnation.name)
+            if view is None or view.incarnation != incarnation:
+                continue
+            view.ejected_until = now
+            view.ejection_seconds = 0.0
+            self._reachability.record_answer(view.runner.data_centre, now)
+
     def record_timeout(self, view: RunnerView, now: float) -> bool:
         """Record that a request to a runner timed out without any response.
 
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -15,6 +15,7 @@
 from ..outcomes import Unavailable, Unknown
 from ..platform.requests import PlatformCodec
 from ..relay.connections import ConnectionPool
+from ..relay.connectors import TunnellingConnector
 from ..relay.gateway import Gateway
 from ..relay.holdings import Holdings
 from ..relay.members import Membership
@@ -46,6 +47,7 @@
 )
 from ..relay.successors import SuccessorDetector
 from ..relay.suspects import Suspects
+from ..relay.tunnel_server import TunnelServer
 from ..relay.watchers import ConfigurationWatcher
 
 KEY = "key-of-farm"
@@ -282,6 +284,7 @@
     pool: ConnectionPool
     configuration: ConfigurationWatcher
     successors: SuccessorDetector
+    tunnels: TunnelServer
 
     async def call(
         self,
@@ -350,6 +353,7 @@
     store: MemoryStore | None = None,
     host: str = "host",
     others: Iterable[str] = (),
+    registers: bool = False,
 ) -> AsyncIterator[MemoryRelay]:
     """Run a relay with scripted runners.
 
@@ -358,6 +362,7 @@
         store: Store to use instead of a new one.
         host: Name of its host.
         others: Names of the other hosts in its membership.
+        registers: Whether it registers in the store and lists the other relays there.
     """
     store = store or MemoryStore()
     table = RunnerTable(grace_seconds=1.9)
@@ -372,7 +377,12 @@
     membership._senders.set_names(others)
     table.find_standing = membership.find_standing
     holdings = Holdings(store, PeerClient(), membership, lambda: configuration)
-    pool = ConnectionPool()
+    metrics, overload = RelayMetrics(), OverloadMonitor()
+    connector = TunnellingConnector(
+        table, membership.list_others, lambda: False, random.Random(1), metrics
+    )
+    tunnels = TunnelServer("127.0.0.1:0", table, connector, lambda: False, metrics)
+    pool = ConnectionPool(connector)
     codec = PlatformCodec()
     successors = SuccessorDetector(pool, codec, table, lambda: configuration)
     services = Services(
@@ -382,10 +392,10 @@
         retry_budget=RetryBudget(1.0, 100.0, 10.0),
         data_centre="dc",
         rng=random.Random(1),
-        metrics=RelayMetrics(),
+        metrics=metrics,
         suspects=Suspects(),
         send_suspects=lambda lines: None,
-        overload=OverloadMonitor(),
+        overload=overload,
         count_relays=lambda: 1,
         report_mismatch=successors.report_mismatch,
     )
@@ -396,9 +406,21 @@
             table.set_runner(make_runner(f"i-{number}", runner.address))
         await holdings.start(group)
         await successors.start(group)
-        yield MemoryRelay(store, gateway, holdings, table, pool, watcher, successors)
+        await connector.start(group)
+        await tunnels.start(group)
+        if registers:
+            membership.member = attrs.evolve(
+                membership.member, tunnel_address=tunnels.address
+            )
+            await membership._register()
+            await membership._refresh(stale=False)
+        yield MemoryRelay(
+            store, gateway, holdings, table, pool, watcher, successors, tunnels
+        )
         await holdings.close()
         await successors.close()
+        await connector.close()
+        await tunnels.close()
         await pool.close()
         group.cancel_scope.cancel()
 
--- a/knapweedrail/tests/test_relay_overload.py
+++ b/knapweedrail/tests/test_relay_overload.py
@@ -7,7 +7,7 @@
 import pytest
 
 from ..events import Event
-from ..relay import connections, gateway, metrics, overload
+from ..relay import connectors, gateway, metrics, overload
 from ..relay.models import RetryPolicy
 from ..relay.overload import (
     MIN_OUT_OF_ROTATION_SECONDS,
@@ -130,7 +130,7 @@
     ) as relay:
         view = relay.table.list_views("e", 0.0)[0]
         relay.gateway._services.overload._fast_delay = 0.1
-        monkeypatch.setattr(connections, "CONNECT_SECONDS", 0.0)
+        monkeypatch.setattr(connectors, "CONNECT_SECONDS", 0.0)
         answer = await relay.call()
         assert answer.status == 503
         assert view.is_available(float("inf")) or view.ejected_until < 0
@@ -182,7 +182,7 @@
     """Another data centre is partitioned off and connections to its runners time out,
     while pooled connections to local runners give no samples. Callers must still be
     served here."""
-    monkeypatch.setattr(connections, "CONNECT_SECONDS", 0.0)
+    monkeypatch.setattr(connectors, "CONNECT_SECONDS", 0.0)
     route = make_route(RetryPolicy.SAFE)
     async with run_relay(
         make_configuration(route), ScriptedRunner(answer_normally)
