Let runners be silent for more than a second before connections end

Cause: sent data that stays unacknowledged for 1.2 s ended a connection to a runner. A sound runner may fall silent for a second or so, and requests sent into the silence were lost; of those that may not be repeated the outcome was unknown.

Change: 1.9 s for runners and tunnels. Keep-alive probes end by the same time, so a dead peer is still noticed after two seconds of silence. The store keeps 1.2 s.

test_connection_survives_more_than_a_second_of_silence failed with 1.2 s.

--- a/knapweedrail/platform/clients.py
+++ b/knapweedrail/platform/clients.py
@@ -8,7 +8,7 @@
 import anyio
 import httpx
 
-from ..relay.keepalive import SOCKET_OPTIONS
+from ..relay.keepalive import STORE_TIMEOUT_MILLISECONDS, make_socket_options
 
 ANSWER_SECONDS = 1.0
 """Timeout of a call that is answered immediately. The store usually answers within
@@ -46,7 +46,7 @@
                 limits=httpx.Limits(
                     max_connections=MAX_CONNECTIONS, keepalive_expiry=IDLE_SECONDS
                 ),
-                socket_options=SOCKET_OPTIONS,
+                socket_options=make_socket_options(STORE_TIMEOUT_MILLISECONDS),
                 # The store uses plain HTTP, and loading the public CA certificates
                 # would make each start slower.
                 verify=False,
--- a/knapweedrail/relay/keepalive.py
+++ b/knapweedrail/relay/keepalive.py
@@ -4,26 +4,35 @@
 
 import socket
 
-UNACKNOWLEDGED_MILLISECONDS = 1200
-"""How long sent data may stay unacknowledged before the kernel closes the connection:
-enough for two retransmissions of a lost packet."""
+STORE_TIMEOUT_MILLISECONDS = 1200
+"""How long data sent to the store may stay unacknowledged before the kernel closes the
+connection: enough for two retransmissions of a lost packet."""
+
+RUNNER_TIMEOUT_MILLISECONDS = 1900
+"""The same for runners and other relays. A sound runner may fall silent for somewhat
+more than a second, and its streams go on afterwards. The kernel counts unanswered
+keep-alive probes by this time too, so it has to end before the third one is due."""
 
 KEEPALIVE_SECONDS = 1
 """Idle time before the first keep-alive probe, and interval between probes."""
 
 KEEPALIVE_PROBES = 2
-"""Unanswered probes after which the kernel closes the connection. A peer that lost
-power, or a path that no longer tracks the connection, is detected within three
-seconds."""
+"""Unanswered probes after which the kernel closes the connection."""
+
 
-SOCKET_OPTIONS = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS),
-)
-"""Level, name and value of each socket option."""
+def make_socket_options(timeout_milliseconds: int) -> list[tuple[int, int, int]]:
+    """Return the level, name and value of each socket option.
+
+    Args:
+        timeout_milliseconds: How long sent data or a probe may stay unacknowledged.
+    """
+    return [
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_milliseconds),
+    ]
 
 
 def set_timeouts(raw: socket.socket) -> None:
@@ -33,5 +42,5 @@
     connection whose state a device on the path has lost looks idle. Without these
     options, reads would block forever.
     """
-    for level, option, value in SOCKET_OPTIONS:
+    for level, option, value in make_socket_options(RUNNER_TIMEOUT_MILLISECONDS):
         raw.setsockopt(level, option, value)
--- a/knapweedrail/tests/test_relay_streams.py
+++ b/knapweedrail/tests/test_relay_streams.py
@@ -1,14 +1,18 @@
 """Tests of event parsing, stream progress and stalled streams."""
 
+import socket
+
 import anyio
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ..relay.connections import open_stream
 from ..relay.models import RetryPolicy
 from ..relay.streams import EventSplitter, StreamProgress
 from .relays_in_memory import (
     ScriptedRunner,
+    answer_normally,
     find_header,
     make_answer,
     make_chunk,
@@ -143,3 +147,19 @@
         answer = await relay.call(knapweedrail_deadline_ms="6000")
     assert answer.body == make_event(1) + make_event(2) + make_event(3)
     assert answer.complete
+
+
+@pytest.mark.anyio
+async def test_connection_survives_more_than_a_second_of_silence():
+    """A sound runner falls silent for a second or so, and all its streams break."""
+    runner = ScriptedRunner(answer_normally)
+    async with anyio.create_task_group() as group:
+        await runner.serve(group)
+        stream = await open_stream(runner.address)
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        timeout = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        idle = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
+        interval = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL)
+        await stream.aclose()
+        group.cancel_scope.cancel()
+    assert 1500 < timeout < 1000 * (idle + interval)
