Keep brittle runners from falling over by rejections

Cause: the runners of an endpoint may state that each falls over above a number of rejections a second, and nothing in the product knew the header. Each host sent another request 0.15 s after a rejection.

Change: after a rejection by such a runner, a relay keeps to its part of the slots of the endpoint's runners for some seconds. All relays divide them alike.

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -173,6 +173,10 @@
     )
     TUNNEL_DECLINED = (718, "this relay didn't connect another relay to a runner")
     TUNNEL_BROKEN = (719, "another relay went away while it asked for a connection")
+    RUNNERS_BRITTLE = (
+        721,
+        "an endpoint's runners fall over above `rejections` a second; null: no more",
+    )
     TUNNELS_OFF = (720, "the address for tunnels can't be bound; none are opened")
     RUNNER_LIMITED = (712, "a runner limits its request rate; 0 if the limit has ended")
     HEADER_UNREAD = (711, "runners answer with a header that the relay does not know")
--- a/knapweedrail/platform/names.py
+++ b/knapweedrail/platform/names.py
@@ -12,7 +12,9 @@
 LOAD = b"knapweedrail-server-load"
 LIMIT = b"knapweedrail-server-limit"
 UNPREFIXED_LIMIT = b"server-limit"
-"""Name of the limit header without the prefix of most platform headers."""
+BRITTLE = b"knapweedrail-server-brittle"
+UNPREFIXED_BRITTLE = b"server-brittle"
+"""Names of these headers without the prefix of most platform headers."""
 
 COLD = b"knapweedrail-cold-ms"
 NOT_RUN = b"knapweedrail-not-executed"
@@ -31,6 +33,8 @@
         LOAD,
         LIMIT,
         UNPREFIXED_LIMIT,
+        BRITTLE,
+        UNPREFIXED_BRITTLE,
         COLD,
         NOT_RUN,
         RUNNER_ID,
@@ -73,6 +77,8 @@
         LOAD,
         LIMIT,
         UNPREFIXED_LIMIT,
+        BRITTLE,
+        UNPREFIXED_BRITTLE,
         COLD,
         NOT_RUN,
         RUNNER_ID,
--- a/knapweedrail/platform/requests.py
+++ b/knapweedrail/platform/requests.py
@@ -138,6 +138,9 @@
                 found.get(names.LIMIT, found.get(names.UNPREFIXED_LIMIT))
             ),
             cold_left=_parse_cold_left(found.get(names.COLD)),
+            brittle=_parse_limit(
+                found.get(names.BRITTLE, found.get(names.UNPREFIXED_BRITTLE))
+            ),
             unknown_headers=tuple(sorted(name.decode("latin-1") for name in unknown)),
         )
 
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -205,6 +205,7 @@
                 answer = await self._receive_answer(connection)
                 self._record_load(answer)
                 self._record_limit(answer, began_at)
+                self._record_brittleness(answer, began_at)
                 self._record_cold_left(answer)
                 if answer.identity == request.identity and _is_event_stream(answer):
                     chunks = connection.receive_body()
@@ -475,6 +476,23 @@
             )
             context.services.send_limit(update)
 
+    def _record_brittleness(self, answer: RunnerAnswer, sent_at: float) -> None:
+        """Record how many rejections the runner tolerates, or that it isn't brittle."""
+        context = self._context
+        if answer.status == MISDIRECTED or answer.identity != context.request.identity:
+            return
+        if answer.brittle is None and answer.status not in SUCCESS_STATUSES:
+            return
+        if context.services.runners.record_brittleness(
+            self._view, answer.brittle, time.monotonic(), sent_at
+        ):
+            log_event(
+                Event.RUNNERS_BRITTLE,
+                endpoint=self._view.runner.endpoint,
+                rejections=answer.brittle,
+                request=context.request.identity,
+            )
+
     def _record_rejection(self, answer: RunnerAnswer) -> None:
         if answer.status == MISDIRECTED:
             self._record_failure(certain=True)
--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -307,7 +307,7 @@
         )
         evacuated = context.services.runners.list_evacuated(context.endpoint.name)
         if last_failure is None and limit_wait is not None:
-            detail = "every runner has limited its requests or is cold"
+            detail = "every runner limits its requests, is cold, or is full and brittle"
             retry_after += min(limit_wait, context.route.timeout)
         elif last_failure is None and evacuated:
             detail = f"no runner outside of evacuated data centres: {evacuated}"
--- a/knapweedrail/relay/models.py
+++ b/knapweedrail/relay/models.py
@@ -254,6 +254,8 @@
         limit: Requests per second that the runner accepts from all relays together;
             ``None`` if it gives no limit.
         cold_left: How long the runner stays cold, seconds; ``None`` if not given.
+        brittle: Rejections in one second after which the runner falls over; ``None`` if
+            it states none.
         unknown_headers: Names of headers whose meaning isn't known.
     """
 
@@ -270,6 +272,7 @@
     runner: str | None = None
     limit: float | None = None
     cold_left: float | None = None
+    brittle: float | None = None
     unknown_headers: tuple[str, ...] = ()
 
 
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -11,6 +11,7 @@
 import attrs
 
 from ..limits import FindStanding, LimitUpdate, measure_next_turn, stand_alone
+from .brittleness import Brittleness, compute_part, compute_sender_rate
 from .cold_starts import BurstAllowance, make_limit
 from .incarnations import EntryResult, IncarnationTracker
 from .models import (
@@ -56,6 +57,16 @@
 show whether it has recovered."""
 
 
+CURRENT_REPORT_SECONDS = 0.3
+"""Age up to which a load report is used while slots are divided among relays."""
+
+LOW_LOAD_SHARE = 0.5
+"""Part of its slots up to which a runner that reported so has room for any relay."""
+
+MIN_ANSWER_SECONDS = 0.02
+"""Shortest time that an answer is assumed to take where none is known."""
+
+
 class RunnerTable:
     """All known runners by name, with their load and health.
 
@@ -88,6 +99,7 @@
         self.prefixes = PrefixMemory()
         self._reachability = Reachability()
         self._unlisted_successors: set[str] = set()
+        self._brittleness: dict[str, Brittleness] = {}
         self._rng = random.Random()
         self.find_standing: FindStanding = stand_alone
 
@@ -377,6 +389,51 @@
             return False
         return view.limit_record.merge(update, now, self._rng)
 
+    def record_brittleness(
+        self, view: RunnerView, rejections: float | None, now: float, sent_at: float
+    ) -> bool:
+        """Record what an answer states about the rejections that its runner tolerates.
+
+        All runners of an endpoint are brittle at the same time.
+
+        Args:
+            rejections: Rejections in one second; ``None`` if the runner isn't brittle.
+            now: Monotonic time, seconds.
+            sent_at: When the answered request was sent; answers overtake each other.
+
+        Returns:
+            Whether that is new.
+        """
+        endpoint = view.runner.endpoint
+        known = self._brittleness.get(endpoint)
+        if rejections is not None:
+            until = known.divided_until if known else float("-inf")
+            self._brittleness[endpoint] = Brittleness(rejections, now, until)
+            return known is None or known.rejections != rejections
+        if known is None or sent_at < known.stated_at:
+            return False
+        del self._brittleness[endpoint]
+        return True
+
+    def has_slot_for(self, view: RunnerView, now: float) -> bool:
+        """Return whether this relay may send one more request to a runner, if those of
+        its endpoint are brittle and their slots are divided among the relays."""
+        brittleness = self._brittleness.get(view.runner.endpoint)
+        if brittleness is None or not brittleness.is_divided(now):
+            return True
+        slots = view.runner.slots
+        is_current = now - view.reported_at < CURRENT_REPORT_SECONDS
+        if is_current and view.estimate_load(now) + 1 <= LOW_LOAD_SHARE * slots:
+            return True
+        standing = self.find_standing(view.runner.name, compute_sender_rate(slots))
+        return view.running < compute_part(slots, standing)
+
+    def record_refusal(self, endpoint: str, now: float) -> None:
+        """Record that no runner of an endpoint could get a request."""
+        brittleness = self._brittleness.get(endpoint)
+        if brittleness is not None:
+            brittleness.record_refusal(now)
+
     def record_cold_left(self, view: RunnerView, seconds: float, now: float) -> None:
         """Record for how long an answer says that its runner stays cold, seconds."""
         if not view.superseded and seconds > 0:
@@ -423,10 +480,14 @@
         return limit.measure_pause(standing, priority or 0, now)
 
     def may_send(self, view: RunnerView, priority: int | None, now: float) -> bool:
-        """Return whether a runner's limit and its coldness let this relay send now."""
+        """Return whether a runner's own bounds let this relay send to it now.
+
+        These are its limit, its coldness, and the rejections that it tolerates.
+        """
         return (
             self.compute_limit_delay(view, priority, now) <= 0
             and self.compute_cold_delay(view, now) <= 0
+            and self.has_slot_for(view, now)
         )
 
     def compute_limit_wait(
@@ -444,6 +505,11 @@
         rates = [limit.rate for limit in limits if limit is not None]
         cold = make_limit(self.endpoints.get(endpoint), self._burst_allowance)
         rates.extend(cold.used_rate for view in views if self.is_cold(view, now))
+        brittleness = self._brittleness.get(endpoint)
+        if brittleness is not None and brittleness.is_divided(now):
+            rates.extend(
+                v.runner.slots / max(MIN_ANSWER_SECONDS, v.latency) for v in views
+            )
         return measure_next_turn(rates)
 
     def is_available(self, view: RunnerView, now: float) -> bool:
@@ -499,6 +565,9 @@
     def record_rejection(self, view: RunnerView, now: float) -> None:
         """Record that a runner rejected a request for lack of capacity."""
         view.backoff_until = now + REJECTION_BACKOFF_SECONDS
+        brittleness = self._brittleness.get(view.runner.endpoint)
+        if brittleness is not None:
+            brittleness.record_rejection(now)
 
     def record_failure(self, view: RunnerView, now: float, certain: bool) -> bool:
         """Record a failed answer; return whether the runner is ejected for it.
