Send the requests of the evacuation test at once

The test failed in 2 of 20 runs beside eight busy processes: its requests came one after the other, so all of them went to the runner that happened to answer a little faster, and the data centre taken back got none.

--- a/knapweedrail/tests/test_relay_evacuations.py
+++ b/knapweedrail/tests/test_relay_evacuations.py
@@ -224,6 +224,19 @@
 SAFE = make_route(RetryPolicy.SAFE)
 
 
+async def call_at_once(relay, count):
+    """Return the answers to requests that are all sent before the first is answered."""
+    answers = []
+
+    async def call(number):
+        answers.append(await relay.call(knapweedrail_request_id=f"id-{number}"))
+
+    async with anyio.create_task_group() as group:
+        for number in range(count):
+            group.start_soon(call, number)
+    return answers
+
+
 async def test_requests_leave_an_evacuated_data_centre_and_come_back():
     """Guards against requests that still go to an evacuated data centre, and against a
     data centre that stays empty afterwards."""
@@ -234,9 +247,8 @@
             east.heads.clear()
             west.heads.clear()
             relay.table.set_evacuated(frozenset(data_centres), 0.0)
-            for number in range(20):
-                answer = await relay.call(knapweedrail_request_id=f"id-{number}")
-                assert answer.status == 200
+            answers = await call_at_once(relay, 20)
+            assert {answer.status for answer in answers} == {200}
             assert used.heads
             assert "dc" not in data_centres or not east.heads
             assert "west" not in data_centres or not west.heads
