Keep an error of one tunnel from ending the process

Cause: an unexpected error while a tunnel is opened or passes bytes would have ended the server's task group, and with it the relay. Found by reading.

Change: such an error is logged (719) and ends its tunnel alone. test_error_of_one_tunnel_ends_no_other guards against it.

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -172,7 +172,7 @@
         "no other relay connected to a runner that this host can't reach",
     )
     TUNNEL_DECLINED = (718, "this relay didn't connect another relay to a runner")
-    TUNNEL_BROKEN = (719, "another relay went away while it asked for a connection")
+    TUNNEL_BROKEN = (719, "a tunnel for another relay ended with an error")
     RUNNERS_BRITTLE = (
         721,
         "an endpoint's runners fall over above `rejections` a second; null: no more",
--- a/knapweedrail/relay/tunnel_server.py
+++ b/knapweedrail/relay/tunnel_server.py
@@ -119,7 +119,8 @@
         self._open_count += 1
         try:
             await self._serve(stream)
-        except STREAM_ERRORS as error:
+        except Exception as error:
+            # An error of one tunnel must not end the others, nor the process.
             log_event(Event.TUNNEL_BROKEN, error=repr(error))
         finally:
             self._open_count -= 1
--- a/knapweedrail/tests/test_relay_tunnels.py
+++ b/knapweedrail/tests/test_relay_tunnels.py
@@ -229,3 +229,19 @@
             async with await anyio.connect_tcp(host, int(port)) as stream:
                 await stream.send(request)
                 assert (await stream.receive()).startswith(b"HTTP/1.1 400")
+
+
+async def test_error_of_one_tunnel_ends_no_other(monkeypatch):
+    """A tunnel that ends with an error would end the server and its process."""
+    async with run_two_relays(monkeypatch, SAFE) as world:
+        connect = world.near.tunnels._connector.connect_for_other
+        failures = iter([RuntimeError("broken")])
+
+        async def connect_or_fail(request):
+            for error in failures:
+                raise error
+            return await connect(request)
+
+        world.near.tunnels._connector.connect_for_other = connect_or_fail
+        answers = [await world.far.call() for _ in range(3)]
+    assert [answer.status for answer in answers][1:] == [200, 200]
