--- a/knapweedrail/relay/brittleness.py
+++ b/knapweedrail/relay/brittleness.py
@@ -19,6 +19,13 @@
 """How long after a rejection a relay keeps to its part of the slots. When it ends, each
 relay may cause another rejection, so hundreds of relays must not do so too often."""
 
+CURRENT_REPORT_SECONDS = 0.3
+"""Age up to which a load report is used while slots are divided."""
+
+LIGHT_LOAD_SHARE = 0.5
+"""Part of its slots up to which a runner has room for requests of any relay. The rest
+is for those that other relays send at the same time."""
+
 
 @attrs.define
 class Brittleness:
@@ -57,3 +64,16 @@
 def compute_part(slots: int, standing: Standing) -> int:
     """Return the number of requests that this relay may have at a runner at once."""
     return slots // standing.senders if standing.sends else 0
+
+
+def is_lightly_loaded(load: float, slots: int, report_age: float) -> bool:
+    """Return whether a runner has room for one more request of any relay.
+
+    Args:
+        load: Number of its requests, as estimated from its load report.
+        slots: Number of requests that it runs at once.
+        report_age: Age of the report, seconds.
+    """
+    if report_age >= CURRENT_REPORT_SECONDS:
+        return False
+    return load + 1 <= LIGHT_LOAD_SHARE * slots
--- a/knapweedrail/relay/connectors.py
+++ b/knapweedrail/relay/connectors.py
@@ -89,12 +89,7 @@
     ) -> RunnerConnection:
         request = ConnectRequest(runner, address)
         if self._paths.is_lost(runner):
-            self._probe_if_due(request)
-            connection = await self._open_tunnel(request)
-            if connection is None:
-                detail = "no path from this host, nor through another one"
-                raise ConnectionFailed(address, "connect", detail, False)
-            return connection
+            return await self._connect_by_tunnel(request)
         began_at = time.monotonic()
         try:
             stream = await self._connect_directly(request, CONNECT_SECONDS)
@@ -157,6 +152,19 @@
             )
         return stream
 
+    async def _connect_by_tunnel(self, request: ConnectRequest) -> RunnerConnection:
+        """Connect to a runner whose path is lost.
+
+        Raises:
+            ConnectionFailed: If no other relay reaches it.
+        """
+        self._probe_if_due(request)
+        connection = await self._open_tunnel(request)
+        if connection is None:
+            detail = "no path from this host, nor through another one"
+            raise ConnectionFailed(request.address, "connect", detail, False)
+        return connection
+
     async def _open_tunnel(self, request: ConnectRequest) -> RunnerConnection | None:
         """Connect to a runner through one of the other relays, if one has a path."""
         failures: list[TunnelFailed] = []
--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -307,6 +307,9 @@
         )
         evacuated = context.services.runners.list_evacuated(context.endpoint.name)
         if last_failure is None and limit_wait is not None:
+            context.services.runners.record_refusal(
+                context.endpoint.name, time.monotonic()
+            )
             detail = "every runner limits its requests, is cold, or is full and brittle"
             retry_after += min(limit_wait, context.route.timeout)
         elif last_failure is None and evacuated:
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -11,7 +11,12 @@
 import attrs
 
 from ..limits import FindStanding, LimitUpdate, measure_next_turn, stand_alone
-from .brittleness import Brittleness, compute_part, compute_sender_rate
+from .brittleness import (
+    Brittleness,
+    compute_part,
+    compute_sender_rate,
+    is_lightly_loaded,
+)
 from .cold_starts import BurstAllowance, make_limit
 from .incarnations import EntryResult, IncarnationTracker
 from .models import (
@@ -57,12 +62,6 @@
 show whether it has recovered."""
 
 
-CURRENT_REPORT_SECONDS = 0.3
-"""Age up to which a load report is used while slots are divided among relays."""
-
-LOW_LOAD_SHARE = 0.5
-"""Part of its slots up to which a runner that reported so has room for any relay."""
-
 MIN_ANSWER_SECONDS = 0.02
 """Shortest time that an answer is assumed to take where none is known."""
 
@@ -421,9 +420,8 @@
         brittleness = self._brittleness.get(view.runner.endpoint)
         if brittleness is None or not brittleness.is_divided(now):
             return True
-        slots = view.runner.slots
-        is_current = now - view.reported_at < CURRENT_REPORT_SECONDS
-        if is_current and view.estimate_load(now) + 1 <= LOW_LOAD_SHARE * slots:
+        slots, report_age = view.runner.slots, now - view.reported_at
+        if is_lightly_loaded(view.estimate_load(now), slots, report_age):
             return True
         standing = self.find_standing(view.runner.name, compute_sender_rate(slots))
         return view.running < compute_part(slots, standing)
--- a/knapweedrail/tests/test_relay_brittleness.py
+++ b/knapweedrail/tests/test_relay_brittleness.py
@@ -1,5 +1,6 @@
 """Tests of runners that fall over if they have to reject many requests."""
 
+import anyio
 import pytest
 
 from ..limits import Standing
@@ -95,6 +96,11 @@
     async with run_relay(make_configuration(SAFE), runner, host="a") as relay:
         relay.table.find_standing = lambda *_: STANDS_ASIDE
         answers = [await relay.call() for _ in range(20)]
+        until = relay.table._brittleness["e"].divided_until
+        await anyio.sleep(0.05)
+        await relay.call()
+        # A refusal for want of a slot prolongs the restraint.
+        assert relay.table._brittleness["e"].divided_until > until
     assert {answer.status for answer in answers} == {503}
     assert len(runner.heads) == 1
     assert all(float(answer.headers["retry-after"]) > 0 for answer in answers)
