Leave out a connector that nothing uses

The pool's connector is always given, so the direct one beside it was a second copy of the same connection.

--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -13,7 +13,6 @@
 import select
 import socket
 import struct
-import time
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Callable
 
@@ -239,16 +238,6 @@
     return stream
 
 
-async def open_connection(address: str) -> RunnerConnection:
-    """Connect to a runner.
-
-    Raises:
-        ConnectionFailed: If there is no connection within `CONNECT_SECONDS`; nothing
-            was sent.
-    """
-    return RunnerConnection(await open_stream(address), address)
-
-
 RecordConnectTime = Callable[[float, float], None]
 """Callback for the duration of a connection attempt, seconds, and the monotonic time at
 its end."""
@@ -275,30 +264,6 @@
         """
 
 
-class DirectConnector(Connector):
-    """Connects to runners directly, whatever other relays reach."""
-
-    def may_reuse(self, runner: RunnerIncarnation) -> bool:
-        return True
-
-    async def connect(
-        self,
-        runner: RunnerIncarnation,
-        address: str,
-        record_connect_time: RecordConnectTime,
-    ) -> RunnerConnection:
-        began_at = time.monotonic()
-        try:
-            connection = await open_connection(address)
-        except ConnectionFailed as error:
-            if error.timed_out:
-                record_connect_time(CONNECT_SECONDS, time.monotonic())
-            raise
-        now = time.monotonic()
-        record_connect_time(now - began_at, now)
-        return connection
-
-
 class ConnectionPool:
     """Idle connections to runners, by incarnation.
 
@@ -307,14 +272,14 @@
     reach their idle timeout.
 
     Args:
-        connector: Opens new connections; by default directly.
+        connector: Opens new connections.
 
     Attributes:
         open_counts: Number of open connections, idle or in use, by incarnation.
     """
 
-    def __init__(self, connector: Connector | None = None) -> None:
-        self._connector = connector or DirectConnector()
+    def __init__(self, connector: Connector) -> None:
+        self._connector = connector
         self._idle: dict[RunnerIncarnation, list[RunnerConnection]] = {}
         self.open_counts: dict[RunnerIncarnation, int] = {}
 
