Draw the soak's ports apart from the seeded random numbers

Cause: test_relay_power_loss seeds Python's shared generator, so each run of the tests drew the same ports after it. Two runs of that file, three others and a probe printed the same three ports.

Change: ports come from the system's generator.

--- a/knapweedrail/soak/worlds.py
+++ b/knapweedrail/soak/worlds.py
@@ -334,7 +334,8 @@
     would find it taken by whatever connected meanwhile, and end.
     """
     ports: list[int] = []
-    for port in random.sample(PORTS, len(PORTS)):
+    # Runs at the same time must not draw the same ports, whoever seeds `random`.
+    for port in random.SystemRandom().sample(PORTS, len(PORTS)):
         if len(ports) == count:
             break
         with contextlib.suppress(OSError):
--- a/knapweedrail/tests/test_soak.py
+++ b/knapweedrail/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import random
 import signal
 import subprocess
 import sys
@@ -16,6 +17,7 @@
 from ..soak.plots import classify, draw_run
 from ..soak.records import Disturbance, History, Kind, Ran, Sent, make_answer
 from ..soak.schedules import Step, draw_schedule
+from ..soak.worlds import find_ports
 from ..tools import soak as soak_tool
 from ..tools.soak import Plan, main, play, run_seed
 
@@ -425,3 +427,12 @@
     assert soak.wait(30) == 3
     assert len(children) == 3
     assert not [child for child in children if is_running(child)]
+
+
+def test_runs_at_the_same_time_draw_different_ports():
+    """Two runs whose random numbers have the same seed take each other's ports."""
+    drawn = []
+    for _ in range(2):
+        random.seed(1)
+        drawn.append(find_ports(3))
+    assert drawn[0] != drawn[1]
