Split what an attempt records from how it is sent

AttemptRecorder holds what the state shared by all requests learns of an attempt; Attempt sends, waits and passes on. No logic changes; the tests of forwarding, streams, tunnels, limits, brittleness and cold starts pass as before.

--- /dev/null
+++ b/knapweedrail/relay/attempt_records.py
@@ -0,0 +1,217 @@
+"""What a relay learns from its attempts: about runners, paths and crashing requests."""
+
+from __future__ import annotations
+
+import time
+
+from ..events import Event, log_event
+from .connections import ConnectionFailed
+from .models import RunnerAnswer
+from .request_context import RequestContext
+from .runner_views import RunnerView
+from .selection import find_shared_part
+
+UNRESPONSIVE_SECONDS = 0.5
+"""Shortest wait for the first byte that counts as a failure of the runner. A route's
+timeout may be shorter than its work takes, which is no evidence against the runner."""
+
+MISDIRECTED = 421
+"""Status with which a runner rejects a request addressed to another runner."""
+
+SUCCESS_STATUSES = range(200, 300)
+
+
+class AttemptRecorder:
+    """Records the course of one attempt in the state that all requests share.
+
+    Args:
+        context: The request and its state.
+        view: The runner.
+    """
+
+    def __init__(self, context: RequestContext, view: RunnerView) -> None:
+        self._context = context
+        self._view = view
+        self._prefill_pending = False
+
+    def record_sent(self) -> None:
+        """Record that the request is about to be sent to the runner."""
+        self._context.services.runners.record_sent(
+            self._view,
+            self._context.request.prompt_tokens,
+            self,
+            self._context.priorities.by_account_and_route,
+            time.monotonic(),
+        )
+        self._prefill_pending = True
+
+    def record_finished(self) -> None:
+        """Record that the runner no longer works on the request."""
+        self._context.services.runners.record_finished(self._view)
+
+    def record_answer(self, answer: RunnerAnswer, sent_at: float) -> None:
+        """Record what the head of an answer says about the runner.
+
+        Args:
+            sent_at: When the request was sent, monotonic seconds.
+        """
+        self._record_load(answer)
+        self._record_limit(answer, sent_at)
+        self._record_brittleness(answer, sent_at)
+        self._record_cold_left(answer)
+
+    def record_timeout(self, began_at: float) -> None:
+        """Record that the first byte of an answer didn't arrive in time."""
+        if self._context.services.overload.may_cause_timeouts(time.monotonic()):
+            # This host's event loop or link is slow, so the runner may have answered in
+            # time.
+            return
+        self._record_prompt_wait(began_at, abandoned=True)
+        if time.monotonic() - began_at >= UNRESPONSIVE_SECONDS:
+            self._record_unresponsive()
+            self.record_failure(certain=False)
+
+    def record_connection_time(self, seconds: float, now: float) -> None:
+        """Record how long it took to connect, as a sample of this host's link.
+
+        Only connections to runners in the same data centre count, as their distance is
+        constant. Others also time out during a network partition between data centres,
+        and reused connections give no sample.
+
+        Args:
+            seconds: Time to connect, seconds.
+            now: Monotonic time, seconds.
+        """
+        services = self._context.services
+        if self._view.runner.data_centre == services.data_centre:
+            services.overload.record_connect_time(
+                str(self._view.incarnation), seconds, now
+            )
+
+    def record_success(self, began_at: float) -> None:
+        """Record that the runner has begun a valid answer."""
+        context, now = self._context, time.monotonic()
+        context.services.runners.record_success(self._view, now - began_at, now)
+        context.services.suspects.record_success(context.fingerprint, now)
+        self.record_prefill_end()
+        self._record_prompt_wait(began_at, abandoned=False)
+        if context.request.parts:
+            shared = find_shared_part(context.request.parts)
+            context.services.runners.record_prefix(shared.name, self._view, now)
+
+    def _record_prompt_wait(self, began_at: float, abandoned: bool) -> None:
+        """Record how long the prompt waited at the runner.
+
+        Args:
+            began_at: When the request was sent, monotonic seconds.
+            abandoned: Whether the wait ended without an answer.
+        """
+        if self._context.request.parts:
+            now = time.monotonic()
+            runners = self._context.services.runners
+            runners.record_prefill_wait(self._view, now - began_at, abandoned, now)
+
+    def record_prefill_end(self) -> None:
+        """Record that the runner has read the prompt, or never will."""
+        if self._prefill_pending:
+            tokens = self._context.request.prompt_tokens
+            self._context.services.runners.record_prefill_end(self._view, tokens, self)
+            self._prefill_pending = False
+
+    def _record_load(self, answer: RunnerAnswer) -> None:
+        if answer.running is not None and answer.waiting is not None:
+            self._context.services.runners.record_load_report(
+                self._view, answer.running, answer.waiting, time.monotonic()
+            )
+
+    def _record_cold_left(self, answer: RunnerAnswer) -> None:
+        if answer.cold_left is not None and answer.status != MISDIRECTED:
+            self._context.services.runners.record_cold_left(
+                self._view, answer.cold_left, time.monotonic()
+            )
+
+    def _record_limit(self, answer: RunnerAnswer, sent_at: float) -> None:
+        """Record the rate limit in an answer, or that the runner no longer has one."""
+        context = self._context
+        if answer.status == MISDIRECTED or answer.identity != context.request.identity:
+            return
+        if answer.limit is None and answer.status not in SUCCESS_STATUSES:
+            # Rejections and errors may lack the limit, as a runner may send them before
+            # it has evaluated the rest of the request.
+            return
+        update = context.services.runners.record_limit(
+            self._view, answer.limit, time.monotonic(), sent_at
+        )
+        if update is not None:
+            log_event(
+                Event.RUNNER_LIMITED,
+                runner=update.runner,
+                limit=update.rate,
+                request=context.request.identity,
+            )
+            context.services.send_limit(update)
+
+    def _record_brittleness(self, answer: RunnerAnswer, sent_at: float) -> None:
+        """Record how many rejections the runner tolerates, or that it isn't brittle."""
+        context = self._context
+        if answer.status == MISDIRECTED or answer.identity != context.request.identity:
+            return
+        if answer.brittle is None and answer.status not in SUCCESS_STATUSES:
+            return
+        if context.services.runners.record_brittleness(
+            self._view, answer.brittle, time.monotonic(), sent_at
+        ):
+            log_event(
+                Event.RUNNERS_BRITTLE,
+                endpoint=self._view.runner.endpoint,
+                rejections=answer.brittle,
+                request=context.request.identity,
+            )
+
+    def record_rejection(self, answer: RunnerAnswer) -> None:
+        """Record that the runner rejected the request without running it."""
+        if answer.status == MISDIRECTED:
+            self.record_failure(certain=True)
+            if answer.runner is not None:
+                self._context.services.report_mismatch(self._view.runner, answer.runner)
+        else:
+            self._context.services.runners.record_rejection(
+                self._view, time.monotonic()
+            )
+
+    def record_connection_error(self, error: ConnectionFailed) -> None:
+        """Record a connection that failed as a possible crash of the runner."""
+        services, incarnation = self._context.services, str(self._view.incarnation)
+        now = time.monotonic()
+        if error.timed_out:
+            self._record_unresponsive()
+        if error.sent:
+            services.suspects.record_broken_request(
+                incarnation, self._context.fingerprint, now
+            )
+            return
+        lines = services.suspects.record_crash(incarnation, now)
+        if lines:
+            log_event(Event.RUNNER_CRASHED, runner=incarnation, suspects=len(lines))
+            services.send_suspects(lines)
+
+    def _record_unresponsive(self) -> None:
+        if self._context.services.runners.record_timeout(self._view, time.monotonic()):
+            log_event(
+                Event.DATA_CENTRE_SILENT,
+                data_centre=self._view.runner.data_centre,
+                runner=self._view.runner.name,
+                request=self._context.request.identity,
+            )
+
+    def record_failure(self, certain: bool) -> None:
+        """Record a failure of the runner, which may eject it."""
+        runners = self._context.services.runners
+        if runners.record_failure(self._view, time.monotonic(), certain):
+            log_event(
+                Event.RUNNER_EJECTED,
+                runner=self._view.runner.name,
+                endpoint=self._view.runner.endpoint,
+                seconds=self._view.ejection_seconds,
+                failing=round(self._view.failure_rate, 2),
+            )
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -9,13 +9,12 @@
 import anyio
 import attrs
 
-from ..events import Event, log_event
+from .attempt_records import MISDIRECTED, AttemptRecorder
 from .codecs import Headers
 from .connections import ConnectionFailed, RunnerConnection
 from .models import RunnerAnswer
 from .request_context import Answered, AttemptFailed, FailureKind, RequestContext
 from .runner_views import RunnerView
-from .selection import find_shared_part
 from .streams import EventSplitter
 
 FIRST_BYTE_FACTOR = 2.0
@@ -34,22 +33,12 @@
 another runner. A runner that preempts a stream for more urgent work sends nothing for
 some hundreds of milliseconds."""
 
-UNRESPONSIVE_SECONDS = 0.5
-"""Shortest wait for the first byte that counts as a failure of the runner. A route's
-timeout may be shorter than its work takes, which is no evidence against the runner."""
-
 QUEUED_PROMPTS = 2.0
 """Queue length at a runner, in prompts of average length, above which requests carry
 the priority by account and route. A new prompt then waits about as long as its own
 prefill takes."""
 
 
-MISDIRECTED = 421
-"""Status with which a runner rejects a request addressed to another runner."""
-
-SUCCESS_STATUSES = range(200, 300)
-
-
 @attrs.frozen
 class StalledStream:
     """The open run of a stream that stalled and may still continue.
@@ -85,7 +74,7 @@
         self._view = view
         self._on_stream_start = on_stream_start
         self._incarnation = view.incarnation
-        self._prefill_pending = False
+        self._recorder = AttemptRecorder(context, view)
         self._may_have_run_before = context.may_have_run
         self._stalled: StalledStream | None = None
 
@@ -124,14 +113,7 @@
     async def run(self) -> Answered | AttemptFailed:
         """Send the request to the runner and pass on its answer."""
         services = self._context.services
-        services.runners.record_sent(
-            self._view,
-            self._context.request.prompt_tokens,
-            self,
-            self._context.priorities.by_account_and_route,
-            time.monotonic(),
-        )
-        self._prefill_pending = True
+        self._recorder.record_sent()
         runner = self._view.runner
         connection: RunnerConnection | None = None
         reusable = False
@@ -140,14 +122,14 @@
                 self._incarnation,
                 runner.address,
                 time.monotonic(),
-                self._record_connection_time,
+                self._recorder.record_connection_time,
             )
             outcome, reusable = await self._send_and_relay(connection)
             return outcome
         except ConnectionFailed as error:
             return self._handle_connection_error(error)
         finally:
-            self._record_prefill_end()
+            self._recorder.record_prefill_end()
             if not self.stalled:
                 await self._release(connection, reusable)
 
@@ -159,8 +141,8 @@
         """
         late = self._context.services.overload.may_cause_timeouts(time.monotonic())
         if not (error.timed_out and late):
-            self._record_connection_error(error)
-            self._record_failure(certain=not error.sent)
+            self._recorder.record_connection_error(error)
+            self._recorder.record_failure(certain=not error.sent)
         kind = FailureKind.BROKEN if error.sent else FailureKind.NOT_SENT
         return AttemptFailed(kind, f"{error.step}: {error.detail}")
 
@@ -171,11 +153,11 @@
 
         Closing the connection makes the runner stop its work.
         """
-        services = self._context.services
-        services.runners.record_finished(self._view)
+        self._recorder.record_finished()
         if connection is not None and not reusable:
+            pool = self._context.services.pool
             with anyio.CancelScope(shield=True):
-                await services.pool.discard(self._incarnation, connection)
+                await pool.discard(self._incarnation, connection)
 
     async def _send_and_relay(
         self, connection: RunnerConnection
@@ -203,65 +185,36 @@
                     request.method, request.target, headers, context.body
                 )
                 answer = await self._receive_answer(connection)
-                self._record_load(answer)
-                self._record_limit(answer, began_at)
-                self._record_brittleness(answer, began_at)
-                self._record_cold_left(answer)
+                self._recorder.record_answer(answer, began_at)
                 if answer.identity == request.identity and _is_event_stream(answer):
                     chunks = connection.receive_body()
                     first_events = await self._receive_events(chunks, splitter)
         except anyio.get_cancelled_exc_class():
             # The request was cancelled, for example because the caller disconnected.
             # The time waited so far is still recorded for the runner.
-            self._record_timeout(began_at)
+            self._recorder.record_timeout(began_at)
             raise
         if answer is None or scope.cancelled_caught:
-            self._record_timeout(began_at)
+            self._recorder.record_timeout(began_at)
             return AttemptFailed(FailureKind.SILENT, "no first byte in time"), False
         if answer.identity != request.identity:
-            self._record_failure(certain=False)
+            self._recorder.record_failure(certain=False)
             return AttemptFailed(
                 FailureKind.BROKEN, f"an answer to {answer.identity!r}"
             ), False
         if not _is_event_stream(answer):
             with anyio.move_on_after(context.get_remaining_seconds()):
                 return await self._relay_whole(connection, answer, began_at)
-            self._record_failure(certain=False)
+            self._recorder.record_failure(certain=False)
             return AttemptFailed(
                 FailureKind.SILENT, "the answer's body took too long"
             ), False
-        self._record_success(began_at)
+        self._recorder.record_success(began_at)
         await self._on_stream_start()
         return await self._relay_stream(
             connection, answer, chunks, splitter, first_events
         )
 
-    def _record_timeout(self, began_at: float) -> None:
-        """Record that the first byte of an answer didn't arrive in time."""
-        if self._context.services.overload.may_cause_timeouts(time.monotonic()):
-            # This host's event loop or link is slow, so the runner may have answered in
-            # time.
-            return
-        self._record_prompt_wait(began_at, abandoned=True)
-        if time.monotonic() - began_at >= UNRESPONSIVE_SECONDS:
-            self._record_unresponsive()
-            self._record_failure(certain=False)
-
-    def _record_connection_time(self, seconds: float, now: float) -> None:
-        """Record how long it took to connect, as a sample of this host's link.
-
-        Only connections to runners in the same data centre count, as their distance is
-        constant. Others also time out during a network partition between data centres,
-        and reused connections give no sample.
-
-        Args:
-            seconds: Time to connect, seconds.
-            now: Monotonic time, seconds.
-        """
-        services = self._context.services
-        if self._view.runner.data_centre == services.data_centre:
-            services.overload.record_connect_time(str(self._incarnation), seconds, now)
-
     def _make_headers(self) -> Headers:
         context = self._context
         has_body = bool(context.body) or context.request.method not in ("GET", "HEAD")
@@ -323,22 +276,22 @@
                 # callers were refused when a quarter of all runners crashed at once,
                 # although the other runners had capacity.
                 self._context.counted_attempts -= 1
-            self._record_rejection(answer)
+            self._recorder.record_rejection(answer)
             detail = f"rejected with {answer.status}"
             return AttemptFailed(FailureKind.NOT_RUN, detail), reusable
         if not answer.sealed:
-            self._record_failure(certain=False)
+            self._recorder.record_failure(certain=False)
             return AttemptFailed(
                 FailureKind.BROKEN, "an answer without a seal"
             ), reusable
         if answer.status >= 500:
-            self._record_failure(certain=False)
+            self._recorder.record_failure(certain=False)
             detail = f"the runner failed with {answer.status}"
             name = self._view.runner.name
             return AttemptFailed(
                 FailureKind.BROKEN, detail, answer, body, name
             ), reusable
-        self._record_success(began_at)
+        self._recorder.record_success(began_at)
         if self._context.response.started:
             return AttemptFailed(
                 FailureKind.BROKEN, f"{answer.status} to a resumed run"
@@ -379,7 +332,7 @@
                 with anyio.move_on_after(self._compute_stall_timeout()) as stall_scope:
                     data = await self._receive_events(chunks, splitter)
                 if stall_scope.cancelled_caught:
-                    self._record_failure(certain=False)
+                    self._recorder.record_failure(certain=False)
                     self._stalled = StalledStream(connection, answer, splitter)
                     return AttemptFailed(
                         FailureKind.SILENT, "the stream stalled"
@@ -414,130 +367,6 @@
         )
         return True
 
-    def _record_success(self, began_at: float) -> None:
-        """Record that the runner has begun a valid answer."""
-        context, now = self._context, time.monotonic()
-        context.services.runners.record_success(self._view, now - began_at, now)
-        context.services.suspects.record_success(context.fingerprint, now)
-        self._record_prefill_end()
-        self._record_prompt_wait(began_at, abandoned=False)
-        if context.request.parts:
-            shared = find_shared_part(context.request.parts)
-            context.services.runners.record_prefix(shared.name, self._view, now)
-
-    def _record_prompt_wait(self, began_at: float, abandoned: bool) -> None:
-        """Record how long the prompt waited at the runner.
-
-        Args:
-            began_at: When the request was sent, monotonic seconds.
-            abandoned: Whether the wait ended without an answer.
-        """
-        if self._context.request.parts:
-            now = time.monotonic()
-            runners = self._context.services.runners
-            runners.record_prefill_wait(self._view, now - began_at, abandoned, now)
-
-    def _record_prefill_end(self) -> None:
-        if self._prefill_pending:
-            tokens = self._context.request.prompt_tokens
-            self._context.services.runners.record_prefill_end(self._view, tokens, self)
-            self._prefill_pending = False
-
-    def _record_load(self, answer: RunnerAnswer) -> None:
-        if answer.running is not None and answer.waiting is not None:
-            self._context.services.runners.record_load_report(
-                self._view, answer.running, answer.waiting, time.monotonic()
-            )
-
-    def _record_cold_left(self, answer: RunnerAnswer) -> None:
-        if answer.cold_left is not None and answer.status != MISDIRECTED:
-            self._context.services.runners.record_cold_left(
-                self._view, answer.cold_left, time.monotonic()
-            )
-
-    def _record_limit(self, answer: RunnerAnswer, sent_at: float) -> None:
-        """Record the rate limit in an answer, or that the runner no longer has one."""
-        context = self._context
-        if answer.status == MISDIRECTED or answer.identity != context.request.identity:
-            return
-        if answer.limit is None and answer.status not in SUCCESS_STATUSES:
-            # Rejections and errors may lack the limit, as a runner may send them before
-            # it has evaluated the rest of the request.
-            return
-        update = context.services.runners.record_limit(
-            self._view, answer.limit, time.monotonic(), sent_at
-        )
-        if update is not None:
-            log_event(
-                Event.RUNNER_LIMITED,
-                runner=update.runner,
-                limit=update.rate,
-                request=context.request.identity,
-            )
-            context.services.send_limit(update)
-
-    def _record_brittleness(self, answer: RunnerAnswer, sent_at: float) -> None:
-        """Record how many rejections the runner tolerates, or that it isn't brittle."""
-        context = self._context
-        if answer.status == MISDIRECTED or answer.identity != context.request.identity:
-            return
-        if answer.brittle is None and answer.status not in SUCCESS_STATUSES:
-            return
-        if context.services.runners.record_brittleness(
-            self._view, answer.brittle, time.monotonic(), sent_at
-        ):
-            log_event(
-                Event.RUNNERS_BRITTLE,
-                endpoint=self._view.runner.endpoint,
-                rejections=answer.brittle,
-                request=context.request.identity,
-            )
-
-    def _record_rejection(self, answer: RunnerAnswer) -> None:
-        if answer.status == MISDIRECTED:
-            self._record_failure(certain=True)
-            if answer.runner is not None:
-                self._context.services.report_mismatch(self._view.runner, answer.runner)
-        else:
-            self._context.services.runners.record_rejection(
-                self._view, time.monotonic()
-            )
-
-    def _record_connection_error(self, error: ConnectionFailed) -> None:
-        services, incarnation = self._context.services, str(self._incarnation)
-        now = time.monotonic()
-        if error.timed_out:
-            self._record_unresponsive()
-        if error.sent:
-            services.suspects.record_broken_request(
-                incarnation, self._context.fingerprint, now
-            )
-            return
-        lines = services.suspects.record_crash(incarnation, now)
-        if lines:
-            log_event(Event.RUNNER_CRASHED, runner=incarnation, suspects=len(lines))
-            services.send_suspects(lines)
-
-    def _record_unresponsive(self) -> None:
-        if self._context.services.runners.record_timeout(self._view, time.monotonic()):
-            log_event(
-                Event.DATA_CENTRE_SILENT,
-                data_centre=self._view.runner.data_centre,
-                runner=self._view.runner.name,
-                request=self._context.request.identity,
-            )
-
-    def _record_failure(self, certain: bool) -> None:
-        runners = self._context.services.runners
-        if runners.record_failure(self._view, time.monotonic(), certain):
-            log_event(
-                Event.RUNNER_EJECTED,
-                runner=self._view.runner.name,
-                endpoint=self._view.runner.endpoint,
-                seconds=self._view.ejection_seconds,
-                failing=round(self._view.failure_rate, 2),
-            )
-
 
 def _is_event_stream(answer: RunnerAnswer) -> bool:
     return answer.event_stream and answer.status == 200
--- a/knapweedrail/tests/test_relay_forwarding.py
+++ b/knapweedrail/tests/test_relay_forwarding.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from ..relay.attempts import UNRESPONSIVE_SECONDS
+from ..relay.attempt_records import UNRESPONSIVE_SECONDS
 from ..relay.models import RetryPolicy
 from ..relay.suspects import CRASH_LIMIT, make_fingerprint
 from .relays_in_memory import (
