--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -289,7 +289,7 @@
             detail = f"the runner failed with {answer.status}"
             name = self._view.runner.name
             return AttemptFailed(
-                FailureKind.BROKEN, detail, answer, body, name
+                FailureKind.BROKEN, detail, answer, body, name, connection.framing
             ), reusable
         self._recorder.record_success(began_at)
         if self._context.response.started:
@@ -299,7 +299,8 @@
         await self._context.response.send_whole(
             answer.status, list(answer.headers), body
         )
-        return Answered(answer.status, self._view.runner.name), reusable
+        name = self._view.runner.name
+        return Answered(answer.status, name, connection.framing), reusable
 
     async def _receive_events(self, chunks: Any, splitter: EventSplitter) -> bytes:
         """Return the next events that the caller lacks; empty at the stream's end."""
@@ -340,7 +341,12 @@
             await self._send_chunk(answer, splitter.remainder)
             reusable = self._return_to_pool(connection, answer)
             await self._context.response.end()
-            return Answered(answer.status, self._view.runner.name), reusable
+            return Answered(
+                answer.status,
+                self._view.runner.name,
+                connection.framing,
+                len(splitter.remainder),
+            ), reusable
         return AttemptFailed(FailureKind.SILENT, "the stream took too long"), False
 
     async def _send_chunk(self, answer: RunnerAnswer, data: bytes) -> None:
--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -22,7 +22,7 @@
 import h11
 
 from .keepalive import set_timeouts
-from .models import RunnerIncarnation
+from .models import Framing, RunnerIncarnation
 
 RECEIVE_BYTES = 65_536
 """Maximum size of one read."""
@@ -79,6 +79,7 @@
         idle_since: Monotonic time at which it was returned to the pool, seconds.
         idle_seconds: How long it may stay idle in the pool.
         sent: Whether any byte of the current request may have been sent.
+        framing: What marks the end of the current answer, once its head has arrived.
     """
 
     def __init__(self, stream: anyio.abc.SocketStream, address: str) -> None:
@@ -86,6 +87,7 @@
         self.idle_since = 0.0
         self.idle_seconds = IDLE_SECONDS
         self.sent = False
+        self.framing = Framing.LENGTH
         self._stream = stream
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=HEADER_BYTES
@@ -127,6 +129,7 @@
         while True:
             event = await self._next_event("answer")
             if isinstance(event, h11.Response):
+                self.framing = _find_framing(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self._make_error("answer", f"unexpected {type(event).__name__}")
@@ -198,6 +201,14 @@
         return ConnectionFailed(self.address, step, repr(error), self.sent)
 
 
+def _find_framing(head: h11.Response) -> Framing:
+    """Return what marks the end of an answer that may have a body."""
+    names = {name for name, _ in head.headers}
+    if b"transfer-encoding" in names:
+        return Framing.CHUNKS
+    return Framing.LENGTH if b"content-length" in names else Framing.CONNECTION
+
+
 def set_reset_on_close(stream: anyio.abc.SocketStream, reset: bool) -> None:
     """Set whether the kernel resets a connection when it is closed.
 
--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -278,7 +278,7 @@
         if answer is None or response.started:
             return self._fail_request(last_failure)
         await response.send_whole(answer.status, list(answer.headers), outcome.body)
-        return Answered(answer.status, outcome.runner)
+        return Answered(answer.status, outcome.runner, outcome.framing)
 
     def _fail_request(self, last_failure: AttemptFailed | None) -> Broken | Refusal:
         detail = last_failure.detail if last_failure else "no runner is known"
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -319,6 +319,8 @@
             account=context.account,
             runner=outcome.runner,
             status=outcome.status,
+            framing=outcome.framing.value,
+            unfinished=outcome.unfinished_bytes,
             sent_to=context.counted_attempts,
             tokens=context.request.prompt_tokens,
             used=used,
--- a/knapweedrail/relay/models.py
+++ b/knapweedrail/relay/models.py
@@ -237,6 +237,14 @@
     reason: str
 
 
+class Framing(enum.Enum):
+    """What marks the end of an answer's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
 @attrs.frozen(kw_only=True)
 class RunnerAnswer:
     """Status line and headers of a runner's answer, decoded.
--- a/knapweedrail/relay/request_context.py
+++ b/knapweedrail/relay/request_context.py
@@ -14,7 +14,7 @@
 from .codecs import Codec
 from .connections import ConnectionPool
 from .metrics import RelayMetrics
-from .models import CallerRequest, Endpoint, Route, Runner, RunnerAnswer
+from .models import CallerRequest, Endpoint, Framing, Route, Runner, RunnerAnswer
 from .overload import OverloadMonitor
 from .response_writer import ResponseWriter
 from .retries import RetryBudget
@@ -44,6 +44,7 @@
         answer: Error answer of the runner, which may be passed on unchanged.
         body: Body of that answer.
         runner: Name of the runner that sent it.
+        framing: What marked the end of that answer.
     """
 
     kind: FailureKind
@@ -51,6 +52,7 @@
     answer: RunnerAnswer | None = None
     body: bytes = b""
     runner: str = ""
+    framing: Framing = Framing.LENGTH
 
 
 @dataclass(frozen=True)
@@ -60,10 +62,14 @@
     Attributes:
         status: HTTP status.
         runner: Name of the runner that sent the end of the answer.
+        framing: What marked that end.
+        unfinished_bytes: Size of the incomplete event that ended a stream, bytes.
     """
 
     status: int
     runner: str
+    framing: Framing
+    unfinished_bytes: int = 0
 
 
 @attrs.frozen(kw_only=True)
