--- a/knapweedrail/tests/test_relay_unframed_answers.py
+++ b/knapweedrail/tests/test_relay_unframed_answers.py
@@ -75,7 +75,7 @@
     runner = ScriptedRunner(stream_and_close(*parts))
     async with run_relay(make_configuration(NON_RESUMABLE), runner) as relay:
         answer = await relay.call()
-        view = next(relay.table.list_views("e", 0.0))
+        (view,) = relay.table.list_views("e", 0.0)
     assert answer.body == make_event(1)
     assert not answer.complete
     assert view.failure_rate > 0
