Treat a stream that ends inside an event as broken off

Cause: without a length or chunks, an answer ends with its connection, and the kernel closes the connection of a crashed process in order; h11 reports both as the end of the message. The relay sent the broken event and the end of its own chunks, so that its framing claimed what the runner's didn't.

Now EventReader, the only place that reads events (first ones, later ones, after a stall, of a resumed run, through a tunnel), checks how a stream ended: an answer without framing must have an event and end outside of any event and any line. If not, it is a failed connection like a reset: the stream is resumed after the last whole event where the route allows it and broken off for the caller otherwise, only whole events are billed, and the runner's failure and its suspects are recorded. An answer with a length or chunks is passed on as it was framed.

--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -4,7 +4,6 @@
 
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 import anyio
 import attrs
@@ -12,10 +11,10 @@
 from .attempt_records import MISDIRECTED, AttemptRecorder
 from .codecs import Headers
 from .connections import ConnectionFailed, RunnerConnection
+from .event_readers import EventReader
 from .models import RunnerAnswer
 from .request_context import Answered, AttemptFailed, FailureKind, RequestContext
 from .runner_views import RunnerView
-from .streams import EventSplitter
 
 FIRST_BYTE_FACTOR = 2.0
 """First-byte timeout of a repeatable request, as a multiple of its route's latency
@@ -44,14 +43,12 @@
     """The open run of a stream that stalled and may still continue.
 
     Attributes:
-        connection: Connection to the runner.
         answer: Head of the runner's answer.
-        splitter: Splitter of this run, which buffers the incomplete last event.
+        reader: Reader of this run, which buffers the incomplete last event.
     """
 
-    connection: RunnerConnection
     answer: RunnerAnswer
-    splitter: EventSplitter
+    reader: EventReader
 
 
 class Attempt:
@@ -87,14 +84,12 @@
         """Wait for the rest of a stalled stream and pass it on."""
         stalled, self._stalled = self._stalled, None
         assert stalled is not None
-        connection, splitter = stalled.connection, stalled.splitter
-        reusable = False
+        reader, reusable = stalled.reader, False
         try:
             with anyio.move_on_after(self._context.get_remaining_seconds()):
-                chunks = connection.receive_body()
-                data = await self._receive_events(chunks, splitter)
+                data = await reader.receive_new(self._context.progress)
                 outcome, reusable = await self._relay_stream(
-                    connection, stalled.answer, chunks, splitter, data
+                    stalled.answer, reader, data
                 )
                 return outcome
             return AttemptFailed(FailureKind.SILENT, "the stream took too long")
@@ -102,13 +97,13 @@
             return self._handle_connection_error(error)
         finally:
             if not self.stalled:
-                await self._release(connection, reusable)
+                await self._release(reader.connection, reusable)
 
     async def close(self) -> None:
         """End the run of a stalled stream, if there is one."""
         stalled, self._stalled = self._stalled, None
         if stalled is not None:
-            await self._release(stalled.connection, reusable=False)
+            await self._release(stalled.reader.connection, reusable=False)
 
     async def run(self) -> Answered | AttemptFailed:
         """Send the request to the runner and pass on its answer."""
@@ -176,8 +171,7 @@
         context.counted_attempts += 1
         context.may_have_run = True
         answer: RunnerAnswer | None = None
-        chunks: Any = None
-        splitter = EventSplitter()
+        reader = EventReader(connection)
         first_events = b""
         try:
             with anyio.move_on_after(self._compute_first_byte_timeout()) as scope:
@@ -187,8 +181,7 @@
                 answer = await self._receive_answer(connection)
                 self._recorder.record_answer(answer, began_at)
                 if answer.identity == request.identity and _is_event_stream(answer):
-                    chunks = connection.receive_body()
-                    first_events = await self._receive_events(chunks, splitter)
+                    first_events = await reader.receive_new(context.progress)
         except anyio.get_cancelled_exc_class():
             # The request was cancelled, for example because the caller disconnected.
             # The time waited so far is still recorded for the runner.
@@ -211,9 +204,7 @@
             ), False
         self._recorder.record_success(began_at)
         await self._on_stream_start()
-        return await self._relay_stream(
-            connection, answer, chunks, splitter, first_events
-        )
+        return await self._relay_stream(answer, reader, first_events)
 
     def _make_headers(self) -> Headers:
         context = self._context
@@ -265,7 +256,7 @@
         began_at: float,
     ) -> tuple[Answered | AttemptFailed, bool]:
         """Receive the body of a non-streaming answer and pass it on if it is valid."""
-        body = b"".join([chunk async for chunk in connection.receive_body()])
+        body = await connection.receive_body()
         reusable = self._return_to_pool(connection, answer)
         if answer.not_run:
             self._context.may_have_run = self._may_have_run_before
@@ -302,23 +293,11 @@
         name = self._view.runner.name
         return Answered(answer.status, name, connection.framing), reusable
 
-    async def _receive_events(self, chunks: Any, splitter: EventSplitter) -> bytes:
-        """Return the next events that the caller lacks; empty at the stream's end."""
-        async for chunk in chunks:
-            data = self._context.progress.select_new(splitter.feed(chunk))
-            if data:
-                return data
-        return b""
-
     async def _relay_stream(
-        self,
-        connection: RunnerConnection,
-        answer: RunnerAnswer,
-        chunks: Any,
-        splitter: EventSplitter,
-        data: bytes,
+        self, answer: RunnerAnswer, reader: EventReader, data: bytes
     ) -> tuple[Answered | AttemptFailed, bool]:
         """Pass on a stream to its end, beginning with the events already received."""
+        connection, progress = reader.connection, self._context.progress
         if not self._context.response.started and not answer.sealed:
             return AttemptFailed(FailureKind.BROKEN, "a stream without a seal"), False
         with anyio.move_on_after(self._context.get_remaining_seconds()):
@@ -327,25 +306,25 @@
                 if not self._may_fail_over():
                     # The remaining time already bounds the wait, and a timeout for each
                     # event is expensive if most requests are streams.
-                    data = await self._receive_events(chunks, splitter)
+                    data = await reader.receive_new(progress)
                     continue
                 data = b""
                 with anyio.move_on_after(self._compute_stall_timeout()) as stall_scope:
-                    data = await self._receive_events(chunks, splitter)
+                    data = await reader.receive_new(progress)
                 if stall_scope.cancelled_caught:
                     self._recorder.record_failure(certain=False)
-                    self._stalled = StalledStream(connection, answer, splitter)
+                    self._stalled = StalledStream(answer, reader)
                     return AttemptFailed(
                         FailureKind.SILENT, "the stream stalled"
                     ), False
-            await self._send_chunk(answer, splitter.remainder)
+            await self._send_chunk(answer, reader.remainder)
             reusable = self._return_to_pool(connection, answer)
             await self._context.response.end()
             return Answered(
                 answer.status,
                 self._view.runner.name,
                 connection.framing,
-                len(splitter.remainder),
+                len(reader.remainder),
             ), reusable
         return AttemptFailed(FailureKind.SILENT, "the stream took too long"), False
 
--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -14,7 +14,7 @@
 import socket
 import struct
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -34,6 +34,9 @@
 HEADER_BYTES = 65_536
 """Maximum size of the status line and headers that a runner may send."""
 
+BODILESS_STATUSES = (204, 304)
+"""Status codes whose answers have no body."""
+
 IDLE_SECONDS = 4.0
 """Idle timeout of a pooled connection if the runner doesn't state one."""
 
@@ -88,6 +91,7 @@
         self.idle_seconds = IDLE_SECONDS
         self.sent = False
         self.framing = Framing.LENGTH
+        self._method = ""
         self._stream = stream
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=HEADER_BYTES
@@ -107,6 +111,7 @@
             ConnectionFailed: If the connection breaks; part of the request may have
                 arrived.
         """
+        self._method = method
         request = h11.Request(method=method, target=target, headers=headers)
         data = self._parser.send(request)
         if body:
@@ -129,24 +134,35 @@
         while True:
             event = await self._next_event("answer")
             if isinstance(event, h11.Response):
-                self.framing = _find_framing(event)
+                self.framing = _find_framing(self._method, event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self._make_error("answer", f"unexpected {type(event).__name__}")
 
-    async def receive_body(self) -> AsyncIterator[bytes]:
-        """Yield chunks of the answer's body as they arrive, until its end.
+    async def receive_chunk(self) -> bytes:
+        """Return the next part of the answer's body; empty at its end.
 
         Raises:
-            ConnectionFailed: If the connection ends before the body is complete.
+            ConnectionFailed: If the connection ends before the body is complete. The
+                body of an answer without a length or chunks ends with the connection.
         """
-        while True:
-            event = await self._next_event("body")
-            if isinstance(event, h11.EndOfMessage):
-                return
-            if not isinstance(event, h11.Data):
-                raise self._make_error("body", f"unexpected {type(event).__name__}")
-            yield bytes(event.data)
+        event = await self._next_event("body")
+        if isinstance(event, h11.EndOfMessage):
+            return b""
+        if not isinstance(event, h11.Data):
+            raise self._make_error("body", f"unexpected {type(event).__name__}")
+        return bytes(event.data)
+
+    async def receive_body(self) -> bytes:
+        """Return the answer's complete body.
+
+        Raises:
+            ConnectionFailed: As in `receive_chunk`.
+        """
+        parts = []
+        while chunk := await self.receive_chunk():
+            parts.append(chunk)
+        return b"".join(parts)
 
     def finish(self) -> bool:
         """Finish an exchange; return whether the connection can be reused.
@@ -201,8 +217,10 @@
         return ConnectionFailed(self.address, step, repr(error), self.sent)
 
 
-def _find_framing(head: h11.Response) -> Framing:
-    """Return what marks the end of an answer that may have a body."""
+def _find_framing(method: str, head: h11.Response) -> Framing:
+    """Return what marks the end of an answer."""
+    if method == "HEAD" or head.status_code in BODILESS_STATUSES:
+        return Framing.LENGTH
     names = {name for name, _ in head.headers}
     if b"transfer-encoding" in names:
         return Framing.CHUNKS
--- /dev/null
+++ b/knapweedrail/relay/event_readers.py
@@ -0,0 +1,53 @@
+"""Reading of the event stream of one run."""
+
+from __future__ import annotations
+
+from .connections import ConnectionFailed, RunnerConnection
+from .models import Framing
+from .streams import EventSplitter, StreamProgress
+
+
+class EventReader:
+    """Reads the events that a runner sends on a connection.
+
+    Args:
+        connection: Connection on which the head of the answer has arrived.
+    """
+
+    def __init__(self, connection: RunnerConnection) -> None:
+        self.connection = connection
+        self._splitter = EventSplitter()
+
+    @property
+    def remainder(self) -> bytes:
+        """Bytes after the last complete event."""
+        return self._splitter.remainder
+
+    async def receive_new(self, progress: StreamProgress) -> bytes:
+        """Return the next events that the caller lacks; empty at the stream's end.
+
+        Raises:
+            ConnectionFailed: If the connection ends before the stream is complete.
+        """
+        while chunk := await self.connection.receive_chunk():
+            data = progress.select_new(self._splitter.feed(chunk))
+            if data:
+                return data
+        self._check_end()
+        return b""
+
+    def _check_end(self) -> None:
+        """Raise an error if the stream ended before it was complete.
+
+        A length or chunks show the end of an answer. Without them, the connection of a
+        runner that crashes ends like a complete answer, unless it ends in an event.
+        """
+        if self.connection.framing is not Framing.CONNECTION:
+            return
+        if not self._splitter.has_events:
+            detail = "the connection ended before the first event"
+        elif not self._splitter.is_between_events:
+            detail = "the connection ended inside an event"
+        else:
+            return
+        raise ConnectionFailed(self.connection.address, "body", detail, sent=True)
--- a/knapweedrail/relay/streams.py
+++ b/knapweedrail/relay/streams.py
@@ -13,6 +13,10 @@
 import attrs
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_EVENT_FIELD = re.compile(rb"(?:^|\n)[^:\r\n]")
+_IGNORED_LINES = re.compile(rb"(?:(?::[^\r\n]*)?\r?\n)*")
+"""Blank lines and comments, which belong to no event."""
+
 _EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d+)")
 
 
@@ -30,9 +34,14 @@
 
 
 class EventSplitter:
-    """Splits the bytes of one run into events."""
+    """Splits the bytes of one run into events.
+
+    Attributes:
+        has_events: Whether any event with a field was complete.
+    """
 
     def __init__(self) -> None:
+        self.has_events = False
         self._remainder = b""
 
     @property
@@ -40,6 +49,11 @@
         """Bytes after the last complete event."""
         return self._remainder
 
+    @property
+    def is_between_events(self) -> bool:
+        """Whether the bytes so far end outside of any event and any line."""
+        return _IGNORED_LINES.fullmatch(self._remainder) is not None
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Append bytes and return the events that they complete."""
         data = self._remainder + data
@@ -48,6 +62,7 @@
         for match in _EVENT_END.finditer(data):
             text = data[start : match.end()]
             event_id = _EVENT_ID.search(text)
+            self.has_events = self.has_events or bool(_EVENT_FIELD.search(text))
             events.append(StreamEvent(text, int(event_id[1]) if event_id else None))
             start = match.end()
         self._remainder = data[start:]
--- a/knapweedrail/relay/successors.py
+++ b/knapweedrail/relay/successors.py
@@ -153,7 +153,7 @@
         target, headers = self._codec.encode_report_request(connection.address, name)
         await connection.send("GET", target, headers, b"")
         head = await connection.receive_head()
-        body = b"".join([chunk async for chunk in connection.receive_body()])
+        body = await connection.receive_body()
         return self._codec.decode_report(head.status_code, body)
 
 
--- a/knapweedrail/tests/test_relay_streams.py
+++ b/knapweedrail/tests/test_relay_streams.py
@@ -52,6 +52,21 @@
     assert data == b"".join(make_event(n) for n in range(1, 11))
 
 
+@given(st.sampled_from([b"\n", b"\r\n"]), st.integers(1, 4), st.data())
+def test_only_ends_of_events_are_between_events(line_end, count, data):
+    """A run that is cut at any byte but the end of an event was broken off."""
+    events = [make_event(n).replace(b"\n", line_end) for n in range(1, count + 1)]
+    stream = b"".join(events)
+    cut = data.draw(st.integers(0, len(stream)))
+    split = data.draw(st.integers(0, cut))
+    splitter = EventSplitter()
+    splitter.feed(stream[:split])
+    splitter.feed(stream[split:cut])
+    ends = {len(b"".join(events[:n])) for n in range(count + 1)}
+    assert splitter.is_between_events == (cut in ends)
+    assert splitter.has_events == (cut >= len(events[0]))
+
+
 def test_partial_event_is_buffered():
     splitter = EventSplitter()
     assert splitter.feed(make_event(1)[:-1]) == []
