--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -177,6 +177,11 @@
         721,
         "an endpoint's runners fall over above `rejections` a second; null: no more",
     )
+    RUNNER_LEAVING = (722, "a runner says in an answer that it leaves")
+    RUNNER_PAUSED = (
+        723,
+        "a runner that rejected a request wants no further ones for `seconds`",
+    )
     TUNNELS_OFF = (720, "the address for tunnels can't be bound; none are opened")
     RUNNER_LIMITED = (712, "a runner limits its request rate; 0 if the limit has ended")
     HEADER_UNREAD = (711, "runners answer with a header that the relay does not know")
--- a/knapweedrail/platform/names.py
+++ b/knapweedrail/platform/names.py
@@ -16,6 +16,7 @@
 UNPREFIXED_BRITTLE = b"server-brittle"
 """Names of these headers without the prefix of most platform headers."""
 
+LEAVING = b"server-leaving"
 COLD = b"knapweedrail-cold-ms"
 NOT_RUN = b"knapweedrail-not-executed"
 RETRY_AFTER = b"retry-after"
@@ -35,6 +36,7 @@
         UNPREFIXED_LIMIT,
         BRITTLE,
         UNPREFIXED_BRITTLE,
+        LEAVING,
         COLD,
         NOT_RUN,
         RUNNER_ID,
@@ -79,6 +81,7 @@
         UNPREFIXED_LIMIT,
         BRITTLE,
         UNPREFIXED_BRITTLE,
+        LEAVING,
         COLD,
         NOT_RUN,
         RUNNER_ID,
--- a/knapweedrail/platform/requests.py
+++ b/knapweedrail/platform/requests.py
@@ -23,6 +23,13 @@
 from .entries import MAX_COLD_MILLISECONDS
 from .start_times import decode_start_time
 
+UNAVAILABLE = 503
+"""Status with which a runner rejects requests, possibly for some time."""
+
+MAX_RETRY_AFTER_SECONDS = 600.0
+"""Longest pause that a runner can ask for. Its later answers can't shorten a pause, so
+a mistaken one would keep it from its work until it restarts."""
+
 MAX_PROMPT_PARTS = 64
 """Largest number of prompt parts that are read; further ones don't affect routing."""
 
@@ -138,6 +145,12 @@
                 found.get(names.LIMIT, found.get(names.UNPREFIXED_LIMIT))
             ),
             cold_left=_parse_cold_left(found.get(names.COLD)),
+            leaving=found.get(names.LEAVING, b"0").strip() not in (b"", b"0"),
+            retry_after=(
+                _parse_retry_after(found.get(names.RETRY_AFTER))
+                if status == UNAVAILABLE
+                else None
+            ),
             brittle=_parse_limit(
                 found.get(names.BRITTLE, found.get(names.UNPREFIXED_BRITTLE))
             ),
@@ -251,6 +264,11 @@
     return milliseconds / 1000
 
 
+def _parse_retry_after(value: bytes | None) -> float | None:
+    seconds = _parse_number(value)
+    return None if seconds is None else min(seconds, MAX_RETRY_AFTER_SECONDS)
+
+
 def _parse_keep_alive(value: bytes | None) -> float | None:
     for part in (value or b"").split(b","):
         name, _, number = part.strip().partition(b"=")
--- a/knapweedrail/relay/attempt_records.py
+++ b/knapweedrail/relay/attempt_records.py
@@ -59,6 +59,8 @@
         self._record_limit(answer, sent_at)
         self._record_brittleness(answer, sent_at)
         self._record_cold_left(answer)
+        self._record_leaving(answer)
+        self._record_pause(answer)
 
     def record_timeout(self, began_at: float) -> None:
         """Record that the first byte of an answer didn't arrive in time."""
@@ -130,10 +132,34 @@
                 self._view, answer.cold_left, time.monotonic()
             )
 
+    def _record_leaving(self, answer: RunnerAnswer) -> None:
+        if answer.leaving and self._is_from_runner(answer):
+            log_event(
+                Event.RUNNER_LEAVING,
+                runner=self._view.runner.name,
+                request=self._context.request.identity,
+            )
+
+    def _record_pause(self, answer: RunnerAnswer) -> None:
+        if answer.retry_after and self._is_from_runner(answer):
+            log_event(
+                Event.RUNNER_PAUSED,
+                runner=self._view.runner.name,
+                seconds=answer.retry_after,
+                request=self._context.request.identity,
+            )
+
+    def _is_from_runner(self, answer: RunnerAnswer) -> bool:
+        """Return whether the intended runner sent an answer, and to this request."""
+        return (
+            answer.status != MISDIRECTED
+            and answer.identity == self._context.request.identity
+        )
+
     def _record_limit(self, answer: RunnerAnswer, sent_at: float) -> None:
         """Record the rate limit in an answer, or that the runner no longer has one."""
         context = self._context
-        if answer.status == MISDIRECTED or answer.identity != context.request.identity:
+        if not self._is_from_runner(answer):
             return
         if answer.limit is None and answer.status not in SUCCESS_STATUSES:
             # Rejections and errors may lack the limit, as a runner may send them before
@@ -154,7 +180,7 @@
     def _record_brittleness(self, answer: RunnerAnswer, sent_at: float) -> None:
         """Record how many rejections the runner tolerates, or that it isn't brittle."""
         context = self._context
-        if answer.status == MISDIRECTED or answer.identity != context.request.identity:
+        if not self._is_from_runner(answer):
             return
         if answer.brittle is None and answer.status not in SUCCESS_STATUSES:
             return
--- a/knapweedrail/relay/models.py
+++ b/knapweedrail/relay/models.py
@@ -264,6 +264,9 @@
         cold_left: How long the runner stays cold, seconds; ``None`` if not given.
         brittle: Rejections in one second after which the runner falls over; ``None`` if
             it states none.
+        leaving: Whether the runner says that it is about to end.
+        retry_after: How long a runner that rejects the request wants no further ones
+            from this host, seconds; ``None`` if it doesn't say.
         unknown_headers: Names of headers whose meaning isn't known.
     """
 
@@ -281,6 +284,8 @@
     limit: float | None = None
     cold_left: float | None = None
     brittle: float | None = None
+    leaving: bool = False
+    retry_after: float | None = None
     unknown_headers: tuple[str, ...] = ()
 
 
--- a/knapweedrail/tests/test_platform_requests.py
+++ b/knapweedrail/tests/test_platform_requests.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ..platform import names
-from ..platform.requests import PlatformCodec
+from ..platform.requests import MAX_RETRY_AFTER_SECONDS, PlatformCodec
 from ..relay.models import Malformed, PromptPart
 from .relays_in_memory import make_runner
 
@@ -129,6 +129,32 @@
     assert answer.running is None
 
 
+@pytest.mark.parametrize(
+    ("text", "leaving"), [(b"1", True), (b" 1 ", True), (b"0", False), (b"", False)]
+)
+def test_leaving_runner_is_recognized(text, leaving):
+    assert CODEC.decode_answer(200, [(b"Server-Leaving", text)]).leaving == leaving
+
+
+@pytest.mark.parametrize(
+    ("status", "text", "seconds"),
+    [
+        (503, b"3", 3.0),
+        (503, b"0.25", 0.25),
+        (503, b"1e12", MAX_RETRY_AFTER_SECONDS),
+        (503, b"-1", None),
+        (503, b"nan", None),
+        (503, b"inf", None),
+        (503, b"Wed, 21 Oct 2026 07:28:00 GMT", None),
+        (200, b"3", None),
+        (429, b"3", None),
+    ],
+)
+def test_only_valid_pauses_of_rejecting_runners_are_read(status, text, seconds):
+    answer = CODEC.decode_answer(status, [(b"Retry-After", text)])
+    assert answer.retry_after == seconds
+
+
 def test_unknown_answer_headers_are_listed():
     """Guards against a new header of runners that is forwarded but handled nowhere."""
     headers = [(b"X-New", b"1"), (b"Content-Type", b"text/plain"), (b"Date", b"now")]
