Send nothing more to runners that say in an answer that they leave

The view of an incarnation now holds that it leaves, so a restart of the runner or of the host ends it and an entry that comes back doesn't. All ways to a runner choose from the table's list, which leaves such runners out; only if an endpoint has no other, they serve for the grace period of vanished ones, never longer than a runner has to serve. A host that opens a tunnel is the one that the runner sees: it reads the head of the answer that it passes on, and answers 409 to further requests for tunnels to that runner, which doesn't count against it as a refusal of its own would.

--- a/knapweedrail/platform/relays.py
+++ b/knapweedrail/platform/relays.py
@@ -75,7 +75,7 @@
         settings.runner_watch_seconds,
         decode_runner,
         RunnerTable(
-            VANISHED_GRACE_SECONDS,
+            min(VANISHED_GRACE_SECONDS, settings.leaving_milliseconds / 1000),
             BurstAllowance(settings.cold_factor, settings.cold_reserve),
         ),
         settings.runner_batch_seconds,
--- a/knapweedrail/relay/attempt_records.py
+++ b/knapweedrail/relay/attempt_records.py
@@ -8,6 +8,7 @@
 from .connections import ConnectionFailed
 from .models import RunnerAnswer
 from .request_context import RequestContext
+from .runner_statements import MISDIRECTED, record_statements
 from .runner_views import RunnerView
 from .selection import find_shared_part
 
@@ -15,9 +16,6 @@
 """Shortest wait for the first byte that counts as a failure of the runner. A route's
 timeout may be shorter than its work takes, which is no evidence against the runner."""
 
-MISDIRECTED = 421
-"""Status with which a runner rejects a request addressed to another runner."""
-
 SUCCESS_STATUSES = range(200, 300)
 
 
@@ -59,7 +57,10 @@
         self._record_limit(answer, sent_at)
         self._record_brittleness(answer, sent_at)
         self._record_cold_left(answer)
-        self._record_leaving(answer)
+        if self._is_from_runner(answer):
+            record_statements(
+                self._context.services.runners, self._view, answer, time.monotonic()
+            )
         self._record_pause(answer)
 
     def record_timeout(self, began_at: float) -> None:
@@ -132,14 +133,6 @@
                 self._view, answer.cold_left, time.monotonic()
             )
 
-    def _record_leaving(self, answer: RunnerAnswer) -> None:
-        if answer.leaving and self._is_from_runner(answer):
-            log_event(
-                Event.RUNNER_LEAVING,
-                runner=self._view.runner.name,
-                request=self._context.request.identity,
-            )
-
     def _record_pause(self, answer: RunnerAnswer) -> None:
         if answer.retry_after and self._is_from_runner(answer):
             log_event(
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -8,12 +8,13 @@
 import anyio
 import attrs
 
-from .attempt_records import MISDIRECTED, AttemptRecorder
+from .attempt_records import AttemptRecorder
 from .codecs import Headers
 from .connections import ConnectionFailed, RunnerConnection
 from .event_readers import EventReader
 from .models import RunnerAnswer
 from .request_context import Answered, AttemptFailed, FailureKind, RequestContext
+from .runner_statements import MISDIRECTED
 from .runner_views import RunnerView
 
 FIRST_BYTE_FACTOR = 2.0
--- a/knapweedrail/relay/connectors.py
+++ b/knapweedrail/relay/connectors.py
@@ -28,6 +28,7 @@
 from .tunnel_relays import TunnelRelays
 from .tunnels import (
     UNREACHABLE,
+    UNWANTED,
     ConnectRequest,
     TunnelFailed,
     TunnelledConnection,
@@ -199,7 +200,7 @@
 
     def _record_failed(self, member: Member, failure: TunnelFailed) -> None:
         now = time.monotonic()
-        if failure.status == UNREACHABLE:
+        if failure.status in (UNREACHABLE, UNWANTED):
             self._relays.record_unreachable(member, now)
         else:
             self._relays.record_failed(member, now)
--- a/knapweedrail/relay/process.py
+++ b/knapweedrail/relay/process.py
@@ -41,7 +41,8 @@
 from .watchers import ConfigurationWatcher, RunnerWatcher
 
 VANISHED_GRACE_SECONDS = 1.9
-"""Time for which a runner whose entry vanished may still be used if no other is listed.
+"""Time for which a runner whose entry vanished, or that says in its answers that it
+leaves, may still be used if there is no other one, unless runners may end sooner.
 Entries that lapsed during a store outage reappear within about two seconds."""
 
 FIRST_CONFIGURATION_SECONDS = 0.5
@@ -172,6 +173,7 @@
                 self._connector,
                 lambda: self._overload.is_out_of_rotation(time.monotonic()),
                 metrics,
+                codec,
             )
         self._pending_suspects: list[str] = []
         self._pending_added = Notifier()
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -70,9 +70,10 @@
     """All known runners by name, with their load and health.
 
     Args:
-        grace_seconds: How long a runner whose entry vanished without notice is kept in
-            reserve, seconds. While the store is unavailable, entries of healthy runners
-            expire; they reappear within about two seconds of its return.
+        grace_seconds: How long a runner whose entry vanished without notice, or that
+            says that it leaves, is kept in reserve, seconds. While the store is
+            unavailable, entries of healthy runners expire; they reappear within about
+            two seconds of its return.
         burst_allowance: How far beyond its rate a cold runner may be burdened.
 
     Attributes:
@@ -114,24 +115,32 @@
 
         Returns:
             The listed runners that are ready and in no evacuated data centre, or, if
-            there is none, those whose entries vanished less than the grace period ago.
+            there is none, those whose entries vanished or that began to leave less than
+            the grace period ago.
         """
         self._expire_absent(now)
         views = self._by_endpoint.get(endpoint, {}).values()
         ready = [v for v in views if v.runner.state is RunnerState.READY]
         if self.evacuated:
             ready = [v for v in ready if v.runner.data_centre not in self.evacuated]
-        listed = [v for v in ready if v.unlisted_at is None]
-        if listed:
-            return listed
-        return [v for v in ready if now - (v.unlisted_at or 0.0) < self._grace_seconds]
+        staying = [
+            v for v in ready if v.unlisted_at is None and v.leaving_since is None
+        ]
+        return staying or [v for v in ready if self._is_in_grace_period(v, now)]
+
+    def _is_in_grace_period(self, view: RunnerView, now: float) -> bool:
+        """Return whether a runner that is unlisted or leaves may still get requests."""
+        since = (view.unlisted_at, view.leaving_since)
+        return all(now - at < self._grace_seconds for at in since if at is not None)
 
     def count_listed(self) -> dict[str, float]:
         """Return the number of listed runners that are ready, by endpoint."""
         return {
             endpoint: float(
                 sum(
-                    view.runner.state is RunnerState.READY and view.unlisted_at is None
+                    view.runner.state is RunnerState.READY
+                    and view.unlisted_at is None
+                    and view.leaving_since is None
                     for view in views.values()
                 )
             )
@@ -209,6 +218,11 @@
         view = self._views.get(name)
         return view.runner if view else None
 
+    def find_view(self, incarnation: RunnerIncarnation) -> RunnerView | None:
+        """Return the view of an incarnation; ``None`` unless it is the current one."""
+        view = self._views.get(incarnation.name)
+        return view if view and view.incarnation == incarnation else None
+
     def add_successor(
         self, incarnation: RunnerIncarnation, successor: Runner, now: float
     ) -> bool:
@@ -437,6 +451,20 @@
         if not view.superseded and seconds > 0:
             view.cold.record_statement(seconds, now)
 
+    def record_leaving(self, view: RunnerView, now: float) -> bool:
+        """Record that a runner says in an answer that it leaves.
+
+        It stays so until it restarts: answers overtake each other, and an entry that
+        comes back after an outage of the store may be older than the answer.
+
+        Returns:
+            Whether that is new.
+        """
+        if view.leaving_since is not None:
+            return False
+        view.leaving_since = now
+        return True
+
     def is_cold(self, view: RunnerView, now: float) -> bool:
         """Return whether a runner may be cold, so that only few relays may send."""
         endpoint = self.endpoints.get(view.runner.endpoint)
--- a/knapweedrail/relay/tunnel_relays.py
+++ b/knapweedrail/relay/tunnel_relays.py
@@ -41,10 +41,10 @@
         self._failed_at[member.host] = now
 
     def record_unreachable(self, member: Member, now: float) -> None:
-        """Record that a relay couldn't connect to a runner.
+        """Record that a relay couldn't or mustn't connect to a runner.
 
-        The runner may be down, so this counts against the relay only if it hasn't
-        reached another one recently.
+        The runner may be down or leave, so this counts against the relay only if it
+        hasn't reached another one recently.
         """
         if not self._is_preferred(member, now):
             self.record_failed(member, now)
--- a/knapweedrail/relay/tunnel_server.py
+++ b/knapweedrail/relay/tunnel_server.py
@@ -13,6 +13,8 @@
 from ..events import Event, log_event
 from ..listeners import BACKLOG
 from ..tasks import Task
+from .answer_heads import AnswerHeadParser
+from .codecs import Codec
 from .connections import (
     HEADER_BYTES,
     RECEIVE_BYTES,
@@ -24,6 +26,7 @@
 from .keepalive import set_timeouts
 from .metrics import RelayMetrics
 from .models import RunnerIncarnation
+from .runner_statements import record_statements
 from .runners import RunnerTable
 from .tunnels import (
     BAD_REQUEST,
@@ -34,6 +37,7 @@
     STREAM_ERRORS,
     UNKNOWN_RUNNER,
     UNREACHABLE,
+    UNWANTED,
     ConnectRequest,
 )
 
@@ -56,6 +60,7 @@
         connector: Connects to them.
         is_overloaded: Returns whether this host is too busy for tunnels.
         metrics: Metrics of this relay.
+        codec: Decodes what runners say in the answers that are passed on.
 
     Attributes:
         address: Address that it listens on.
@@ -70,6 +75,7 @@
         connector: TunnellingConnector,
         is_overloaded: Callable[[], bool],
         metrics: RelayMetrics,
+        codec: Codec,
     ) -> None:
         super().__init__("tunnels")
         self.address = address
@@ -79,6 +85,7 @@
         self._connector = connector
         self._is_overloaded = is_overloaded
         self._metrics = metrics
+        self._codec = codec
         self._listener: anyio.abc.Listener | None = None
         self._open_count = 0
 
@@ -153,7 +160,7 @@
             self.opened_count += 1
             self._metrics.tunnels.add(1, {"side": "asked", "outcome": "opened"})
             await stream.send(parser.send(h11.Response(status_code=OPENED, headers=[])))
-            await join_streams(stream, runner)
+            await join_streams(stream, runner, self._make_observer(request.runner))
         finally:
             await reset_stream(runner)
 
@@ -170,10 +177,28 @@
             return UNKNOWN_RUNNER, "no such runner"
         if runner.address != request.address:
             return UNKNOWN_RUNNER, f"its address is {runner.address}"
+        view = self._table.find_view(request.runner)
+        if view is not None and view.leaving_since is not None:
+            return UNWANTED, "the runner leaves"
         if not self._connector.has_path(request.runner):
             return DECLINED, "this host has no path to it"
         return None
 
+    def _make_observer(self, runner: RunnerIncarnation) -> Callable[[bytes], None]:
+        """Return a function that records what a runner says in its answer.
+
+        The runner sees this host as the one that sends the request.
+        """
+        parser = AnswerHeadParser(self._codec)
+
+        def observe(data: bytes) -> None:
+            answer = parser.feed(data)
+            view = self._table.find_view(runner)
+            if answer is not None and view is not None:
+                record_statements(self._table, view, answer, time.monotonic())
+
+        return observe
+
     async def _refuse(
         self,
         stream: anyio.abc.SocketStream,
@@ -221,16 +246,21 @@
 
 
 async def join_streams(
-    caller: anyio.abc.SocketStream, runner: anyio.abc.SocketStream
+    caller: anyio.abc.SocketStream,
+    runner: anyio.abc.SocketStream,
+    observe: Callable[[bytes], None],
 ) -> None:
     """Pass on bytes in both directions until either end is closed.
 
     The caller's connection is closed in order only if the runner's is, and is left to
     be reset otherwise.
+
+    Args:
+        observe: Called with all bytes of the runner.
     """
     async with anyio.create_task_group() as group:
         group.start_soon(_pass_requests, caller, runner, group.cancel_scope)
-        if await _copy(runner, caller):
+        if await _copy(runner, caller, observe):
             set_reset_on_close(caller, False)
             await caller.aclose()
         group.cancel_scope.cancel()
@@ -257,11 +287,17 @@
             return
 
 
-async def _copy(source: anyio.abc.SocketStream, target: anyio.abc.SocketStream) -> bool:
+async def _copy(
+    source: anyio.abc.SocketStream,
+    target: anyio.abc.SocketStream,
+    observe: Callable[[bytes], None],
+) -> bool:
     """Copy bytes; return whether all were copied and the source closed in order."""
     try:
         while True:
-            await target.send(await source.receive(RECEIVE_BYTES))
+            data = await source.receive(RECEIVE_BYTES)
+            observe(data)
+            await target.send(data)
     except anyio.EndOfStream:
         return True
     except STREAM_ERRORS:
--- a/knapweedrail/relay/tunnels.py
+++ b/knapweedrail/relay/tunnels.py
@@ -32,9 +32,11 @@
 OPENED = 200
 BAD_REQUEST = 400
 UNKNOWN_RUNNER = 404
+UNWANTED = 409
 UNREACHABLE = 502
 DECLINED = 503
-"""Status codes of the answer to ``CONNECT``."""
+"""Status codes of the answer to ``CONNECT``. `UNWANTED` says that the runner wants no
+requests from the host of the other relay, `DECLINED` that this host doesn't."""
 
 OPEN_SECONDS = 0.2
 """How long another relay may take to open a tunnel."""
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -381,9 +381,11 @@
     connector = TunnellingConnector(
         table, membership.list_others, lambda: False, random.Random(1), metrics
     )
-    tunnels = TunnelServer("127.0.0.1:0", table, connector, lambda: False, metrics)
-    pool = ConnectionPool(connector)
     codec = PlatformCodec()
+    tunnels = TunnelServer(
+        "127.0.0.1:0", table, connector, lambda: False, metrics, codec
+    )
+    pool = ConnectionPool(connector)
     successors = SuccessorDetector(pool, codec, table, lambda: configuration)
     services = Services(
         codec=codec,
--- a/knapweedrail/tests/test_relay_leaving_runners.py
+++ b/knapweedrail/tests/test_relay_leaving_runners.py
@@ -6,7 +6,8 @@
 import pytest
 
 from ..relay.models import Member, RetryPolicy, RunnerIncarnation
-from ..relay.tunnels import DECLINED, ConnectRequest, open_tunnel
+from ..relay.runners import RunnerTable
+from ..relay.tunnels import UNWANTED, ConnectRequest, open_tunnel
 from .relays_in_memory import (
     ScriptedRunner,
     answer_normally,
@@ -16,6 +17,7 @@
     make_configuration,
     make_event,
     make_route,
+    make_runner,
     make_stream_head,
     run_relay,
 )
@@ -136,7 +138,7 @@
         runner = world.runners[heads.index(max(heads))]
         name = RunnerIncarnation(f"i-{world.runners.index(runner)}")
         opened = await open_tunnel(member, ConnectRequest(name, runner.address))
-    assert getattr(opened, "status", None) == DECLINED
+    assert getattr(opened, "status", None) == UNWANTED
 
 
 async def test_leaving_runner_is_noticed_in_the_tunnels_of_other_hosts(monkeypatch):
@@ -149,4 +151,45 @@
         member = Member("near", "near/1", tunnel_address=world.near.tunnels.address)
         name = RunnerIncarnation(f"i-{told[0]}")
         opened = await open_tunnel(member, ConnectRequest(name, runner.address))
-    assert getattr(opened, "status", None) == DECLINED
+    assert getattr(opened, "status", None) == UNWANTED
+
+
+def make_table(*names):
+    table = RunnerTable(grace_seconds=1.9)
+    for name in names:
+        table.set_runner(make_runner(name, started=1))
+    return table
+
+
+def list_names(table, now):
+    return [view.runner.name for view in table.list_views("e", now)]
+
+
+def test_leaving_runner_stays_so_when_its_entry_comes_back():
+    """An entry that lapsed in an outage of the store may come back as ready."""
+    table = make_table("i-0", "i-1")
+    leaving = table.find_view(RunnerIncarnation("i-0", 1))
+    table.record_leaving(leaving, 10.0)
+    table.remove_runner("i-0", 11.0)
+    table.set_runner(make_runner("i-0", started=1), 14.0)
+    assert list_names(table, 14.0) == ["i-1"]
+
+
+def test_runner_that_has_restarted_is_no_longer_leaving():
+    """A runner leaves and starts again under its name."""
+    table = make_table("i-0")
+    table.record_leaving(table.find_view(RunnerIncarnation("i-0", 1)), 10.0)
+    table.set_runner(make_runner("i-0", started=2), 20.0)
+    assert list_names(table, 20.0) == ["i-0"]
+    assert table.find_view(RunnerIncarnation("i-0", 1)) is None
+
+
+@pytest.mark.parametrize("unlisted_at", [9.0, 11.0])
+def test_leaving_runner_without_entry_gets_no_longer_grace_period(unlisted_at):
+    """The two reasons to spare a runner must not add up."""
+    table = make_table("i-0")
+    table.record_leaving(table.find_view(RunnerIncarnation("i-0", 1)), 10.0)
+    table.remove_runner("i-0", unlisted_at)
+    end = min(unlisted_at, 10.0) + 1.9
+    assert list_names(table, end - 0.01) == ["i-0"]
+    assert list_names(table, end) == []
--- a/knapweedrail/tests/test_relay_paused_runners.py
+++ b/knapweedrail/tests/test_relay_paused_runners.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ..relay.models import Member, RetryPolicy, RunnerIncarnation
-from ..relay.tunnels import DECLINED, ConnectRequest, open_tunnel
+from ..relay.tunnels import UNWANTED, ConnectRequest, open_tunnel
 from .relays_in_memory import (
     ScriptedRunner,
     answer_normally,
@@ -92,7 +92,7 @@
         name, address = RunnerIncarnation(f"i-{number}"), world.runners[number].address
         member = Member("near", "near/1", tunnel_address=world.near.tunnels.address)
         opened = await open_tunnel(member, ConnectRequest(name, address))
-    assert getattr(opened, "status", None) == DECLINED
+    assert getattr(opened, "status", None) == UNWANTED
 
 
 async def test_paused_runner_is_noticed_in_the_tunnels_of_other_hosts(monkeypatch):
