Send nothing to runners for as long as they ask after a rejection

Cause: Retry-After stood among the known headers but was read nowhere, so a runner that rejects was passed over for 0.15 s, whatever it asked for.

The view of an incarnation holds until when it wants no requests; a later rejection can't shorten that. Like limits and coldness it is one of the runner's own bounds, which all choices ask; a request that waited for its connection meanwhile asks again, and so does a tunnel for another host, whose answers this host reads. If no runner of an endpoint accepts requests, callers are refused at once and told when the first one is back, also after a rejection of their own request.

--- a/knapweedrail/relay/attempt_records.py
+++ b/knapweedrail/relay/attempt_records.py
@@ -61,7 +61,6 @@
             record_statements(
                 self._context.services.runners, self._view, answer, time.monotonic()
             )
-        self._record_pause(answer)
 
     def record_timeout(self, began_at: float) -> None:
         """Record that the first byte of an answer didn't arrive in time."""
@@ -133,15 +132,6 @@
                 self._view, answer.cold_left, time.monotonic()
             )
 
-    def _record_pause(self, answer: RunnerAnswer) -> None:
-        if answer.retry_after and self._is_from_runner(answer):
-            log_event(
-                Event.RUNNER_PAUSED,
-                runner=self._view.runner.name,
-                seconds=answer.retry_after,
-                request=self._context.request.identity,
-            )
-
     def _is_from_runner(self, answer: RunnerAnswer) -> bool:
         """Return whether the intended runner sent an answer, and to this request."""
         return (
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -120,6 +120,10 @@
                 time.monotonic(),
                 self._recorder.record_connection_time,
             )
+            if time.monotonic() < self._view.paused_until:
+                # Another request was rejected while this one waited for a connection.
+                detail = "the runner wants no requests for some time"
+                return AttemptFailed(FailureKind.NOT_SENT, detail)
             outcome, reusable = await self._send_and_relay(connection)
             return outcome
         except ConnectionFailed as error:
--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -295,8 +295,8 @@
     ) -> Refusal:
         """Refuse a request that no runner has run, with a retry-after time.
 
-        If the rate limits of all runners are reached, the time includes the wait until
-        one of them accepts the next request, up to the route's timeout.
+        If no runner wants a request now, the time includes the wait until one of them
+        accepts the next one, up to the route's timeout.
         """
         context = self._context
         retry_after = draw_retry_after(context.services.rng)
@@ -306,12 +306,16 @@
             time.monotonic(),
         )
         evacuated = context.services.runners.list_evacuated(context.endpoint.name)
+        if limit_wait is not None:
+            retry_after += min(limit_wait, context.route.timeout)
         if last_failure is None and limit_wait is not None:
             context.services.runners.record_refusal(
                 context.endpoint.name, time.monotonic()
             )
-            detail = "every runner limits its requests, is cold, or is full and brittle"
-            retry_after += min(limit_wait, context.route.timeout)
+            detail = (
+                "every runner limits or pauses its requests, is cold, or is full and "
+                "brittle"
+            )
         elif last_failure is None and evacuated:
             detail = f"no runner outside of evacuated data centres: {evacuated}"
         kind = (
--- a/knapweedrail/relay/runner_statements.py
+++ b/knapweedrail/relay/runner_statements.py
@@ -14,7 +14,7 @@
 def record_statements(
     table: RunnerTable, view: RunnerView, answer: RunnerAnswer, now: float
 ) -> None:
-    """Record that a runner leaves.
+    """Record that a runner leaves, or wants no requests for some time.
 
     Args:
         table: All runners.
@@ -26,3 +26,8 @@
         return
     if answer.leaving and table.record_leaving(view, now):
         log_event(Event.RUNNER_LEAVING, runner=view.runner.name)
+    if answer.retry_after:
+        table.record_pause(view, answer.retry_after, now)
+        log_event(
+            Event.RUNNER_PAUSED, runner=view.runner.name, seconds=answer.retry_after
+        )
--- a/knapweedrail/relay/runner_views.py
+++ b/knapweedrail/relay/runner_views.py
@@ -47,6 +47,7 @@
             listed yet.
         limit_record: The rate limit that its answers state, if any.
         cold: Whether it may be cold after a start, and when this relay last sent to it.
+        paused_until: Monotonic time until which it wants no requests from this host.
         leaving_since: Monotonic time at which it first said in an answer that it
             leaves; ``None`` before. Its entry in the store may say so seconds later.
         superseded: Whether a later incarnation of the runner is known. Results of its
@@ -75,6 +76,7 @@
     absent_since: float | None = None
     limit_record: LimitRecord = attrs.field(factory=LimitRecord)
     cold: ColdState = attrs.field(factory=ColdState)
+    paused_until: float = float("-inf")
     leaving_since: float | None = None
     superseded: bool = False
 
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -465,6 +465,13 @@
         view.leaving_since = now
         return True
 
+    def record_pause(self, view: RunnerView, seconds: float, now: float) -> None:
+        """Record that a runner wants no requests from this host for some seconds.
+
+        A later rejection with a shorter time doesn't shorten the first one.
+        """
+        view.paused_until = max(view.paused_until, now + seconds)
+
     def is_cold(self, view: RunnerView, now: float) -> bool:
         """Return whether a runner may be cold, so that only few relays may send."""
         endpoint = self.endpoints.get(view.runner.endpoint)
@@ -508,10 +515,12 @@
     def may_send(self, view: RunnerView, priority: int | None, now: float) -> bool:
         """Return whether a runner's own bounds let this relay send to it now.
 
-        These are its limit, its coldness, and the rejections that it tolerates.
+        These are a pause that it wants, its limit, its coldness, and the rejections
+        that it tolerates.
         """
         return (
-            self.compute_limit_delay(view, priority, now) <= 0
+            now >= view.paused_until
+            and self.compute_limit_delay(view, priority, now) <= 0
             and self.compute_cold_delay(view, now) <= 0
             and self.has_slot_for(view, now)
         )
@@ -527,6 +536,17 @@
         views = self.list_views(endpoint, now)
         if not views or any(self.may_send(view, priority, now) for view in views):
             return None
+        waits = [view.paused_until - now for view in views if now < view.paused_until]
+        views = [view for view in views if now >= view.paused_until]
+        if views:
+            waits.append(self._measure_next_turn(endpoint, views, now))
+        return min(waits)
+
+    def _measure_next_turn(
+        self, endpoint: str, views: list[RunnerView], now: float
+    ) -> float:
+        """Return the mean time until some relay may send to one of the runners, which
+        are limited, cold or brittle, seconds."""
         limits = [view.limit_record.limit for view in views]
         rates = [limit.rate for limit in limits if limit is not None]
         cold = make_limit(self.endpoints.get(endpoint), self._burst_allowance)
--- a/knapweedrail/relay/tunnel_server.py
+++ b/knapweedrail/relay/tunnel_server.py
@@ -180,6 +180,8 @@
         view = self._table.find_view(request.runner)
         if view is not None and view.leaving_since is not None:
             return UNWANTED, "the runner leaves"
+        if view is not None and time.monotonic() < view.paused_until:
+            return UNWANTED, "the runner wants no requests from this host"
         if not self._connector.has_path(request.runner):
             return DECLINED, "this host has no path to it"
         return None
--- a/knapweedrail/tests/test_relay_paused_runners.py
+++ b/knapweedrail/tests/test_relay_paused_runners.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ..relay.models import Member, RetryPolicy, RunnerIncarnation
+from ..relay.runners import RunnerTable
 from ..relay.tunnels import UNWANTED, ConnectRequest, open_tunnel
 from .relays_in_memory import (
     ScriptedRunner,
@@ -13,6 +14,7 @@
     make_answer,
     make_configuration,
     make_route,
+    make_runner,
     run_relay,
 )
 from .test_relay_leaving_runners import make_prompt
@@ -106,3 +108,74 @@
         answers = [await world.near.call() for _ in range(3)]
     assert [answer.status for answer in answers] == [503] * 3
     assert world.received == received
+
+
+async def test_request_that_waits_for_a_connection_is_not_sent_to_a_paused_runner(
+    monkeypatch,
+):
+    """A runner rejects one request while another one is connecting to it."""
+    paused = ScriptedRunner(reject_for(*[5.0] * 10))
+    other = ScriptedRunner(answer_normally)
+    connect = anyio.connect_tcp
+
+    async def connect_slowly(host, port, **options):
+        stream = await connect(host, port, **options)
+        if f"{host}:{port}" == paused.address:
+            await anyio.sleep(0.05 * next(delays))
+        return stream
+
+    delays = iter(range(20))
+    monkeypatch.setattr(anyio, "connect_tcp", connect_slowly)
+    async with run_relay(make_configuration(SAFE), paused, other) as relay:
+        async with anyio.create_task_group() as group:
+            for n in range(8):
+                group.start_soon(call_ok, relay, f"id-{n}")
+    assert len(paused.heads) == 1
+
+
+async def call_ok(relay, identity):
+    answer = await relay.call(knapweedrail_request_id=identity)
+    assert answer.status == 200
+
+
+def make_table(count):
+    table = RunnerTable(grace_seconds=1.9)
+    for number in range(count):
+        table.set_runner(make_runner(f"i-{number}", started=1))
+    return table, table.list_views("e", 0.0)
+
+
+def test_shorter_pause_does_not_shorten_a_longer_one():
+    """Two requests are rejected, the second one with a shorter time."""
+    table, (view,) = make_table(1)
+    table.record_pause(view, 3.0, 10.0)
+    table.record_pause(view, 1.0, 10.5)
+    assert not table.may_send(view, None, 12.9)
+    assert table.may_send(view, None, 13.0)
+
+
+def test_pause_ends_with_a_restart_of_its_runner():
+    """A runner restarts before its long pause is over."""
+    table, (view,) = make_table(1)
+    table.record_pause(view, 600.0, 10.0)
+    table.set_runner(make_runner("i-0", started=2), 20.0)
+    (restarted,) = table.list_views("e", 20.0)
+    assert table.may_send(restarted, None, 20.0)
+
+
+def test_paused_runner_is_neither_ejected_nor_failing():
+    """A pause says nothing about the answers of a runner once it is over."""
+    table, (view,) = make_table(1)
+    table.record_rejection(view, 10.0)
+    table.record_pause(view, 3.0, 10.0)
+    assert view.failure_rate == 0
+    assert table.is_available(view, 13.0)
+
+
+def test_wait_is_that_of_the_first_runner_to_be_back():
+    """Callers come back when the first of several pauses is over."""
+    table, views = make_table(3)
+    for view, seconds in zip(views, (4.0, 2.0, 7.0), strict=True):
+        assert table.compute_limit_wait("e", None, 10.0) is None
+        table.record_pause(view, seconds, 10.0)
+    assert table.compute_limit_wait("e", None, 10.5) == 1.5
