--- a/knapweedrail/tests/test_relay_paused_runners.py
+++ b/knapweedrail/tests/test_relay_paused_runners.py
@@ -8,6 +8,7 @@
 from ..relay.models import Member, RetryPolicy, RunnerIncarnation
 from ..relay.runners import RunnerTable
 from ..relay.tunnels import UNWANTED, ConnectRequest, open_tunnel
+from ..standins.pausingfleet import PausingFleet
 from .relays_in_memory import (
     ScriptedRunner,
     answer_normally,
@@ -28,6 +29,38 @@
 """Pause that the runners of these tests ask for, longer than a usual backoff."""
 
 
+MAX_REQUESTS_IN_PAUSE = 2
+"""Requests of one host that a runner tolerates in its pause, from half a second on."""
+
+SIZES = {
+    "9 hosts, 3 of 8 runners": {
+        "hosts": 9,
+        "runners": 8,
+        "pressure": 0.6,
+        "rejecting": 3,
+        "share": 0.6,
+        "period": (2.0, 8.0),
+    },
+    "9 hosts, all runners": {
+        "hosts": 9,
+        "runners": 3,
+        "pressure": 0.9,
+        "rejecting": 3,
+        "share": 0.3,
+        "period": (2.0, 8.0),
+    },
+    "72 hosts": {
+        "hosts": 72,
+        "runners": 30,
+        "pressure": 0.6,
+        "rejecting": 10,
+        "share": 0.6,
+        "period": (2.0, 8.0),
+    },
+}
+"""Fleets whose runners reject a share of all requests for a while."""
+
+
 def reject_for(seconds, *further_seconds):
     """Return a `ScriptedRunner.respond` that rejects some requests for a time each."""
     pauses = [seconds, *further_seconds]
@@ -179,3 +212,26 @@
         assert table.compute_limit_wait("e", None, 10.0) is None
         table.record_pause(view, seconds, 10.0)
     assert table.compute_limit_wait("e", None, 10.5) == 1.5
+
+
+def play(size, pause_seconds, seed):
+    fleet = PausingFleet(**size, seed=seed, pause_seconds=pause_seconds)
+    fleet.play(12.0)
+    return fleet
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("size", SIZES.values(), ids=SIZES)
+def test_overloaded_runners_get_no_requests_in_their_pauses(size, seed):
+    """Some runners, or all, reject many requests for six seconds."""
+    fleet = play(size, 3.0, seed)
+    assert fleet.rejections
+    assert fleet.worst_count <= MAX_REQUESTS_IN_PAUSE
+
+
+@pytest.mark.parametrize("size", ["9 hosts, 3 of 8 runners", "72 hosts"])
+def test_pauses_of_some_runners_cost_callers_nothing(size):
+    """The others have capacity for what the paused runners don't get."""
+    with_pauses, without = (play(SIZES[size], seconds, 1) for seconds in (3.0, 0.0))
+    assert with_pauses.rejections < without.rejections
+    assert with_pauses.served / with_pauses.sent >= without.served / without.sent
