Test that the stream of a killed process doesn't look complete

A runner as a process of its own is killed inside an event: if it has read its request, the kernel closes the connection in order, which only the check of the stream's end tells from a whole answer.

--- a/knapweedrail/tests/test_relay_unframed_answers.py
+++ b/knapweedrail/tests/test_relay_unframed_answers.py
@@ -1,5 +1,8 @@
 """Tests of answers that have neither a length nor chunks."""
 
+import signal
+import sys
+
 import anyio
 import pytest
 
@@ -12,6 +15,7 @@
     make_configuration,
     make_event,
     make_route,
+    make_runner,
     make_stream_head,
     run_relay,
 )
@@ -39,6 +43,22 @@
 }
 
 
+KILLED_RUNNER = """
+import os, signal, socket, sys, time
+listener = socket.create_server(("127.0.0.1", 0))
+print(listener.getsockname()[1], flush=True)
+connection, _ = listener.accept()
+received = b""
+while sys.argv[1] == "read" and not received.endswith(b"hello"):
+    received += connection.recv(65536)
+connection.sendall(sys.stdin.buffer.read())
+time.sleep(0.1)
+os.kill(os.getpid(), signal.SIGKILL)
+"""
+"""Program of a runner that sends its input as the answer and is killed. It reads its
+request before or not; the kernel resets a connection with unread bytes."""
+
+
 def make_unframed_head(head):
     """Return the head of an event stream that ends with its connection."""
     return make_stream_head(head).replace(b"Transfer-Encoding: chunked\r\n", b"")
@@ -81,6 +101,24 @@
     assert view.failure_rate > 0
 
 
+@pytest.mark.parametrize("reads", ["read", "leave"])
+async def test_stream_of_a_killed_process_does_not_look_complete(reads):
+    """The kernel closes the connections of a runner that is killed inside an event."""
+    head = "\r\nKnapweedrail-Request-Id: id-1"
+    answer = make_unframed_head(head) + make_event(1) + make_event(2)[:9]
+    command = [sys.executable, "-c", KILLED_RUNNER, reads]
+    async with run_relay(make_configuration(NON_RESUMABLE)) as relay:
+        async with await anyio.open_process(command, stderr=None) as process:
+            port = int(await process.stdout.receive())
+            await process.stdin.send(answer)
+            await process.stdin.aclose()
+            relay.table.set_runner(make_runner("i-0", f"127.0.0.1:{port}"))
+            received = await relay.call()
+    assert process.returncode == -signal.SIGKILL
+    assert not received.complete
+    assert received.body in (b"", make_event(1))
+
+
 async def test_stream_that_ends_inside_an_event_is_resumed_after_the_last_one():
     """A runner crashes in the middle of an event of a stream that may be resumed."""
     runners = ScriptedRunner(resume_or_break_off), ScriptedRunner(resume_or_break_off)
