Split the bounds that runners set themselves from the table

RunnerBounds holds limits, pauses, coldness and brittleness and says whether a runner may get a request; the table keeps which runners there are and how they do. No logic changes; the tests of bounds, selection, incarnations, tunnels and forwarding pass with the new names.

--- a/knapweedrail/relay/attempt_records.py
+++ b/knapweedrail/relay/attempt_records.py
@@ -128,7 +128,7 @@
 
     def _record_cold_left(self, answer: RunnerAnswer) -> None:
         if answer.cold_left is not None and answer.status != MISDIRECTED:
-            self._context.services.runners.record_cold_left(
+            self._context.services.runners.bounds.record_cold_left(
                 self._view, answer.cold_left, time.monotonic()
             )
 
@@ -148,7 +148,7 @@
             # Rejections and errors may lack the limit, as a runner may send them before
             # it has evaluated the rest of the request.
             return
-        update = context.services.runners.record_limit(
+        update = context.services.runners.bounds.record_limit(
             self._view, answer.limit, time.monotonic(), sent_at
         )
         if update is not None:
@@ -167,7 +167,7 @@
             return
         if answer.brittle is None and answer.status not in SUCCESS_STATUSES:
             return
-        if context.services.runners.record_brittleness(
+        if context.services.runners.bounds.record_brittleness(
             self._view, answer.brittle, time.monotonic(), sent_at
         ):
             log_event(
--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -217,7 +217,7 @@
         views = [
             v
             for v in views
-            if runners.may_send(v, context.priorities.by_account_and_route, now)
+            if runners.bounds.may_send(v, context.priorities.by_account_and_route, now)
         ]
         available = [view for view in views if runners.is_available(view, now)]
         wait = estimate_shortest_wait(
@@ -300,7 +300,7 @@
         """
         context = self._context
         retry_after = draw_retry_after(context.services.rng)
-        limit_wait = context.services.runners.compute_limit_wait(
+        limit_wait = context.services.runners.compute_wait(
             context.endpoint.name,
             context.priorities.by_account_and_route,
             time.monotonic(),
@@ -309,7 +309,7 @@
         if limit_wait is not None:
             retry_after += min(limit_wait, context.route.timeout)
         if last_failure is None and limit_wait is not None:
-            context.services.runners.record_refusal(
+            context.services.runners.bounds.record_refusal(
                 context.endpoint.name, time.monotonic()
             )
             detail = (
--- a/knapweedrail/relay/process.py
+++ b/knapweedrail/relay/process.py
@@ -178,7 +178,7 @@
         self._pending_suspects: list[str] = []
         self._pending_added = Notifier()
         self._pending_limits: dict[str, LimitUpdate] = {}
-        runners.table.find_standing = self._membership.find_standing
+        runners.table.bounds.find_standing = self._membership.find_standing
         self._successors = SuccessorDetector(
             self._pool,
             codec,
@@ -429,7 +429,7 @@
         )
 
     def _set_endpoints(self, configuration: Configuration) -> None:
-        self._runners.table.endpoints = configuration.endpoints
+        self._runners.table.bounds.endpoints = configuration.endpoints
 
     async def _answer_ready(self, scope: dict, receive: object, send: object) -> None:
         configured = self._configuration.table is not None
--- a/knapweedrail/relay/runner_statements.py
+++ b/knapweedrail/relay/runner_statements.py
@@ -27,7 +27,7 @@
     if answer.leaving and table.record_leaving(view, now):
         log_event(Event.RUNNER_LEAVING, runner=view.runner.name)
     if answer.retry_after:
-        table.record_pause(view, answer.retry_after, now)
+        table.bounds.record_pause(view, answer.retry_after, now)
         log_event(
             Event.RUNNER_PAUSED, runner=view.runner.name, seconds=answer.retry_after
         )
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -5,29 +5,22 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Iterable
 
 import attrs
 
-from ..limits import FindStanding, LimitUpdate, measure_next_turn, stand_alone
-from .brittleness import (
-    Brittleness,
-    compute_part,
-    compute_sender_rate,
-    is_lightly_loaded,
-)
-from .cold_starts import BurstAllowance, make_limit
+from ..limits import LimitUpdate
+from .cold_starts import BurstAllowance
 from .incarnations import EntryResult, IncarnationTracker
 from .models import (
     UNKNOWN_START,
-    Endpoint,
     Runner,
     RunnerIncarnation,
     RunnerState,
 )
 from .prefixes import PrefixMemory
 from .reachability import Reachability
+from .runner_bounds import RunnerBounds
 from .runner_views import RunnerView
 
 REJECTION_BACKOFF_SECONDS = 0.15
@@ -62,10 +55,6 @@
 show whether it has recovered."""
 
 
-MIN_ANSWER_SECONDS = 0.02
-"""Shortest time that an answer is assumed to take where none is known."""
-
-
 class RunnerTable:
     """All known runners by name, with their load and health.
 
@@ -77,20 +66,17 @@
         burst_allowance: How far beyond its rate a cold runner may be burdened.
 
     Attributes:
-        endpoints: Endpoints of the configuration in force, by name.
+        bounds: Which of the runners this relay may send to.
         evacuated: Data centres to whose runners nothing more is sent.
         mean_prompt_tokens: Moving average of the prompt tokens per request.
         prefixes: Runners to which prompt prefixes were recently sent.
-        find_standing: Returns this relay's place among the relays that may send to a
-            runner which limits its requests.
     """
 
     def __init__(
         self, grace_seconds: float, burst_allowance: BurstAllowance = BurstAllowance()
     ) -> None:
         self._grace_seconds = grace_seconds
-        self._burst_allowance = burst_allowance
-        self.endpoints: dict[str, Endpoint] = {}
+        self.bounds = RunnerBounds(burst_allowance)
         self.evacuated: frozenset[str] = frozenset()
         self._views: dict[str, RunnerView] = {}
         self._by_endpoint: dict[str, dict[str, RunnerView]] = {}
@@ -99,9 +85,6 @@
         self.prefixes = PrefixMemory()
         self._reachability = Reachability()
         self._unlisted_successors: set[str] = set()
-        self._brittleness: dict[str, Brittleness] = {}
-        self._rng = random.Random()
-        self.find_standing: FindStanding = stand_alone
 
     def __len__(self) -> int:
         return len(self._views)
@@ -373,83 +356,12 @@
         view.other_requests_waiting = min(view.other_requests, float(waiting))
         view.reported_at = now
 
-    def record_limit(
-        self, view: RunnerView, rate: float | None, now: float, sent_at: float
-    ) -> LimitUpdate | None:
-        """Record the rate limit that a runner's answer states.
-
-        Args:
-            rate: Requests per second from all relays together; ``None`` if the answer
-                states no limit.
-            sent_at: Monotonic time at which the answered request was sent, seconds.
-
-        Returns:
-            The change to send to the other relays, or ``None`` if there is none.
-        """
-        if view.superseded:
-            return None
-        if not view.limit_record.record_stated(rate, now, self._rng, sent_at):
-            return None
-        record, incarnation = view.limit_record, view.incarnation
-        return LimitUpdate(
-            incarnation.name, incarnation.started, record.sent, record.number
-        )
-
     def merge_limit(self, update: LimitUpdate, now: float) -> bool:
         """Merge a limit received from another relay; return whether it was new."""
         view = self._views.get(update.runner)
         if view is None or view.incarnation.started != update.started:
             return False
-        return view.limit_record.merge(update, now, self._rng)
-
-    def record_brittleness(
-        self, view: RunnerView, rejections: float | None, now: float, sent_at: float
-    ) -> bool:
-        """Record what an answer states about the rejections that its runner tolerates.
-
-        All runners of an endpoint are brittle at the same time.
-
-        Args:
-            rejections: Rejections in one second; ``None`` if the runner isn't brittle.
-            now: Monotonic time, seconds.
-            sent_at: When the answered request was sent; answers overtake each other.
-
-        Returns:
-            Whether that is new.
-        """
-        endpoint = view.runner.endpoint
-        known = self._brittleness.get(endpoint)
-        if rejections is not None:
-            until = known.divided_until if known else float("-inf")
-            self._brittleness[endpoint] = Brittleness(rejections, now, until)
-            return known is None or known.rejections != rejections
-        if known is None or sent_at < known.stated_at:
-            return False
-        del self._brittleness[endpoint]
-        return True
-
-    def has_slot_for(self, view: RunnerView, now: float) -> bool:
-        """Return whether this relay may send one more request to a runner, if those of
-        its endpoint are brittle and their slots are divided among the relays."""
-        brittleness = self._brittleness.get(view.runner.endpoint)
-        if brittleness is None or not brittleness.is_divided(now):
-            return True
-        slots, report_age = view.runner.slots, now - view.reported_at
-        if is_lightly_loaded(view.estimate_load(now), slots, report_age):
-            return True
-        standing = self.find_standing(view.runner.name, compute_sender_rate(slots))
-        return view.running < compute_part(slots, standing)
-
-    def record_refusal(self, endpoint: str, now: float) -> None:
-        """Record that no runner of an endpoint could get a request."""
-        brittleness = self._brittleness.get(endpoint)
-        if brittleness is not None:
-            brittleness.record_refusal(now)
-
-    def record_cold_left(self, view: RunnerView, seconds: float, now: float) -> None:
-        """Record for how long an answer says that its runner stays cold, seconds."""
-        if not view.superseded and seconds > 0:
-            view.cold.record_statement(seconds, now)
+        return self.bounds.merge_limit(view, update, now)
 
     def record_leaving(self, view: RunnerView, now: float) -> bool:
         """Record that a runner says in an answer that it leaves.
@@ -465,98 +377,23 @@
         view.leaving_since = now
         return True
 
-    def record_pause(self, view: RunnerView, seconds: float, now: float) -> None:
-        """Record that a runner wants no requests from this host for some seconds.
-
-        A later rejection with a shorter time doesn't shorten the first one.
-        """
-        view.paused_until = max(view.paused_until, now + seconds)
-
-    def is_cold(self, view: RunnerView, now: float) -> bool:
-        """Return whether a runner may be cold, so that only few relays may send."""
-        endpoint = self.endpoints.get(view.runner.endpoint)
-        if endpoint is None or endpoint.cold_rate <= 0:
-            return False
-        return view.cold.measure_left(endpoint.cold_seconds, now) > 0
-
     def count_cold(self, now: float) -> dict[str, float]:
         """Return the number of listed runners that may be cold, by endpoint."""
         return {
-            name: float(sum(self.is_cold(view, now) for view in views.values()))
+            name: float(sum(self.bounds.is_cold(view, now) for view in views.values()))
             for name, views in self._by_endpoint.items()
-            if name in self.endpoints
+            if name in self.bounds.endpoints
         }
 
-    def compute_cold_delay(self, view: RunnerView, now: float) -> float:
-        """Return the time until this relay may send to a runner as far as it depends on
-        its coldness, seconds."""
-        if not self.is_cold(view, now):
-            return 0.0
-        endpoint = self.endpoints[view.runner.endpoint]
-        limit = make_limit(endpoint, self._burst_allowance)
-        standing = self.find_standing(view.runner.name, limit.sender_rate)
-        pause = limit.measure_pause(standing, view.cold.sent_at, now)
-        return min(pause, view.cold.measure_left(endpoint.cold_seconds, now))
-
-    def compute_limit_delay(
-        self, view: RunnerView, priority: int | None, now: float
-    ) -> float:
-        """Return the time until a runner's limit lets this relay send to it, seconds.
-
-        Args:
-            priority: Urgency of the request; 0 is the most urgent.
-        """
-        limit = view.limit_record.limit
-        if limit is None:
-            return 0.0
-        standing = self.find_standing(view.runner.name, limit.rate)
-        return limit.measure_pause(standing, priority or 0, now)
-
-    def may_send(self, view: RunnerView, priority: int | None, now: float) -> bool:
-        """Return whether a runner's own bounds let this relay send to it now.
-
-        These are a pause that it wants, its limit, its coldness, and the rejections
-        that it tolerates.
-        """
-        return (
-            now >= view.paused_until
-            and self.compute_limit_delay(view, priority, now) <= 0
-            and self.compute_cold_delay(view, now) <= 0
-            and self.has_slot_for(view, now)
-        )
-
-    def compute_limit_wait(
+    def compute_wait(
         self, endpoint: str, priority: int | None, now: float
     ) -> float | None:
-        """Return the time until some relay may send to one of the runners, seconds.
+        """Return the time until some relay may send to one of an endpoint's runners.
 
         Returns:
-            ``None`` if this relay may send to one now, or the endpoint has no runner.
+            Seconds; ``None`` if this relay may send to one now, or there is none.
         """
-        views = self.list_views(endpoint, now)
-        if not views or any(self.may_send(view, priority, now) for view in views):
-            return None
-        waits = [view.paused_until - now for view in views if now < view.paused_until]
-        views = [view for view in views if now >= view.paused_until]
-        if views:
-            waits.append(self._measure_next_turn(endpoint, views, now))
-        return min(waits)
-
-    def _measure_next_turn(
-        self, endpoint: str, views: list[RunnerView], now: float
-    ) -> float:
-        """Return the mean time until some relay may send to one of the runners, which
-        are limited, cold or brittle, seconds."""
-        limits = [view.limit_record.limit for view in views]
-        rates = [limit.rate for limit in limits if limit is not None]
-        cold = make_limit(self.endpoints.get(endpoint), self._burst_allowance)
-        rates.extend(cold.used_rate for view in views if self.is_cold(view, now))
-        brittleness = self._brittleness.get(endpoint)
-        if brittleness is not None and brittleness.is_divided(now):
-            rates.extend(
-                v.runner.slots / max(MIN_ANSWER_SECONDS, v.latency) for v in views
-            )
-        return measure_next_turn(rates)
+        return self.bounds.compute_wait(self.list_views(endpoint, now), priority, now)
 
     def is_available(self, view: RunnerView, now: float) -> bool:
         """Return whether a runner is neither ejected, backing off nor partitioned."""
@@ -611,9 +448,7 @@
     def record_rejection(self, view: RunnerView, now: float) -> None:
         """Record that a runner rejected a request for lack of capacity."""
         view.backoff_until = now + REJECTION_BACKOFF_SECONDS
-        brittleness = self._brittleness.get(view.runner.endpoint)
-        if brittleness is not None:
-            brittleness.record_rejection(now)
+        self.bounds.record_rejection(view, now)
 
     def record_failure(self, view: RunnerView, now: float, certain: bool) -> bool:
         """Record a failed answer; return whether the runner is ejected for it.
--- a/knapweedrail/relay/selection.py
+++ b/knapweedrail/relay/selection.py
@@ -45,7 +45,7 @@
     untried = [
         view
         for view in table.list_views(endpoint, now)
-        if view.incarnation not in tried and table.may_send(view, priority, now)
+        if view.incarnation not in tried and table.bounds.may_send(view, priority, now)
     ]
     if not untried:
         return None
--- a/knapweedrail/standins/brittlefleet.py
+++ b/knapweedrail/standins/brittlefleet.py
@@ -105,7 +105,7 @@
         table = RunnerTable(1.9)
         senders = Senders(name)
         senders.set_names(names)
-        table.find_standing = senders.find_standing
+        table.bounds.find_standing = senders.find_standing
         for runner in self.runners:
             table.set_runner(
                 Runner(
@@ -134,7 +134,7 @@
             table, ENDPOINT, _REQUEST, tried, "dc", self._now, self.rng
         )
         if view is None:
-            table.record_refusal(ENDPOINT, self._now)
+            table.bounds.record_refusal(ENDPOINT, self._now)
             return
         token = object()
         table.record_sent(view, 0, token, None, self._now)
@@ -197,7 +197,7 @@
     ) -> None:
         waiting = len(runner.waiting)
         table.record_load_report(view, runner.running, waiting, self._now)
-        table.record_brittleness(view, self._stated, self._now, self._now)
+        table.bounds.record_brittleness(view, self._stated, self._now, self._now)
         if success:
             table.record_success(view, 0.1, self._now)
 
--- a/knapweedrail/standins/coldfleet.py
+++ b/knapweedrail/standins/coldfleet.py
@@ -194,7 +194,7 @@
     def _make_table(self, host: str) -> RunnerTable:
         table = RunnerTable(grace_seconds=1.9, burst_allowance=ALLOWANCE)
         rate = self._sharing.cold_rate if self._heeds(host) else 0.0
-        table.endpoints = {
+        table.bounds.endpoints = {
             ENDPOINT: Endpoint(
                 name=ENDPOINT,
                 health_path="/",
--- a/knapweedrail/standins/limitfleet.py
+++ b/knapweedrail/standins/limitfleet.py
@@ -111,7 +111,9 @@
         table = self._make_table(host)
         hosts = [*self.relays] if host in self.relays else [*self.relays, host]
         relay = PlayedRelay(host, table, hosts, next(self._versions))
-        table.find_standing = lambda runner, rate: self._stand(relay, runner, rate)
+        table.bounds.find_standing = lambda runner, rate: self._stand(
+            relay, runner, rate
+        )
         known = host in self.relays
         self.relays[host] = relay
         if not (listed or known):
@@ -217,7 +219,7 @@
             relay.told_at.setdefault(view.runner.name, self.now)
         if not self._heeds(relay.host):
             return
-        news = relay.table.record_limit(view, named, self.now, sent_at)
+        news = relay.table.bounds.record_limit(view, named, self.now, sent_at)
         if news is not None:
             self._tell(relay, news)
 
--- a/knapweedrail/standins/pausingfleet.py
+++ b/knapweedrail/standins/pausingfleet.py
@@ -85,5 +85,5 @@
         self._pauses[path].append(self._now)
         table.record_rejection(view, self._now)
         if self._pause_seconds:
-            table.record_pause(view, self._pause_seconds, self._now)
+            table.bounds.record_pause(view, self._pause_seconds, self._now)
         self._fail(table, view, token, tried)
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -375,7 +375,7 @@
     membership = Membership(store, Member(host, f"{host}/1", "", "dc"))
     membership.settled = True
     membership._senders.set_names(others)
-    table.find_standing = membership.find_standing
+    table.bounds.find_standing = membership.find_standing
     holdings = Holdings(store, PeerClient(), membership, lambda: configuration)
     metrics, overload = RelayMetrics(), OverloadMonitor()
     connector = TunnellingConnector(
--- a/knapweedrail/tests/test_relay_brittleness.py
+++ b/knapweedrail/tests/test_relay_brittleness.py
@@ -56,30 +56,30 @@
 def test_slots_are_divided_only_after_a_rejection():
     """Runners that have room would be left idle."""
     table, view = make_table()
-    table.record_brittleness(view, 5.0, 0.0, 0.0)
+    table.bounds.record_brittleness(view, 5.0, 0.0, 0.0)
     for number in range(4):
         table.record_sent(view, 0, number, None, 0.0)
-    assert table.may_send(view, None, 0.0)
+    assert table.bounds.may_send(view, None, 0.0)
     table.record_rejection(view, 0.1)
-    assert not table.may_send(view, None, 0.2)
-    assert table.compute_limit_wait("e", None, 0.2) > 0
-    assert table.may_send(view, None, 0.2 + DIVIDED_SECONDS)
+    assert not table.bounds.may_send(view, None, 0.2)
+    assert table.compute_wait("e", None, 0.2) > 0
+    assert table.bounds.may_send(view, None, 0.2 + DIVIDED_SECONDS)
     table.record_rejection(view, 9.0)
-    table.record_refusal("e", 8.9 + DIVIDED_SECONDS)
-    assert not table.may_send(view, None, 9.1 + DIVIDED_SECONDS)
+    table.bounds.record_refusal("e", 8.9 + DIVIDED_SECONDS)
+    assert not table.bounds.may_send(view, None, 9.1 + DIVIDED_SECONDS)
 
 
 def test_overtaken_answer_does_not_end_brittleness():
     """An answer without the header, to a request of before, ends the restraint."""
     table, view = make_table()
-    assert table.record_brittleness(view, 5.0, 1.0, 0.9)
+    assert table.bounds.record_brittleness(view, 5.0, 1.0, 0.9)
     table.record_rejection(view, 1.0)
     for number in range(4):
         table.record_sent(view, 0, number, None, 1.0)
-    assert not table.record_brittleness(view, None, 1.2, 0.8)
-    assert not table.may_send(view, None, 1.2)
-    assert table.record_brittleness(view, None, 1.4, 1.3)
-    assert table.may_send(view, None, 1.4)
+    assert not table.bounds.record_brittleness(view, None, 1.2, 0.8)
+    assert not table.bounds.may_send(view, None, 1.2)
+    assert table.bounds.record_brittleness(view, None, 1.4, 1.3)
+    assert table.bounds.may_send(view, None, 1.4)
 
 
 @pytest.mark.anyio
@@ -94,13 +94,13 @@
 
     runner = ScriptedRunner(reject)
     async with run_relay(make_configuration(SAFE), runner, host="a") as relay:
-        relay.table.find_standing = lambda *_: STANDS_ASIDE
+        relay.table.bounds.find_standing = lambda *_: STANDS_ASIDE
         answers = [await relay.call() for _ in range(20)]
-        until = relay.table._brittleness["e"].divided_until
+        until = relay.table.bounds._brittleness["e"].divided_until
         await anyio.sleep(0.05)
         await relay.call()
         # A refusal for want of a slot prolongs the restraint.
-        assert relay.table._brittleness["e"].divided_until > until
+        assert relay.table.bounds._brittleness["e"].divided_until > until
     assert {answer.status for answer in answers} == {503}
     assert len(runner.heads) == 1
     assert all(float(answer.headers["retry-after"]) > 0 for answer in answers)
--- a/knapweedrail/tests/test_relay_cold_starts.py
+++ b/knapweedrail/tests/test_relay_cold_starts.py
@@ -186,7 +186,7 @@
 
     def make_table(self, cold_left, now=100.0, rate=8.8):
         table = RunnerTable(1.9, BurstAllowance(1.5, 5.0))
-        table.endpoints = {
+        table.bounds.endpoints = {
             "e": Endpoint(
                 name="e",
                 health_path="/",
@@ -201,46 +201,46 @@
 
     def test_runner_is_cold_as_long_as_its_entry_says(self):
         table, view, _ = self.make_table(2.0)
-        assert table.is_cold(view, 101.9)
-        assert not table.is_cold(view, 102.1)
+        assert table.bounds.is_cold(view, 101.9)
+        assert not table.bounds.is_cold(view, 102.1)
 
     def test_runner_of_unknown_age_counts_as_cold(self):
         """Guards against full load on a runner that started while its list was away."""
         table, view, _ = self.make_table(None)
-        assert table.is_cold(view, 102.9)
-        assert not table.is_cold(view, 103.1)
+        assert table.bounds.is_cold(view, 102.9)
+        assert not table.bounds.is_cold(view, 103.1)
 
     def test_same_entry_again_starts_no_new_cold_period(self):
         """Guards against a runner that never becomes warm, as each list of the runners
         shows its entry again."""
         table, view, runner = self.make_table(3.0)
         table.replace_all([runner], 102.0)
-        assert not table.is_cold(view, 103.1)
+        assert not table.bounds.is_cold(view, 103.1)
 
     def test_changed_entry_starts_a_new_cold_period(self):
         """Guards against full load on a runner that has become cold again."""
         table, view, runner = self.make_table(0.0)
-        assert not table.is_cold(view, 100.1)
+        assert not table.bounds.is_cold(view, 100.1)
         table.set_runner(attrs.evolve(runner, cold_left=3.0), 110.0)
-        assert table.is_cold(view, 112.9)
+        assert table.bounds.is_cold(view, 112.9)
 
     def test_answer_tells_that_a_runner_is_cold(self):
         table, view, _ = self.make_table(0.0)
-        table.record_cold_left(view, 1.5, 120.0)
-        assert table.is_cold(view, 121.4)
-        assert not table.is_cold(view, 121.6)
+        table.bounds.record_cold_left(view, 1.5, 120.0)
+        assert table.bounds.is_cold(view, 121.4)
+        assert not table.bounds.is_cold(view, 121.6)
 
     def test_endpoint_without_a_rate_needs_no_care(self):
         table, view, _ = self.make_table(3.0, rate=0.0)
-        assert not table.is_cold(view, 100.1)
+        assert not table.bounds.is_cold(view, 100.1)
 
     def test_relay_that_knows_no_others_sends_nothing_to_a_cold_runner(self):
         """Guards against hosts that start together, each as if it were the only one."""
         table, view, _ = self.make_table(3.0)
-        table.find_standing = lambda runner, rate: Standing(1, 1, sends=False)
-        assert not table.may_send(view, None, 100.1)
-        assert table.compute_cold_delay(view, 100.1) == pytest.approx(2.9)
-        assert table.compute_limit_wait("e", None, 100.1) < 1.0
+        table.bounds.find_standing = lambda runner, rate: Standing(1, 1, sends=False)
+        assert not table.bounds.may_send(view, None, 100.1)
+        assert table.bounds.compute_cold_delay(view, 100.1) == pytest.approx(2.9)
+        assert table.compute_wait("e", None, 100.1) < 1.0
 
 
 def test_limit_without_a_configuration_is_none():
--- a/knapweedrail/tests/test_relay_evacuations.py
+++ b/knapweedrail/tests/test_relay_evacuations.py
@@ -276,10 +276,10 @@
         endpoint = Endpoint(
             name="e", health_path="/", max_connections=9, cold_seconds=3, cold_rate=5
         )
-        table.endpoints = {"e": endpoint}
+        table.bounds.endpoints = {"e": endpoint}
         table.set_runner(attrs.evolve(make_runner("i-0"), cold_left=0.0), 100.0)
         table.set_evacuated(frozenset({"dc"}), 101.0)
         table.set_evacuated(frozenset(), 109.0)
         view = table.list_views("e", 109.0)[0]
-        assert table.is_cold(view, 111.9)
-        assert not table.is_cold(view, 112.1)
+        assert table.bounds.is_cold(view, 111.9)
+        assert not table.bounds.is_cold(view, 112.1)
--- a/knapweedrail/tests/test_relay_paused_runners.py
+++ b/knapweedrail/tests/test_relay_paused_runners.py
@@ -181,26 +181,26 @@
 def test_shorter_pause_does_not_shorten_a_longer_one():
     """Two requests are rejected, the second one with a shorter time."""
     table, (view,) = make_table(1)
-    table.record_pause(view, 3.0, 10.0)
-    table.record_pause(view, 1.0, 10.5)
-    assert not table.may_send(view, None, 12.9)
-    assert table.may_send(view, None, 13.0)
+    table.bounds.record_pause(view, 3.0, 10.0)
+    table.bounds.record_pause(view, 1.0, 10.5)
+    assert not table.bounds.may_send(view, None, 12.9)
+    assert table.bounds.may_send(view, None, 13.0)
 
 
 def test_pause_ends_with_a_restart_of_its_runner():
     """A runner restarts before its long pause is over."""
     table, (view,) = make_table(1)
-    table.record_pause(view, 600.0, 10.0)
+    table.bounds.record_pause(view, 600.0, 10.0)
     table.set_runner(make_runner("i-0", started=2), 20.0)
     (restarted,) = table.list_views("e", 20.0)
-    assert table.may_send(restarted, None, 20.0)
+    assert table.bounds.may_send(restarted, None, 20.0)
 
 
 def test_paused_runner_is_neither_ejected_nor_failing():
     """A pause says nothing about the answers of a runner once it is over."""
     table, (view,) = make_table(1)
     table.record_rejection(view, 10.0)
-    table.record_pause(view, 3.0, 10.0)
+    table.bounds.record_pause(view, 3.0, 10.0)
     assert view.failure_rate == 0
     assert table.is_available(view, 13.0)
 
@@ -209,9 +209,9 @@
     """Callers come back when the first of several pauses is over."""
     table, views = make_table(3)
     for view, seconds in zip(views, (4.0, 2.0, 7.0), strict=True):
-        assert table.compute_limit_wait("e", None, 10.0) is None
-        table.record_pause(view, seconds, 10.0)
-    assert table.compute_limit_wait("e", None, 10.5) == 1.5
+        assert table.compute_wait("e", None, 10.0) is None
+        table.bounds.record_pause(view, seconds, 10.0)
+    assert table.compute_wait("e", None, 10.5) == 1.5
 
 
 def play(size, pause_seconds, seed):
