Count no crash of a runner where all tunnels to it were declined

A failed connection now says whether anyone tried; only then is it taken for a crash. The runner is still passed over for a while, so that callers don't wait for tunnels again and again.

--- a/knapweedrail/relay/attempt_records.py
+++ b/knapweedrail/relay/attempt_records.py
@@ -190,6 +190,8 @@
 
     def record_connection_error(self, error: ConnectionFailed) -> None:
         """Record a connection that failed as a possible crash of the runner."""
+        if not error.tried:
+            return
         services, incarnation = self._context.services, str(self._view.incarnation)
         now = time.monotonic()
         if error.timed_out:
--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -62,6 +62,8 @@
         detail: Description of the failure.
         sent: Whether any byte of the request may have reached the peer.
         timed_out: Whether the peer didn't respond at all, not even with a reset.
+        tried: Whether anyone tried to connect to the peer, so that the failure may be
+            its own.
     """
 
     peer: str
@@ -69,6 +71,7 @@
     detail: str
     sent: bool
     timed_out: bool = False
+    tried: bool = True
 
 
 class RunnerConnection:
--- a/knapweedrail/relay/connectors.py
+++ b/knapweedrail/relay/connectors.py
@@ -97,10 +97,10 @@
         except ConnectionFailed as error:
             now = time.monotonic()
             if self._paths.try_acquire_trial(len(self._table), now):
-                connection = await self._open_tunnel(request)
-                if connection is not None:
+                opened = await self._open_tunnel(request)
+                if isinstance(opened, RunnerConnection):
                     self._record_lost(runner, now)
-                    return connection
+                    return opened
             if error.timed_out:
                 record_connect_time(CONNECT_SECONDS, now)
             raise
@@ -160,14 +160,21 @@
             ConnectionFailed: If no other relay reaches it.
         """
         self._probe_if_due(request)
-        connection = await self._open_tunnel(request)
-        if connection is None:
-            detail = "no path from this host, nor through another one"
-            raise ConnectionFailed(request.address, "connect", detail, False)
-        return connection
-
-    async def _open_tunnel(self, request: ConnectRequest) -> RunnerConnection | None:
-        """Connect to a runner through one of the other relays, if one has a path."""
+        opened = await self._open_tunnel(request)
+        if isinstance(opened, RunnerConnection):
+            return opened
+        detail = "no path from this host, nor through another one"
+        tried = any(failure.status == UNREACHABLE for failure in opened)
+        raise ConnectionFailed(request.address, "connect", detail, False, tried=tried)
+
+    async def _open_tunnel(
+        self, request: ConnectRequest
+    ) -> RunnerConnection | list[TunnelFailed]:
+        """Connect to a runner through one of the other relays, if one has a path.
+
+        Returns:
+            The connection, or why each of the relays that were asked opened none.
+        """
         failures: list[TunnelFailed] = []
         with anyio.move_on_after(TUNNEL_SECONDS):
             now = time.monotonic()
@@ -190,7 +197,7 @@
             runner=str(request.runner),
             asked=[f"{failure.peer}: {failure.detail}" for failure in failures],
         )
-        return None
+        return failures
 
     def _record_lost(self, runner: RunnerIncarnation, now: float) -> None:
         failed = self._paths.list_failed(now)
--- a/knapweedrail/tests/test_relay_tunnels.py
+++ b/knapweedrail/tests/test_relay_tunnels.py
@@ -8,7 +8,7 @@
 import pytest
 
 from ..relay.connections import reset_stream
-from ..relay.direct_paths import PROBE_INTERVAL_SECONDS
+from ..relay.direct_paths import PRESUMED_AFTER, PROBE_INTERVAL_SECONDS
 from ..relay.models import Member, RetryPolicy, RunnerIncarnation
 from ..relay.tunnels import UNKNOWN_RUNNER, ConnectRequest, open_tunnel
 from .relays_in_memory import (
@@ -245,3 +245,19 @@
         world.near.tunnels._connector.connect_for_other = connect_or_fail
         answers = [await world.far.call() for _ in range(3)]
     assert [answer.status for answer in answers][1:] == [200, 200]
+
+
+async def test_declined_tunnels_count_as_no_crash_of_the_runner(monkeypatch):
+    """Requests that broke off before would be suspected of crashing a sound runner."""
+    async with run_two_relays(monkeypatch, SAFE) as world:
+        while world.far.tunnels._connector.lost_count < PRESUMED_AFTER:
+            await call_until_lost(world.far)
+        crashes = []
+        suspects = world.far.gateway._services.suspects
+        monkeypatch.setattr(
+            suspects, "record_crash", lambda runner, now: crashes.append(runner) or []
+        )
+        world.near.tunnels.draining = True
+        answer = await world.far.call()
+    assert answer.status == 503
+    assert not crashes
