Test that a killed host resets the answers that it passes on

Suspected only, until now: a process that is killed while it passes on an answer without a length must reset the connection, or the asking host takes the part for the whole. Without the reset on close the test fails.

--- a/knapweedrail/tests/test_relay_tunnels.py
+++ b/knapweedrail/tests/test_relay_tunnels.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import contextvars
+import signal
+import sys
 
 import anyio
 import attrs
@@ -261,3 +263,38 @@
         answer = await world.far.call()
     assert answer.status == 503
     assert not crashes
+
+
+KILLED_HOST = """
+import os, signal, time
+import anyio
+from knapweedrail.relay.connections import set_reset_on_close
+
+async def answer(stream):
+    set_reset_on_close(stream, True)
+    await stream.receive()
+    await stream.send(b"HTTP/1.1 200 OK\\r\\n\\r\\npart of an answer")
+    time.sleep(0.1)
+    os.kill(os.getpid(), signal.SIGKILL)
+
+async def main():
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    print(listener.extra(anyio.abc.SocketAttribute.local_port), flush=True)
+    await listener.serve(answer)
+
+anyio.run(main)
+"""
+"""Program of a host that is killed while it passes on an answer without a length."""
+
+
+async def test_killed_host_resets_the_answers_that_it_passes_on():
+    """An orderly end would be taken for the end of an answer without a length."""
+    command = [sys.executable, "-c", KILLED_HOST]
+    async with await anyio.open_process(command, stderr=None) as process:
+        port = int(await process.stdout.receive())
+        async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+            await stream.send(b"GET / HTTP/1.1\r\n\r\n")
+            with pytest.raises(anyio.BrokenResourceError):
+                while await stream.receive():
+                    pass
+    assert process.returncode == -signal.SIGKILL
