--- a/knapweedrail/tests/test_relay_power_loss.py
+++ b/knapweedrail/tests/test_relay_power_loss.py
@@ -81,6 +81,23 @@
     assert tally.served >= SERVED_SHARE * tally.owed
 
 
+@pytest.mark.parametrize("budget_seconds", [30, 40])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_callers_are_served_after_two_power_losses_of_all_hosts(budget_seconds, seed):
+    """Guards against budgets that lose what is held unused again and again."""
+
+    async def scenario(fleet):
+        await fleet.send_for(5.0, KINDS, WEIGHTS)
+        for _ in range(2):
+            await lose_all_power(fleet)
+            await fleet.send_for(3.0, KINDS, WEIGHTS)
+        await fleet.send_for(RECOVERY_SECONDS, KINDS, WEIGHTS)
+        return await fleet.send_for(4.0, KINDS, WEIGHTS)
+
+    tally = run_scenario(budget_seconds, seed, scenario)
+    assert tally.served >= SERVED_SHARE * tally.owed
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_direct_draw_is_settled_by_the_next_incarnation(seed):
     """Guards against tokens that stay out of reach, because the host that drew them
