Log how streams are resumed, runners' versions and callers' unknown headers

Cause: no line told a caller's resumption of a stream from the host's own next attempt or from a stall, runners were listed without their software version, and headers of callers that aren't known went on to runners unread. Change: line 609 for each attempt after the first event of a stream (who resumes it, what began it, the chosen version and the number of runners of each); versions in 701; line 711 for callers' headers too. `Resumes` is decoded in both spellings. Who is sent what where doesn't change.

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -184,7 +184,14 @@
     )
     TUNNELS_OFF = (720, "the address for tunnels can't be bound; none are opened")
     RUNNER_LIMITED = (712, "a runner limits its request rate; 0 if the limit has ended")
-    HEADER_UNREAD = (711, "runners answer with a header that the relay does not know")
+    HEADER_UNREAD = (
+        711,
+        "a caller or a runner sends a header that the relay does not know",
+    )
+    STREAM_RESUMED = (
+        609,
+        "a stream goes on after a break; which version began it, and what is left",
+    )
 
     @property
     def number(self) -> int:
--- a/knapweedrail/platform/decoding.py
+++ b/knapweedrail/platform/decoding.py
@@ -88,6 +88,7 @@
         state=_STATES[entry.state],
         started=started,
         cold_left=None if entry.cold_left == UNSTATED else entry.cold_left / 1000,
+        version=entry.version,
     )
 
 
--- a/knapweedrail/platform/entries.py
+++ b/knapweedrail/platform/entries.py
@@ -67,8 +67,7 @@
 class RunnerEntry:
     """An entry as a runner writes it.
 
-    Fields with defaults are checked, but only the time to stay cold is used, in
-    milliseconds.
+    ``seq`` is checked but not used. ``cold_left`` is in milliseconds.
     """
 
     service: str = attrs.field(converter=require_string, validator=_check_text)
--- a/knapweedrail/platform/names.py
+++ b/knapweedrail/platform/names.py
@@ -6,6 +6,10 @@
 DEADLINE = b"knapweedrail-deadline-ms"
 PROMPT_PREFIX = b"knapweedrail-prompt-prefix"
 LAST_EVENT = b"last-event-id"
+RESUMES = b"resumes"
+PREFIXED_RESUMES = b"knapweedrail-resumes"
+"""Two spellings, as some headers have the prefix and others don't."""
+
 SEAL = b"knapweedrail-response-seal"
 ACCOUNT = b"knapweedrail-tenant"
 EXPECT_RUNNER = b"knapweedrail-expect-instance"
@@ -72,6 +76,27 @@
 )
 """Headers that apply to a single connection and aren't forwarded."""
 
+KNOWN_REQUEST_HEADERS = frozenset(
+    {
+        REQUEST_ID,
+        DEADLINE,
+        PROMPT_PREFIX,
+        LAST_EVENT,
+        RESUMES,
+        PREFIXED_RESUMES,
+        MODEL,
+        TOKENS,
+        KEY,
+        b"knapweedrail-length-hint",
+        b"accept",
+        b"accept-encoding",
+        b"content-type",
+        b"host",
+        b"user-agent",
+    }
+)
+"""Headers of requests that the relay reads or may ignore; others count as unknown."""
+
 KNOWN_ANSWER_HEADERS = frozenset(
     {
         REQUEST_ID,
--- a/knapweedrail/platform/requests.py
+++ b/knapweedrail/platform/requests.py
@@ -76,6 +76,7 @@
         prompt, output = _parse_token_usage(single.get(names.TOKENS))
         last_event = _parse_number(single.get(names.LAST_EVENT))
         key = single.get(names.KEY)
+        resumes = single.get(names.RESUMES, single.get(names.PREFIXED_RESUMES))
         target = raw_path + (b"?" + query if query else b"")
         return CallerRequest(
             identity=single.get(names.REQUEST_ID, b"").decode("latin-1"),
@@ -90,6 +91,8 @@
             max_output_tokens=output,
             parts=_parse_prompt_parts(single.get(names.PROMPT_PREFIX)),
             last_event=None if last_event is None else int(last_event),
+            resumes=None if resumes is None else resumes.decode("latin-1").strip(),
+            unknown_headers=_list_unknown(forwarded),
         )
 
     def encode_request(
@@ -196,6 +199,8 @@
         names.TOKENS,
         names.PROMPT_PREFIX,
         names.LAST_EVENT,
+        names.RESUMES,
+        names.PREFIXED_RESUMES,
         names.MODEL,
     }
 )
@@ -219,6 +224,12 @@
     return frozenset(listed - kept - {b"host", names.LAST_EVENT, b"content-type"})
 
 
+def _list_unknown(headers: list[tuple[bytes, bytes]]) -> tuple[str, ...]:
+    """Return the names of a caller's headers whose meaning isn't known."""
+    unknown = {name.lower() for name, _ in headers} - names.KNOWN_REQUEST_HEADERS
+    return tuple(sorted(name.decode("latin-1") for name in unknown))
+
+
 def _parse_number(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -16,6 +16,7 @@
 from .request_context import Answered, AttemptFailed, FailureKind, RequestContext
 from .runner_statements import MISDIRECTED
 from .runner_views import RunnerView
+from .stream_origins import make_origin
 
 FIRST_BYTE_FACTOR = 2.0
 """First-byte timeout of a repeatable request, as a multiple of its route's latency
@@ -305,6 +306,8 @@
         connection, progress = reader.connection, self._context.progress
         if not self._context.response.started and not answer.sealed:
             return AttemptFailed(FailureKind.BROKEN, "a stream without a seal"), False
+        if self._context.origin is None:
+            self._context.origin = make_origin(self._view.runner)
         with anyio.move_on_after(self._context.get_remaining_seconds()):
             while data:
                 await self._send_chunk(answer, data)
--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from collections import Counter
 from dataclasses import dataclass
 
 import anyio
@@ -125,6 +126,8 @@
     async def _attempt_runner(self, view: RunnerView) -> Answered | AttemptFailed:
         """Send the request to a runner; end a stalled run after `HANDOVER_SECONDS`."""
         attempt = Attempt(self._context, view, self._close_stalled)
+        if self._context.progress.last_event_id is not None:
+            self._log_resumption(view)
         if self._stalled is None:
             outcome = await attempt.run()
         else:
@@ -344,6 +347,25 @@
             left=round(context.get_remaining_seconds(), 3),
         )
 
+    def _log_resumption(self, view: RunnerView) -> None:
+        context, origin = self._context, self._context.origin
+        listed = context.services.runners.list_views(
+            context.endpoint.name, time.monotonic()
+        )
+        log_event(
+            Event.STREAM_RESUMED,
+            request=context.request.identity,
+            stream=context.request.resumes,
+            by="host" if context.progress.event_count else "caller",
+            stalled=self._stalled is not None,
+            last_event=context.progress.last_event_id,
+            began_by=origin.runner if origin else None,
+            began_at=origin.version if origin else None,
+            runner=view.runner.name,
+            version=view.runner.version,
+            choice=dict(Counter(other.runner.version for other in listed)),
+        )
+
     def count_tokens(self) -> int:
         """Return the number of tokens to charge.
 
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -124,6 +124,7 @@
             return
         wait = min(request.deadline or float("inf"), admission.route.timeout)
         deadline_at = arrived_at + wait
+        self._services.unknown_headers.record(request.unknown_headers, sender="")
         table: RouteTable = self._configuration.table  # type: ignore[assignment]
         max_bytes = table.configuration.limits.body_bytes
         with self.drain.bound_by_shutdown() as shutdown_scope:
--- a/knapweedrail/relay/models.py
+++ b/knapweedrail/relay/models.py
@@ -167,6 +167,7 @@
         started: Start time of this incarnation, Unix milliseconds.
         cold_left: How long it stays cold as of its entry, seconds; ``None`` if the
             entry doesn't say.
+        version: Version of its software; empty if that isn't known.
     """
 
     name: str
@@ -177,6 +178,7 @@
     state: RunnerState
     started: int = UNKNOWN_START
     cold_left: float | None = None
+    version: str = ""
 
     @property
     def incarnation(self) -> RunnerIncarnation:
@@ -205,6 +207,9 @@
         max_output_tokens: Largest number of output tokens; 0 for a plain call.
         last_event: Number of the last event that the caller has received, if it
             resumes a stream.
+        resumes: Identity of the caller's attempt that brought the first event of the
+            stream that it resumes; ``None`` if it doesn't say.
+        unknown_headers: Names of headers whose meaning isn't known.
     """
 
     identity: str
@@ -219,6 +224,8 @@
     max_output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event: int | None = None
+    resumes: str | None = None
+    unknown_headers: tuple[str, ...] = ()
 
     @property
     def max_tokens(self) -> int:
--- a/knapweedrail/relay/request_context.py
+++ b/knapweedrail/relay/request_context.py
@@ -20,6 +20,7 @@
 from .retries import RetryBudget
 from .routes import Priorities
 from .runners import RunnerTable
+from .stream_origins import StreamOrigin
 from .streams import StreamProgress
 from .suspects import Suspects
 from .unknown_headers import UnknownHeaderLog
@@ -91,7 +92,7 @@
         report_mismatch: Reports that a runner's address now belongs to the runner of
             the given name.
         send_limit: Sends a runner's rate limit to the other relays.
-        unknown_headers: Logs unknown headers of runners' answers.
+        unknown_headers: Logs unknown headers of requests and answers.
     """
 
     codec: Codec
@@ -129,6 +130,8 @@
         may_have_run: Whether a runner may have begun to work on the request. It is set
             before the first byte is sent, so that the prompt is charged even if the
             caller disconnects right after.
+        origin: What began the stream; ``None`` before its first event, or if the caller
+            resumes a stream that another attempt began.
     """
 
     services: Services
@@ -144,6 +147,7 @@
     progress: StreamProgress
     counted_attempts: int = 0
     may_have_run: bool = False
+    origin: StreamOrigin | None = None
 
     def get_remaining_seconds(self) -> float:
         """Return the time to the deadline, seconds; negative after it."""
--- a/knapweedrail/relay/watchers.py
+++ b/knapweedrail/relay/watchers.py
@@ -381,6 +381,7 @@
             endpoint=runner.endpoint,
             state=runner.state.value,
             cold_left=runner.cold_left,
+            version=runner.version,
             revision=stored.revision,
         )
 
--- a/knapweedrail/tests/test_platform_requests.py
+++ b/knapweedrail/tests/test_platform_requests.py
@@ -160,3 +160,19 @@
     headers = [(b"X-New", b"1"), (b"Content-Type", b"text/plain"), (b"Date", b"now")]
     headers += [(b"Knapweedrail-Server-Load", b"1,2,3"), (b"Keep-Alive", b"timeout=5")]
     assert PlatformCodec().decode_answer(200, headers).unknown_headers == ("x-new",)
+
+
+def test_unknown_request_headers_are_listed():
+    """Guards against a new header of callers that is forwarded but handled nowhere."""
+    headers = [(b"Host", b"h"), (b"X-New", b"1"), (b"Last-Event-Id", b"3")]
+    headers += [(b"Resumes", b"id-1"), (b"Knapweedrail-Deadline-Ms", b"90")]
+    request = CODEC.decode_request("POST", b"/a/", b"", headers)
+    assert request.unknown_headers == ("x-new",)
+
+
+@pytest.mark.parametrize("name", [b"Resumes", b"Knapweedrail-Resumes"])
+def test_resumed_attempt_is_read_and_forwarded(name):
+    headers = [(b"Host", b"h"), (name, b" id-1 ")]
+    request = CODEC.decode_request("POST", b"/a/", b"", headers)
+    assert request.resumes == "id-1"
+    assert (name, b" id-1 ") in request.headers
