Resume a broken or stalled stream only at the version that began it

Callers saw streams with events of two software versions, whose parts don't fit together. Cause: after events were passed on, a host's next attempt chose among all runners of the endpoint; a runner's version was decoded from its entry and dropped. Change: the runner that sends the first events binds the stream to its version; choices, waits and refusals of the request then see only runners of that version, or the same incarnation. A runner found in place of another one has no known version until it is listed; the copy of its predecessor's entry claimed one.

--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -306,7 +306,7 @@
         connection, progress = reader.connection, self._context.progress
         if not self._context.response.started and not answer.sealed:
             return AttemptFailed(FailureKind.BROKEN, "a stream without a seal"), False
-        if self._context.origin is None:
+        if data and self._context.origin is None:
             self._context.origin = make_origin(self._view.runner)
         with anyio.move_on_after(self._context.get_remaining_seconds()):
             while data:
--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -216,7 +216,7 @@
         if not context.request.parts:
             return None
         runners = context.services.runners
-        views = runners.list_views(context.endpoint.name, now)
+        views = runners.list_views(context.endpoint.name, now, context.origin)
         views = [
             v
             for v in views
@@ -247,6 +247,7 @@
             time.monotonic(),
             context.services.rng,
             context.priorities.by_account_and_route,
+            context.origin,
         )
 
     def _may_retry(self, outcome: AttemptFailed) -> bool:
@@ -307,6 +308,7 @@
             context.endpoint.name,
             context.priorities.by_account_and_route,
             time.monotonic(),
+            context.origin,
         )
         evacuated = context.services.runners.list_evacuated(context.endpoint.name)
         if limit_wait is not None:
--- a/knapweedrail/relay/models.py
+++ b/knapweedrail/relay/models.py
@@ -167,7 +167,8 @@
         started: Start time of this incarnation, Unix milliseconds.
         cold_left: How long it stays cold as of its entry, seconds; ``None`` if the
             entry doesn't say.
-        version: Version of its software; empty if that isn't known.
+        version: Version of its software, empty if its entry states none; ``None`` if
+            it isn't listed yet.
     """
 
     name: str
@@ -178,7 +179,7 @@
     state: RunnerState
     started: int = UNKNOWN_START
     cold_left: float | None = None
-    version: str = ""
+    version: str | None = ""
 
     @property
     def incarnation(self) -> RunnerIncarnation:
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -22,6 +22,7 @@
 from .reachability import Reachability
 from .runner_bounds import RunnerBounds
 from .runner_views import RunnerView
+from .stream_origins import StreamOrigin
 
 REJECTION_BACKOFF_SECONDS = 0.15
 """How long a runner that rejected a request for lack of capacity gets no further one:
@@ -93,9 +94,15 @@
         """Return the current incarnations of all runners, including unlisted ones."""
         return {view.incarnation for view in self._views.values()}
 
-    def list_views(self, endpoint: str, now: float) -> list[RunnerView]:
+    def list_views(
+        self, endpoint: str, now: float, origin: StreamOrigin | None = None
+    ) -> list[RunnerView]:
         """Return the endpoint's runners that may get requests.
 
+        Args:
+            now: Monotonic time, seconds.
+            origin: What began the stream that goes on; ``None`` for a new request.
+
         Returns:
             The listed runners that are ready and in no evacuated data centre, or, if
             there is none, those whose entries vanished or that began to leave less than
@@ -104,6 +111,8 @@
         self._expire_absent(now)
         views = self._by_endpoint.get(endpoint, {}).values()
         ready = [v for v in views if v.runner.state is RunnerState.READY]
+        if origin is not None:
+            ready = [v for v in ready if origin.allows(v.runner)]
         if self.evacuated:
             ready = [v for v in ready if v.runner.data_centre not in self.evacuated]
         staying = [
@@ -386,14 +395,24 @@
         }
 
     def compute_wait(
-        self, endpoint: str, priority: int | None, now: float
+        self,
+        endpoint: str,
+        priority: int | None,
+        now: float,
+        origin: StreamOrigin | None = None,
     ) -> float | None:
         """Return the time until some relay may send to one of an endpoint's runners.
 
+        Args:
+            priority: Urgency of the request; 0 is the most urgent.
+            now: Monotonic time, seconds.
+            origin: What began the stream that goes on; ``None`` for a new request.
+
         Returns:
             Seconds; ``None`` if this relay may send to one now, or there is none.
         """
-        return self.bounds.compute_wait(self.list_views(endpoint, now), priority, now)
+        views = self.list_views(endpoint, now, origin)
+        return self.bounds.compute_wait(views, priority, now)
 
     def is_available(self, view: RunnerView, now: float) -> bool:
         """Return whether a runner is neither ejected, backing off nor partitioned."""
--- a/knapweedrail/relay/selection.py
+++ b/knapweedrail/relay/selection.py
@@ -12,6 +12,7 @@
 from .models import CallerRequest, PromptPart, RunnerIncarnation
 from .runner_views import RunnerView
 from .runners import MAX_SLOW_FACTOR, SLOW_FACTOR, RunnerTable
+from .stream_origins import StreamOrigin
 
 RUNNING_REQUEST_TOKENS = 60.0
 """Cost of one running request in prompt tokens. Each request that a runner generates
@@ -28,6 +29,7 @@
     now: float,
     rng: random.Random,
     priority: int | None = None,
+    origin: StreamOrigin | None = None,
 ) -> RunnerView | None:
     """Return the runner for the next attempt, or ``None`` if there is none.
 
@@ -41,10 +43,11 @@
         data_centre: The relay's own data centre, preferred among equals.
         now: Monotonic time, seconds.
         priority: Urgency of the request; 0 is the most urgent.
+        origin: What began the stream that goes on; ``None`` for a new request.
     """
     untried = [
         view
-        for view in table.list_views(endpoint, now)
+        for view in table.list_views(endpoint, now, origin)
         if view.incarnation not in tried and table.bounds.may_send(view, priority, now)
     ]
     if not untried:
--- a/knapweedrail/relay/successors.py
+++ b/knapweedrail/relay/successors.py
@@ -109,6 +109,7 @@
                 name=mismatch.name,
                 started=report.started,
                 cold_left=None,
+                version=None,
             )
             if self._table.add_successor(
                 mismatch.runner.incarnation, successor, time.monotonic()
