Resume a caller's stream only at the version that began it

Callers that took up a stream after a break got the rest from runners of another software version. Cause: nothing read what a caller names in `Resumes`, and no host knew what began a stream; each attempt was sent to any runner. The class: what must hold over several attempts was left to each of them. Change: a host records what began its streams before it passes on their first event. While an endpoint has or had runners of several versions within a stream's life, it tells two other relays, chosen by the stream's name, one in its data centre and one elsewhere; a relay that is asked to go on with an unknown stream asks those. If nobody knows it, it goes on only where a single version can have begun it: somebody has known the runners for a stream's life, or the store shows that the endpoint never had several versions. Otherwise, and if no runner of the version is left, the caller is told at once (503, not-resumable).

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -192,6 +192,7 @@
         609,
         "a stream goes on after a break; which version began it, and what is left",
     )
+    STREAM_ORIGIN = (610, "what began a stream that a caller resumes, and who knew it")
 
     @property
     def number(self) -> int:
--- a/knapweedrail/outcomes.py
+++ b/knapweedrail/outcomes.py
@@ -100,6 +100,7 @@
     ENDPOINT_FAILED = "endpoint-failed"
     OUTCOME_UNKNOWN = "outcome-unknown"
     ALREADY_RUN = "already-run"
+    NOT_RESUMABLE = "not-resumable"
 
 
 @dataclass(frozen=True)
--- a/knapweedrail/problems.py
+++ b/knapweedrail/problems.py
@@ -18,6 +18,7 @@
     RefusalKind.BUDGET_TOO_LOW: 402,
     RefusalKind.UNKNOWN_ROUTE: 404,
     RefusalKind.ALREADY_RUN: 409,
+    RefusalKind.NOT_RESUMABLE: 503,
     RefusalKind.IDENTITY_REUSED: 422,
     RefusalKind.TOO_LARGE: 413,
     RefusalKind.QUARANTINED: 422,
@@ -47,6 +48,7 @@
     RefusalKind.ENDPOINT_FAILED: "The endpoint failed",
     RefusalKind.OUTCOME_UNKNOWN: "It is not known whether the call ran",
     RefusalKind.ALREADY_RUN: "The call has run; its answer is not kept",
+    RefusalKind.NOT_RESUMABLE: "The stream can't go on",
 }
 
 
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -306,8 +306,8 @@
         connection, progress = reader.connection, self._context.progress
         if not self._context.response.started and not answer.sealed:
             return AttemptFailed(FailureKind.BROKEN, "a stream without a seal"), False
-        if data and self._context.origin is None:
-            self._context.origin = make_origin(self._view.runner)
+        if data:
+            self._record_origin()
         with anyio.move_on_after(self._context.get_remaining_seconds()):
             while data:
                 await self._send_chunk(answer, data)
@@ -336,6 +336,14 @@
             ), reusable
         return AttemptFailed(FailureKind.SILENT, "the stream took too long"), False
 
+    def _record_origin(self) -> None:
+        """Record what began the stream before the caller receives its first event."""
+        context = self._context
+        if context.origin is None:
+            context.origin = make_origin(self._view.runner)
+        if context.route.resumable and context.stream and not context.response.started:
+            context.services.resumptions.record(context.stream, context.origin)
+
     async def _send_chunk(self, answer: RunnerAnswer, data: bytes) -> None:
         await self._context.response.send_chunk(
             answer.status, list(answer.headers), data
--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -95,7 +95,11 @@
         return self._refuse(RefusalKind.STOPPING, Ran.NOT_RUN, detail, retry_after)
 
     async def _forward(self) -> Answered | Broken | Refusal:
-        refusal = self._refuse_partitioned() or self._refuse_queue_wait()
+        refusal = (
+            self._refuse_partitioned()
+            or self._refuse_lost_version()
+            or self._refuse_queue_wait()
+        )
         if refusal is not None:
             return refusal
         failed_connects = 0
@@ -206,6 +210,22 @@
         jitter = services.rng.uniform(*ROTATION_JITTER_SECONDS)
         return services.overload.compute_redirect_delay(now) + jitter
 
+    def _refuse_lost_version(self) -> Refusal | None:
+        """Refuse to resume a stream if no runner of its version is left.
+
+        Returns:
+            The refusal; ``None`` if the request may go on.
+        """
+        context, now = self._context, time.monotonic()
+        origin = context.origin
+        if origin is None:
+            return None
+        if context.services.runners.list_views(context.endpoint.name, now, origin):
+            return None
+        detail = f"no runner of version {origin.version} is left; begin the stream anew"
+        retry_after = draw_retry_after(context.services.rng)
+        return self._refuse(RefusalKind.NOT_RESUMABLE, Ran.NOT_RUN, detail, retry_after)
+
     def _refuse_queue_wait(self) -> Refusal | None:
         """Refuse a prompt that would wait at every runner until its caller gives up.
 
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -13,22 +13,24 @@
 from .drain_control import DrainController, is_duration_sample
 from .forwarding import Broken, RequestForwarder, draw_retry_after
 from .holdings import Holdings
-from .models import Account, CallerRequest, Malformed, Route
+from .models import Account, CallerRequest, Malformed, RetryPolicy, Route
 from .refusals import (
     HTTP_STATUSES,
     OUT_OF_REACH_RETRY_AFTER_SECONDS,
     QUARANTINE_RETRY_AFTER_SECONDS,
     refuse,
     refuse_malformed,
+    refuse_not_resumable,
     refuse_overloaded,
     refuse_stopped,
     refuse_unknown,
 )
 from .request_bodies import CallerDisconnected, Receive, receive_body
-from .request_context import Answered, RequestContext, Services
+from .request_context import Answered, RequestContext, Services, name_stream
 from .reservations import Reservation, Shortage
 from .response_writer import ResponseWriter, Send
 from .routes import RouteTable, choose_endpoint
+from .stream_origins import StreamOrigin
 from .streams import StreamProgress
 from .suspects import make_fingerprint
 from .watchers import ConfigurationWatcher
@@ -212,6 +214,17 @@
         route, account = admission.route, admission.account
         table: RouteTable = self._configuration.table  # type: ignore[assignment]
         endpoint_name = choose_endpoint(route, self._services.rng)
+        origin = None
+        if request.last_event is not None and route.retry_policy is RetryPolicy.STREAM:
+            with self.drain.bound_by_shutdown() as shutdown_scope:
+                origin = await self._find_origin(admission, request, endpoint_name)
+            if shutdown_scope.cancelled_caught:
+                origin = refuse_stopped(self._services.rng)
+            if isinstance(origin, Refusal):
+                await self._refuse(response, request.identity, origin)
+                return
+            if origin.endpoint in {share.endpoint for share in route.shares}:
+                endpoint_name = origin.endpoint
         endpoint = table.configuration.endpoints.get(endpoint_name)
         if endpoint is None:
             refusal = refuse(
@@ -250,6 +263,7 @@
             deadline_at=deadline_at,
             response=response,
             progress=StreamProgress(request.last_event),
+            origin=origin,
         )
         began_at = time.monotonic()
         forwarder = RequestForwarder(context, reservation)
@@ -272,6 +286,26 @@
             case Answered():
                 pass
 
+    async def _find_origin(
+        self, admission: Admission, request: CallerRequest, endpoint: str
+    ) -> StreamOrigin | Refusal:
+        """Return what began the stream that a caller resumes.
+
+        A route whose traffic is split may have begun it at any of its endpoints.
+
+        Args:
+            endpoint: The endpoint that was chosen for this attempt.
+        """
+        others = [share.endpoint for share in admission.route.shares]
+        endpoints = list(dict.fromkeys([endpoint, *others]))
+        account = admission.account.name if admission.account else None
+        stream = name_stream(account, request)
+        origin = await self._services.resumptions.find_origin(stream, endpoints)
+        if origin is None:
+            detail = "what began the stream isn't known; begin it anew"
+            return refuse_not_resumable(detail, self._services.rng)
+        return origin
+
     async def _run_until_shutdown(
         self, forwarder: RequestForwarder
     ) -> Answered | Broken | Refusal:
--- a/knapweedrail/relay/members.py
+++ b/knapweedrail/relay/members.py
@@ -18,6 +18,7 @@
 from .ledgers import get_host
 from .malformed import MalformedObjects
 from .models import Member
+from .record_keepers import KeeperPlan
 from .sources import plan_sources
 from .stores import Conflict, Listing, Missing, Store, StoredObject, Written
 
@@ -108,6 +109,7 @@
 
     Attributes:
         member: This relay.
+        keepers: Which relays keep records of streams.
         settled: Whether relays that started at the same time are known.
         first_listed: Set once the relays have been listed for the first time.
     """
@@ -121,6 +123,7 @@
         super().__init__("membership")
         self._malformed = malformed or MalformedObjects()
         self.member = member
+        self.keepers = KeeperPlan(member)
         self.settled = False
         self.first_listed = anyio.Event()
         self._previously_registered = False
@@ -142,6 +145,10 @@
         """Return all relays as of the last list."""
         return list(self._members.values())
 
+    def find_member(self, host: str) -> Member | None:
+        """Return the relay on a host, or ``None`` if it isn't listed."""
+        return self._members.get(host)
+
     def list_others(self) -> list[Member]:
         """Return the other relays, those of the own data centre first."""
         others = [m for m in self._members.values() if m.host != self.member.host]
@@ -296,6 +303,7 @@
             seconds = round(time.monotonic() - began_at, 3)
             log_event(Event.RELAYS_LISTED, relays=len(found), seconds=seconds)
         self._members = found
+        self.keepers.set_members(found.values())
         self._first_ranked_by_account.clear()
         self._senders.set_names(found)
         self._planned_sources = None
--- a/knapweedrail/relay/peers.py
+++ b/knapweedrail/relay/peers.py
@@ -8,7 +8,7 @@
 
 import time
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any
 
 import anyio
@@ -25,6 +25,7 @@
 from ..wire.relays_pb2 import (
     LimitsReply,
     LimitsRequest,
+    RecordStreamsReply,
     RunnerLimit,
     SuspectsReply,
     SuspectsRequest,
@@ -35,6 +36,17 @@
 from .links import SubscriberLink
 from .models import Member
 from .reservations import Shortage
+from .stream_messages import (
+    NoStreamRegistry,
+    StreamAnswer,
+    StreamRegistry,
+    decode_answer,
+    decode_records,
+    encode_answer,
+    encode_find,
+    encode_records,
+)
+from .stream_origins import StreamOrigin
 
 CALL_SECONDS = 0.08
 """Timeout of a call that the other relay answers from memory. The relay is a few
@@ -239,6 +251,22 @@
                     self._call, member, "TellLimits", request, CALL_SECONDS
                 )
 
+    async def send_streams(
+        self, member: Member, origins: Mapping[str, StreamOrigin]
+    ) -> bool:
+        """Report what began streams; return whether the relay has answered."""
+        request = encode_records(origins)
+        reply = await self._call(member, "RecordStreams", request, CALL_SECONDS)
+        return reply is not None
+
+    async def find_stream(
+        self, member: Member, stream: str, endpoints: Sequence[str]
+    ) -> StreamAnswer | None:
+        """Ask a relay what began a stream; ``None`` if it doesn't answer."""
+        request = encode_find(stream, endpoints)
+        reply = await self._call(member, "FindStream", request, CALL_SECONDS)
+        return None if reply is None else decode_answer(reply)
+
     async def close(self) -> None:
         """Close all connections."""
         for channel in self._channels.values():
@@ -300,7 +328,9 @@
         handle_suspects: SuspectsHandler,
         serve_feed: FeedHandler,
         handle_limits: LimitsHandler,
+        streams: StreamRegistry,
     ) -> None:
+        self._streams = streams
         self._lender = lender
         self._handle_suspects = handle_suspects
         self._serve_feed = serve_feed
@@ -347,6 +377,20 @@
         )
         await stream.send_message(LimitsReply())
 
+    async def RecordStreams(self, stream: Stream) -> None:
+        request = await stream.recv_message()
+        if request is None:
+            return
+        self._streams.record_streams(decode_records(request))
+        await stream.send_message(RecordStreamsReply())
+
+    async def FindStream(self, stream: Stream) -> None:
+        request = await stream.recv_message()
+        if request is None:
+            return
+        answer = self._streams.answer_find(request.stream, request.endpoints)
+        await stream.send_message(encode_answer(request.stream, answer))
+
     async def FollowNews(self, stream: Stream) -> None:
         await self._serve_feed(GrpcSubscriberLink(stream))
 
@@ -361,8 +405,14 @@
     serve_feed: FeedHandler,
     address: str,
     handle_limits: LimitsHandler = _ignore_limits,
+    streams: StreamRegistry | None = None,
 ) -> RpcServer:
     """Return the server for calls of other relays; it isn't started yet."""
-    return RpcServer(
-        [_RelaysService(lender, handle_suspects, serve_feed, handle_limits)], address
+    service = _RelaysService(
+        lender,
+        handle_suspects,
+        serve_feed,
+        handle_limits,
+        streams or NoStreamRegistry(),
     )
+    return RpcServer([service], address)
--- a/knapweedrail/relay/process.py
+++ b/knapweedrail/relay/process.py
@@ -31,6 +31,7 @@
 from .overload import OverloadMonitor
 from .peers import PeerClient, make_server
 from .request_context import Services
+from .resumptions import Resumptions
 from .retries import RetryBudget
 from .shutdowns import Shutdown
 from .sources import FeedTiming
@@ -147,12 +148,18 @@
             FeedTiming(settings.heartbeat_seconds, settings.heartbeat_timeout_seconds),
             settings.first_start,
         )
+        if settings.first_start:
+            runners.table.versions.assume_complete()
+        self._resumptions = Resumptions(
+            runners.table, self._membership, self._peers, store
+        )
         self._peer_server = make_server(
             self._holdings,
             self._receive_suspects,
             self._update_feed.serve,
             settings.peer_address,
             self._receive_limits,
+            self._resumptions,
         )
         self._suspects = Suspects()
         self._overload = OverloadMonitor()
@@ -203,6 +210,7 @@
             count_relays=lambda: self._membership.count,
             report_mismatch=self._successors.report_mismatch,
             send_limit=self._queue_limit,
+            resumptions=self._resumptions,
         )
         self._gateway = Gateway(services, configuration, self._holdings)
         self._caller_server = HttpServer(
@@ -241,6 +249,7 @@
             self._holdings,
             self._successors,
             self._connector,
+            self._resumptions,
         ):
             await task.start(group)
         await self._start_tunnel_server(group)
@@ -299,6 +308,7 @@
         await self._membership.close()
         await self._holdings.close()
         await self._successors.close()
+        await self._resumptions.close()
         # Concurrently, since each server waits a moment for its keep-alive connections.
         async with anyio.create_task_group() as group:
             for server in (self._ready_server, self._metrics_server):
@@ -430,6 +440,9 @@
 
     def _set_endpoints(self, configuration: Configuration) -> None:
         self._runners.table.bounds.endpoints = configuration.endpoints
+        streams = [r for r in configuration.routes if r.resumable]
+        longest = max((route.timeout for route in streams), default=0.0)
+        self._runners.table.versions.set_longest_timeout(longest)
 
     async def _answer_ready(self, scope: dict, receive: object, send: object) -> None:
         configured = self._configuration.table is not None
--- a/knapweedrail/relay/refusals.py
+++ b/knapweedrail/relay/refusals.py
@@ -85,6 +85,11 @@
     )
 
 
+def refuse_not_resumable(detail: str, rng: random.Random) -> Refusal:
+    """Return a refusal of a stream that can't go on, though it may begin anew."""
+    return refuse(RefusalKind.NOT_RESUMABLE, detail, draw_retry_after(rng))
+
+
 def refuse_unknown(
     kind: RefusalKind, detail: str, age: float, is_overdue: bool, rng: random.Random
 ) -> Refusal:
--- a/knapweedrail/relay/request_context.py
+++ b/knapweedrail/relay/request_context.py
@@ -17,6 +17,7 @@
 from .models import CallerRequest, Endpoint, Framing, Route, Runner, RunnerAnswer
 from .overload import OverloadMonitor
 from .response_writer import ResponseWriter
+from .resumptions import Resumptions
 from .retries import RetryBudget
 from .routes import Priorities
 from .runners import RunnerTable
@@ -93,6 +94,7 @@
             the given name.
         send_limit: Sends a runner's rate limit to the other relays.
         unknown_headers: Logs unknown headers of requests and answers.
+        resumptions: Keeps and finds what began streams.
     """
 
     codec: Codec
@@ -107,6 +109,7 @@
     overload: OverloadMonitor
     count_relays: Callable[[], int]
     report_mismatch: Callable[[Runner, str], None]
+    resumptions: Resumptions
     send_limit: Callable[[LimitUpdate], None] = lambda update: None
     unknown_headers: UnknownHeaderLog = attrs.field(factory=UnknownHeaderLog)
 
@@ -130,8 +133,7 @@
         may_have_run: Whether a runner may have begun to work on the request. It is set
             before the first byte is sent, so that the prompt is charged even if the
             caller disconnects right after.
-        origin: What began the stream; ``None`` before its first event, or if the caller
-            resumes a stream that another attempt began.
+        origin: What began the stream; ``None`` before its first event.
     """
 
     services: Services
@@ -149,6 +151,22 @@
     may_have_run: bool = False
     origin: StreamOrigin | None = None
 
+    @property
+    def stream(self) -> str:
+        """Name of the stream, which all attempts of its caller share."""
+        return name_stream(self.account, self.request)
+
     def get_remaining_seconds(self) -> float:
         """Return the time to the deadline, seconds; negative after it."""
         return self.deadline_at - time.monotonic()
+
+
+def name_stream(account: str | None, request: CallerRequest) -> str:
+    """Return the name of a stream: that of the attempt that brought its first event.
+
+    Returns:
+        The name; empty if a caller resumes a stream and doesn't name that attempt.
+    """
+    if request.last_event is None:
+        return f"{account or ''}:{request.identity}"
+    return f"{account or ''}:{request.resumes}" if request.resumes else ""
--- /dev/null
+++ b/knapweedrail/relay/resumptions.py
@@ -0,0 +1,256 @@
+"""Task that finds out which software version began a stream that a caller resumes.
+
+While an endpoint has runners of one version only, nothing is sent. Otherwise each
+relay tells two others what began its streams, before callers receive their first
+events, and a relay that is asked to go on with an unknown stream asks those.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Mapping, Sequence
+
+import anyio
+import anyio.abc
+
+from ..events import Event, log_event
+from ..tasks import Task
+from .members import Membership
+from .models import Member
+from .notifiers import Notifier
+from .peers import MAX_ENTRIES_PER_CALL, PeerClient
+from .runners import RunnerTable
+from .stores import Conflict, Missing, Store, Written
+from .stream_messages import StreamAnswer, StreamRegistry
+from .stream_origins import StreamOrigin, StreamRecords
+
+SEVERAL_VERSIONS_KIND = "several-versions"
+"""Objects named after endpoints that have had runners of several versions. They outlast
+the loss of all relays, which forgets when the last runner of a version ended."""
+
+READ_SECONDS = 0.2
+"""Timeout of a read of such an object, for which a caller waits."""
+
+WRITE_RETRY_SECONDS = 1.0
+"""Pause before such an object is written again."""
+
+UNANSWERED_SECONDS = 2.0
+"""How long a relay that didn't answer gets no records: about the time in which it is
+replaced."""
+
+
+class Resumptions(Task, StreamRegistry):
+    """Keeps and finds what began streams.
+
+    Args:
+        table: Runners and their versions.
+        membership: List of the relays.
+        peers: Calls to the other relays.
+        store: The platform's store.
+    """
+
+    def __init__(
+        self,
+        table: RunnerTable,
+        membership: Membership,
+        peers: PeerClient,
+        store: Store,
+    ) -> None:
+        super().__init__("resumptions")
+        self._table = table
+        self._membership = membership
+        self._peers = peers
+        self._store = store
+        self._own_records = StreamRecords()
+        self._kept_records = StreamRecords()
+        self._unsent: dict[str, dict[str, StreamOrigin]] = {}
+        self._sending: set[str] = set()
+        self._unanswered_until: dict[str, float] = {}
+        self._unmarked: set[str] = set()
+        self._changed = Notifier()
+        table.on_new_version = self._handle_new_version
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._mark_endpoints)
+            while True:
+                idle = self._unsent.keys() - self._sending
+                for host in idle:
+                    self._sending.add(host)
+                    group.start_soon(self._send_to, host)
+                await self._changed.wait()
+
+    def record(self, stream: str, origin: StreamOrigin) -> None:
+        """Record what began a stream, before its caller receives the first event."""
+        now, ttl = time.monotonic(), self._table.versions.stream_seconds
+        self._own_records.record(stream, origin, now, ttl)
+        if len(self._table.find_versions(origin.endpoint, now)) > 1:
+            self._queue({stream: origin})
+
+    def record_streams(self, origins: Mapping[str, StreamOrigin]) -> None:
+        now, ttl = time.monotonic(), self._table.versions.stream_seconds
+        for stream, origin in origins.items():
+            self._kept_records.record(stream, origin, now, ttl)
+
+    def answer_find(self, stream: str, endpoints: Sequence[str]) -> StreamAnswer:
+        now = time.monotonic()
+        return StreamAnswer(
+            self._find_record(stream),
+            frozenset(self._find_versions(endpoints, now)),
+            self._table.versions.is_complete(now),
+        )
+
+    async def find_origin(
+        self, stream: str, endpoints: Sequence[str]
+    ) -> StreamOrigin | None:
+        """Return what began a stream.
+
+        Args:
+            stream: Name of the stream; empty if the caller doesn't name it.
+            endpoints: Endpoints at which it may have begun, the likeliest first.
+
+        Returns:
+            The origin; ``None`` if it isn't known for certain.
+        """
+        origin, source = self._find_record(stream), "record"
+        answers: list[StreamAnswer] = []
+        if origin is None:
+            answers = await self._ask_others(stream, endpoints)
+            found = (each.origin for each in answers if each.origin is not None)
+            origin, source = next(found, None), "other relay"
+        if origin is None:
+            origin = await self._infer_origin(endpoints, answers)
+            source = "only version" if origin else "unknown"
+        log_event(
+            Event.STREAM_ORIGIN,
+            stream=stream,
+            source=source,
+            version=origin.version if origin else None,
+            runner=origin.runner if origin else None,
+            answers=len(answers),
+        )
+        return self._complete(origin) if origin else None
+
+    def _find_record(self, stream: str) -> StreamOrigin | None:
+        if not stream:
+            return None
+        return self._own_records.find(stream) or self._kept_records.find(stream)
+
+    def _complete(self, origin: StreamOrigin) -> StreamOrigin:
+        """Add the version of a runner that wasn't listed yet when it began a stream."""
+        if origin.version is None:
+            return self._table.find_origin(origin.runner) or origin
+        return origin
+
+    async def _ask_others(
+        self, stream: str, endpoints: Sequence[str]
+    ) -> list[StreamAnswer]:
+        """Ask the relays that may know a stream, until one of them does."""
+        answers: list[StreamAnswer] = []
+        now = time.monotonic()
+        async with anyio.create_task_group() as group:
+
+            async def ask(member: Member) -> None:
+                answer = await self._peers.find_stream(member, stream, endpoints)
+                if answer is None:
+                    return
+                answers.append(answer)
+                if answer.origin is not None:
+                    group.cancel_scope.cancel()
+
+            for member in self._membership.keepers.choose_asked(stream):
+                if not self._peers.is_in_backoff(member, now):
+                    group.start_soon(ask, member)
+        return answers
+
+    async def _infer_origin(
+        self, endpoints: Sequence[str], answers: Sequence[StreamAnswer]
+    ) -> StreamOrigin | None:
+        """Return the only version that can have begun a stream, if there is just one.
+
+        That needs somebody who has known the runners for as long as streams live. After
+        a loss of all relays nobody has, and the store tells whether there were others.
+        """
+        now = time.monotonic()
+        versions = self._find_versions(endpoints, now)
+        versions.update(*(answer.versions for answer in answers))
+        if len(versions) != 1 or None in versions:
+            return None
+        history = self._table.versions
+        knows = history.is_complete(now) and history.is_current(now)
+        if not (knows or any(answer.complete for answer in answers)):
+            if not await self._had_one_version(endpoints):
+                return None
+        return StreamOrigin(endpoints[0], versions.pop())
+
+    async def _had_one_version(self, endpoints: Sequence[str]) -> bool:
+        """Return whether the store shows that endpoints never had several versions."""
+        with anyio.move_on_after(READ_SECONDS):
+            for endpoint in endpoints:
+                outcome = await self._store.peek(SEVERAL_VERSIONS_KIND, endpoint)
+                if not isinstance(outcome, Missing):
+                    return False
+            return True
+        return False
+
+    def _find_versions(self, endpoints: Sequence[str], now: float) -> set[str | None]:
+        return {
+            version
+            for endpoint in endpoints
+            for version in self._table.find_versions(endpoint, now)
+        }
+
+    def _handle_new_version(self, endpoint: str, now: float) -> None:
+        """Tell others of the streams under way when an endpoint has a second version.
+
+        Until then nothing had to be told, as all streams had begun at the first one.
+        """
+        if len(self._table.find_versions(endpoint, now)) < 2:
+            return
+        since = now - self._table.versions.stream_seconds
+        self._queue(self._own_records.list_since(since, endpoint))
+        self._unmarked.add(endpoint)
+        self._changed.notify_all()
+
+    def _queue(self, origins: Mapping[str, StreamOrigin]) -> None:
+        now = time.monotonic()
+        unavailable = {h for h, until in self._unanswered_until.items() if now < until}
+        for stream, origin in origins.items():
+            for keeper in self._membership.keepers.choose_keepers(stream, unavailable):
+                self._unsent.setdefault(keeper.host, {})[stream] = origin
+        self._changed.notify_all()
+
+    async def _send_to(self, host: str) -> None:
+        """Send records to one relay until none is left, many in one message."""
+        member = self._membership.find_member(host)
+        while records := self._unsent.pop(host, None):
+            streams = list(records)[-MAX_ENTRIES_PER_CALL:]
+            batch = {stream: records.pop(stream) for stream in streams}
+            if member is None or not await self._peers.send_streams(member, batch):
+                self._unanswered_until[host] = time.monotonic() + UNANSWERED_SECONDS
+                self._unsent.pop(host, None)
+                break
+            if records:
+                self._unsent[host] = records | self._unsent.get(host, {})
+        self._sending.discard(host)
+        self._changed.notify_all()
+
+    async def _mark_endpoints(self) -> None:
+        """Write to the store which endpoints have had several versions."""
+        while True:
+            if not self._unmarked:
+                await self._changed.wait()
+            for endpoint in list(self._unmarked):
+                if await self._mark(endpoint):
+                    self._unmarked.discard(endpoint)
+            if self._unmarked:
+                await anyio.sleep(WRITE_RETRY_SECONDS)
+
+    async def _mark(self, endpoint: str) -> bool:
+        """Return whether an endpoint is marked, or another relay marks it."""
+        if not self._membership.settled:
+            return False
+        if not self._membership.is_primary_for(endpoint):
+            return True
+        outcome = await self._store.create(SEVERAL_VERSIONS_KIND, endpoint, {})
+        return isinstance(outcome, Written | Conflict)
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -22,7 +22,8 @@
 from .reachability import Reachability
 from .runner_bounds import RunnerBounds
 from .runner_views import RunnerView
-from .stream_origins import StreamOrigin
+from .stream_origins import StreamOrigin, make_origin
+from .version_history import VersionHistory
 
 REJECTION_BACKOFF_SECONDS = 0.15
 """How long a runner that rejected a request for lack of capacity gets no further one:
@@ -71,6 +72,9 @@
         evacuated: Data centres to whose runners nothing more is sent.
         mean_prompt_tokens: Moving average of the prompt tokens per request.
         prefixes: Runners to which prompt prefixes were recently sent.
+        versions: Software versions that endpoints' runners recently had.
+        on_new_version: Called with an endpoint and the time when a runner of another
+            version serves it.
     """
 
     def __init__(
@@ -86,6 +90,8 @@
         self.prefixes = PrefixMemory()
         self._reachability = Reachability()
         self._unlisted_successors: set[str] = set()
+        self.versions = VersionHistory()
+        self.on_new_version: Callable[[str, float], None] = lambda endpoint, now: None
 
     def __len__(self) -> int:
         return len(self._views)
@@ -172,7 +178,7 @@
         result = EntryResult.APPLIED
         view = self._views.get(runner.name)
         if view is not None and view.incarnation != runner.incarnation:
-            self._supersede(view)
+            self._supersede(view, now)
             result = EntryResult.RESTARTED
             view = None
         if view is None:
@@ -182,13 +188,39 @@
         elif runner.cold_left is not None and runner.cold_left != view.runner.cold_left:
             view.cold.record_statement(runner.cold_left, now)
         if view.runner.endpoint != runner.endpoint:
-            self._remove_from_endpoint(view.runner)
+            self._remove_from_endpoint(view.runner, now)
+        was_unknown = view.runner.version is None
         view.runner = runner
         view.unlisted_at = None
         self._unlisted_successors.discard(runner.name)
         self._by_endpoint.setdefault(runner.endpoint, {})[runner.name] = view
+        if was_unknown and runner.version is not None:
+            self.versions.forget_unknown(runner.endpoint)
+        if self.versions.record(runner.endpoint, runner.version, now):
+            self.on_new_version(runner.endpoint, now)
         return result
 
+    def find_versions(self, endpoint: str, now: float) -> set[str | None]:
+        """Return the versions that an endpoint's runners had within a stream's life.
+
+        Returns:
+            The versions; ``None`` among them stands for one that isn't known.
+        """
+        for view in self._by_endpoint.get(endpoint, {}).values():
+            self.versions.record(endpoint, view.runner.version, now)
+        return self.versions.list_versions(endpoint, now)
+
+    def find_origin(self, incarnation: str) -> StreamOrigin | None:
+        """Return the origin of streams that a current incarnation began.
+
+        Args:
+            incarnation: The incarnation as text.
+        """
+        for view in self._views.values():
+            if str(view.incarnation) == incarnation:
+                return make_origin(view.runner)
+        return None
+
     def _record_start(self, view: RunnerView, now: float) -> None:
         """Record how long a runner that wasn't known yet may stay cold."""
         if view.runner.cold_left is None:
@@ -196,14 +228,14 @@
         else:
             view.cold.record_statement(view.runner.cold_left, now)
 
-    def _supersede(self, view: RunnerView) -> None:
+    def _supersede(self, view: RunnerView, now: float) -> None:
         """End an incarnation whose runner has restarted.
 
         Requests in flight keep recording to the old view. If they were counted at the
         new incarnation, it would look busy, slow or failing because of another process.
         """
         view.superseded = True
-        self._remove_from_endpoint(view.runner)
+        self._remove_from_endpoint(view.runner, now)
 
     def find_runner(self, name: str) -> Runner | None:
         """Return the runner with this name, or ``None`` if it is unknown."""
@@ -299,10 +331,11 @@
         ]
         for runner in pruned:
             del self._views[runner.name]
-            self._remove_from_endpoint(runner)
+            self._remove_from_endpoint(runner, now)
         return pruned
 
-    def _remove_from_endpoint(self, runner: Runner) -> None:
+    def _remove_from_endpoint(self, runner: Runner, now: float) -> None:
+        self.versions.record(runner.endpoint, runner.version, now)
         views = self._by_endpoint[runner.endpoint]
         del views[runner.name]
         if not views:
--- a/knapweedrail/relay/stream_origins.py
+++ b/knapweedrail/relay/stream_origins.py
@@ -9,6 +9,9 @@
 
 from .models import Runner
 
+MAX_RECORDS = 50_000
+"""Streams that one relay remembers; the oldest are dropped first."""
+
 
 @attrs.frozen
 class StreamOrigin:
@@ -38,3 +41,44 @@
 def make_origin(runner: Runner) -> StreamOrigin:
     """Return the origin of a stream that a runner begins."""
     return StreamOrigin(runner.endpoint, runner.version, str(runner.incarnation))
+
+
+class StreamRecords:
+    """Origins of recent streams, by the stream's name."""
+
+    def __init__(self) -> None:
+        # Oldest first.
+        self._records: dict[str, tuple[float, StreamOrigin]] = {}
+
+    def record(self, stream: str, origin: StreamOrigin, now: float, ttl: float) -> None:
+        """Record what began a stream.
+
+        Args:
+            stream: Name of the stream.
+            origin: What began it.
+            now: Monotonic time, seconds.
+            ttl: For how long a caller may resume a stream, seconds.
+        """
+        self._records.pop(stream, None)
+        self._records[stream] = (now, origin)
+        self._drop_old(now - ttl)
+
+    def find(self, stream: str) -> StreamOrigin | None:
+        """Return what began a stream, or ``None`` if that isn't known."""
+        recorded_at, origin = self._records.get(stream, (0.0, None))
+        return origin
+
+    def list_since(self, since: float, endpoint: str) -> dict[str, StreamOrigin]:
+        """Return the streams of an endpoint recorded since a monotonic time."""
+        return {
+            stream: origin
+            for stream, (recorded_at, origin) in self._records.items()
+            if recorded_at >= since and origin.endpoint == endpoint
+        }
+
+    def _drop_old(self, before: float) -> None:
+        while self._records:
+            stream, (recorded_at, _) = next(iter(self._records.items()))
+            if recorded_at >= before and len(self._records) <= MAX_RECORDS:
+                return
+            del self._records[stream]
--- a/knapweedrail/relay/watchers.py
+++ b/knapweedrail/relay/watchers.py
@@ -387,6 +387,7 @@
 
     def record_confirmation(self, now: float) -> None:
         self.table.mark_successors_absent(now)
+        self.table.versions.record_confirmation(self.confirmed_at)
 
     def remove(self, stored: StoredObject) -> None:
         self._start_times.discard(stored.name)
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -35,6 +35,7 @@
 from ..relay.overload import OverloadMonitor
 from ..relay.peers import PeerClient
 from ..relay.request_context import Services
+from ..relay.resumptions import Resumptions
 from ..relay.retries import RetryBudget
 from ..relay.runners import RunnerTable
 from ..relay.stores import (
@@ -147,12 +148,14 @@
         heads: Heads of all received requests.
         bodies: Bodies of all received requests.
         address: Address it listens on, set by `serve`.
+        version: Version of its software that its entry states.
     """
 
     respond: Callable[[anyio.abc.SocketStream, str], Any]
     heads: list[str] = attrs.field(factory=list)
     bodies: list[bytes] = attrs.field(factory=list)
     address: str = ""
+    version: str = ""
 
     async def serve(self, group: anyio.abc.TaskGroup) -> None:
         """Listen on a free port and answer requests in ``group``."""
@@ -376,7 +379,9 @@
     membership.settled = True
     membership._senders.set_names(others)
     table.bounds.find_standing = membership.find_standing
-    holdings = Holdings(store, PeerClient(), membership, lambda: configuration)
+    peers = PeerClient()
+    holdings = Holdings(store, peers, membership, lambda: configuration)
+    resumptions = Resumptions(table, membership, peers, store)
     metrics, overload = RelayMetrics(), OverloadMonitor()
     connector = TunnellingConnector(
         table, membership.list_others, lambda: False, random.Random(1), metrics
@@ -400,14 +405,17 @@
         overload=overload,
         count_relays=lambda: 1,
         report_mismatch=successors.report_mismatch,
+        resumptions=resumptions,
     )
     gateway = Gateway(services, watcher, holdings)
     async with anyio.create_task_group() as group:
         for number, runner in enumerate(runners):
             await runner.serve(group)
-            table.set_runner(make_runner(f"i-{number}", runner.address))
+            entry = make_runner(f"i-{number}", runner.address)
+            table.set_runner(attrs.evolve(entry, version=runner.version))
         await holdings.start(group)
         await successors.start(group)
+        await resumptions.start(group)
         await connector.start(group)
         await tunnels.start(group)
         if registers:
@@ -421,6 +429,7 @@
         )
         await holdings.close()
         await successors.close()
+        await resumptions.close()
         await connector.close()
         await tunnels.close()
         await pool.close()
--- a/knapweedrail/tests/versioned_runners.py
+++ b/knapweedrail/tests/versioned_runners.py
@@ -16,7 +16,6 @@
     ScriptedRunner,
     find_header,
     make_chunk,
-    make_runner,
     make_stream_head,
     run_relay,
 )
@@ -90,18 +89,8 @@
     configuration: Configuration, runners: Sequence[VersionedRunner], **options: object
 ) -> AsyncIterator[MemoryRelay]:
     """Run a relay whose list of runners states their versions."""
-    scripted = [ScriptedRunner(runner.respond) for runner in runners]
+    scripted = [
+        ScriptedRunner(runner.respond, version=runner.version) for runner in runners
+    ]
     async with run_relay(configuration, *scripted, **options) as relay:
-        list_versions(relay, runners, scripted)
         yield relay
-
-
-def list_versions(
-    relay: MemoryRelay,
-    runners: Sequence[VersionedRunner],
-    scripted: Sequence[ScriptedRunner],
-) -> None:
-    """Add the runners, with their versions, to a relay's table."""
-    for number, (runner, script) in enumerate(zip(runners, scripted, strict=True)):
-        entry = make_runner(f"i-{number}", script.address)
-        relay.table.set_runner(attrs.evolve(entry, version=runner.version))
--- a/knapweedrail/wire/relays_grpc.py
+++ b/knapweedrail/wire/relays_grpc.py
@@ -26,6 +26,14 @@
     async def TellLimits(self, stream: 'grpclib.server.Stream[relays_pb2.LimitsRequest, relays_pb2.LimitsReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def RecordStreams(self, stream: 'grpclib.server.Stream[relays_pb2.RecordStreamsRequest, relays_pb2.RecordStreamsReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def FindStream(self, stream: 'grpclib.server.Stream[relays_pb2.FindStreamRequest, relays_pb2.FindStreamReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def FollowNews(self, stream: 'grpclib.server.Stream[relays_pb2.NewsRequest, relays_pb2.NewsReply]') -> None:
         pass
@@ -50,6 +58,18 @@
                 relays_pb2.LimitsRequest,
                 relays_pb2.LimitsReply,
             ),
+            '/knapweedrail.relays.Relays/RecordStreams': grpclib.const.Handler(
+                self.RecordStreams,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                relays_pb2.RecordStreamsRequest,
+                relays_pb2.RecordStreamsReply,
+            ),
+            '/knapweedrail.relays.Relays/FindStream': grpclib.const.Handler(
+                self.FindStream,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                relays_pb2.FindStreamRequest,
+                relays_pb2.FindStreamReply,
+            ),
             '/knapweedrail.relays.Relays/FollowNews': grpclib.const.Handler(
                 self.FollowNews,
                 grpclib.const.Cardinality.STREAM_STREAM,
@@ -80,6 +100,18 @@
             relays_pb2.LimitsRequest,
             relays_pb2.LimitsReply,
         )
+        self.RecordStreams = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/knapweedrail.relays.Relays/RecordStreams',
+            relays_pb2.RecordStreamsRequest,
+            relays_pb2.RecordStreamsReply,
+        )
+        self.FindStream = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/knapweedrail.relays.Relays/FindStream',
+            relays_pb2.FindStreamRequest,
+            relays_pb2.FindStreamReply,
+        )
         self.FollowNews = grpclib.client.StreamStreamMethod(
             channel,
             '/knapweedrail.relays.Relays/FollowNews',
