--- /dev/null
+++ b/knapweedrail/benches/streams.py
@@ -0,0 +1,147 @@
+"""Compare ways to find the version at which a resumed stream goes on."""
+
+from __future__ import annotations
+
+import argparse
+import random
+from collections.abc import Callable
+
+import anyio
+
+from ..standins.looptime import VirtualClock, run_virtual
+from ..standins.streamfleet import (
+    RECORD_BYTES,
+    AnyVersion,
+    HashedVersion,
+    OneKeeper,
+    OnlyVersion,
+    OwnRecord,
+    RecordedVersion,
+    StreamFleet,
+    Tally,
+    Way,
+)
+from .policies import print_table
+
+WAYS: dict[str, Callable[[], Way]] = {
+    "any runner": AnyVersion,
+    "only where one version serves": OnlyVersion,
+    "own memory": OwnRecord,
+    "hash of the stream": HashedVersion,
+    "one keeper": OneKeeper,
+    "two keepers": RecordedVersion,
+}
+
+STREAMS_PER_HOST = 2.0
+"""New streams a second at each host."""
+
+SECONDS = 90
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add this measurement's options."""
+    parser.add_argument("--hosts", type=int, nargs="+", default=[9, 88])
+    parser.add_argument("--seeds", type=int, default=3)
+
+
+def run(args: argparse.Namespace) -> int:
+    """Run all ways on the same days; exit code 1 if the product's joins versions."""
+    failed = False
+    rows = []
+    for hosts in args.hosts:
+        for name, way in WAYS.items():
+            tallies = [play(hosts, way(), seed) for seed in range(args.seeds)]
+            rows.append((hosts, name, *summarize(tallies, hosts)))
+            if way is RecordedVersion:
+                failed = failed or any(tally.joined > 2 for tally in tallies)
+    header = ("hosts", "way", "joined at worst", "went on", "of those owed")
+    header += ("owed", "records/s and host", "bytes/s and host", "questions")
+    print_table("Resumed streams", header, rows)
+    return int(failed)
+
+
+def summarize(tallies: list[Tally], hosts: int) -> tuple:
+    """Return the cells of one row: the worst and the sums over all seeds."""
+    resumed = sum(tally.resumed for tally in tallies)
+    owed = sum(tally.owed for tally in tallies)
+    records = sum(tally.records for tally in tallies)
+    rate = records / len(tallies) / SECONDS / hosts
+    return (
+        max(tally.joined for tally in tallies),
+        sum(tally.went_on for tally in tallies) / max(1, resumed),
+        sum(tally.owed_went_on for tally in tallies) / max(1, owed),
+        owed,
+        rate,
+        rate * RECORD_BYTES,
+        sum(tally.questions for tally in tallies),
+    )
+
+
+def play(hosts: int, way: Way, seed: int) -> Tally:
+    """Play one day with releases, deaths, cuts and a loss of all hosts."""
+
+    async def play_day(clock: VirtualClock) -> Tally:
+        rng = random.Random(seed)
+        async with anyio.create_task_group() as group:
+            fleet = StreamFleet(group, split_hosts(hosts), way, rng)
+            for host in fleet.members:
+                fleet.start(host)
+            await anyio.sleep(0.5)
+            fleet.set_runners(["v1"] * 6)
+            await anyio.sleep(2.0)
+            for second in range(SECONDS):
+                disturb(fleet, second, rng)
+                for _ in range(round(hosts * STREAMS_PER_HOST)):
+                    await anyio.sleep(1.0 / (hosts * STREAMS_PER_HOST))
+                    fleet.begin_stream()
+            group.cancel_scope.cancel()
+        return fleet.tally
+
+    return run_virtual(play_day)
+
+
+def split_hosts(hosts: int) -> list[int]:
+    """Return the number of hosts in each of three data centres."""
+    return [hosts // 3 + (place < hosts % 3) for place in range(3)]
+
+
+RELEASES = {
+    10: ["v1"] * 3 + ["v2"] * 3,
+    22: ["v1"] * 6,
+    30: ["v1"] * 2 + ["v2"] * 2 + ["v3"] * 2,
+    60: ["v2"] * 2 + ["v3"] * 4,
+    66: ["v3"] * 6,
+}
+"""Versions of the runners from a second on."""
+
+LOST_DATA_CENTRES = {35: "0", 63: "2", 78: "1"}
+"""Data centres whose hosts all end at a second."""
+
+CRASH_SECONDS = 4
+KILL_SECONDS = 5
+DOWN_SECONDS = 2
+
+
+def disturb(fleet: StreamFleet, second: int, rng: random.Random) -> None:
+    """Let happen what belongs to a second of the day."""
+    if second in RELEASES:
+        fleet.set_runners(RELEASES[second])
+    if second % CRASH_SECONDS == 3:
+        fleet.crash(rng.choice(list(fleet.runners)))
+    if second % KILL_SECONDS == 4:
+        for host in rng.sample(sorted(fleet.members), max(1, len(fleet.members) // 9)):
+            fleet.kill(host)
+    if second == 42:
+        for host in list(fleet.hosts):
+            fleet.kill(host)
+    if second in LOST_DATA_CENTRES:
+        for host, member in fleet.members.items():
+            if member.data_centre == LOST_DATA_CENTRES[second]:
+                fleet.kill(host)
+    if second == 50:
+        fleet.cut("1")
+    if second == 58:
+        fleet.join()
+    if second % KILL_SECONDS == (4 + DOWN_SECONDS) % KILL_SECONDS:
+        for host in fleet.members.keys() - fleet.hosts.keys():
+            fleet.start(host)
--- /dev/null
+++ b/knapweedrail/tests/test_relay_stream_origins.py
@@ -0,0 +1,154 @@
+"""Tests of what relays remember and tell of streams, and who keeps it."""
+
+import attrs
+import pytest
+
+from ..relay.models import Member
+from ..relay.record_keepers import SHARD_COUNT, KeeperPlan, find_shard
+from ..relay.runners import RunnerTable
+from ..relay.stream_messages import (
+    StreamAnswer,
+    decode_answer,
+    decode_records,
+    encode_answer,
+    encode_records,
+)
+from ..relay.stream_origins import MAX_RECORDS, StreamOrigin, StreamRecords
+from ..relay.version_history import CURRENT_SECONDS, MIN_STREAM_SECONDS, VersionHistory
+from .relays_in_memory import make_runner
+
+ORIGIN = StreamOrigin("e", "v1", "i-1@5")
+UNKNOWN = StreamOrigin("e", None, "i-2@6")
+LIFE = MIN_STREAM_SECONDS
+
+
+def make_members(*sizes):
+    return [
+        Member(f"h{place}-{n}", f"h{place}-{n}/1", "10.0.0.1:1", f"dc{place}")
+        for place, size in enumerate(sizes)
+        for n in range(size)
+    ]
+
+
+def make_plan(members, own):
+    plan = KeeperPlan(own)
+    plan.set_members(members)
+    return plan
+
+
+@pytest.mark.parametrize("sizes", [(3, 3, 3), (30, 29, 29), (100, 200, 200)])
+def test_keepers_of_a_stream_are_asked_by_every_other_relay(sizes):
+    """A record is kept where the relay that needs it doesn't ask."""
+    members = make_members(*sizes)
+    for number in range(200):
+        stream = f"farm:{number}"
+        teller, asker = members[number % 3], members[-1 - number % 5]
+        keepers = make_plan(members, teller).choose_keepers(stream, set())
+        # The teller has ended, and the asker's list no longer has it.
+        rest = [member for member in members if member is not teller]
+        asked = make_plan(rest, asker).choose_asked(stream)
+        assert len(keepers) == 2
+        assert {keeper.data_centre == teller.data_centre for keeper in keepers} == {
+            True,
+            False,
+        }
+        assert all(keeper in asked or keeper is asker for keeper in keepers)
+
+
+def test_relay_that_does_not_answer_is_passed_over():
+    members = make_members(3, 3)
+    plan = make_plan(members, members[0])
+    first = plan.choose_keepers("s", set())
+    second = plan.choose_keepers("s", {first[0].host})
+    assert second[0] != first[0] and second[1] == first[1]
+
+
+def test_streams_spread_over_all_shards():
+    assert len({find_shard(f"s{n}") for n in range(2000)}) == SHARD_COUNT
+
+
+def test_old_records_are_dropped():
+    records = StreamRecords()
+    for number in range(5):
+        records.record(f"s{number}", ORIGIN, float(number), ttl=2.0)
+    assert [records.find(f"s{n}") is not None for n in range(5)] == [False] * 2 + [
+        True
+    ] * 3
+
+
+def test_number_of_records_is_bounded():
+    records = StreamRecords()
+    for number in range(MAX_RECORDS + 10):
+        records.record(f"s{number}", ORIGIN, 0.0, ttl=9.0)
+    assert records.find("s9") is None
+    assert records.find("s10") == ORIGIN
+
+
+@pytest.mark.parametrize("origin", [ORIGIN, UNKNOWN, StreamOrigin("e", "")])
+def test_messages_keep_what_is_known(origin):
+    """A version that isn't known becomes one that no entry states."""
+    assert decode_records(encode_records({"s": origin})) == {"s": origin}
+    answer = StreamAnswer(origin, frozenset({"v1", None}), complete=True)
+    assert decode_answer(encode_answer("s", answer)) == answer
+
+
+def test_answer_without_a_record_is_decoded():
+    answer = StreamAnswer(None, frozenset(), complete=False)
+    assert decode_answer(encode_answer("s", answer)) == answer
+
+
+def test_history_is_complete_after_the_life_of_a_stream():
+    """A relay that has just started takes the only version listed for the only one."""
+    history = VersionHistory()
+    assert not history.is_complete(1e9)
+    for second in range(int(LIFE)):
+        history.record_confirmation(float(second))
+    assert not history.is_complete(LIFE - 0.1)
+    assert history.is_complete(LIFE)
+
+
+def test_history_has_a_gap_after_a_cut():
+    """Runners that came and went during a cut are unknown when it ends."""
+    history = VersionHistory()
+    for second in (0.0, 1.0, 1.0 + CURRENT_SECONDS + 0.1):
+        history.record_confirmation(second)
+    assert not history.is_complete(LIFE)
+    assert history.is_complete(LIFE + second)
+
+
+def test_first_start_of_a_fleet_has_no_earlier_versions():
+    history = VersionHistory()
+    history.assume_complete()
+    history.record_confirmation(5.0)
+    assert history.is_complete(5.0)
+
+
+def test_version_counts_for_the_life_of_a_stream_after_its_last_runner():
+    """Streams that the last runner of a version began may still be resumed."""
+    table = RunnerTable(grace_seconds=1.9)
+    for name, version in (("i-1", "v1"), ("i-2", "v2")):
+        table.set_runner(attrs.evolve(make_runner(name), version=version), 0.0)
+    table.remove_runner("i-1", 10.0)
+    table.prune(12.0)
+    assert table.find_versions("e", 12.0 + LIFE) == {"v1", "v2"}
+    assert table.find_versions("e", 12.1 + LIFE) == {"v2"}
+
+
+def test_version_of_an_unlisted_runner_is_known_once_it_is_listed():
+    table = RunnerTable(grace_seconds=1.9)
+    listed = attrs.evolve(make_runner("i-1"), version="v1")
+    table.set_runner(attrs.evolve(listed, version=None), 0.0)
+    assert table.find_versions("e", 0.0) == {None}
+    table.set_runner(listed, 1.0)
+    assert table.find_versions("e", 1.0) == {"v1"}
+
+
+def test_new_version_is_reported_once():
+    """Records of streams under way are told each time that an entry changes."""
+    table = RunnerTable(grace_seconds=1.9)
+    reported = []
+    table.on_new_version = lambda endpoint, now: reported.append((endpoint, now))
+    for second in range(5):
+        table.set_runner(attrs.evolve(make_runner("i-1"), version="v1"), second)
+        table.set_runner(attrs.evolve(make_runner("i-2"), version="v2"), second)
+    assert reported == [("e", 0), ("e", 0)]
