Don't resume a stream at a restarted runner whose version has changed

Cause: a runner that restarts under its name and states no start time counts as the same incarnation, which alone let a stream go on there. Change: where both versions are known, they decide; the incarnation counts only where one isn't. Result: one of seven cases of the new test failed before.

--- a/knapweedrail/relay/stream_origins.py
+++ b/knapweedrail/relay/stream_origins.py
@@ -30,12 +30,12 @@
     def allows(self, runner: Runner) -> bool:
         """Return whether the stream may go on at a runner.
 
-        What two versions write doesn't fit together, and runners don't check that. An
-        incarnation never changes its version, also where that isn't known.
+        What two versions write doesn't fit together, and runners don't check that.
+        Where a version isn't known, a stream stays with the incarnation that began it.
         """
-        if str(runner.incarnation) == self.runner:
-            return True
-        return self.version is not None and runner.version == self.version
+        if self.version is not None and runner.version is not None:
+            return runner.version == self.version
+        return str(runner.incarnation) == self.runner
 
 
 def make_origin(runner: Runner) -> StreamOrigin:
--- a/knapweedrail/tests/test_relay_stream_origins.py
+++ b/knapweedrail/tests/test_relay_stream_origins.py
@@ -22,6 +22,25 @@
 LIFE = MIN_STREAM_SECONDS
 
 
+@pytest.mark.parametrize(
+    ("origin", "name", "version", "allowed"),
+    [
+        ("v1", "i-2", "v1", True),
+        ("v1", "i-2", "v2", False),
+        ("v1", "i-2", None, False),
+        ("v1", "i-1", None, True),
+        (None, "i-2", "v1", False),
+        (None, "i-1", None, True),
+        ("v1", "i-1", "v2", False),
+    ],
+)
+def test_stream_goes_on_only_where_its_version_is_known(origin, name, version, allowed):
+    """A runner that restarts under its name, and states no start, counts as the same
+    incarnation although its software is another one."""
+    runner = attrs.evolve(make_runner(name), version=version)
+    assert StreamOrigin("e", origin, "i-1").allows(runner) is allowed
+
+
 def make_members(*sizes):
     return [
         Member(f"h{place}-{n}", f"h{place}-{n}/1", "10.0.0.1:1", f"dc{place}")
