Soak runners of two software versions, and callers that resume their streams

Change: each life of a soaked runner has one of two versions, which its events name in a comment line; callers take up a stream that broke once, at any relay; the judge finds more than two streams of a run with events of both. A planted fault is found.

--- a/knapweedrail/platform/encoding.py
+++ b/knapweedrail/platform/encoding.py
@@ -61,6 +61,8 @@
         spec[names.COLD_LEFT] = round(runner.cold_left * 1000)
     if runner.started:
         spec[names.STARTED] = runner.started
+    if runner.version:
+        spec[names.SOFTWARE_VERSION] = runner.version
     return spec
 
 
--- a/knapweedrail/platform/names.py
+++ b/knapweedrail/platform/names.py
@@ -132,6 +132,9 @@
 RUNNER_STATE = "state"
 """Fields that every runner's entry has."""
 
+SOFTWARE_VERSION = "version"
+"""Field of entries: version of the runner's software."""
+
 COLD_LEFT = "coldLeftMs"
 """Field of entries: how long the runner stays cold, milliseconds."""
 
--- a/knapweedrail/soak/callers.py
+++ b/knapweedrail/soak/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import re
 import time
 from typing import Any
 
@@ -31,6 +32,11 @@
 REMOVED_SHARE = 0.3
 """Of these, the requests on the route that was removed last."""
 
+EVENT = re.compile(rb"id: (\d+)\n[^\n]*\n\n")
+
+RETURN_SECONDS = (0.02, 0.5)
+"""Bounds of the pause before a caller resumes a stream that broke."""
+
 PROMPTS = (20, 400)
 """Bounds of a prompt's tokens."""
 
@@ -103,7 +109,29 @@
         leaves = rng.random() < LEAVE_SHARE
         limit = LEAVE_SECONDS if leaves else kind.timeout + EXTRA_SECONDS
         with anyio.move_on_after(limit):
-            await self._call(client, host, sent)
+            got = await self._call(client, host, sent)
+            if kind is Kind.RESUMED and got.status == 200 and not got.whole:
+                await self._resume(client, got)
+
+    async def _resume(self, client: httpx.AsyncClient, broken: Sent) -> None:
+        """Take up a stream that broke, at any relay."""
+        received = EVENT.findall(broken.body)
+        if not received:
+            return
+        await anyio.sleep(self._rng.uniform(*RETURN_SECONDS))
+        host = self._rng.choice(self._world.relays)
+        again = attrs.evolve(
+            broken,
+            identity=self._draw_identity(),
+            relay=host.name,
+            life=host.life,
+            sent_at=time.monotonic(),
+            status=0,
+            body=b"",
+            resumes=broken.identity,
+            last_event=int(received[-1]),
+        )
+        await self._call(client, host, again)
 
     def _choose_version(self) -> int:
         newest = self._world.version
@@ -120,7 +148,7 @@
 
     async def _call(
         self, client: httpx.AsyncClient, host: RelayHost, sent: Sent
-    ) -> None:
+    ) -> Sent:
         limit = sent.kind.timeout + EXTRA_SECONDS
         headers = {
             "host": HOST,
@@ -129,6 +157,9 @@
             names.DEADLINE.decode(): str(round(1000 * limit)),
             names.TOKENS.decode(): f"{sent.prompt},{sent.most_output}",
         }
+        if sent.resumes:
+            headers[names.RESUMES.decode()] = sent.resumes
+            headers[names.LAST_EVENT.decode()] = str(sent.last_event)
         body = bytearray()
         status = 0
         whole = False
@@ -171,6 +202,7 @@
                 ended_at=time.monotonic(),
             )
             self._history.sent.append(noted)
+        return noted
 
 
 def was_reset(error: BaseException | None) -> bool:
--- a/knapweedrail/soak/judges.py
+++ b/knapweedrail/soak/judges.py
@@ -57,6 +57,12 @@
 
 VERSION_PATH = re.compile(r"/v(\d+)/")
 
+COMMENT = re.compile(rb"(?m)^: ?(v\d)?(?:\n|\Z)")
+"""Line that names the version which made an event; the last one may be cut off."""
+
+MOST_JOINED = 2
+"""Streams of a run that may hold events of two versions."""
+
 EVENT_NUMBER = re.compile(rb"(?:^|\n)id: (\d+)\ndata: [^\n]*\n\n")
 
 
@@ -67,6 +73,7 @@
         *find_repetitions(history),
         *find_false_refusals(history),
         *find_foreign_answers(history),
+        *find_joined_versions(history),
         *find_denials(history),
         *find_steps_back(history),
         *find_late_versions(history),
@@ -121,14 +128,27 @@
     for sent in history.sent:
         if sent.status != 200:
             continue
-        due = make_answer(sent.identity, sent.kind)
-        if sent.whole and sent.body != due:
-            found.append(Finding("answer", f"{sent.identity} got {sent.body[:80]!r}"))
-        if not sent.whole and not due.startswith(sent.body):
-            found.append(Finding("order", f"{sent.identity} got {sent.body[-80:]!r}"))
+        due = make_answer(sent.stream, sent.kind, sent.last_event)
+        body = COMMENT.sub(b"", sent.body)
+        if sent.whole and body != due:
+            found.append(Finding("answer", f"{sent.identity} got {body[:80]!r}"))
+        if not sent.whole and not due.startswith(body):
+            found.append(Finding("order", f"{sent.identity} got {body[-80:]!r}"))
     return found
 
 
+def find_joined_versions(history: History) -> list[Finding]:
+    """Streams with events of two versions, in one answer or over a caller's tries."""
+    versions: dict[str, set[bytes]] = collections.defaultdict(set)
+    for sent in history.sent:
+        if sent.status == 200 and sent.kind.streams:
+            versions[sent.stream].update(COMMENT.findall(sent.body))
+    joined = [stream for stream, found in versions.items() if len(found - {b""}) > 1]
+    if len(joined) <= MOST_JOINED:
+        return []
+    return [Finding("versions", f"{stream} has two versions") for stream in joined]
+
+
 def find_denials(history: History) -> list[Finding]:
     """Keys and routes that all versions have, called unknown."""
     return [
--- a/knapweedrail/soak/records.py
+++ b/knapweedrail/soak/records.py
@@ -84,6 +84,8 @@
         reset: Whether its connection was reset before any answer came. The system does
             so where a connection is closed with bytes that nobody has read.
         written_at: When its last byte was written; ``None`` if it never was.
+        resumes: Identity of the request whose stream it resumes; empty for a new one.
+        last_event: Number of the last event of that stream that the caller has.
     """
 
     identity: str
@@ -102,12 +104,19 @@
     connected: bool = True
     left: bool = False
     reset: bool = False
+    resumes: str = ""
+    last_event: int = 0
     written_at: float | None = attrs.field()
 
     @written_at.default
     def _write_at_once(self) -> float:
         return self.sent_at
 
+    @property
+    def stream(self) -> str:
+        """Identity of the request that began its stream."""
+        return self.resumes or self.identity
+
 
 @attrs.frozen
 class Ran:
@@ -192,16 +201,30 @@
     return seconds / count_events(identity)
 
 
+def find_software_version(started: int) -> str:
+    """Return the version of a runner's software in the life that began at a time.
+
+    Args:
+        started: Start of the life, Unix milliseconds.
+    """
+    return f"v{started % 2 + 1}"
+
+
+def make_comment(version: str) -> bytes:
+    """Return the line before an event that names the version which made it."""
+    return b": %s\n" % version.encode()
+
+
 def make_event(identity: str, number: int) -> bytes:
-    """Return one event of a request's stream."""
+    """Return one event of a request's stream, without a comment."""
     return b"id: %d\ndata: %s %d\n\n" % (number, identity.encode(), number)
 
 
-def make_answer(identity: str, kind: Kind) -> bytes:
-    """Return the whole answer to a request."""
+def make_answer(identity: str, kind: Kind, last_event: int = 0) -> bytes:
+    """Return the whole answer to a request, or what follows an event of a stream."""
     if not kind.streams:
         return b"done " + identity.encode()
-    numbers = range(1, count_events(identity) + 1)
+    numbers = range(last_event + 1, count_events(identity) + 1)
     return b"".join(make_event(identity, number) for number in numbers)
 
 
--- a/knapweedrail/soak/runners.py
+++ b/knapweedrail/soak/runners.py
@@ -25,7 +25,9 @@
     Kind,
     count_events,
     find_pause,
+    find_software_version,
     make_answer,
+    make_comment,
     make_event,
     write_line,
 )
@@ -85,7 +87,9 @@
             return Response(b"failed", 500, headers)
         if request.url.path.startswith(("/stream/", "/resumed/")):
             return StreamingResponse(
-                self._make_events(identity, first),
+                self._make_events(
+                    request.headers.get(_text(names.RESUMES), identity), first
+                ),
                 headers=headers,
                 media_type="text/event-stream",
             )
@@ -97,8 +101,9 @@
         return meant is not None and meant != self._name
 
     async def _make_events(self, identity: str, first: int) -> AsyncIterator[bytes]:
+        comment = make_comment(find_software_version(self._started))
         for number in range(first, count_events(identity) + 1):
-            yield make_event(identity, number)
+            yield comment + make_event(identity, number)
             await anyio.sleep(find_pause(identity))
 
 
--- a/knapweedrail/soak/worlds.py
+++ b/knapweedrail/soak/worlds.py
@@ -43,6 +43,7 @@
     STOP_SECONDS,
     Kind,
     Ran,
+    find_software_version,
     read_runs,
 )
 
@@ -246,24 +247,27 @@
         Args:
             started: Start of the life that writes, if it isn't the present one.
         """
-        spec = self._make_entry(runner, state)
-        spec[names.STARTED] = started or runner.started
+        spec = self._make_entry(runner, state, started or runner.started)
         self.store.put(names.RUNNERS_KIND, runner.name, spec)
 
     def spoil_entry(self, runner: RunnerHost, rng: random.Random) -> None:
         """Put what names no runner in the place of a runner's entry."""
-        spec = spoil(rng, self._make_entry(runner, RunnerState.READY))
+        entry = self._make_entry(runner, RunnerState.READY, runner.started)
+        spec = spoil(rng, entry)
         self.store.put(names.RUNNERS_KIND, runner.name, spec)
 
     def add_foreign_entry(self, name: str, rng: random.Random) -> None:
         """Write an entry that names no runner, beside those of the runners."""
         like = rng.choice(self.runners)
         address = self._trap_server.address
-        good = self._make_entry(like, RunnerState.READY) | {"address": address}
+        good = self._make_entry(like, RunnerState.READY, like.started)
+        good["address"] = address
         self.trap.entries[name] = spec = spoil(rng, good)
         self.store.put(names.RUNNERS_KIND, name, spec)
 
-    def _make_entry(self, runner: RunnerHost, state: RunnerState) -> dict[str, Any]:
+    def _make_entry(
+        self, runner: RunnerHost, state: RunnerState, started: int
+    ) -> dict[str, Any]:
         entry = Runner(
             name=runner.name,
             endpoint=ENDPOINT,
@@ -271,8 +275,10 @@
             data_centre="dc-0",
             slots=RUNNER_SLOTS,
             state=state,
+            started=started,
+            version=find_software_version(started),
         )
-        return encode_runner(entry) | {names.STARTED: runner.started}
+        return encode_runner(entry)
 
     def end_runner(self, runner: RunnerHost) -> None:
         """End a runner at once; its entry goes as the platform sees it silent."""
--- a/knapweedrail/tests/test_soak.py
+++ b/knapweedrail/tests/test_soak.py
@@ -15,7 +15,16 @@
 from ..soak.faults import Faults
 from ..soak.judges import judge
 from ..soak.plots import classify, draw_run
-from ..soak.records import Disturbance, History, Kind, Ran, Sent, make_answer
+from ..soak.records import (
+    Disturbance,
+    History,
+    Kind,
+    Ran,
+    Sent,
+    make_answer,
+    make_comment,
+    make_event,
+)
 from ..soak.schedules import Step, draw_schedule
 from ..soak.worlds import find_ports
 from ..tools import soak as soak_tool
@@ -45,6 +54,26 @@
 ADDED = attrs.evolve(WHOLE, kind=Kind.SAFE, path="/v2/x")
 REMOVED = attrs.evolve(WHOLE, kind=Kind.SAFE, path="/v1/x")
 
+
+def make_resumed(identity, first, second):
+    """Return both attempts at a stream that versions make the parts of."""
+    begun = attrs.evolve(
+        STREAM,
+        kind=Kind.RESUMED,
+        identity=identity,
+        whole=False,
+        body=make_comment(first) + make_event(identity, 1),
+    )
+    again = attrs.evolve(
+        begun,
+        identity=f"{identity}-again",
+        resumes=identity,
+        last_event=1,
+        body=make_comment(second) + make_event(identity, 2),
+    )
+    return [begun, again]
+
+
 STOPPED = Disturbance("stop", "relay-0", 10.0, 18.0)
 CUT = attrs.evolve(STREAM, whole=False, body=b"")
 
@@ -77,6 +106,8 @@
     assert judge_all(refused, ran=()) == []
     cut = attrs.evolve(STREAM, whole=False, body=STREAM.body[:-3])
     assert judge_all(cut) == []
+    resumed = [one for name in "abc" for one in make_resumed(name, "v1", "v1")]
+    assert judge_all(*resumed) == []
 
 
 @pytest.mark.parametrize(
@@ -166,6 +197,11 @@
             },
         ),
         ("exit", [WHOLE], {"exits": [("relay-0", 1)]}),
+        (
+            "versions",
+            [one for name in "abc" for one in make_resumed(name, "v1", "v2")],
+            {},
+        ),
     ],
 )
 def test_a_planted_fault_is_found(promise, sent, more):
