Log callers' unknown headers apart from runners', and requests in 610

Cause: found by reading: callers that send many unknown headers would use up the fifty names that are logged, and hide a new header of runners; 610 named no request, so a request's way couldn't be followed to it. Change: a log of its own for each kind of senders; the attempt's identity in 610. Result: one new test, which failed before.

--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -126,7 +126,7 @@
             return
         wait = min(request.deadline or float("inf"), admission.route.timeout)
         deadline_at = arrived_at + wait
-        self._services.unknown_headers.record(request.unknown_headers, sender="")
+        self._services.unknown_request_headers.record(request.unknown_headers, "")
         table: RouteTable = self._configuration.table  # type: ignore[assignment]
         max_bytes = table.configuration.limits.body_bytes
         with self.drain.bound_by_shutdown() as shutdown_scope:
@@ -300,7 +300,9 @@
         endpoints = list(dict.fromkeys([endpoint, *others]))
         account = admission.account.name if admission.account else None
         stream = name_stream(account, request)
-        origin = await self._services.resumptions.find_origin(stream, endpoints)
+        origin = await self._services.resumptions.find_origin(
+            stream, endpoints, request.identity
+        )
         if origin is None:
             detail = "what began the stream isn't known; begin it anew"
             return refuse_not_resumable(detail, self._services.rng)
--- a/knapweedrail/relay/request_context.py
+++ b/knapweedrail/relay/request_context.py
@@ -93,7 +93,8 @@
         report_mismatch: Reports that a runner's address now belongs to the runner of
             the given name.
         send_limit: Sends a runner's rate limit to the other relays.
-        unknown_headers: Logs unknown headers of requests and answers.
+        unknown_headers: Logs unknown headers of runners' answers.
+        unknown_request_headers: Logs unknown headers of callers' requests.
         resumptions: Keeps and finds what began streams.
     """
 
@@ -112,6 +113,7 @@
     resumptions: Resumptions
     send_limit: Callable[[LimitUpdate], None] = lambda update: None
     unknown_headers: UnknownHeaderLog = attrs.field(factory=UnknownHeaderLog)
+    unknown_request_headers: UnknownHeaderLog = attrs.field(factory=UnknownHeaderLog)
 
 
 @attrs.define(kw_only=True)
--- a/knapweedrail/relay/resumptions.py
+++ b/knapweedrail/relay/resumptions.py
@@ -101,13 +101,14 @@
         )
 
     async def find_origin(
-        self, stream: str, endpoints: Sequence[str]
+        self, stream: str, endpoints: Sequence[str], request: str = ""
     ) -> StreamOrigin | None:
         """Return what began a stream.
 
         Args:
             stream: Name of the stream; empty if the caller doesn't name it.
             endpoints: Endpoints at which it may have begun, the likeliest first.
+            request: Identity of the attempt that resumes it, for the log.
 
         Returns:
             The origin; ``None`` if it isn't known for certain.
@@ -123,6 +124,7 @@
             source = "only version" if origin else "unknown"
         log_event(
             Event.STREAM_ORIGIN,
+            request=request,
             stream=stream,
             source=source,
             version=origin.version if origin else None,
--- a/knapweedrail/relay/unknown_headers.py
+++ b/knapweedrail/relay/unknown_headers.py
@@ -5,11 +5,11 @@
 from ..events import Event, log_event
 
 MAX_NAMES = 50
-"""Maximum number of names logged, as a runner could send any number of them."""
+"""Maximum number of names logged, as a sender could send any number of them."""
 
 
 class UnknownHeaderLog:
-    """Logs each unknown header once.
+    """Logs each unknown header of one kind of senders once.
 
     Callers and runners may be newer than the relays and send headers that a relay
     should evaluate.
--- a/knapweedrail/tests/test_relay_resumed_streams.py
+++ b/knapweedrail/tests/test_relay_resumed_streams.py
@@ -182,3 +182,11 @@
         frozenset({"v2"}),
     }
     assert {n: find_versions(body) for n, body in second.items()} == began
+
+
+async def test_callers_headers_do_not_hide_those_of_runners():
+    """Callers that send many unknown headers use up the names that are logged."""
+    runners = make_runners("v1")
+    async with run_versioned_relay(make_configuration(STREAM), runners) as relay:
+        await relay.call(**{f"x_{number}": "1" for number in range(60)})
+        assert relay.gateway._services.unknown_headers._names == set()
