Infer the only version from the store, not from hosts cut off together

A caller whose stream began elsewhere could get the rest from another version in a data centre that is cut off while a release begins outside of it. Cause: hosts that were cut off together confirmed to each other the only version that they knew; nobody among them could know a newer one. And hosts that knew one version, but not for long enough, told nobody what began their streams, though others couldn't infer it. Change: the store keeps all versions that served beside another one, and is read for each inference; while it doesn't answer, relays of all data centres have to. Hosts tell what began their streams until they have known a single version for a stream's life.

--- a/knapweedrail/benches/streams.py
+++ b/knapweedrail/benches/streams.py
@@ -100,6 +100,64 @@
     return run_virtual(play_day)
 
 
+def play_random(seed: int, hosts: int = 6, seconds: int = 45) -> Tally:
+    """Play a day on which anything may happen in each second."""
+
+    async def play_day(clock: VirtualClock) -> Tally:
+        rng = random.Random(seed)
+        async with anyio.create_task_group() as group:
+            fleet = StreamFleet(group, split_hosts(hosts), RecordedVersion(), rng)
+            for host in fleet.members:
+                fleet.start(host)
+            await anyio.sleep(0.5)
+            fleet.set_runners(["v1"] * 4)
+            await anyio.sleep(2.0)
+            for _ in range(seconds):
+                for _ in range(rng.randint(0, 2)):
+                    disturb_at_random(fleet, rng)
+                for _ in range(hosts * 3):
+                    await anyio.sleep(1.0 / (hosts * 3))
+                    fleet.begin_stream()
+            group.cancel_scope.cancel()
+        return fleet.tally
+
+    return run_virtual(play_day)
+
+
+DISTURBANCES = ["release", "release", "crash", "kill", "kill", "kill all"]
+DISTURBANCES += ["cut", "join", "start", "start", "kill data centre"]
+
+KILL_ALL_SHARE = 0.3
+
+
+def disturb_at_random(fleet: StreamFleet, rng: random.Random) -> None:
+    """Let one thing happen to the fleet."""
+    place = str(rng.randrange(3))
+    match rng.choice(DISTURBANCES):
+        case "release":
+            versions = ["v1", "v2", "v3"][: rng.randint(1, 3)]
+            count = rng.randint(1, 5)
+            fleet.set_runners([rng.choice(versions) for _ in range(count)])
+        case "crash":
+            fleet.crash(rng.choice(list(fleet.runners)))
+        case "kill":
+            fleet.kill(rng.choice(sorted(fleet.members)))
+        case "kill all" if rng.random() < KILL_ALL_SHARE:
+            for host in list(fleet.hosts):
+                fleet.kill(host)
+        case "kill data centre":
+            for host, member in fleet.members.items():
+                if member.data_centre == place:
+                    fleet.kill(host)
+        case "cut":
+            fleet.cut(place)
+        case "join":
+            fleet.join()
+        case "start":
+            for host in sorted(fleet.members.keys() - fleet.hosts.keys()):
+                fleet.start(host)
+
+
 def split_hosts(hosts: int) -> list[int]:
     """Return the number of hosts in each of three data centres."""
     return [hosts // 3 + (place < hosts % 3) for place in range(3)]
--- a/knapweedrail/relay/resumptions.py
+++ b/knapweedrail/relay/resumptions.py
@@ -1,7 +1,7 @@
 """Task that finds out which software version began a stream that a caller resumes.
 
-While an endpoint has runners of one version only, nothing is sent. Otherwise each
-relay tells two others what began its streams, before callers receive their first
+While an endpoint certainly has runners of one version only, nothing is sent. Otherwise
+each relay tells two others what began its streams, before callers receive their first
 events, and a relay that is asked to go on with an unknown stream asks those.
 """
 
@@ -20,19 +20,16 @@
 from .notifiers import Notifier
 from .peers import MAX_ENTRIES_PER_CALL, PeerClient
 from .runners import RunnerTable
-from .stores import Conflict, Missing, Store, Written
+from .stores import Store
 from .stream_messages import StreamAnswer, StreamRegistry
 from .stream_origins import StreamOrigin, StreamRecords
-
-SEVERAL_VERSIONS_KIND = "several-versions"
-"""Objects named after endpoints that have had runners of several versions. They outlast
-the loss of all relays, which forgets when the last runner of a version ended."""
+from .version_marks import read_versions, write_versions
 
 READ_SECONDS = 0.2
-"""Timeout of a read of such an object, for which a caller waits."""
+"""Timeout of a read of the store for which a caller waits."""
 
 WRITE_RETRY_SECONDS = 1.0
-"""Pause before such an object is written again."""
+"""Pause before versions are written to the store again."""
 
 UNANSWERED_SECONDS = 2.0
 """How long a relay that didn't answer gets no records: about the time in which it is
@@ -66,13 +63,13 @@
         self._unsent: dict[str, dict[str, StreamOrigin]] = {}
         self._sending: set[str] = set()
         self._unanswered_until: dict[str, float] = {}
-        self._unmarked: set[str] = set()
+        self._unwritten: set[str] = set()
         self._changed = Notifier()
         table.on_new_version = self._handle_new_version
 
     async def run(self) -> None:
         async with anyio.create_task_group() as group:
-            group.start_soon(self._mark_endpoints)
+            group.start_soon(self._write_versions)
             while True:
                 idle = self._unsent.keys() - self._sending
                 for host in idle:
@@ -84,7 +81,7 @@
         """Record what began a stream, before its caller receives the first event."""
         now, ttl = time.monotonic(), self._table.versions.stream_seconds
         self._own_records.record(stream, origin, now, ttl)
-        if len(self._table.find_versions(origin.endpoint, now)) > 1:
+        if not self._is_only_version(origin.endpoint, now):
             self._queue({stream: origin})
 
     def record_streams(self, origins: Mapping[str, StreamOrigin]) -> None:
@@ -94,10 +91,12 @@
 
     def answer_find(self, stream: str, endpoints: Sequence[str]) -> StreamAnswer:
         now = time.monotonic()
+        history = self._table.versions
         return StreamAnswer(
             self._find_record(stream),
             frozenset(self._find_versions(endpoints, now)),
-            self._table.versions.is_complete(now),
+            history.is_complete(now),
+            frozenset().union(*(history.list_earlier(name) for name in endpoints)),
         )
 
     async def find_origin(
@@ -114,10 +113,10 @@
             The origin; ``None`` if it isn't known for certain.
         """
         origin, source = self._find_record(stream), "record"
-        answers: list[StreamAnswer] = []
+        answers: dict[Member, StreamAnswer] = {}
         if origin is None:
             answers = await self._ask_others(stream, endpoints)
-            found = (each.origin for each in answers if each.origin is not None)
+            found = (a.origin for a in answers.values() if a.origin is not None)
             origin, source = next(found, None), "other relay"
         if origin is None:
             origin = await self._infer_origin(endpoints, answers)
@@ -133,6 +132,16 @@
         )
         return self._complete(origin) if origin else None
 
+    def _is_only_version(self, endpoint: str, now: float) -> bool:
+        """Return whether an endpoint certainly had one version for a stream's life.
+
+        Others then know that too, and infer it.
+        """
+        history = self._table.versions
+        if not (history.is_complete(now) and history.is_current(now)):
+            return False
+        return len(self._table.find_versions(endpoint, now)) < 2
+
     def _find_record(self, stream: str) -> StreamOrigin | None:
         if not stream:
             return None
@@ -146,9 +155,9 @@
 
     async def _ask_others(
         self, stream: str, endpoints: Sequence[str]
-    ) -> list[StreamAnswer]:
+    ) -> dict[Member, StreamAnswer]:
         """Ask the relays that may know a stream, until one of them does."""
-        answers: list[StreamAnswer] = []
+        answers: dict[Member, StreamAnswer] = {}
         now = time.monotonic()
         async with anyio.create_task_group() as group:
 
@@ -156,7 +165,7 @@
                 answer = await self._peers.find_stream(member, stream, endpoints)
                 if answer is None:
                     return
-                answers.append(answer)
+                answers[member] = answer
                 if answer.origin is not None:
                     group.cancel_scope.cancel()
 
@@ -166,34 +175,36 @@
         return answers
 
     async def _infer_origin(
-        self, endpoints: Sequence[str], answers: Sequence[StreamAnswer]
+        self, endpoints: Sequence[str], answers: Mapping[Member, StreamAnswer]
     ) -> StreamOrigin | None:
         """Return the only version that can have begun a stream, if there is just one.
 
-        That needs somebody who has known the runners for as long as streams live. After
-        a loss of all relays nobody has, and the store tells whether there were others.
+        All who are asked may have been cut off together, while a newer version serves
+        elsewhere. The store knows all versions that ever served beside another one.
         """
-        now = time.monotonic()
-        versions = self._find_versions(endpoints, now)
-        versions.update(*(answer.versions for answer in answers))
+        known = [self.answer_find("", endpoints), *answers.values()]
+        versions = frozenset().union(*(answer.versions for answer in known))
         if len(versions) != 1 or None in versions:
             return None
-        history = self._table.versions
-        knows = history.is_complete(now) and history.is_current(now)
-        if not (knows or any(answer.complete for answer in answers)):
-            if not await self._had_one_version(endpoints):
-                return None
-        return StreamOrigin(endpoints[0], versions.pop())
-
-    async def _had_one_version(self, endpoints: Sequence[str]) -> bool:
-        """Return whether the store shows that endpoints never had several versions."""
+        stored = None
         with anyio.move_on_after(READ_SECONDS):
-            for endpoint in endpoints:
-                outcome = await self._store.peek(SEVERAL_VERSIONS_KIND, endpoint)
-                if not isinstance(outcome, Missing):
-                    return False
-            return True
-        return False
+            stored = await read_versions(self._store, endpoints)
+        if stored is None:
+            certain = self._have_all_answered(answers) and any(
+                answer.complete for answer in known
+            )
+        else:
+            certain = stored <= versions or any(
+                answer.complete and stored <= answer.earlier for answer in known
+            )
+        return StreamOrigin(endpoints[0], *versions) if certain else None
+
+    def _have_all_answered(self, answers: Mapping[Member, StreamAnswer]) -> bool:
+        """Return whether relays of all other data centres answered."""
+        members = self._membership.list_all()
+        answered = {member.data_centre for member in answers}
+        answered.add(self._membership.member.data_centre)
+        return answered >= {member.data_centre for member in members}
 
     def _find_versions(self, endpoints: Sequence[str], now: float) -> set[str | None]:
         return {
@@ -211,7 +222,7 @@
             return
         since = now - self._table.versions.stream_seconds
         self._queue(self._own_records.list_since(since, endpoint))
-        self._unmarked.add(endpoint)
+        self._unwritten.add(endpoint)
         self._changed.notify_all()
 
     def _queue(self, origins: Mapping[str, StreamOrigin]) -> None:
@@ -237,22 +248,22 @@
         self._sending.discard(host)
         self._changed.notify_all()
 
-    async def _mark_endpoints(self) -> None:
-        """Write to the store which endpoints have had several versions."""
+    async def _write_versions(self) -> None:
+        """Write to the store which versions have served beside each other."""
         while True:
-            if not self._unmarked:
+            if not self._unwritten:
                 await self._changed.wait()
-            for endpoint in list(self._unmarked):
-                if await self._mark(endpoint):
-                    self._unmarked.discard(endpoint)
-            if self._unmarked:
+            for endpoint in list(self._unwritten):
+                if await self._write_versions_of(endpoint):
+                    self._unwritten.discard(endpoint)
+            if self._unwritten:
                 await anyio.sleep(WRITE_RETRY_SECONDS)
 
-    async def _mark(self, endpoint: str) -> bool:
-        """Return whether an endpoint is marked, or another relay marks it."""
+    async def _write_versions_of(self, endpoint: str) -> bool:
+        """Return whether the versions are stored, or another relay stores them."""
         if not self._membership.settled:
             return False
         if not self._membership.is_primary_for(endpoint):
             return True
-        outcome = await self._store.create(SEVERAL_VERSIONS_KIND, endpoint, {})
-        return isinstance(outcome, Written | Conflict)
+        versions = self._table.versions.list_earlier(endpoint)
+        return await write_versions(self._store, endpoint, versions)
--- a/knapweedrail/relay/stream_messages.py
+++ b/knapweedrail/relay/stream_messages.py
@@ -25,11 +25,13 @@
         versions: Versions that the endpoints' runners had within a stream's life;
             ``None`` for an unknown one.
         complete: Whether the relay has known the runners for that long.
+        earlier: Versions that they had at any time.
     """
 
     origin: StreamOrigin | None
     versions: frozenset[str | None]
     complete: bool
+    earlier: frozenset[str] = frozenset()
 
 
 class StreamRegistry(ABC):
@@ -78,6 +80,7 @@
         versions=sorted(v for v in answer.versions if v is not None),
         unlisted=None in answer.versions,
         complete=answer.complete,
+        earlier=sorted(answer.earlier),
     )
 
 
@@ -85,7 +88,8 @@
     """Decode what another relay knows of a stream."""
     versions = set(reply.versions) | ({None} if reply.unlisted else set())
     found = _decode_record(reply.found) if reply.HasField("found") else None
-    return StreamAnswer(found, frozenset(versions), reply.complete)
+    earlier = frozenset(reply.earlier)
+    return StreamAnswer(found, frozenset(versions), reply.complete, earlier)
 
 
 def _encode_record(stream: str, origin: StreamOrigin) -> StreamRecord:
--- a/knapweedrail/relay/version_history.py
+++ b/knapweedrail/relay/version_history.py
@@ -73,6 +73,10 @@
         """Forget the unknown version of a runner whose version is known by now."""
         self._last_seen.get(endpoint, {}).pop(None, None)
 
+    def list_earlier(self, endpoint: str) -> set[str]:
+        """Return the versions seen at any time."""
+        return {v for v in self._last_seen.get(endpoint, {}) if v is not None}
+
     def list_versions(self, endpoint: str, now: float) -> set[str | None]:
         """Return the versions seen within a stream's life; ``None`` for an unknown."""
         seen = self._last_seen.get(endpoint, {})
--- a/knapweedrail/standins/streamfleet.py
+++ b/knapweedrail/standins/streamfleet.py
@@ -21,7 +21,7 @@
 from ..relay.record_keepers import KeeperPlan
 from ..relay.resumptions import Resumptions
 from ..relay.runners import RunnerTable
-from ..relay.stores import Conflict, Missing, StoredObject, Written
+from ..relay.stores import Conflict, Listing, StoredObject, Written
 from ..relay.stream_messages import StreamAnswer
 from ..relay.stream_origins import StreamOrigin
 
@@ -222,8 +222,9 @@
     settled = True
 
     def __init__(self, fleet: StreamFleet, member: Member) -> None:
+        self.member = member
         self._members = fleet.members
-        self._is_primary = member.host == min(fleet.members)
+        self._is_primary = member.host in fleet.primaries
         self.keepers = LimitedKeeperPlan(member, fleet.way.keepers)
         self.keepers.set_members(fleet.members.values())
 
@@ -231,34 +232,55 @@
         """Return the relay on a host."""
         return self._members.get(host)
 
+    def list_all(self) -> list[Member]:
+        """Return all relays."""
+        return list(self._members.values())
+
     def is_primary_for(self, account: str) -> bool:
         """Return whether this host writes for its data centre."""
         return self._is_primary
 
 
-class SimulatedMarks:
-    """The marks in the store as one host reaches them, in place of `Store`."""
+class StoreOfHost:
+    """The store as one host reaches it, in place of `Store`."""
 
     def __init__(self, fleet: StreamFleet, host: str) -> None:
         self._fleet = fleet
         self._host = host
 
-    async def peek(self, kind: str, name: str) -> object:
-        """Return whether a mark exists."""
-        self._fleet.tally.store_calls += 1
-        if self._fleet.is_cut(self._host, None):
-            return Unavailable("peek", "store", "cut off")
-        return StoredObject(name, 1, {}) if name in self._fleet.marks else Missing()
+    async def list_kind(self, kind: str, stale: bool = False) -> object:
+        """Return all objects."""
+        if not await self._reach():
+            return Unavailable("list", "store", "cut off")
+        return Listing(tuple(self._fleet.objects.values()), 1)
 
     async def create(self, kind: str, name: str, spec: object) -> object:
-        """Write a mark."""
-        self._fleet.tally.store_calls += 1
-        if self._fleet.is_cut(self._host, None):
+        """Create an object."""
+        if not await self._reach():
             return Unavailable("create", "store", "cut off")
-        if name in self._fleet.marks:
-            return Conflict(StoredObject(name, 1, {}))
-        self._fleet.marks.add(name)
-        return Written(1)
+        if name in self._fleet.objects:
+            return Conflict(self._fleet.objects[name])
+        return self._write(name, spec, 1)
+
+    async def replace(
+        self, kind: str, name: str, spec: object, revision: int
+    ) -> object:
+        """Replace an object of a revision."""
+        if not await self._reach():
+            return Unavailable("replace", "store", "cut off")
+        stored = self._fleet.objects[name]
+        if stored.revision != revision:
+            return Conflict(stored)
+        return self._write(name, spec, revision + 1)
+
+    def _write(self, name: str, spec: object, revision: int) -> Written:
+        self._fleet.objects[name] = StoredObject(name, revision, spec)
+        return Written(revision)
+
+    async def _reach(self) -> bool:
+        self._fleet.tally.store_calls += 1
+        await anyio.sleep(LATENCY_SECONDS)
+        return not self._fleet.is_cut(self._host, None)
 
 
 class StreamFleet:
@@ -288,8 +310,9 @@
             for place, size in enumerate(sizes)
             for n in range(size)
         }
+        self.primaries = {f"dc{place}-0" for place in range(len(sizes))}
         self.runners: dict[str, Runner] = {}
-        self.marks: set[str] = set()
+        self.objects: dict[str, StoredObject] = {}
         self._group = group
         self._rng = rng
         self._cut: set[str] = set()
@@ -390,7 +413,7 @@
             table,
             SimulatedMembership(self, self.members[name]),
             SimulatedPeers(self, name),
-            SimulatedMarks(self, name),
+            StoreOfHost(self, name),
         )
         if not self._number:
             table.versions.assume_complete()
--- a/knapweedrail/tests/test_relay_resumed_streams.py
+++ b/knapweedrail/tests/test_relay_resumed_streams.py
@@ -9,9 +9,15 @@
 import pytest
 
 from ..relay.models import RetryPolicy
+from ..relay.version_marks import write_versions
 from ..servers import HttpServer, ServerLimits
 from ..standins.objects import ObjectStore
-from .relays_in_memory import ScriptedRunner, make_configuration, make_route
+from .relays_in_memory import (
+    MemoryStore,
+    ScriptedRunner,
+    make_configuration,
+    make_route,
+)
 from .test_relay_process import CONFIGURATION, RelayProcess, make_entry, wait_ready
 from .versioned_runners import (
     VersionedRunner,
@@ -77,6 +83,17 @@
     assert answer.complete and find_versions(answer.body) == {"v1"}
 
 
+async def test_version_that_only_the_store_remembers_is_not_ruled_out():
+    """After a loss of all hosts nobody knows that another version has just ended."""
+    store = MemoryStore()
+    await write_versions(store, "e", {"v1", "v2"})
+    configuration = make_configuration(STREAM)
+    runners = make_runners("v2", "v2")
+    async with run_versioned_relay(configuration, runners, store=store) as relay:
+        answer = await relay.call(**make_resumption(0))
+    assert answer.status == 503
+
+
 async def test_stream_of_a_version_that_is_gone_is_refused_at_once():
     """A caller waits for a version that no runner has any more, or gets another's."""
     runners = make_runners("v1", "v2")
--- a/knapweedrail/tests/test_relay_stream_fleet.py
+++ b/knapweedrail/tests/test_relay_stream_fleet.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ..benches.streams import play
+from ..benches.streams import play, play_random
 from ..standins.streamfleet import AnyVersion, OnlyVersion, RecordedVersion
 
 HOSTS = 9
@@ -28,3 +28,10 @@
     """The day must show a host that refuses whatever it can't infer."""
     tally = play(HOSTS, OnlyVersion(), 0)
     assert tally.owed_went_on < MIN_SHARE * tally.owed
+
+
+@pytest.mark.parametrize("seed", [28, 156, *range(3)])
+def test_hosts_that_were_cut_off_together_do_not_guess(seed):
+    """Hosts of a data centre that is cut off take the only version that they know for
+    the only one, and go on with streams that began elsewhere."""
+    assert play_random(seed).joined <= MAX_JOINED
--- a/knapweedrail/tests/test_relay_stream_origins.py
+++ b/knapweedrail/tests/test_relay_stream_origins.py
@@ -15,7 +15,8 @@
 )
 from ..relay.stream_origins import MAX_RECORDS, StreamOrigin, StreamRecords
 from ..relay.version_history import CURRENT_SECONDS, MIN_STREAM_SECONDS, VersionHistory
-from .relays_in_memory import make_runner
+from ..relay.version_marks import KIND, decode, read_versions, write_versions
+from .relays_in_memory import MemoryStore, make_runner
 
 ORIGIN = StreamOrigin("e", "v1", "i-1@5")
 UNKNOWN = StreamOrigin("e", None, "i-2@6")
@@ -107,7 +108,8 @@
 def test_messages_keep_what_is_known(origin):
     """A version that isn't known becomes one that no entry states."""
     assert decode_records(encode_records({"s": origin})) == {"s": origin}
-    answer = StreamAnswer(origin, frozenset({"v1", None}), complete=True)
+    versions = frozenset({"v1", None})
+    answer = StreamAnswer(origin, versions, complete=True, earlier=frozenset({"v0"}))
     assert decode_answer(encode_answer("s", answer)) == answer
 
 
@@ -171,3 +173,34 @@
         table.set_runner(attrs.evolve(make_runner("i-1"), version="v1"), second)
         table.set_runner(attrs.evolve(make_runner("i-2"), version="v2"), second)
     assert reported == [("e", 0), ("e", 0)]
+
+
+@pytest.mark.anyio
+async def test_versions_of_several_writers_are_all_stored():
+    """A relay overwrites the versions that another one has stored."""
+    store = MemoryStore()
+    assert await read_versions(store, ["e"]) == set()
+    for versions in ({"v1", "v2"}, {"v2", "v3"}, {"v1"}):
+        assert await write_versions(store, "e", versions)
+    assert await read_versions(store, ["e", "f"]) == {"v1", "v2", "v3"}
+    assert store.writes == 2
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("spec", [None, [], {}, {"versions": "v1"}, {"versions": [1]}])
+async def test_unreadable_versions_count_as_unknown(spec):
+    """An object that another writer has spoilt hides that there were two versions."""
+    store = MemoryStore()
+    store.put(KIND, "e", spec)
+    assert decode(spec) is None
+    assert await read_versions(store, ["e"]) is None
+    assert await write_versions(store, "e", {"v1", "v2"})
+    assert await read_versions(store, ["e"]) == {"v1", "v2"}
+
+
+@pytest.mark.anyio
+async def test_versions_are_unknown_while_the_store_is_away():
+    store = MemoryStore()
+    store.unavailable = True
+    assert await read_versions(store, ["e"]) is None
+    assert not await write_versions(store, "e", {"v1", "v2"})
