--- a/knapweedrail/tests/test_relay_stream_fleet.py
+++ b/knapweedrail/tests/test_relay_stream_fleet.py
@@ -8,6 +8,7 @@
 HOSTS = 9
 MAX_JOINED = 2
 MIN_SHARE = 0.5
+MIN_OWED = 12
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -35,3 +36,23 @@
     """Hosts of a data centre that is cut off take the only version that they know for
     the only one, and go on with streams that began elsewhere."""
     assert play_random(seed).joined <= MAX_JOINED
+
+
+@pytest.mark.parametrize("seed", [1, 6, 28, 156])
+def test_streams_go_on_where_hosts_know_one_version_not_for_long(seed):
+    """Hosts that have just started tell nobody what began their streams, and those who
+    are asked can't infer it."""
+    check_share(seed)
+
+
+@pytest.mark.parametrize("seed", [39, 73, 111, 223])
+def test_streams_go_on_as_whole_data_centres_die_again_and_again(seed):
+    """Both keepers of a stream's record end before it is needed."""
+    check_share(seed)
+
+
+def check_share(seed):
+    """Check that half of what is owed goes on in a random schedule."""
+    tally = play_random(seed)
+    assert tally.owed >= MIN_OWED
+    assert tally.owed_went_on >= MIN_SHARE * tally.owed
--- a/knapweedrail/tests/test_relay_successors.py
+++ b/knapweedrail/tests/test_relay_successors.py
@@ -69,6 +69,13 @@
     assert any(head.startswith("GET /report ") for head in runner.heads)
 
 
+async def test_version_of_a_runner_that_is_not_listed_is_unknown():
+    """A restarted runner may have new software, and takes over the old entry's
+    version."""
+    *_, relay = await send_requests(make_engines(), RestartedRunner())
+    assert relay.table.find_runner("i-9").version is None
+
+
 @pytest.mark.parametrize("report", [b"", b"[]", b'{"kvTotal":0}', b'{"kvTotal":"x"}'])
 async def test_runner_without_an_engine_report_gets_no_requests(report):
     """Guards against requests run by the wrong service. An engine has crashed without a
