Log which contents ran on crashed runners, and what is forgotten or heard of them

The logs couldn't tell the hypotheses on requests that crash runners apart: a crash named a runner and a number of requests, and nothing showed which content it counted against, who heard of it, when an answer cleared it, or that a break was followed by no crash. Change: 705 names the contents with most crashes, 603 the content and the events passed on; 724 to 727 are new. No logic is changed. Result: the tests of suspects, quarantine and forwarding pass as before.

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -182,6 +182,22 @@
         723,
         "a runner that rejected a request wants no further ones for `seconds`",
     )
+    CONTENT_QUARANTINED = (
+        724,
+        "a content is refused, as `crashes` runners crashed while they ran it",
+    )
+    CONTENT_CLEARED = (
+        725,
+        "a content was answered; `crashes` no longer count against it",
+    )
+    CRASHES_HEARD = (
+        726,
+        "another relay reported contents of crashed runners, `new` of them unknown",
+    )
+    CRASH_UNCONFIRMED = (
+        727,
+        "a runner closed connections of requests, but no crash was confirmed in time",
+    )
     TUNNELS_OFF = (720, "the address for tunnels can't be bound; none are opened")
     RUNNER_LIMITED = (712, "a runner limits its request rate; 0 if the limit has ended")
     HEADER_UNREAD = (
--- a/knapweedrail/quarantine.py
+++ b/knapweedrail/quarantine.py
@@ -71,6 +71,11 @@
             return False
         return True
 
+    def count_losses(self, fingerprint: str) -> int:
+        """Return the number of lost runners that count against a request."""
+        record = self._records.get(fingerprint)
+        return len(record.held) if record else 0
+
     def measure_rest(self, fingerprint: str, now: float) -> float:
         """Return the seconds until a blocked request may be tried again."""
         record = self._records.get(fingerprint)
@@ -95,13 +100,19 @@
             record = self._touch(fingerprint, now)
             record.losses.add(_name_loss(runner, record.losses))
 
-    def clear(self, fingerprint: str, now: float) -> None:
-        """Clear a request that has been answered completely."""
+    def clear(self, fingerprint: str, now: float) -> int:
+        """Clear a request that has been answered completely.
+
+        Returns:
+            The number of losses that no longer count against it.
+        """
         record = self._records.get(fingerprint)
         if record is None or not record.held:
-            return
+            return 0
+        count = len(record.held)
         record.cleared |= record.losses
         record.changed = now
+        return count
 
     def tell(self) -> list[str]:
         """Return the state for other routers, one line for each request."""
@@ -111,12 +122,16 @@
             if record.losses
         ]
 
-    def hear(self, lines: list[str], now: float) -> None:
+    def hear(self, lines: list[str], now: float) -> list[str]:
         """Merge the state of another router.
 
         A caller that sends a request again reaches another router through the load
         balancer, and that router must know of the runners that were lost before.
+
+        Returns:
+            Fingerprints of the requests of which something was new.
         """
+        changed = []
         for line in lines:
             fingerprint, losses, cleared = _parse(line)
             record = self._records.get(fingerprint) or _Record()
@@ -125,6 +140,8 @@
             record = self._touch(fingerprint, now)
             record.losses |= losses
             record.cleared |= cleared
+            changed.append(fingerprint)
+        return changed
 
     def _touch(self, fingerprint: str, now: float) -> _Record:
         record = self._records.setdefault(fingerprint, _Record())
--- a/knapweedrail/relay/attempt_records.py
+++ b/knapweedrail/relay/attempt_records.py
@@ -11,11 +11,15 @@
 from .runner_statements import MISDIRECTED, record_statements
 from .runner_views import RunnerView
 from .selection import find_shared_part
+from .suspects import Suspects
 
 UNRESPONSIVE_SECONDS = 0.5
 """Shortest wait for the first byte that counts as a failure of the runner. A route's
 timeout may be shorter than its work takes, which is no evidence against the runner."""
 
+MAX_LOGGED_CONTENTS = 5
+"""Contents named in the log line of one crash."""
+
 SUCCESS_STATUSES = range(200, 300)
 
 
@@ -94,13 +98,24 @@
         """Record that the runner has begun a valid answer."""
         context, now = self._context, time.monotonic()
         context.services.runners.record_success(self._view, now - began_at, now)
-        context.services.suspects.record_success(context.fingerprint, now)
+        self._clear_content(now)
         self.record_prefill_end()
         self._record_prompt_wait(began_at, abandoned=False)
         if context.request.parts:
             shared = find_shared_part(context.request.parts)
             context.services.runners.record_prefix(shared.name, self._view, now)
 
+    def _clear_content(self, now: float) -> None:
+        context = self._context
+        crashes = context.services.suspects.record_success(context.fingerprint, now)
+        if crashes:
+            log_event(
+                Event.CONTENT_CLEARED,
+                request=context.request.identity,
+                content=context.fingerprint,
+                crashes=crashes,
+            )
+
     def _record_prompt_wait(self, began_at: float, abandoned: bool) -> None:
         """Record how long the prompt waited at the runner.
 
@@ -203,7 +218,12 @@
             return
         lines = services.suspects.record_crash(incarnation, now)
         if lines:
-            log_event(Event.RUNNER_CRASHED, runner=incarnation, suspects=len(lines))
+            log_event(
+                Event.RUNNER_CRASHED,
+                runner=incarnation,
+                suspects=len(lines),
+                crashes=_count_crashes(services.suspects, lines),
+            )
             services.send_suspects(lines)
 
     def _record_unresponsive(self) -> None:
@@ -226,3 +246,12 @@
                 seconds=self._view.ejection_seconds,
                 failing=round(self._view.failure_rate, 2),
             )
+
+
+def _count_crashes(suspects: Suspects, lines: list[str]) -> dict[str, int]:
+    """Return the crashes known of each content, those with most first."""
+    counts = {line.partition("|")[0]: 0 for line in lines}
+    for fingerprint in counts:
+        counts[fingerprint] = suspects.count_crashes(fingerprint)
+    ranked = sorted(counts.items(), key=lambda pair: -pair[1])
+    return dict(ranked[:MAX_LOGGED_CONTENTS])
--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -366,6 +366,8 @@
             failure=outcome.kind.name.lower(),
             detail=outcome.detail,
             attempt=context.counted_attempts,
+            content=context.fingerprint,
+            events=context.progress.event_count,
             left=round(context.get_remaining_seconds(), 3),
         )
 
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -238,6 +238,12 @@
             account_name, request.method, request.target, body
         )
         if self._services.suspects.blocks(fingerprint, time.monotonic()):
+            log_event(
+                Event.CONTENT_QUARANTINED,
+                request=request.identity,
+                content=fingerprint,
+                crashes=self._services.suspects.count_crashes(fingerprint),
+            )
             detail = "runners crashed while they ran this content"
             refusal = refuse(
                 RefusalKind.QUARANTINED, detail, QUARANTINE_RETRY_AFTER_SECONDS
--- a/knapweedrail/relay/process.py
+++ b/knapweedrail/relay/process.py
@@ -392,7 +392,8 @@
                 log_event(Event.RUNNER_UNLISTED, runner=runner.name, forgotten=True)
             await self._pool.prune(now, self._runners.table.list_incarnations())
             self._connector.prune()
-            self._suspects.prune(now)
+            for runner, count in self._suspects.prune(now).items():
+                log_event(Event.CRASH_UNCONFIRMED, runner=runner, requests=count)
             if self._metrics.has_many:
                 await self._metrics.prepare_export()
 
@@ -430,7 +431,9 @@
                 self._queue_limit(update)
 
     def _receive_suspects(self, lines: list[str]) -> None:
-        self._suspects.merge(lines, time.monotonic())
+        changed = self._suspects.merge(lines, time.monotonic())
+        if changed:
+            log_event(Event.CRASHES_HEARD, contents=len(lines), new=len(changed))
 
     def _set_limits(self, configuration: Configuration) -> None:
         limits = configuration.limits
--- a/knapweedrail/relay/suspects.py
+++ b/knapweedrail/relay/suspects.py
@@ -81,19 +81,39 @@
         records = self._quarantine.tell()
         return [line for line in records if line.partition("|")[0] in recent]
 
-    def record_success(self, fingerprint: str, now: float) -> None:
-        """Record that a request was answered successfully."""
-        self._quarantine.clear(fingerprint, now)
+    def count_crashes(self, fingerprint: str) -> int:
+        """Return the number of crashed runners that count against a request."""
+        return self._quarantine.count_losses(fingerprint)
 
-    def merge(self, lines: list[str], now: float) -> None:
-        """Merge the suspects that another relay sent."""
-        self._quarantine.hear(lines, now)
+    def record_success(self, fingerprint: str, now: float) -> int:
+        """Record that a request was answered successfully.
 
-    def prune(self, now: float) -> None:
-        """Drop broken requests that no crash followed in time."""
+        Returns:
+            The number of crashes that no longer count against it.
+        """
+        return self._quarantine.clear(fingerprint, now)
+
+    def merge(self, lines: list[str], now: float) -> list[str]:
+        """Merge the suspects that another relay sent.
+
+        Returns:
+            Fingerprints of the requests of which something was new.
+        """
+        return self._quarantine.hear(lines, now)
+
+    def prune(self, now: float) -> dict[str, int]:
+        """Drop broken requests that no crash followed in time.
+
+        Returns:
+            The number of dropped requests by runner.
+        """
+        dropped = {}
         for runner, broken_requests in list(self._broken_requests.items()):
             kept = [b for b in broken_requests if now - b.at < CRASH_CONFIRM_SECONDS]
+            if len(kept) < len(broken_requests):
+                dropped[runner] = len(broken_requests) - len(kept)
             if kept:
                 self._broken_requests[runner] = kept
             else:
                 del self._broken_requests[runner]
+        return dropped
