--- a/knapweedrail/tests/test_relay_process.py
+++ b/knapweedrail/tests/test_relay_process.py
@@ -84,12 +84,18 @@
             "stop_seconds": STOP_SECONDS,
             **(changes or {}),
         }
-        path = folder / "relay.jsonc"
-        path.write_bytes(b"// made by a test\n" + orjson.dumps(settings))
+        self._settings_path = folder / "relay.jsonc"
+        self._settings_path.write_bytes(b"// made by a test\n" + orjson.dumps(settings))
         self._log = folder / "log"
+        self._log.write_bytes(b"")
+        self.restart()
+
+    def restart(self):
+        """Start the process, or the next one after the former has ended."""
+        path = str(self._settings_path)
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "knapweedrail.tools.relay", "--settings", str(path)],
-            stdout=self._log.open("wb"),
+            [sys.executable, "-m", "knapweedrail.tools.relay", "--settings", path],
+            stdout=self._log.open("ab"),
             stderr=subprocess.STDOUT,
         )
 
