Confirm a runner's crash by a connection of the host's own

A request that crashes runners reached twice as many as allowed, as some crashes counted against nobody. Cause: a crash counted only if another request happened to find the runner's port closed within three seconds. A host that ejects the runner, or has little traffic, sends none there. Class: a fact is inferred from traffic that may not come. Evidence: test_request_is_refused_though_nobody_else_uses_its_runners, 6 runners for 3. Change: a host that saw a connection break connects to that runner 0.05 s later; the connection is kept for the next request if the runner is there. A connection that times out is no crash there.

--- a/knapweedrail/relay/attempt_records.py
+++ b/knapweedrail/relay/attempt_records.py
@@ -11,15 +11,11 @@
 from .runner_statements import MISDIRECTED, record_statements
 from .runner_views import RunnerView
 from .selection import find_shared_part
-from .suspects import Suspects
 
 UNRESPONSIVE_SECONDS = 0.5
 """Shortest wait for the first byte that counts as a failure of the runner. A route's
 timeout may be shorter than its work takes, which is no evidence against the runner."""
 
-MAX_LOGGED_CONTENTS = 5
-"""Contents named in the log line of one crash."""
-
 SUCCESS_STATUSES = range(200, 300)
 
 
@@ -207,24 +203,14 @@
         """Record a connection that failed as a possible crash of the runner."""
         if not error.tried:
             return
-        services, incarnation = self._context.services, str(self._view.incarnation)
-        now = time.monotonic()
         if error.timed_out:
             self._record_unresponsive()
+        detector, runner = self._context.services.crash_detector, self._view.incarnation
         if error.sent:
-            services.suspects.record_broken_request(
-                incarnation, self._context.fingerprint, now
-            )
-            return
-        lines = services.suspects.record_crash(incarnation, now)
-        if lines:
-            log_event(
-                Event.RUNNER_CRASHED,
-                runner=incarnation,
-                suspects=len(lines),
-                crashes=_count_crashes(services.suspects, lines),
-            )
-            services.send_suspects(lines)
+            address = self._view.runner.address
+            detector.record_broken(runner, address, self._context.fingerprint)
+        else:
+            detector.record_refused(runner)
 
     def _record_unresponsive(self) -> None:
         if self._context.services.runners.record_timeout(self._view, time.monotonic()):
@@ -246,12 +232,3 @@
                 seconds=self._view.ejection_seconds,
                 failing=round(self._view.failure_rate, 2),
             )
-
-
-def _count_crashes(suspects: Suspects, lines: list[str]) -> dict[str, int]:
-    """Return the crashes known of each content, those with most first."""
-    counts = {line.partition("|")[0]: 0 for line in lines}
-    for fingerprint in counts:
-        counts[fingerprint] = suspects.count_crashes(fingerprint)
-    ranked = sorted(counts.items(), key=lambda pair: -pair[1])
-    return dict(ranked[:MAX_LOGGED_CONTENTS])
--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -13,6 +13,7 @@
 import select
 import socket
 import struct
+import time
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
@@ -346,6 +347,22 @@
             self._count_closed(runner)
             raise
 
+    async def open_idle(self, runner: RunnerIncarnation, address: str) -> None:
+        """Open a connection and keep it for the next request.
+
+        Raises:
+            ConnectionFailed: If there is no connection.
+        """
+        self.open_counts[runner] = self.open_counts.get(runner, 0) + 1
+        try:
+            connection = await self._connector.connect(
+                runner, address, ignore_connect_time
+            )
+        except BaseException:
+            self._count_closed(runner)
+            raise
+        self.release(runner, connection, None, time.monotonic())
+
     def release(
         self,
         runner: RunnerIncarnation,
@@ -398,3 +415,7 @@
             self.open_counts[runner] = remaining
         else:
             self.open_counts.pop(runner, None)
+
+
+def ignore_connect_time(seconds: float, now: float) -> None:
+    """Ignore how long a connection took."""
--- /dev/null
+++ b/knapweedrail/relay/crash_detector.py
@@ -0,0 +1,105 @@
+"""Task that finds out whether a runner that closed connections has crashed."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import anyio
+import attrs
+
+from ..events import Event, log_event
+from ..tasks import Task
+from .connections import ConnectionFailed, ConnectionPool
+from .models import RunnerIncarnation
+from .suspects import SEPARATOR, Suspects
+
+CHECK_DELAY_SECONDS = 0.05
+"""Time from a broken connection to the check. The other connections of a runner that
+crashes break within it, and its port is closed."""
+
+MAX_LOGGED_CONTENTS = 5
+"""Contents named in the log line of one crash."""
+
+
+@attrs.frozen
+class Check:
+    """Connect to a runner to find out whether it is still there."""
+
+    runner: RunnerIncarnation
+    address: str
+
+
+class CrashDetector(Task):
+    """Attributes crashes of runners to the requests that ran there.
+
+    A broken connection is a crash if the runner then refuses another one. The detector
+    doesn't wait for a request to connect, as a runner may get none for some time.
+
+    Args:
+        pool: Connections to runners.
+        suspects: Receives the broken requests and the crashes.
+        send_suspects: Sends lines about suspects to the other relays.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        suspects: Suspects,
+        send_suspects: Callable[[list[str]], None],
+    ) -> None:
+        super().__init__("crash detector")
+        self._pool = pool
+        self._suspects = suspects
+        self._send_suspects = send_suspects
+        self._checking: set[RunnerIncarnation] = set()
+
+    def record_broken(
+        self, runner: RunnerIncarnation, address: str, fingerprint: str
+    ) -> None:
+        """Record that a runner closed the connection of a request that may have run."""
+        self._suspects.record_broken_request(str(runner), fingerprint, time.monotonic())
+        if runner not in self._checking:
+            self._checking.add(runner)
+            self.tell(Check(runner, address))
+
+    def record_refused(self, runner: RunnerIncarnation) -> None:
+        """Record that a connection to a runner failed, as it does after a crash."""
+        lines = self._suspects.record_crash(str(runner), time.monotonic())
+        if lines:
+            log_event(
+                Event.RUNNER_CRASHED,
+                runner=str(runner),
+                suspects=len(lines),
+                crashes=self._count_crashes(lines),
+            )
+            self._send_suspects(lines)
+
+    def prune(self) -> None:
+        """Forget broken requests that no crash followed in time."""
+        for runner, count in self._suspects.prune(time.monotonic()).items():
+            log_event(Event.CRASH_UNCONFIRMED, runner=runner, requests=count)
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as group:
+            async for envelope in self._receive:
+                group.start_soon(self._check, envelope.message)
+
+    async def _check(self, check: Check) -> None:
+        await anyio.sleep(CHECK_DELAY_SECONDS)
+        # Requests that break from here on may belong to a later crash.
+        self._checking.discard(check.runner)
+        try:
+            await self._pool.open_idle(check.runner, check.address)
+        except ConnectionFailed as error:
+            if error.tried and not error.timed_out:
+                self.record_refused(check.runner)
+
+    def _count_crashes(self, lines: list[str]) -> dict[str, int]:
+        """Return the crashes known of each content, those with most first."""
+        contents = [line.partition(SEPARATOR)[0] for line in lines]
+        counts = {
+            content: self._suspects.count_crashes(content) for content in contents
+        }
+        ranked = sorted(counts.items(), key=lambda pair: -pair[1])
+        return dict(ranked[:MAX_LOGGED_CONTENTS])
--- a/knapweedrail/relay/process.py
+++ b/knapweedrail/relay/process.py
@@ -17,6 +17,7 @@
 from .codecs import Codec
 from .connections import ConnectionPool
 from .connectors import TunnellingConnector
+from .crash_detector import CrashDetector
 from .evacuations import EvacuationWatcher
 from .gateway import Gateway
 from .grpc_links import GrpcDialer
@@ -192,6 +193,9 @@
             runners.table,
             lambda: configuration.configuration,
         )
+        self._crash_detector = CrashDetector(
+            self._pool, self._suspects, self._queue_suspects
+        )
         services = Services(
             codec=codec,
             pool=self._pool,
@@ -205,7 +209,7 @@
             rng=rng,
             metrics=metrics,
             suspects=self._suspects,
-            send_suspects=self._queue_suspects,
+            crash_detector=self._crash_detector,
             overload=self._overload,
             count_relays=lambda: self._membership.count,
             report_mismatch=self._successors.report_mismatch,
@@ -248,6 +252,7 @@
             self._update_feed,
             self._holdings,
             self._successors,
+            self._crash_detector,
             self._connector,
             self._resumptions,
         ):
@@ -308,6 +313,7 @@
         await self._membership.close()
         await self._holdings.close()
         await self._successors.close()
+        await self._crash_detector.close()
         await self._resumptions.close()
         # Concurrently, since each server waits a moment for its keep-alive connections.
         async with anyio.create_task_group() as group:
@@ -392,8 +398,7 @@
                 log_event(Event.RUNNER_UNLISTED, runner=runner.name, forgotten=True)
             await self._pool.prune(now, self._runners.table.list_incarnations())
             self._connector.prune()
-            for runner, count in self._suspects.prune(now).items():
-                log_event(Event.CRASH_UNCONFIRMED, runner=runner, requests=count)
+            self._crash_detector.prune()
             if self._metrics.has_many:
                 await self._metrics.prepare_export()
 
--- a/knapweedrail/relay/request_context.py
+++ b/knapweedrail/relay/request_context.py
@@ -13,6 +13,7 @@
 from ..limits import LimitUpdate
 from .codecs import Codec
 from .connections import ConnectionPool
+from .crash_detector import CrashDetector
 from .metrics import RelayMetrics
 from .models import CallerRequest, Endpoint, Framing, Route, Runner, RunnerAnswer
 from .overload import OverloadMonitor
@@ -87,7 +88,7 @@
         rng: Source of random choices and retry-after times.
         metrics: Metrics of this relay.
         suspects: Requests that may crash runners.
-        send_suspects: Sends lines about suspects to the other relays.
+        crash_detector: Attributes crashes of runners to requests.
         overload: Load of this host.
         count_relays: Returns the number of relays.
         report_mismatch: Reports that a runner's address now belongs to the runner of
@@ -106,7 +107,7 @@
     rng: random.Random
     metrics: RelayMetrics
     suspects: Suspects
-    send_suspects: Callable[[list[str]], None]
+    crash_detector: CrashDetector
     overload: OverloadMonitor
     count_relays: Callable[[], int]
     report_mismatch: Callable[[Runner, str], None]
--- a/knapweedrail/relay/successors.py
+++ b/knapweedrail/relay/successors.py
@@ -22,7 +22,12 @@
 from ..events import Event, log_event
 from ..tasks import Task
 from .codecs import Codec
-from .connections import ConnectionFailed, ConnectionPool, RunnerConnection
+from .connections import (
+    ConnectionFailed,
+    ConnectionPool,
+    RunnerConnection,
+    ignore_connect_time,
+)
 from .models import Configuration, Runner, RunnerReport
 from .runners import RunnerTable
 
@@ -132,7 +137,7 @@
         try:
             with anyio.move_on_after(REPORT_TIMEOUT_SECONDS):
                 connection = await self._pool.acquire(
-                    incarnation, address, time.monotonic(), _ignore_connect_time
+                    incarnation, address, time.monotonic(), ignore_connect_time
                 )
                 return await self._exchange_report(connection, mismatch.name)
         except ConnectionFailed as error:
@@ -156,7 +161,3 @@
         head = await connection.receive_head()
         body = await connection.receive_body()
         return self._codec.decode_report(head.status_code, body)
-
-
-def _ignore_connect_time(seconds: float, now: float) -> None:
-    """Ignore how long a connection took."""
--- a/knapweedrail/relay/suspects.py
+++ b/knapweedrail/relay/suspects.py
@@ -9,7 +9,9 @@
 
 import attrs
 
-from ..quarantine import Quarantine
+from ..quarantine import SEPARATOR, Quarantine
+
+__all__ = ["CRASH_LIMIT", "SEPARATOR", "Suspects", "make_fingerprint"]
 
 CRASH_LIMIT = 3
 """Crashed runners after which a request is refused. One crash makes every request on
@@ -17,9 +19,8 @@
 coincidence."""
 
 CRASH_CONFIRM_SECONDS = 3.0
-"""Time after a broken connection within which a runner must refuse a connection, or its
-entry must vanish, for the runner to count as crashed. A runner that only lost an answer
-accepts the next connection."""
+"""Time after a broken connection within which a runner must refuse a connection for the
+runner to count as crashed. A runner that only lost an answer accepts the next one."""
 
 
 @attrs.frozen
@@ -79,7 +80,7 @@
             return []
         self._quarantine.note_loss(runner, sorted(recent), now)
         records = self._quarantine.tell()
-        return [line for line in records if line.partition("|")[0] in recent]
+        return [line for line in records if line.partition(SEPARATOR)[0] in recent]
 
     def count_crashes(self, fingerprint: str) -> int:
         """Return the number of crashed runners that count against a request."""
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -16,6 +16,7 @@
 from ..platform.requests import PlatformCodec
 from ..relay.connections import ConnectionPool
 from ..relay.connectors import TunnellingConnector
+from ..relay.crash_detector import CrashDetector
 from ..relay.gateway import Gateway
 from ..relay.holdings import Holdings
 from ..relay.members import Membership
@@ -392,6 +393,8 @@
     )
     pool = ConnectionPool(connector)
     successors = SuccessorDetector(pool, codec, table, lambda: configuration)
+    suspects = Suspects()
+    crash_detector = CrashDetector(pool, suspects, lambda lines: None)
     services = Services(
         codec=codec,
         pool=pool,
@@ -400,8 +403,8 @@
         data_centre="dc",
         rng=random.Random(1),
         metrics=metrics,
-        suspects=Suspects(),
-        send_suspects=lambda lines: None,
+        suspects=suspects,
+        crash_detector=crash_detector,
         overload=overload,
         count_relays=lambda: 1,
         report_mismatch=successors.report_mismatch,
@@ -415,6 +418,7 @@
             table.set_runner(attrs.evolve(entry, version=runner.version))
         await holdings.start(group)
         await successors.start(group)
+        await crash_detector.start(group)
         await resumptions.start(group)
         await connector.start(group)
         await tunnels.start(group)
@@ -429,6 +433,7 @@
         )
         await holdings.close()
         await successors.close()
+        await crash_detector.close()
         await resumptions.close()
         await connector.close()
         await tunnels.close()
