Count a request as sound only when its answer has ended whole

A stream that crashed each runner after its first event was never refused. Cause: the first event of a stream, and the head of a whole answer, cleared the request of all crashes, at all hosts, though the runner crashed a moment later. Class: the begin of a message is taken for its end. Evidence: test_stream_that_crashes_its_runner_is_not_a_success, 8 runners for 3. Change: a request is cleared when its answer has come whole.

--- a/knapweedrail/relay/attempt_records.py
+++ b/knapweedrail/relay/attempt_records.py
@@ -94,15 +94,19 @@
         """Record that the runner has begun a valid answer."""
         context, now = self._context, time.monotonic()
         context.services.runners.record_success(self._view, now - began_at, now)
-        self._clear_content(now)
         self.record_prefill_end()
         self._record_prompt_wait(began_at, abandoned=False)
         if context.request.parts:
             shared = find_shared_part(context.request.parts)
             context.services.runners.record_prefix(shared.name, self._view, now)
 
-    def _clear_content(self, now: float) -> None:
-        context = self._context
+    def record_complete(self) -> None:
+        """Record that the runner has sent a whole answer.
+
+        The request doesn't crash runners. The begin of an answer doesn't show that, as
+        a runner may crash right after it.
+        """
+        context, now = self._context, time.monotonic()
         crashes = context.services.suspects.record_success(context.fingerprint, now)
         if crashes:
             log_event(
