Don't take the crash of a runner without chunks for a whole answer

A stream with neither a length nor chunks was never refused, though each runner crashed after its first event. Cause: the end of the connection is the end of such an answer, so a crash between two events cleared the request. Change: such an answer clears its request once the runner has accepted another connection; if the runner refuses it, the answer counts as broken off. What the caller gets is as before, as nothing shows it in time.

--- a/knapweedrail/relay/attempt_records.py
+++ b/knapweedrail/relay/attempt_records.py
@@ -6,7 +6,7 @@
 
 from ..events import Event, log_event
 from .connections import ConnectionFailed
-from .models import RunnerAnswer
+from .models import Framing, RunnerAnswer
 from .request_context import RequestContext
 from .runner_statements import MISDIRECTED, record_statements
 from .runner_views import RunnerView
@@ -100,21 +100,21 @@
             shared = find_shared_part(context.request.parts)
             context.services.runners.record_prefix(shared.name, self._view, now)
 
-    def record_complete(self) -> None:
+    def record_complete(self, framing: Framing) -> None:
         """Record that the runner has sent a whole answer.
 
         The request doesn't crash runners. The begin of an answer doesn't show that, as
-        a runner may crash right after it.
+        a runner may crash right after it, nor does an answer that ends with its
+        connection, until the runner accepts another one.
         """
-        context, now = self._context, time.monotonic()
-        crashes = context.services.suspects.record_success(context.fingerprint, now)
-        if crashes:
-            log_event(
-                Event.CONTENT_CLEARED,
-                request=context.request.identity,
-                content=context.fingerprint,
-                crashes=crashes,
+        context = self._context
+        detector, runner = context.services.crash_detector, self._view.runner
+        if framing is Framing.CONNECTION:
+            detector.record_closed(
+                runner.incarnation, runner.address, context.fingerprint
             )
+        else:
+            detector.record_sound(context.fingerprint)
 
     def _record_prompt_wait(self, began_at: float, abandoned: bool) -> None:
         """Record how long the prompt waited at the runner.
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -289,7 +289,7 @@
                 FailureKind.BROKEN, detail, answer, body, name, connection.framing
             ), reusable
         self._recorder.record_success(began_at)
-        self._recorder.record_complete()
+        self._recorder.record_complete(connection.framing)
         if self._context.response.started:
             return AttemptFailed(
                 FailureKind.BROKEN, f"{answer.status} to a resumed run"
@@ -326,7 +326,7 @@
                     return AttemptFailed(
                         FailureKind.SILENT, "the stream stalled"
                     ), False
-            self._recorder.record_complete()
+            self._recorder.record_complete(connection.framing)
             await self._send_chunk(answer, reader.remainder)
             reusable = self._return_to_pool(connection, answer)
             await self._context.response.end()
--- a/knapweedrail/relay/crash_detector.py
+++ b/knapweedrail/relay/crash_detector.py
@@ -59,9 +59,20 @@
     ) -> None:
         """Record that a runner closed the connection of a request that may have run."""
         self._suspects.record_broken_request(str(runner), fingerprint, time.monotonic())
-        if runner not in self._checking:
-            self._checking.add(runner)
-            self.tell(Check(runner, address))
+        self._request_check(runner, address)
+
+    def record_closed(
+        self, runner: RunnerIncarnation, address: str, fingerprint: str
+    ) -> None:
+        """Record an answer that may have ended, or been cut off by a crash."""
+        self._suspects.record_closed_request(str(runner), fingerprint, time.monotonic())
+        self._request_check(runner, address)
+
+    def record_sound(self, fingerprint: str) -> None:
+        """Record that a request was answered whole."""
+        crashes = self._suspects.record_success(fingerprint, time.monotonic())
+        if crashes:
+            log_event(Event.CONTENT_CLEARED, content=fingerprint, crashes=crashes)
 
     def record_refused(self, runner: RunnerIncarnation) -> None:
         """Record that a connection to a runner failed, as it does after a crash."""
@@ -85,15 +96,24 @@
             async for envelope in self._receive:
                 group.start_soon(self._check, envelope.message)
 
+    def _request_check(self, runner: RunnerIncarnation, address: str) -> None:
+        if runner not in self._checking:
+            self._checking.add(runner)
+            self.tell(Check(runner, address))
+
     async def _check(self, check: Check) -> None:
         await anyio.sleep(CHECK_DELAY_SECONDS)
-        # Requests that break from here on may belong to a later crash.
+        # Requests that end from here on may belong to a later crash.
         self._checking.discard(check.runner)
+        checked_at = time.monotonic()
         try:
             await self._pool.open_idle(check.runner, check.address)
         except ConnectionFailed as error:
             if error.tried and not error.timed_out:
                 self.record_refused(check.runner)
+            return
+        for fingerprint in self._suspects.take_closed(str(check.runner), checked_at):
+            self.record_sound(fingerprint)
 
     def _count_crashes(self, lines: list[str]) -> dict[str, int]:
         """Return the crashes known of each content, those with most first."""
--- a/knapweedrail/relay/suspects.py
+++ b/knapweedrail/relay/suspects.py
@@ -27,6 +27,7 @@
 class _BrokenRequest:
     fingerprint: str
     at: float
+    answered: bool = False
 
 
 def make_fingerprint(account: str, method: str, target: bytes, body: bytes) -> str:
@@ -66,6 +67,23 @@
         broken_requests = self._broken_requests.setdefault(runner, [])
         broken_requests.append(_BrokenRequest(fingerprint, now))
 
+    def record_closed_request(self, runner: str, fingerprint: str, now: float) -> None:
+        """Record an answer that ended with its connection, whole or by a crash."""
+        broken_requests = self._broken_requests.setdefault(runner, [])
+        broken_requests.append(_BrokenRequest(fingerprint, now, answered=True))
+
+    def take_closed(self, runner: str, before: float) -> list[str]:
+        """Return the requests whose answers were whole, as their runner is still there.
+
+        Args:
+            before: When the runner was asked for another connection, seconds. Requests
+                that ended later aren't returned.
+        """
+        ended = self._broken_requests.get(runner, [])
+        whole = [b for b in ended if b.answered and b.at < before]
+        self._broken_requests[runner] = [b for b in ended if b not in whole]
+        return [b.fingerprint for b in whole]
+
     def record_crash(self, runner: str, now: float) -> list[str]:
         """Record that a runner seems to have crashed.
 
@@ -111,8 +129,9 @@
         dropped = {}
         for runner, broken_requests in list(self._broken_requests.items()):
             kept = [b for b in broken_requests if now - b.at < CRASH_CONFIRM_SECONDS]
-            if len(kept) < len(broken_requests):
-                dropped[runner] = len(broken_requests) - len(kept)
+            count = sum(b not in kept and not b.answered for b in broken_requests)
+            if count:
+                dropped[runner] = count
             if kept:
                 self._broken_requests[runner] = kept
             else:
--- a/knapweedrail/tests/crashing_runners.py
+++ b/knapweedrail/tests/crashing_runners.py
@@ -35,6 +35,7 @@
             ``None`` if none is.
         sends_first: Whether a runner sends the first event before it crashes.
         event_count: Events of a stream, if answers are streams.
+        chunked: Whether streams come in chunks; otherwise they end with the connection.
         arrivals: Times at which crashing requests arrived, monotonic seconds.
         crashes: Times of the crashes.
     """
@@ -45,6 +46,7 @@
     return_seconds: float | None = None
     sends_first: bool = False
     event_count: int = 0
+    chunked: bool = True
     arrivals: list[float] = attrs.field(factory=list)
     crashes: list[float] = attrs.field(factory=list)
     _lives: int = 0
@@ -75,8 +77,7 @@
                     return await self._answer(stream, head)
                 self.arrivals.append(time.monotonic())
                 if self.sends_first:
-                    await stream.send(make_stream_head(head))
-                    await stream.send(make_chunk(make_event(1)))
+                    await self._begin_stream(stream, head)
                     await anyio.sleep(EVENT_SECONDS)
                 scope.cancel()
                 return False
@@ -91,12 +92,22 @@
         if not self.event_count:
             await stream.send(make_answer(head))
             return True
-        await stream.send(make_stream_head(head))
-        for number in range(1, self.event_count + 1):
-            await stream.send(make_chunk(make_event(number)))
+        await self._begin_stream(stream, head)
+        for number in range(2, self.event_count + 1):
             await anyio.sleep(EVENT_SECONDS)
-        await stream.send(make_chunk(b""))
-        return True
+            await stream.send(self._frame(make_event(number)))
+        if self.chunked:
+            await stream.send(make_chunk(b""))
+        return self.chunked
+
+    async def _begin_stream(self, stream: anyio.abc.SocketStream, head: str) -> None:
+        answer_head = make_stream_head(head)
+        if not self.chunked:
+            answer_head = answer_head.replace(b"Transfer-Encoding: chunked\r\n", b"")
+        await stream.send(answer_head + self._frame(make_event(1)))
+
+    def _frame(self, event: bytes) -> bytes:
+        return make_chunk(event) if self.chunked else event
 
 
 def has_crashing_body(head: str, body: bytes) -> bool:
--- a/knapweedrail/tests/test_relay_crashing_requests.py
+++ b/knapweedrail/tests/test_relay_crashing_requests.py
@@ -13,7 +13,7 @@
 from ..relay.notifiers import Notifier
 from ..relay.peers import PeerClient
 from ..relay.process import Relay
-from ..relay.suspects import CRASH_LIMIT, Suspects
+from ..relay.suspects import CRASH_LIMIT, Suspects, make_fingerprint
 from ..servers import HttpServer, ServerLimits
 from ..standins.objects import ObjectStore
 from .crashing_runners import CrashingRunners, has_crashing_body, make_listing
@@ -69,6 +69,37 @@
         assert len(runners.arrivals) == CRASH_LIMIT
 
 
+async def test_stream_that_ends_with_its_runner_is_not_a_success():
+    """The crash of a runner that sends no chunks looks like the end of its stream."""
+    changes = {"sends_first": True, "event_count": 3, "chunked": False}
+    async with (
+        run_relay(make_configuration(STREAM)) as relay,
+        run_crashing_runners(relay, 12, **changes) as runners,
+    ):
+        for number in range(3 * CRASH_LIMIT):
+            await relay.call(body=b"crash", knapweedrail_request_id=f"id-{number}")
+            await relay.call(body=b"sound", knapweedrail_request_id=f"no-{number}")
+            await anyio.sleep(SETTLED_SECONDS)
+        assert len(runners.arrivals) == CRASH_LIMIT
+
+
+async def test_stream_without_chunks_clears_its_request():
+    """Streams that end with their connections count against their request for ever."""
+    changes = {"event_count": 3, "chunked": False}
+    async with (
+        run_relay(make_configuration(STREAM)) as relay,
+        run_crashing_runners(relay, 1, **changes),
+    ):
+        suspects = relay.gateway._services.suspects
+        fingerprint = make_fingerprint("farm", "POST", b"/a/x", b"sound")
+        for number in range(CRASH_LIMIT - 1):
+            suspects.record_broken_request(f"old-{number}", fingerprint, 0.0)
+            suspects.record_crash(f"old-{number}", 0.1)
+        await relay.call(body=b"sound")
+        await anyio.sleep(SETTLED_SECONDS)
+        assert suspects.count_crashes(fingerprint) == 0
+
+
 async def test_request_that_was_blocked_meanwhile_reaches_no_further_runner():
     """A request goes on to another runner after others have shown what it does."""
     route = make_route(RetryPolicy.SAFE, max_runners=4)
