Check before each runner whether a request crashes runners

A request that waited for tokens, or was retried, reached runners after the host knew that it crashes them. Cause: the check was made once, before the tokens. Class: a decision isn't made anew when what it rests on has changed. Evidence: test_request_that_was_blocked_meanwhile_reaches_no_further_runner, 4 runners for 1. Change: the forwarder checks before each attempt; the early check stays, so that nobody waits for tokens in vain. A request that may have run is told so (502), not refused.

--- a/knapweedrail/relay/crash_detector.py
+++ b/knapweedrail/relay/crash_detector.py
@@ -9,9 +9,11 @@
 import attrs
 
 from ..events import Event, log_event
+from ..outcomes import Refusal
 from ..tasks import Task
 from .connections import ConnectionFailed, ConnectionPool
 from .models import RunnerIncarnation
+from .refusals import refuse_quarantined
 from .suspects import SEPARATOR, Suspects
 
 CHECK_DELAY_SECONDS = 0.05
@@ -54,6 +56,27 @@
         self._send_suspects = send_suspects
         self._checking: set[RunnerIncarnation] = set()
 
+    def refuse_quarantined(self, request: str, fingerprint: str) -> Refusal | None:
+        """Return the refusal of a request that crashes runners.
+
+        Args:
+            request: Identity of the request, for the log.
+            fingerprint: Its fingerprint.
+
+        Returns:
+            The refusal; ``None`` if the request may run.
+        """
+        if not self._suspects.blocks(fingerprint, time.monotonic()):
+            return None
+        crashes = self._suspects.count_crashes(fingerprint)
+        log_event(
+            Event.CONTENT_QUARANTINED,
+            request=request,
+            content=fingerprint,
+            crashes=crashes,
+        )
+        return refuse_quarantined(crashes)
+
     def record_broken(
         self, runner: RunnerIncarnation, address: str, fingerprint: str
     ) -> None:
--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import time
 from collections import Counter
 from dataclasses import dataclass
@@ -14,6 +13,7 @@
 from .attempts import Attempt
 from .models import Route, RunnerIncarnation
 from .queue_wait import compute_retry_after, estimate_shortest_wait
+from .refusals import draw_retry_after
 from .request_context import Answered, AttemptFailed, FailureKind, RequestContext
 from .reservations import Reservation
 from .runner_views import RunnerView
@@ -28,10 +28,6 @@
 """Connection failures after which a request is given up. Nothing has run at these
 runners, so they cost only the caller's time and don't count as attempts."""
 
-RETRY_AFTER_SECONDS = (0.3, 0.9)
-"""Range of the randomized retry-after time of a refused caller. By then a burst of
-short requests has passed, and callers refused together don't retry together."""
-
 ROTATION_JITTER_SECONDS = (0.05, 0.25)
 """Range of the jitter added to the time until the load balancer sends callers to other
 hosts, so that they don't arrive there together."""
@@ -95,6 +91,7 @@
         return self._refuse(RefusalKind.STOPPING, Ran.NOT_RUN, detail, retry_after)
 
     async def _forward(self) -> Answered | Broken | Refusal:
+        context = self._context
         refusal = (
             self._refuse_partitioned()
             or self._refuse_lost_version()
@@ -105,6 +102,13 @@
         failed_connects = 0
         last_failure: AttemptFailed | None = None
         while True:
+            refusal = context.services.crash_detector.refuse_quarantined(
+                context.request.identity, context.fingerprint
+            )
+            if refusal is not None:
+                return await self._resume_stalled(
+                    last_failure
+                ) or self._end_quarantined(refusal, last_failure)
             view = self._choose_runner()
             if view is None:
                 return await self._resume_stalled(last_failure) or self._fail_request(
@@ -304,6 +308,14 @@
         await response.send_whole(answer.status, list(answer.headers), outcome.body)
         return Answered(answer.status, outcome.runner, outcome.framing)
 
+    def _end_quarantined(
+        self, refusal: Refusal, last_failure: AttemptFailed | None
+    ) -> Broken | Refusal:
+        """Return the outcome of a request that was quarantined while it was served."""
+        if self._context.response.started or self._context.may_have_run:
+            return self._fail_request(last_failure)
+        return refusal
+
     def _fail_request(self, last_failure: AttemptFailed | None) -> Broken | Refusal:
         detail = last_failure.detail if last_failure else "no runner is known"
         if self._context.response.started:
@@ -405,11 +417,6 @@
         )
 
 
-def draw_retry_after(rng: random.Random) -> float:
-    """Return a random retry-after time for a refused caller, seconds."""
-    return rng.uniform(*RETRY_AFTER_SECONDS)
-
-
 def _select_failure(
     last_failure: AttemptFailed | None, new: AttemptFailed
 ) -> AttemptFailed:
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -11,13 +11,13 @@
 from ..events import Event, log_event
 from ..outcomes import Ran, Refusal, RefusalKind
 from .drain_control import DrainController, is_duration_sample
-from .forwarding import Broken, RequestForwarder, draw_retry_after
+from .forwarding import Broken, RequestForwarder
 from .holdings import Holdings
 from .models import Account, CallerRequest, Malformed, RetryPolicy, Route
 from .refusals import (
     HTTP_STATUSES,
     OUT_OF_REACH_RETRY_AFTER_SECONDS,
-    QUARANTINE_RETRY_AFTER_SECONDS,
+    draw_retry_after,
     refuse,
     refuse_malformed,
     refuse_not_resumable,
@@ -237,17 +237,10 @@
         fingerprint = make_fingerprint(
             account_name, request.method, request.target, body
         )
-        if self._services.suspects.blocks(fingerprint, time.monotonic()):
-            log_event(
-                Event.CONTENT_QUARANTINED,
-                request=request.identity,
-                content=fingerprint,
-                crashes=self._services.suspects.count_crashes(fingerprint),
-            )
-            detail = "runners crashed while they ran this content"
-            refusal = refuse(
-                RefusalKind.QUARANTINED, detail, QUARANTINE_RETRY_AFTER_SECONDS
-            )
+        refusal = self._services.crash_detector.refuse_quarantined(
+            request.identity, fingerprint
+        )
+        if refusal is not None:
             await self._refuse(response, request.identity, refusal)
             return
         with self.drain.bound_by_shutdown() as shutdown_scope:
--- a/knapweedrail/relay/refusals.py
+++ b/knapweedrail/relay/refusals.py
@@ -5,7 +5,6 @@
 import random
 
 from ..outcomes import Ran, Refusal, RefusalKind
-from .forwarding import draw_retry_after
 from .overload import OverloadMonitor
 
 HTTP_STATUSES = {
@@ -20,6 +19,10 @@
 """HTTP status of each kind of refusal. All others use 503, which guarantees callers
 that the request has not run; the gateway sends 502 instead if it may have run."""
 
+RETRY_AFTER_SECONDS = (0.3, 0.9)
+"""Range of the randomized retry-after time of a refused caller. By then a burst of
+short requests has passed, and callers refused together don't retry together."""
+
 OUT_OF_REACH_RETRY_AFTER_SECONDS = (2.0, 3.0)
 """Range of the retry-after time, in seconds, if the budget can't be reached. The store
 is queried again every second, and an outage seldom ends sooner."""
@@ -33,6 +36,11 @@
 caller waits for an answer."""
 
 
+def draw_retry_after(rng: random.Random) -> float:
+    """Return a random retry-after time for a refused caller, seconds."""
+    return rng.uniform(*RETRY_AFTER_SECONDS)
+
+
 def refuse(kind: RefusalKind, detail: str, retry_after: float | None) -> Refusal:
     """Return a refusal of a request that hasn't been sent to any runner.
 
@@ -85,6 +93,19 @@
     )
 
 
+def refuse_quarantined(crashes: int) -> Refusal:
+    """Return a refusal of content that runners crashed on.
+
+    Args:
+        crashes: Number of runners that crashed while they ran it.
+    """
+    return refuse(
+        RefusalKind.QUARANTINED,
+        f"{crashes} runners crashed while they ran this content",
+        QUARANTINE_RETRY_AFTER_SECONDS,
+    )
+
+
 def refuse_not_resumable(detail: str, rng: random.Random) -> Refusal:
     """Return a refusal of a stream that can't go on, though it may begin anew."""
     return refuse(RefusalKind.NOT_RESUMABLE, detail, draw_retry_after(rng))
