Tell all relays of a content that ran on several crashed runners

Cause: each crash was told once to 16 hosts, and nobody passed it on or repeated it, so most hosts never summed up three crashes. Class: what all hosts have to know is told to some. Evidence: test_all_of_many_hosts_hear_of_crashes, some of 60 hosts never refuse. Change: a relay forwards what was new to it of contents with two crashes to four others, and relays compare what they know from time to time, in pauses that grow from 1 to 30 s. Crashes of a first time still go to 16. A task of its own does so; limits are sent as before.

--- a/knapweedrail/quarantine.py
+++ b/knapweedrail/quarantine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
 import attrs
 
@@ -114,12 +115,25 @@
         record.changed = now
         return count
 
-    def tell(self) -> list[str]:
-        """Return the state for other routers, one line for each request."""
+    def tell(self, min_losses: int = 1) -> list[str]:
+        """Return the state for other routers, one line for each request.
+
+        Args:
+            min_losses: Losses, cleared or not, of the requests to include.
+        """
         return [
             _format(fingerprint, record)
             for fingerprint, record in self._records.items()
-            if record.losses
+            if len(record.losses) >= min_losses
+        ]
+
+    def format_lines(self, fingerprints: Iterable[str], min_losses: int) -> list[str]:
+        """Return the lines of some requests, as `tell` does of all."""
+        return [
+            _format(fingerprint, record)
+            for fingerprint in fingerprints
+            if (record := self._records.get(fingerprint)) is not None
+            and len(record.losses) >= min_losses
         ]
 
     def hear(self, lines: list[str], now: float) -> list[str]:
--- a/knapweedrail/relay/peers.py
+++ b/knapweedrail/relay/peers.py
@@ -68,13 +68,8 @@
 """How long a relay that lacked tokens of an account isn't asked for them again. With a
 budget that is spent everywhere, each request would otherwise call each relay."""
 
-MAX_SUSPECT_RECIPIENTS = 16
-"""Relays that receive the suspects of one crash. A caller that sends such a request
-again may reach any relay. With sixteen relays informed at each crash, the request is
-refused after a few further crashes."""
-
 MAX_ENTRIES_PER_CALL = 100
-"""Suspects or limits in one call: more than the requests of one relay at one runner."""
+"""Limits or records of streams in one call: more than one relay has at one runner."""
 
 
 @attrs.frozen(kw_only=True)
@@ -139,8 +134,9 @@
     number: shortage for shortage, number in _SHORTAGE_TO_WIRE.items()
 }
 
-SuspectsHandler = Callable[[list[str]], None]
-"""Handles another relay's report of requests that ran on crashed runners."""
+SuspectsHandler = Callable[[list[str], bool], list[str]]
+"""Handles another relay's report of requests that ran on crashed runners, and returns
+what this relay knows if it is asked for that."""
 
 LimitsHandler = Callable[[list[LimitUpdate]], None]
 """Handles another relay's report of limits of runners."""
@@ -227,14 +223,20 @@
         pause = min(MAX_BACKOFF_SECONDS, MIN_BACKOFF_SECONDS * 2 ** (failures - 1))
         self._backoffs[member.address] = Backoff(member.holder, failures, now + pause)
 
-    async def send_suspects(self, members: list[Member], lines: list[str]) -> None:
-        """Report to other relays which requests ran on crashed runners."""
-        request = SuspectsRequest(lines=lines[:MAX_ENTRIES_PER_CALL])
-        async with anyio.create_task_group() as group:
-            for member in members[:MAX_SUSPECT_RECIPIENTS]:
-                group.start_soon(
-                    self._call, member, "TellSuspects", request, CALL_SECONDS
-                )
+    async def send_suspects(
+        self, member: Member, lines: list[str], asks: bool = False
+    ) -> list[str] | None:
+        """Report to a relay which requests ran on crashed runners.
+
+        Args:
+            asks: Whether to ask which ones the relay knows.
+
+        Returns:
+            The lines of the relay, if asked; ``None`` if it doesn't answer.
+        """
+        request = SuspectsRequest(lines=lines, asks=asks)
+        reply = await self._call(member, "TellSuspects", request, CALL_SECONDS)
+        return None if reply is None else list(reply.lines)
 
     async def send_limits(
         self, members: list[Member], limits: list[LimitUpdate]
@@ -362,8 +364,8 @@
         request = await stream.recv_message()
         if request is None:
             return
-        self._handle_suspects(list(request.lines))
-        await stream.send_message(SuspectsReply())
+        lines = self._handle_suspects(list(request.lines), request.asks)
+        await stream.send_message(SuspectsReply(lines=lines))
 
     async def TellLimits(self, stream: Stream) -> None:
         request = await stream.recv_message()
--- a/knapweedrail/relay/process.py
+++ b/knapweedrail/relay/process.py
@@ -37,6 +37,7 @@
 from .shutdowns import Shutdown
 from .sources import FeedTiming
 from .successors import SuccessorDetector
+from .suspect_exchange import SuspectExchange
 from .suspects import Suspects
 from .tunnel_server import TunnelServer
 from .update_feed import UpdateFeed
@@ -56,8 +57,7 @@
 """Interval at which idle connections and vanished runners are pruned."""
 
 SEND_DELAY_SECONDS = 0.05
-"""Delay before suspects and limits are sent to other relays. Requests that are
-interrupted by one crash fail almost together, so they are reported in one message."""
+"""Delay before limits are sent to other relays, so that several go in one message."""
 
 LIMIT_FANOUT = 4
 """Number of relays to which a relay forwards a runner's limit that is new to it. With
@@ -154,15 +154,18 @@
         self._resumptions = Resumptions(
             runners.table, self._membership, self._peers, store
         )
+        self._suspects = Suspects()
+        self._suspect_exchange = SuspectExchange(
+            self._suspects, self._membership, self._peers
+        )
         self._peer_server = make_server(
             self._holdings,
-            self._receive_suspects,
+            self._suspect_exchange.receive,
             self._update_feed.serve,
             settings.peer_address,
             self._receive_limits,
             self._resumptions,
         )
-        self._suspects = Suspects()
         self._overload = OverloadMonitor()
         rng = random.Random()
         self._connector = TunnellingConnector(
@@ -183,7 +186,6 @@
                 metrics,
                 codec,
             )
-        self._pending_suspects: list[str] = []
         self._pending_added = Notifier()
         self._pending_limits: dict[str, LimitUpdate] = {}
         runners.table.bounds.find_standing = self._membership.find_standing
@@ -194,7 +196,7 @@
             lambda: configuration.configuration,
         )
         self._crash_detector = CrashDetector(
-            self._pool, self._suspects, self._queue_suspects
+            self._pool, self._suspects, self._suspect_exchange.report
         )
         services = Services(
             codec=codec,
@@ -253,6 +255,7 @@
             self._holdings,
             self._successors,
             self._crash_detector,
+            self._suspect_exchange,
             self._connector,
             self._resumptions,
         ):
@@ -268,7 +271,7 @@
         await self._caller_server.start(group)
         group.start_soon(self._store.report_calls)
         group.start_soon(self._prune)
-        group.start_soon(self._send_pending)
+        group.start_soon(self._send_limits)
 
     async def _start_tunnel_server(self, group: anyio.abc.TaskGroup) -> None:
         """Start to open tunnels; this host serves its own callers without them."""
@@ -314,6 +317,7 @@
         await self._holdings.close()
         await self._successors.close()
         await self._crash_detector.close()
+        await self._suspect_exchange.close()
         await self._resumptions.close()
         # Concurrently, since each server waits a moment for its keep-alive connections.
         async with anyio.create_task_group() as group:
@@ -402,28 +406,20 @@
             if self._metrics.has_many:
                 await self._metrics.prepare_export()
 
-    async def _send_pending(self) -> None:
-        """Send pending suspects and limits to other relays, one batch at a time.
+    async def _send_limits(self) -> None:
+        """Send pending limits to other relays, one batch at a time.
 
-        Suspects of one crash go out in one message. The task waits to be notified,
-        since polling would use processor time on an idle relay.
+        The task waits to be notified, since polling would use processor time on an idle
+        relay.
         """
         while True:
-            if not (self._pending_suspects or self._pending_limits):
+            if not self._pending_limits:
                 await self._pending_added.wait()
             await anyio.sleep(SEND_DELAY_SECONDS)
-            lines, self._pending_suspects = self._pending_suspects, []
             limits, self._pending_limits = list(self._pending_limits.values()), {}
             members = self._membership.list_others()
-            if lines:
-                await self._peers.send_suspects(members, lines)
-            if limits:
-                random.shuffle(members)
-                await self._peers.send_limits(members[:LIMIT_FANOUT], limits)
-
-    def _queue_suspects(self, lines: list[str]) -> None:
-        self._pending_suspects.extend(lines)
-        self._pending_added.notify_all()
+            random.shuffle(members)
+            await self._peers.send_limits(members[:LIMIT_FANOUT], limits)
 
     def _queue_limit(self, update: LimitUpdate) -> None:
         self._pending_limits[update.runner] = update
@@ -435,11 +431,6 @@
             if self._runners.table.merge_limit(update, time.monotonic()):
                 self._queue_limit(update)
 
-    def _receive_suspects(self, lines: list[str]) -> None:
-        changed = self._suspects.merge(lines, time.monotonic())
-        if changed:
-            log_event(Event.CRASHES_HEARD, contents=len(lines), new=len(changed))
-
     def _set_limits(self, configuration: Configuration) -> None:
         limits = configuration.limits
         self._caller_server.set_limits(
--- a/knapweedrail/relay/suspects.py
+++ b/knapweedrail/relay/suspects.py
@@ -18,6 +18,18 @@
 the runner a suspect, but the same content on three crashed runners is unlikely to be a
 coincidence."""
 
+SERIOUS_CRASHES = 2
+"""Crashes of one content from which all relays hear of it. Most suspects of a single
+crash just ran beside the cause."""
+
+MIN_REPAIR_SECONDS = 1.0
+MAX_REPAIR_SECONDS = 30.0
+"""Bounds of the pause between two comparisons with other relays."""
+
+REPAIR_AGES = 5.0
+"""The pause is the time since the last news of a content with several crashes, divided
+by this number."""
+
 CRASH_CONFIRM_SECONDS = 3.0
 """Time after a broken connection within which a runner must refuse a connection for the
 runner to count as crashed. A runner that only lost an answer accepts the next one."""
@@ -50,6 +62,7 @@
     def __init__(self) -> None:
         self._quarantine = Quarantine(CRASH_LIMIT)
         self._broken_requests: dict[str, list[_BrokenRequest]] = {}
+        self._serious_at: float | None = None
 
     def blocks(self, fingerprint: str, now: float) -> bool:
         """Return whether a request is refused."""
@@ -97,8 +110,9 @@
         if not recent:
             return []
         self._quarantine.note_loss(runner, sorted(recent), now)
-        records = self._quarantine.tell()
-        return [line for line in records if line.partition(SEPARATOR)[0] in recent]
+        if self._quarantine.format_lines(recent, SERIOUS_CRASHES):
+            self._serious_at = now
+        return self._quarantine.format_lines(sorted(recent), min_losses=1)
 
     def count_crashes(self, fingerprint: str) -> int:
         """Return the number of crashed runners that count against a request."""
@@ -116,9 +130,29 @@
         """Merge the suspects that another relay sent.
 
         Returns:
-            Fingerprints of the requests of which something was new.
+            Lines to forward: those of which something was new, of requests that ran on
+            several crashed runners.
+        """
+        changed = self._quarantine.hear(lines, now)
+        serious = self._quarantine.format_lines(changed, SERIOUS_CRASHES)
+        if serious:
+            self._serious_at = now
+        return serious
+
+    def list_serious(self) -> list[str]:
+        """Return lines about all contents that ran on several crashed runners."""
+        return self._quarantine.tell(SERIOUS_CRASHES)
+
+    def compute_repair_pause(self, now: float) -> float | None:
+        """Return the pause before the next comparison with another relay, seconds.
+
+        Returns:
+            The pause; ``None`` if there is nothing to compare.
         """
-        return self._quarantine.hear(lines, now)
+        if self._serious_at is None:
+            return None
+        pause = (now - self._serious_at) / REPAIR_AGES
+        return min(max(pause, MIN_REPAIR_SECONDS), MAX_REPAIR_SECONDS)
 
     def prune(self, now: float) -> dict[str, int]:
         """Drop broken requests that no crash followed in time.
--- a/knapweedrail/tests/test_relay_crashing_requests.py
+++ b/knapweedrail/tests/test_relay_crashing_requests.py
@@ -10,12 +10,12 @@
 import pytest
 
 from ..relay.models import Member, RetryPolicy
-from ..relay.notifiers import Notifier
 from ..relay.peers import PeerClient
-from ..relay.process import Relay
+from ..relay.suspect_exchange import SuspectExchange
 from ..relay.suspects import CRASH_LIMIT, Suspects, make_fingerprint
 from ..servers import HttpServer, ServerLimits
 from ..standins.objects import ObjectStore
+from ..wire.relays_pb2 import SuspectsReply
 from .crashing_runners import CrashingRunners, has_crashing_body, make_listing
 from .relays_in_memory import make_configuration, make_route, make_runner, run_relay
 from .test_relay_process import CONFIGURATION, RelayProcess, make_entry, wait_ready
@@ -26,7 +26,10 @@
 SAFE = make_route(RetryPolicy.SAFE, max_runners=1)
 STREAM = make_route(RetryPolicy.STREAM, max_runners=1)
 SETTLED_SECONDS = 0.4
-"""Time in which all hosts hear of a crash."""
+"""Time in which all hosts of a small fleet hear of a crash."""
+
+CONTACT_SECONDS = 3.0
+"""Time after the last allowed crash in which every host has to hear of it."""
 
 
 @contextlib.asynccontextmanager
@@ -115,33 +118,33 @@
 
 async def test_all_of_many_hosts_hear_of_crashes():
     """A crash is told to sixteen hosts only, and the others run the request again."""
-    relays = {}
+    exchanges, all_suspects = {}, []
 
     class DeliveringClient(PeerClient):
         async def _call(self, member, method, request, seconds):
             await anyio.sleep(0.001)
-            relays[member.host]._receive_suspects(list(request.lines))
+            lines = exchanges[member.host].receive(list(request.lines), request.asks)
+            return SuspectsReply(lines=lines)
 
     members = [Member(f"h{n}", f"h{n}/1", f"10.0.0.{n}:1", "dc") for n in range(60)]
     async with anyio.create_task_group() as group:
         for member in members:
-            relay = Relay.__new__(Relay)
-            relay._suspects = Suspects()
-            relay._peers = DeliveringClient()
-            relay._pending_suspects, relay._pending_limits = [], {}
-            relay._pending_added = Notifier()
             others = [other for other in members if other is not member]
-            relay._membership = types.SimpleNamespace(
+            membership = types.SimpleNamespace(
                 list_others=lambda others=others: list(others)
             )
-            relays[member.host] = relay
-            group.start_soon(relay._send_pending)
-        for number, relay in enumerate(list(relays.values())[:CRASH_LIMIT]):
-            relay._suspects.record_broken_request(f"i-{number}", "bad", 0.0)
-            relay._queue_suspects(relay._suspects.record_crash(f"i-{number}", 0.1))
-        await anyio.sleep(2 * SETTLED_SECONDS)
-        blocked = [relay._suspects.blocks("bad", 1.0) for relay in relays.values()]
-        assert all(blocked)
+            suspects = Suspects()
+            exchange = SuspectExchange(suspects, membership, DeliveringClient())
+            exchanges[member.host] = exchange
+            all_suspects.append(suspects)
+            await exchange.start(group)
+        for number, host in enumerate(list(exchanges)[:CRASH_LIMIT]):
+            suspects = all_suspects[number]
+            suspects.record_broken_request(f"i-{number}", "bad", 0.0)
+            exchanges[host].report(suspects.record_crash(f"i-{number}", 0.1))
+        with anyio.fail_after(CONTACT_SECONDS):
+            while not all(suspects.blocks("bad", 1.0) for suspects in all_suspects):
+                await anyio.sleep(0.1)
         group.cancel_scope.cancel()
 
 
--- a/knapweedrail/tests/test_relay_suspects.py
+++ b/knapweedrail/tests/test_relay_suspects.py
@@ -5,8 +5,7 @@
 import anyio
 import pytest
 
-from ..relay.notifiers import Notifier
-from ..relay.process import Relay
+from ..relay.suspect_exchange import SuspectExchange
 from ..relay.suspects import CRASH_LIMIT, Suspects, make_fingerprint
 
 
@@ -75,26 +74,21 @@
 async def test_suspects_of_one_crash_are_sent_together_and_soon():
     """When a runner crashes, all its requests fail at once and each one is reported.
     The other relays must get them in one call, soon enough not to run them too."""
-    relay = Relay.__new__(Relay)
-    relay._pending_suspects, relay._pending_added, relay._pending_limits = (
-        [],
-        Notifier(),
-        {},
-    )
-    relay._membership = types.SimpleNamespace(list_others=lambda: ["other"])
+    membership = types.SimpleNamespace(list_others=lambda: ["other"])
     sent = []
 
-    async def send(members, lines):
+    async def send(member, lines):
         sent.append(lines)
 
-    relay._peers = types.SimpleNamespace(send_suspects=send)
+    peers = types.SimpleNamespace(send_suspects=send)
+    exchange = SuspectExchange(Suspects(), membership, peers)
     async with anyio.create_task_group() as group:
-        group.start_soon(relay._send_pending)
+        await exchange.start(group)
         for crash in (["a", "b"], ["c", "d"]):
             await anyio.sleep(0.03)
-            relay._queue_suspects(crash[:1])
+            exchange.report(crash[:1])
             await anyio.sleep(0.01)
-            relay._queue_suspects(crash[1:])
+            exchange.report(crash[1:])
             await anyio.sleep(0.09)
             assert sent.pop() == crash and not sent
         group.cancel_scope.cancel()
