Let hosts that start know which requests crash runners

A request that crashes runners reached two more of them through each host that had started again, and through all hosts after a loss of all. Cause: what a host knew of crashing requests ended with its process, and the next process asked nobody. Evidence: test_request_stays_refused_by_hosts_that_restart, 502 for 503 with one and with all hosts restarted. Change: a host that starts asks three others and reads the store before it serves, for half a second at most. The store keeps an object of each host with the contents that it saw, or put together from two others, on two crashed runners or more; it is written when that changes, twice a second at most. 728 shows when a host has asked.

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -198,6 +198,10 @@
         727,
         "a runner closed connections of requests, but no crash was confirmed in time",
     )
+    SUSPECTS_LOADED = (
+        728,
+        "a starting relay has asked others and the store which contents crash runners",
+    )
     TUNNELS_OFF = (720, "the address for tunnels can't be bound; none are opened")
     RUNNER_LIMITED = (712, "a runner limits its request rate; 0 if the limit has ended")
     HEADER_UNREAD = (
--- a/knapweedrail/quarantine.py
+++ b/knapweedrail/quarantine.py
@@ -147,7 +147,7 @@
         """
         changed = []
         for line in lines:
-            fingerprint, losses, cleared = _parse(line)
+            fingerprint, losses, cleared = parse_line(line)
             record = self._records.get(fingerprint) or _Record()
             if losses <= record.losses and cleared <= record.cleared:
                 continue
@@ -190,7 +190,8 @@
     return SEPARATOR.join((fingerprint, losses, cleared))
 
 
-def _parse(line: str) -> tuple[str, set[str], set[str]]:
+def parse_line(line: str) -> tuple[str, set[str], set[str]]:
+    """Return the fingerprint of a line, its losses, and those it was cleared of."""
     fingerprint, _, rest = line.partition(SEPARATOR)
     losses, _, cleared = rest.partition(SEPARATOR)
     return (
--- a/knapweedrail/relay/process.py
+++ b/knapweedrail/relay/process.py
@@ -156,7 +156,7 @@
         )
         self._suspects = Suspects()
         self._suspect_exchange = SuspectExchange(
-            self._suspects, self._membership, self._peers
+            self._suspects, self._membership, self._peers, store, malformed
         )
         self._peer_server = make_server(
             self._holdings,
@@ -263,11 +263,13 @@
         await self._start_tunnel_server(group)
         # Connections that arrive meanwhile wait in the listener's backlog. After an
         # outage of all hosts every caller is among them, and without this wait each
-        # would be refused because of a configuration that arrives a moment later.
+        # would be refused because of a configuration that arrives a moment later, and
+        # some would run what is known to crash runners.
         with anyio.move_on_after(FIRST_CONFIGURATION_SECONDS):
             await self._configuration.loaded.wait()
             if self._evacuations is not None:
                 await self._evacuations.loaded.wait()
+            await self._suspect_exchange.loaded.wait()
         await self._caller_server.start(group)
         group.start_soon(self._store.report_calls)
         group.start_soon(self._prune)
--- a/knapweedrail/relay/suspects.py
+++ b/knapweedrail/relay/suspects.py
@@ -5,11 +5,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from hashlib import blake2b
 
 import attrs
 
-from ..quarantine import SEPARATOR, Quarantine
+from ..quarantine import SEPARATOR, Quarantine, parse_line
 
 __all__ = ["CRASH_LIMIT", "SEPARATOR", "Suspects", "make_fingerprint"]
 
@@ -42,6 +43,19 @@
     answered: bool = False
 
 
+@attrs.frozen
+class Merged:
+    """What a message of another relay has changed.
+
+    Attributes:
+        changed: Lines of contents that ran on several crashed runners.
+        combined: Contents that did so by neither relay's knowledge alone.
+    """
+
+    changed: list[str]
+    combined: list[str]
+
+
 def make_fingerprint(account: str, method: str, target: bytes, body: bytes) -> str:
     """Return a digest that is the same each time the caller sends a request again."""
     digest = blake2b(digest_size=10)
@@ -110,7 +124,7 @@
         if not recent:
             return []
         self._quarantine.note_loss(runner, sorted(recent), now)
-        if self._quarantine.format_lines(recent, SERIOUS_CRASHES):
+        if self.format_serious(recent):
             self._serious_at = now
         return self._quarantine.format_lines(sorted(recent), min_losses=1)
 
@@ -126,18 +140,32 @@
         """
         return self._quarantine.clear(fingerprint, now)
 
-    def merge(self, lines: list[str], now: float) -> list[str]:
-        """Merge the suspects that another relay sent.
-
-        Returns:
-            Lines to forward: those of which something was new, of requests that ran on
-            several crashed runners.
-        """
+    def merge(self, lines: Iterable[str], now: float) -> Merged:
+        """Merge the suspects that another relay sent."""
+        lines = list(lines)
+        before = {fingerprint for fingerprint in self.list_contents(lines)}
+        before = set(self.list_contents(self.format_serious(before)))
         changed = self._quarantine.hear(lines, now)
-        serious = self._quarantine.format_lines(changed, SERIOUS_CRASHES)
+        serious = self.format_serious(changed)
         if serious:
             self._serious_at = now
-        return serious
+        sent = set(self.list_contents(lines, SERIOUS_CRASHES))
+        combined = set(self.list_contents(serious)) - before - sent
+        return Merged(serious, sorted(combined))
+
+    @staticmethod
+    def list_contents(lines: Iterable[str], min_crashes: int = 1) -> list[str]:
+        """Return the fingerprints in some lines.
+
+        Args:
+            min_crashes: Crashes, cleared or not, that a line must name.
+        """
+        parsed = map(parse_line, lines)
+        return [text for text, losses, _ in parsed if len(losses) >= min_crashes]
+
+    def format_serious(self, fingerprints: Iterable[str]) -> list[str]:
+        """Return lines about those contents that ran on several crashed runners."""
+        return self._quarantine.format_lines(fingerprints, SERIOUS_CRASHES)
 
     def list_serious(self) -> list[str]:
         """Return lines about all contents that ran on several crashed runners."""
--- a/knapweedrail/standins/crashfleet.py
+++ b/knapweedrail/standins/crashfleet.py
@@ -111,7 +111,7 @@
     """What came of a day.
 
     Attributes:
-        arrivals: Times at which crashing requests reached runners.
+        arrivals: Times at which relays in touch sent crashing requests to runners.
         crashes: Times of the crashes they caused.
         sound: Sound requests from one `SETTLE_SECONDS` after the limit on.
         begun: Those of them that were sent to a runner and not refused.
@@ -259,11 +259,19 @@
         run = PlayedRun(relay.number, keys, crashes)
         runner.runs[run] = None
         if crashes:
-            self.tally.arrivals.append(self._now)
+            if not self._is_out_of_touch(relay.number):
+                self.tally.arrivals.append(self._now)
             self._after(CRASH_SECONDS, self._crash, runner)
         else:
             self._after(self._rng.uniform(*RUN_SECONDS), self._end, runner, run, counts)
 
+    def _is_out_of_touch(self, number: int) -> bool:
+        """Return whether a relay is in a data centre that is, or was just, cut off."""
+        cut = self._day.cut
+        if cut is None or number % 3:
+            return False
+        return cut[0] <= self._now < cut[1] + SETTLE_SECONDS
+
     def _is_settled(self) -> bool:
         crashes = self.tally.crashes
         if len(crashes) < self._limit:
@@ -307,15 +315,15 @@
                 relay.suspects.record_broken_request(runner, key, at)
         lines = relay.suspects.record_crash(runner, self._now)
         relay.outbox.add_observed(lines)
-        self._store(relay, lines)
+        self._store(relay, relay.suspects.list_contents(lines))
         self._flush_soon(relay)
 
-    def _store(self, relay: PlayedRelay, lines: list[str]) -> None:
-        serious = [line for line in lines if line.partition("|")[2].count("#") > 1]
+    def _store(self, relay: PlayedRelay, contents: list[str]) -> None:
+        serious = relay.suspects.format_serious(contents)
         if self._way.stores and serious:
             self.tally.writes += 1
-            kept = {line.partition("|")[0]: line for line in serious}
-            self._stored[relay.number] |= kept
+            kept = zip(relay.suspects.list_contents(serious), serious, strict=True)
+            self._stored[relay.number] |= dict(kept)
 
     def _flush_soon(self, relay: PlayedRelay) -> None:
         if relay.outbox and not relay.flushing:
@@ -342,9 +350,10 @@
         relay = self._relays[number]
         if relay is None:
             return
-        forwarded = relay.suspects.merge(lines, self._now)
+        merged = relay.suspects.merge(lines, self._now)
+        self._store(relay, merged.combined)
         if self._way.forwards:
-            relay.outbox.add_forwarded(forwarded)
+            relay.outbox.add_forwarded(merged.changed)
             self._flush_soon(relay)
 
     def _repair(self, number: int) -> None:
--- a/knapweedrail/tests/test_relay_crashing_requests.py
+++ b/knapweedrail/tests/test_relay_crashing_requests.py
@@ -9,6 +9,7 @@
 import httpx
 import pytest
 
+from ..relay.malformed import MalformedObjects
 from ..relay.models import Member, RetryPolicy
 from ..relay.peers import PeerClient
 from ..relay.suspect_exchange import SuspectExchange
@@ -17,7 +18,13 @@
 from ..standins.objects import ObjectStore
 from ..wire.relays_pb2 import SuspectsReply
 from .crashing_runners import CrashingRunners, has_crashing_body, make_listing
-from .relays_in_memory import make_configuration, make_route, make_runner, run_relay
+from .relays_in_memory import (
+    MemoryStore,
+    make_configuration,
+    make_route,
+    make_runner,
+    run_relay,
+)
 from .test_relay_process import CONFIGURATION, RelayProcess, make_entry, wait_ready
 
 pytestmark = pytest.mark.anyio
@@ -131,10 +138,18 @@
         for member in members:
             others = [other for other in members if other is not member]
             membership = types.SimpleNamespace(
-                list_others=lambda others=others: list(others)
+                list_others=lambda others=others: list(others),
+                member=member,
+                first_listed=anyio.Event(),
             )
             suspects = Suspects()
-            exchange = SuspectExchange(suspects, membership, DeliveringClient())
+            exchange = SuspectExchange(
+                suspects,
+                membership,
+                DeliveringClient(),
+                MemoryStore(),
+                MalformedObjects(),
+            )
             exchanges[member.host] = exchange
             all_suspects.append(suspects)
             await exchange.start(group)
@@ -209,6 +224,17 @@
         relay.restart()
     for relay in relays:
         await wait_ready(client, relay)
+        with anyio.move_on_after(CONTACT_SECONDS):
+            while not has_loaded(relay):
+                await anyio.sleep(0.02)
+        assert has_loaded(relay), relay.read_log()
+
+
+def has_loaded(relay):
+    """Return whether the present process of a relay has asked what others know."""
+    kinds = [line["message_type"] for line in relay.read_log()]
+    last_start = len(kinds) - kinds[::-1].index("101 router_started")
+    return "728 suspects_loaded" in kinds[last_start:]
 
 
 @pytest.mark.parametrize("restarted", [1, HOSTS])
@@ -222,6 +248,6 @@
             await restart(client, relays[:restarted])
             for number, relay in enumerate(relays[:restarted]):
                 status = await send_crashing(client, relay, f"{round_number}-{number}")
-                assert status == 503
+                assert status == 503, relay.read_log()
                 await anyio.sleep(SETTLED_SECONDS)
         assert not runners.arrivals
--- a/knapweedrail/tests/test_relay_suspects.py
+++ b/knapweedrail/tests/test_relay_suspects.py
@@ -5,8 +5,10 @@
 import anyio
 import pytest
 
+from ..relay.malformed import MalformedObjects
 from ..relay.suspect_exchange import SuspectExchange
 from ..relay.suspects import CRASH_LIMIT, Suspects, make_fingerprint
+from .relays_in_memory import MemoryStore
 
 
 def crash(suspects, runner, fingerprints, now):
@@ -74,14 +76,20 @@
 async def test_suspects_of_one_crash_are_sent_together_and_soon():
     """When a runner crashes, all its requests fail at once and each one is reported.
     The other relays must get them in one call, soon enough not to run them too."""
-    membership = types.SimpleNamespace(list_others=lambda: ["other"])
+    membership = types.SimpleNamespace(
+        list_others=lambda: ["other"],
+        member=types.SimpleNamespace(host="own"),
+        first_listed=anyio.Event(),
+    )
     sent = []
 
     async def send(member, lines):
         sent.append(lines)
 
     peers = types.SimpleNamespace(send_suspects=send)
-    exchange = SuspectExchange(Suspects(), membership, peers)
+    exchange = SuspectExchange(
+        Suspects(), membership, peers, MemoryStore(), MalformedObjects()
+    )
     async with anyio.create_task_group() as group:
         await exchange.start(group)
         for crash in (["a", "b"], ["c", "d"]):
