Count a crash once that a host both hears of and sees

A request that was running on one crashed runner could be refused as if it had crashed three. Cause: a host that sees a crash names it one higher than the highest that it knows of the runner. If another host's report arrives first, the same crash gets two names. Class: two observations of one event are taken for two events. Unique incarnations restart under a new name, so numbers matter only for runners that don't state one. Evidence: test_a_loss_that_was_heard_of_is_not_counted_again, 2 losses for 1. Change: a loss of a runner that was recorded or heard of within a second is the same one. Result: the test passes, and those of the quarantine, the suspects and the dispatcher.

--- a/knapweedrail/quarantine.py
+++ b/knapweedrail/quarantine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 
@@ -16,6 +17,11 @@
 another request may have caused the crashes. If not, it crashes at most the allowed
 number of runners once more."""
 
+SAME_LOSS_SECONDS = 1.0
+"""Time within which a loss that a router sees is the one that it has just recorded or
+heard of. Routers see a loss within some tenths of a second of each other, and a runner
+takes longer to start again."""
+
 SEPARATOR = "|"
 
 
@@ -24,12 +30,14 @@
     """Losses attributed to a request, and those it has been cleared of.
 
     Both sets only grow, so merging messages of other routers gives the same result in
-    any order, even if messages are late or repeated.
+    any order, even if messages are late or repeated. `lost_at` says when this router
+    recorded the latest loss of each runner.
     """
 
     losses: set[str] = attrs.Factory(set)
     cleared: set[str] = attrs.Factory(set)
     changed: float = 0.0
+    lost_at: dict[str, float] = attrs.Factory(dict)
 
     @property
     def held(self) -> set[str]:
@@ -99,7 +107,9 @@
         suspects = {text for text in known if self.suspects(text)}
         for fingerprint in suspects or known:
             record = self._touch(fingerprint, now)
-            record.losses.add(_name_loss(runner, record.losses))
+            if now - record.lost_at.get(runner, -math.inf) >= SAME_LOSS_SECONDS:
+                record.losses.add(_name_loss(runner, record.losses))
+                record.lost_at[runner] = now
 
     def clear(self, fingerprint: str, now: float) -> int:
         """Clear a request that has been answered completely.
@@ -152,6 +162,8 @@
             if losses <= record.losses and cleared <= record.cleared:
                 continue
             record = self._touch(fingerprint, now)
+            new = losses - record.losses
+            record.lost_at |= {loss.rpartition("#")[0]: now for loss in new}
             record.losses |= losses
             record.cleared |= cleared
             changed.append(fingerprint)
--- a/knapweedrail/tests/test_quarantine.py
+++ b/knapweedrail/tests/test_quarantine.py
@@ -131,3 +131,14 @@
             router.hear(told, 0.0)
     blocked = [[r.blocks(f, 0.0) for f in "xy"] for r in routers]
     assert blocked[0] == blocked[1] == blocked[2]
+
+
+def test_a_loss_that_was_heard_of_is_not_counted_again():
+    """A router sees a loss itself just after it has heard of it from another one, and a
+    request that ran on one lost runner is refused."""
+    one, other = Quarantine(2), Quarantine(2)
+    one.note_loss("r0", ["x"], 0.0)
+    other.hear(one.tell(), 0.1)
+    other.note_loss("r0", ["x"], 0.2)
+    assert other.count_losses("x") == 1
+    assert not other.blocks("x", 0.3)
