Blame all requests on a crashed runner, not only earlier suspects

A request could crash runners without ever being refused, as long as a harmless one that had once been on a crashed runner ran beside it. Cause: relays used the rule of routers that run suspects apart: where a suspect ran, it alone takes the blame. Relays don't run suspects apart. Class: a decision rests on a condition that its caller doesn't keep. Change: relays attribute a crash to all requests that ran there; a whole answer clears. The dispatcher keeps its rule.

--- a/knapweedrail/quarantine.py
+++ b/knapweedrail/quarantine.py
@@ -96,16 +96,26 @@
         return record is not None and bool(record.held)
 
     def note_loss(self, runner: str, fingerprints: list[str], now: float) -> None:
-        """Record the loss of a runner for the requests that ran there.
+        """Attribute the loss of a runner to the suspects that ran there alone.
+
+        If no suspect ran there, the loss is attributed to all requests.
 
         Args:
             runner: The runner's name.
             fingerprints: Fingerprints of all requests of this router that it ran.
             now: Unix time, seconds.
         """
-        known = {text for text in fingerprints if text}
-        suspects = {text for text in known if self.suspects(text)}
-        for fingerprint in suspects or known:
+        suspects = [text for text in fingerprints if self.suspects(text)]
+        self.attribute_loss(runner, suspects or fingerprints, now)
+
+    def attribute_loss(
+        self, runner: str, fingerprints: Iterable[str], now: float
+    ) -> None:
+        """Attribute the loss of a runner to all requests that ran there.
+
+        Where suspects don't run apart, an earlier suspect doesn't exonerate others.
+        """
+        for fingerprint in {text for text in fingerprints if text}:
             record = self._touch(fingerprint, now)
             if now - record.lost_at.get(runner, -math.inf) >= SAME_LOSS_SECONDS:
                 record.losses.add(_name_loss(runner, record.losses))
--- a/knapweedrail/relay/suspects.py
+++ b/knapweedrail/relay/suspects.py
@@ -123,7 +123,7 @@
         }
         if not recent:
             return []
-        self._quarantine.note_loss(runner, sorted(recent), now)
+        self._quarantine.attribute_loss(runner, recent, now)
         if self.format_serious(recent):
             self._serious_at = now
         return self._quarantine.format_lines(sorted(recent), min_losses=1)
--- a/knapweedrail/tests/test_relay_suspects.py
+++ b/knapweedrail/tests/test_relay_suspects.py
@@ -100,3 +100,15 @@
             await anyio.sleep(0.09)
             assert sent.pop() == crash and not sent
         group.cancel_scope.cancel()
+
+
+def test_crashing_request_is_blamed_beside_an_earlier_suspect():
+    """A harmless request that once ran on a crashed runner takes the blame for each
+    later crash of a runner that it shares with the request that causes them."""
+    suspects = Suspects()
+    crash(suspects, "i-0", ["harmless"], 0.0)
+    for number in range(CRASH_LIMIT):
+        crash(suspects, f"i-{number + 1}", ["harmless", "bad"], 5.0 * number + 5.0)
+        suspects.record_success("harmless", 5.0 * number + 6.0)
+        crash(suspects, f"j-{number + 1}", ["harmless"], 5.0 * number + 7.0)
+    assert suspects.blocks("bad", 30.0)
