Log the prompt's parts with each failed attempt

The logs couldn't show which part the requests share under which runners crash: only answered requests named their parts. No logic is changed.

--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -379,6 +379,7 @@
             detail=outcome.detail,
             attempt=context.counted_attempts,
             content=context.fingerprint,
+            prefix=[part.name for part in context.request.parts],
             events=context.progress.event_count,
             left=round(context.get_remaining_seconds(), 3),
         )
