Refuse requests with a prompt part that crashes runners

Class: what is kept apart isn't what makes the harm. Change: a part of a prompt, other than the last, is a content as a whole request is, with the same evidence, messages and object in the store. A part is refused after four crashes without a success, for ten minutes. A success of a part is a whole answer, or one second and eight pieces of a stream, as a crashing part ends its runner at the begin of the answer. It clears the part, and no crash counts against it for two seconds, at any host that had it. Ruled out: refusing by key or first part; three crashes; five, as it allows one more.

--- a/knapweedrail/quarantine.py
+++ b/knapweedrail/quarantine.py
@@ -69,12 +69,25 @@
         self.limit = limit
         self._records: OrderedDict[str, _Record] = OrderedDict()
 
-    def blocks(self, fingerprint: str, now: float) -> bool:
-        """Return whether this request is refused."""
+    def blocks(
+        self,
+        fingerprint: str,
+        now: float,
+        limit: int | None = None,
+        seconds: float = QUARANTINE_SECONDS,
+    ) -> bool:
+        """Return whether this request is refused.
+
+        Args:
+            fingerprint: Its fingerprint.
+            now: Unix time, seconds.
+            limit: Losses from which it is refused, if not those of the quarantine.
+            seconds: Time after which it may be tried again.
+        """
         record = self._records.get(fingerprint)
-        if record is None or len(record.held) < self.limit:
+        if record is None or len(record.held) < (limit or self.limit):
             return False
-        if record.changed + QUARANTINE_SECONDS <= now:
+        if record.changed + seconds <= now:
             record.cleared |= record.losses
             record.changed = now
             return False
--- a/knapweedrail/relay/attempt_records.py
+++ b/knapweedrail/relay/attempt_records.py
@@ -16,6 +16,12 @@
 """Shortest wait for the first byte that counts as a failure of the runner. A route's
 timeout may be shorter than its work takes, which is no evidence against the runner."""
 
+MIN_SOUND_SECONDS = 1.0
+MIN_SOUND_PARTS = 8
+"""Time since the first part of a stream, and number of its parts, after which the
+prompt doesn't crash the runner. A late event loop reads several parts at once, so the
+time alone isn't enough."""
+
 SUCCESS_STATUSES = range(200, 300)
 
 
@@ -31,6 +37,9 @@
         self._context = context
         self._view = view
         self._prefill_pending = False
+        self._part_count = 0
+        self._shows_sound = False
+        self._first_part_at = 0.0
 
     def record_sent(self) -> None:
         """Record that the request is about to be sent to the runner."""
@@ -111,10 +120,27 @@
         detector, runner = context.services.crash_detector, self._view.runner
         if framing is Framing.CONNECTION:
             detector.record_closed(
-                runner.incarnation, runner.address, context.fingerprint
+                runner.incarnation, runner.address, context.fingerprints
             )
         else:
-            detector.record_sound(context.fingerprint)
+            detector.record_sound(context.fingerprints)
+
+    def record_stream_part(self) -> None:
+        """Record that the runner has sent one more part of a stream.
+
+        A prompt part that crashes runners does so as the answer begins. A runner that
+        has written for some time shows that none of the parts does.
+        """
+        now = time.monotonic()
+        self._part_count += 1
+        if self._part_count == 1:
+            self._first_part_at = now
+        if self._part_count < MIN_SOUND_PARTS or self._shows_sound:
+            return
+        if now - self._first_part_at >= MIN_SOUND_SECONDS:
+            self._shows_sound = True
+            prompt_parts = self._context.fingerprints[1:]
+            self._context.services.crash_detector.record_sound(prompt_parts)
 
     def _record_prompt_wait(self, began_at: float, abandoned: bool) -> None:
         """Record how long the prompt waited at the runner.
@@ -212,7 +238,7 @@
         detector, runner = self._context.services.crash_detector, self._view.incarnation
         if error.sent:
             address = self._view.runner.address
-            detector.record_broken(runner, address, self._context.fingerprint)
+            detector.record_broken(runner, address, self._context.fingerprints)
         else:
             detector.record_refused(runner)
 
--- a/knapweedrail/relay/crash_detector.py
+++ b/knapweedrail/relay/crash_detector.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 
 import anyio
 import attrs
@@ -56,46 +56,57 @@
         self._send_suspects = send_suspects
         self._checking: set[RunnerIncarnation] = set()
 
-    def refuse_quarantined(self, request: str, fingerprint: str) -> Refusal | None:
+    def refuse_quarantined(
+        self, request: str, fingerprints: Sequence[str]
+    ) -> Refusal | None:
         """Return the refusal of a request that crashes runners.
 
         Args:
             request: Identity of the request, for the log.
-            fingerprint: Its fingerprint.
+            fingerprints: Fingerprints of its content.
 
         Returns:
             The refusal; ``None`` if the request may run.
         """
-        if not self._suspects.blocks(fingerprint, time.monotonic()):
-            return None
-        crashes = self._suspects.count_crashes(fingerprint)
-        log_event(
-            Event.CONTENT_QUARANTINED,
-            request=request,
-            content=fingerprint,
-            crashes=crashes,
-        )
-        return refuse_quarantined(crashes)
+        for fingerprint in fingerprints:
+            if not self._suspects.blocks(fingerprint, time.monotonic()):
+                continue
+            crashes = self._suspects.count_crashes(fingerprint)
+            log_event(
+                Event.CONTENT_QUARANTINED,
+                request=request,
+                content=fingerprint,
+                crashes=crashes,
+            )
+            return refuse_quarantined(crashes)
+        return None
 
     def record_broken(
-        self, runner: RunnerIncarnation, address: str, fingerprint: str
+        self, runner: RunnerIncarnation, address: str, fingerprints: Sequence[str]
     ) -> None:
         """Record that a runner closed the connection of a request that may have run."""
-        self._suspects.record_broken_request(str(runner), fingerprint, time.monotonic())
+        now = time.monotonic()
+        for fingerprint in fingerprints:
+            self._suspects.record_broken_request(str(runner), fingerprint, now)
         self._request_check(runner, address)
 
     def record_closed(
-        self, runner: RunnerIncarnation, address: str, fingerprint: str
+        self, runner: RunnerIncarnation, address: str, fingerprints: Sequence[str]
     ) -> None:
         """Record an answer that may have ended, or been cut off by a crash."""
-        self._suspects.record_closed_request(str(runner), fingerprint, time.monotonic())
+        now = time.monotonic()
+        for fingerprint in fingerprints:
+            self._suspects.record_closed_request(str(runner), fingerprint, now)
         self._request_check(runner, address)
 
-    def record_sound(self, fingerprint: str) -> None:
-        """Record that a request was answered whole."""
-        crashes = self._suspects.record_success(fingerprint, time.monotonic())
-        if crashes:
-            log_event(Event.CONTENT_CLEARED, content=fingerprint, crashes=crashes)
+    def record_sound(self, fingerprints: Iterable[str]) -> None:
+        """Record that a content doesn't crash the runner that runs it."""
+        now = time.monotonic()
+        for fingerprint in fingerprints:
+            crashes = self._suspects.record_success(fingerprint, now)
+            if crashes:
+                log_event(Event.CONTENT_CLEARED, content=fingerprint, crashes=crashes)
+                self._send_suspects(self._suspects.format_serious([fingerprint]))
 
     def record_refused(self, runner: RunnerIncarnation) -> None:
         """Record that a connection to a runner failed, as it does after a crash."""
@@ -135,8 +146,7 @@
             if error.tried and not error.timed_out:
                 self.record_refused(check.runner)
             return
-        for fingerprint in self._suspects.take_closed(str(check.runner), checked_at):
-            self.record_sound(fingerprint)
+        self.record_sound(self._suspects.take_closed(str(check.runner), checked_at))
 
     def _count_crashes(self, lines: list[str]) -> dict[str, int]:
         """Return the crashes known of each content, those with most first."""
--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -103,7 +103,7 @@
         last_failure: AttemptFailed | None = None
         while True:
             refusal = context.services.crash_detector.refuse_quarantined(
-                context.request.identity, context.fingerprint
+                context.request.identity, context.fingerprints
             )
             if refusal is not None:
                 return await self._resume_stalled(
@@ -378,7 +378,7 @@
             failure=outcome.kind.name.lower(),
             detail=outcome.detail,
             attempt=context.counted_attempts,
-            content=context.fingerprint,
+            content=context.fingerprints[0],
             prefix=[part.name for part in context.request.parts],
             events=context.progress.event_count,
             left=round(context.get_remaining_seconds(), 3),
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -32,7 +32,7 @@
 from .routes import RouteTable, choose_endpoint
 from .stream_origins import StreamOrigin
 from .streams import StreamProgress
-from .suspects import make_fingerprint
+from .suspects import make_fingerprint, make_part_fingerprints
 from .watchers import ConfigurationWatcher
 
 
@@ -234,11 +234,12 @@
             return
         self._services.retry_budget.record_request(endpoint_name, time.monotonic())
         account_name = account.name if account else ""
-        fingerprint = make_fingerprint(
-            account_name, request.method, request.target, body
+        fingerprints = (
+            make_fingerprint(account_name, request.method, request.target, body),
+            *make_part_fingerprints(request.parts),
         )
         refusal = self._services.crash_detector.refuse_quarantined(
-            request.identity, fingerprint
+            request.identity, fingerprints
         )
         if refusal is not None:
             await self._refuse(response, request.identity, refusal)
@@ -258,7 +259,7 @@
             endpoint=endpoint,
             account=account.name if account else None,
             priorities=table.compute_priorities(route, account),
-            fingerprint=fingerprint,
+            fingerprints=fingerprints,
             deadline_at=deadline_at,
             response=response,
             progress=StreamProgress(request.last_event),
--- a/knapweedrail/relay/request_context.py
+++ b/knapweedrail/relay/request_context.py
@@ -125,7 +125,8 @@
         body: Complete request body.
         account: Name of the client account; ``None`` if the route needs no key.
         priorities: Priorities to send to runners.
-        fingerprint: Hash that identifies the content of the request.
+        fingerprints: Fingerprints of the content: of the whole request, then of the
+            parts of its prompt that others may share.
         deadline_at: Earlier of the caller's deadline and the route's timeout, monotonic
             seconds.
         response: Response to the caller.
@@ -146,7 +147,7 @@
     endpoint: Endpoint
     account: str | None
     priorities: Priorities
-    fingerprint: str
+    fingerprints: tuple[str, ...]
     deadline_at: float
     response: ResponseWriter
     progress: StreamProgress
--- a/knapweedrail/relay/suspects.py
+++ b/knapweedrail/relay/suspects.py
@@ -5,20 +5,45 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import math
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
 from hashlib import blake2b
 
 import attrs
 
 from ..quarantine import SEPARATOR, Quarantine, parse_line
+from .models import PromptPart
 
-__all__ = ["CRASH_LIMIT", "SEPARATOR", "Suspects", "make_fingerprint"]
+__all__ = [
+    "CRASH_LIMIT",
+    "SEPARATOR",
+    "Suspects",
+    "make_fingerprint",
+    "make_part_fingerprints",
+]
 
 CRASH_LIMIT = 3
 """Crashed runners after which a request is refused. One crash makes every request on
 the runner a suspect, but the same content on three crashed runners is unlikely to be a
 coincidence."""
 
+PART_CRASH_LIMIT = 4
+"""Crashed runners after which requests with a part of a prompt are refused. A part is
+shared by many requests, so more has to speak against it than against one content."""
+
+PART_QUARANTINE_SECONDS = 600.0
+"""Time after which a part may be tried again."""
+
+PART_PREFIX = "part:"
+
+TRUST_SECONDS = 2.0
+"""Time after a success of a content in which no crash is attributed to it. When many
+runners end at once, what all requests share was on each of them."""
+
+MAX_TRUSTED = 10_000
+"""Contents whose last success is remembered, about 1.5 MB; the oldest are dropped."""
+
 SERIOUS_CRASHES = 2
 """Crashes of one content from which all relays hear of it. Most suspects of a single
 crash just ran beside the cause."""
@@ -65,21 +90,37 @@
     return digest.hexdigest()
 
 
+def make_part_fingerprints(parts: Sequence[PromptPart]) -> tuple[str, ...]:
+    """Return the fingerprints of those parts of a prompt that others may share.
+
+    The last part belongs to the request alone.
+    """
+    names = dict.fromkeys(part.name.lower() for part in parts[:-1])
+    digests = (blake2b(name.encode(), digest_size=10) for name in names)
+    return tuple(PART_PREFIX + digest.hexdigest() for digest in digests)
+
+
 class Suspects:
-    """Requests that were running on runners that crashed.
+    """Contents, whole requests or parts of prompts, that ran on crashed runners.
 
     A request may crash every runner that runs it, while its caller sends it again to
     any relay under a new identity each time. Without a limit, it would crash all
-    runners one after another, and the requests of other callers on them would fail.
+    runners one after another, and the requests of other callers on them would fail. The
+    same holds for one part that many requests share, of which no two are alike.
     """
 
     def __init__(self) -> None:
         self._quarantine = Quarantine(CRASH_LIMIT)
         self._broken_requests: dict[str, list[_BrokenRequest]] = {}
         self._serious_at: float | None = None
+        self._succeeded_at: OrderedDict[str, float] = OrderedDict()
 
     def blocks(self, fingerprint: str, now: float) -> bool:
-        """Return whether a request is refused."""
+        """Return whether requests with a content are refused."""
+        if fingerprint.startswith(PART_PREFIX):
+            return self._quarantine.blocks(
+                fingerprint, now, PART_CRASH_LIMIT, PART_QUARANTINE_SECONDS
+            )
         return self._quarantine.blocks(fingerprint, now)
 
     def record_broken_request(self, runner: str, fingerprint: str, now: float) -> None:
@@ -119,7 +160,10 @@
         """
         broken_requests = self._broken_requests.pop(runner, [])
         recent = {
-            b.fingerprint for b in broken_requests if now - b.at < CRASH_CONFIRM_SECONDS
+            b.fingerprint
+            for b in broken_requests
+            if now - b.at < CRASH_CONFIRM_SECONDS
+            and not self._is_trusted(b.fingerprint, now)
         }
         if not recent:
             return []
@@ -133,19 +177,29 @@
         return self._quarantine.count_losses(fingerprint)
 
     def record_success(self, fingerprint: str, now: float) -> int:
-        """Record that a request was answered successfully.
+        """Record that a content was answered successfully.
 
         Returns:
             The number of crashes that no longer count against it.
         """
+        self._succeeded_at[fingerprint] = now
+        self._succeeded_at.move_to_end(fingerprint)
+        if len(self._succeeded_at) > MAX_TRUSTED:
+            self._succeeded_at.popitem(last=False)
         return self._quarantine.clear(fingerprint, now)
 
+    def _is_trusted(self, fingerprint: str, now: float) -> bool:
+        return now - self._succeeded_at.get(fingerprint, -math.inf) < TRUST_SECONDS
+
     def merge(self, lines: Iterable[str], now: float) -> Merged:
         """Merge the suspects that another relay sent."""
         lines = list(lines)
         before = {fingerprint for fingerprint in self.list_contents(lines)}
         before = set(self.list_contents(self.format_serious(before)))
         changed = self._quarantine.hear(lines, now)
+        for fingerprint in changed:
+            if self._is_trusted(fingerprint, now):
+                self._quarantine.clear(fingerprint, now)
         serious = self.format_serious(changed)
         if serious:
             self._serious_at = now
--- a/knapweedrail/standins/crashfleet.py
+++ b/knapweedrail/standins/crashfleet.py
@@ -33,6 +33,9 @@
 """More relays than any fleet has."""
 
 RUN_SECONDS = (0.5, 3.0)
+SOUND_SECONDS = 1.1
+"""Time after which a run shows that its prompt's parts don't crash the runner."""
+
 SETTLE_SECONDS = 3.0
 """Time after the crash that reaches the limit in which all relays must have heard."""
 
@@ -263,7 +266,10 @@
                 self.tally.arrivals.append(self._now)
             self._after(CRASH_SECONDS, self._crash, runner)
         else:
-            self._after(self._rng.uniform(*RUN_SECONDS), self._end, runner, run, counts)
+            seconds = self._rng.uniform(*RUN_SECONDS)
+            if seconds > SOUND_SECONDS:
+                self._after(SOUND_SECONDS, self._show_sound, run)
+            self._after(seconds, self._end, runner, run, counts)
 
     def _is_out_of_touch(self, number: int) -> bool:
         """Return whether a relay is in a data centre that is, or was just, cut off."""
@@ -287,6 +293,14 @@
         for key in run.keys:
             relay.suspects.record_success(key, self._now)
 
+    def _show_sound(self, run: PlayedRun) -> None:
+        """Let a relay see that a runner survives the begin of an answer."""
+        relay = self._relays[run.host]
+        if run.ended or relay is None:
+            return
+        for key in run.keys[1:]:
+            relay.suspects.record_success(key, self._now)
+
     def _crash(self, runner: PlayedRunner) -> None:
         if runner not in self._runners:
             return
