Don't send the state of a kind that was never read from the store

Two relays that start while the store is away, one of them the other's source, spent all their processor time on each other; one was killed as it didn't stop in time. Cause: a replica without a revision encodes an empty list of changes, which is taken for an update to send. Nothing records it as sent, as its revision is 0, so it is sent at once again. Class: no state is taken for an empty state. The test fails before. Change: such a replica has no changes. Result: the test passes, with those of the replicas.

--- a/knapweedrail/relay/replicas.py
+++ b/knapweedrail/relay/replicas.py
@@ -186,7 +186,7 @@
             since: Revision of the subscriber; the result lists all objects if it is
                 below `oldest_revision`.
         """
-        if since and since >= self.revision:
+        if since >= self.revision:
             return b""
         known = self._encoded.get(since)
         if known is None:
--- a/knapweedrail/tests/test_relay_replicas.py
+++ b/knapweedrail/tests/test_relay_replicas.py
@@ -234,3 +234,13 @@
     changes = history.list_changes(known, history.revision)
     assert replica.apply_changes(changes, history.revision) == list(changes)
     assert read_objects(replica) == history.objects
+
+
+def test_replica_that_was_never_read_has_nothing_to_tell():
+    """A relay that starts while the store is away sends its empty state to each
+    subscriber again and again, and both spend all their processor time on that."""
+    source = Replica("k")
+    assert not source.encode_changes(0)
+    source.apply_list((), 5)
+    assert source.encode_changes(0)
+    assert not source.encode_changes(5)
