--- a/knapweedrail/soak/faults.py
+++ b/knapweedrail/soak/faults.py
@@ -16,6 +16,7 @@
 from ..platform import names
 from ..relay.models import RunnerState
 from ..standins.proxy import ANYONE, PASSING, Fault, Mode, Route
+from .crashers import CrashingCaller
 from .records import (
     EVERYONE,
     REBIRTH,
@@ -108,6 +109,7 @@
             "slow runner": self._slow_runner,
             "configure": self._configure,
             "kill all": self._kill_all,
+            "crashing requests": self._send_crashing,
         }
 
     async def run(self, steps: list[Step]) -> None:
@@ -269,6 +271,10 @@
             await self._world.add_runner()
         return runner.name
 
+    async def _send_crashing(self, step: Step) -> str:
+        await CrashingCaller(self._world, self._history, step).run()
+        return ""
+
     async def _restart_runner(self, step: Step) -> str:
         async with self._hold(self._pick_runner, step) as runner:
             successor = await self._world.restart_runner(runner)
--- a/knapweedrail/soak/judges.py
+++ b/knapweedrail/soak/judges.py
@@ -8,6 +8,7 @@
 import collections
 import re
 
+from .crash_judge import find_late_crashes
 from .records import (
     EVERYONE,
     REBIRTH,
@@ -82,6 +83,7 @@
         *find_bad_exits(history),
         *find_unused_lives(history),
         *find_work_at_spoilt(history),
+        *find_late_crashes(history),
         *[Finding("foreign", request) for request in history.trapped],
     ]
 
--- a/knapweedrail/soak/records.py
+++ b/knapweedrail/soak/records.py
@@ -44,6 +44,13 @@
 """Tokens that a runner's memory holds, by its own word; it reads no prompts."""
 
 
+CRASHING_BODY = b"crash"
+"""Begin of a body that crashes the runner that runs it."""
+
+CRASHING_PART = "bad"
+"""Begin of the name of a prompt's part that does."""
+
+
 class Kind(enum.Enum):
     """What may be repeated of a request."""
 
@@ -125,6 +132,7 @@
     Attributes:
         first: Number of the first event that it makes.
         started: Start of the runner's life, Unix milliseconds.
+        crashes: What in the request crashes the runner; empty for a sound one.
     """
 
     identity: str
@@ -133,6 +141,7 @@
     at: float
     first: int
     started: int = 0
+    crashes: str = ""
 
 
 @attrs.frozen
@@ -167,6 +176,8 @@
         exits: Exit codes of relays that were asked to stop, or ended by themselves.
         trapped: Requests at the address that entries of another writer give.
         versions: When each version of the configuration was acknowledged, from 1 on.
+        crashing: Requests that were sent to crash runners.
+        crashing_errors: What came of those that got no answer.
     """
 
     prepaid: dict[str, int]
@@ -176,6 +187,8 @@
     exits: list[tuple[str, int]] = attrs.field(factory=list)
     trapped: list[str] = attrs.field(factory=list)
     versions: list[float] = attrs.field(factory=list)
+    crashing: list[Sent] = attrs.field(factory=list)
+    crashing_errors: list[str] = attrs.field(factory=list)
 
     def count_versions(self, at: float) -> int:
         """Return the newest version that was acknowledged at a time."""
--- a/knapweedrail/soak/runners.py
+++ b/knapweedrail/soak/runners.py
@@ -7,6 +7,7 @@
 
 import argparse
 import json
+import os
 import random
 import time
 from collections.abc import AsyncIterator, Sequence
@@ -22,6 +23,8 @@
 from ..servers import HttpServer, ServerLimits
 from .records import (
     CACHE_TOKENS,
+    CRASHING_BODY,
+    CRASHING_PART,
     Kind,
     count_events,
     find_pause,
@@ -38,6 +41,12 @@
 FAIL_SHARE = 0.03
 """Requests that run and fail."""
 
+CRASHED = 70
+"""Exit code of a runner that a request has crashed."""
+
+CRASH_SECONDS = 0.05
+"""Time from the first event to the crash."""
+
 WORK_SECONDS = (0.002, 0.05)
 """How long a plain call takes."""
 
@@ -72,6 +81,7 @@
         if self._rng.random() < FULL_SHARE:
             headers[_text(names.NOT_RUN)] = "1"
             return Response(status_code=503, headers=headers)
+        crashes = find_crashing(await request.body(), _read_prompt(request))
         first = int(request.headers.get(_text(names.LAST_EVENT), "0")) + 1
         line = {
             "identity": identity,
@@ -80,9 +90,12 @@
             "at": time.monotonic(),
             "first": first,
             "started": self._started,
+            "crashes": crashes,
         }
         write_line(self._runs, line)
         headers[_text(names.SEAL)] = self._name
+        if crashes:
+            return self._crash(request, identity, headers)
         if self._rng.random() < FAIL_SHARE:
             return Response(b"failed", 500, headers)
         if request.url.path.startswith(("/stream/", "/resumed/")):
@@ -96,6 +109,22 @@
         await anyio.sleep(self._rng.uniform(*WORK_SECONDS))
         return Response(make_answer(identity, Kind.SAFE), 200, headers)
 
+    def _crash(
+        self, request: Request, identity: str, headers: dict[str, str]
+    ) -> Response:
+        """End this process, after the first event if the answer is a stream."""
+        if not request.url.path.startswith(("/stream/", "/resumed/")):
+            os._exit(CRASHED)
+
+        async def send_first() -> AsyncIterator[bytes]:
+            yield make_event(identity, 1)
+            await anyio.sleep(CRASH_SECONDS)
+            os._exit(CRASHED)
+
+        return StreamingResponse(
+            send_first(), headers=headers, media_type="text/event-stream"
+        )
+
     def _is_other(self, request: Request) -> bool:
         meant = request.headers.get(_text(names.EXPECT_RUNNER))
         return meant is not None and meant != self._name
@@ -107,6 +136,18 @@
             await anyio.sleep(find_pause(identity))
 
 
+def find_crashing(body: bytes, prompt: list[str]) -> str:
+    """Return what in a request crashes runners; empty if nothing does."""
+    if body.startswith(CRASHING_BODY):
+        return body.decode("latin-1")
+    found = [part for part in prompt[:-1] if part.startswith(CRASHING_PART)]
+    return found[0].partition(":")[0] if found else ""
+
+
+def _read_prompt(request: Request) -> list[str]:
+    return request.headers.get(_text(names.PROMPT_PREFIX), "").split(",")
+
+
 def _text(name: bytes) -> str:
     return name.decode("latin-1")
 
--- a/knapweedrail/soak/schedules.py
+++ b/knapweedrail/soak/schedules.py
@@ -15,6 +15,10 @@
 
 VARIANTS = 1000
 
+CRASHING_SECONDS = 10.0
+CRASHING_SHARE = 0.7
+"""How long requests that crash runners are sent, and in which share of long runs."""
+
 STORE_STEPS = (
     "store away",
     "store silent",
@@ -77,9 +81,27 @@
     while True:
         at += rng.expovariate(pace)
         if at > seconds - QUIET_SECONDS:
-            return steps
+            return sorted([*steps, *draw_crashing(seed, seconds)], key=_get_time)
         kind = rng.choice(kinds)
         most = runners if kind in RUNNER_STEPS else relays
         lasts = rng.uniform(0.2, min(4.0, seconds / 3))
         target, variant = rng.randrange(most), rng.randrange(VARIANTS)
         steps.append(Step(round(at, 3), kind, target, round(lasts, 3), variant))
+
+
+def draw_crashing(seed: int, seconds: float) -> list[Step]:
+    """Return the steps that send requests which crash runners.
+
+    Most runs that are long enough have one. They are drawn apart, so that the other
+    steps of a seed are the same with and without them.
+    """
+    rng = random.Random(f"crashing {seed}")
+    latest = seconds - CRASHING_SECONDS - QUIET_SECONDS
+    if latest < QUIET_SECONDS or rng.random() > CRASHING_SHARE:
+        return []
+    at = round(rng.uniform(QUIET_SECONDS, latest), 3)
+    return [Step(at, "crashing requests", 0, CRASHING_SECONDS, rng.randrange(VARIANTS))]
+
+
+def _get_time(step: Step) -> float:
+    return step.at
--- a/knapweedrail/tests/test_soak.py
+++ b/knapweedrail/tests/test_soak.py
@@ -270,7 +270,7 @@
     first = draw_schedule(7, 60.0, 4, 4, 1.0)
     assert first == draw_schedule(7, 60.0, 4, 4, 1.0)
     assert first != draw_schedule(8, 60.0, 4, 4, 1.0)
-    assert len({step.kind for step in draw_schedule(7, 600.0, 4, 4, 1.0)}) == 22
+    assert len({step.kind for step in draw_schedule(7, 600.0, 4, 4, 1.0)}) == 23
 
 
 def test_a_run_is_drawn(tmp_path):
@@ -295,6 +295,18 @@
     assert run_seed(plan, tmp_path) == []
 
 
+@pytest.mark.parametrize("variant", range(4))
+def test_requests_that_crash_runners_are_refused_while_relays_are_killed(
+    variant, tmp_path
+):
+    """What relays know of such requests is lost with them, one by one and all."""
+    steps = [Step(0.5, "crashing requests", 0, 11.0, variant)]
+    steps += [Step(at, "kill", number, 0.0) for number, at in enumerate((3.0, 5.0))]
+    steps.append(Step(6.5, "kill all", 0, 0.0))
+    plan = Plan(1, 13.0, 3, 5, 30.0, steps, longest_pause=STEADY_SECONDS)
+    assert run_seed(plan, tmp_path) == []
+
+
 @pytest.mark.parametrize(
     "steps",
     [
