Tell crashing requests apart by path and body, not by their query

A query that numbers the attempts gave each of them another fingerprint, so none was ever refused. Cause: the fingerprint had the whole target. Evidence: test_request_is_the_same_whatever_its_query fails before. Change: with a body, the query doesn't count. Without one it is all that tells requests apart.

--- a/knapweedrail/quarantine.py
+++ b/knapweedrail/quarantine.py
@@ -181,6 +181,8 @@
         changed = []
         for line in lines:
             fingerprint, losses, cleared = parse_line(line)
+            if not fingerprint:
+                continue
             record = self._records.get(fingerprint) or _Record()
             if losses <= record.losses and cleared <= record.cleared:
                 continue
--- a/knapweedrail/relay/suspects.py
+++ b/knapweedrail/relay/suspects.py
@@ -82,7 +82,12 @@
 
 
 def make_fingerprint(account: str, method: str, target: bytes, body: bytes) -> str:
-    """Return a digest that is the same each time the caller sends a request again."""
+    """Return a digest that is the same each time the caller sends a request again.
+
+    The query counts only without a body: a caller may number its attempts there.
+    """
+    if body:
+        target = target.partition(b"?")[0]
     digest = blake2b(digest_size=10)
     for part in (account.encode(), method.encode(), target, body):
         digest.update(b"%d:" % len(part))
--- a/knapweedrail/tests/test_relay_suspects.py
+++ b/knapweedrail/tests/test_relay_suspects.py
@@ -6,8 +6,15 @@
 import pytest
 
 from ..relay.malformed import MalformedObjects
+from ..relay.models import PromptPart
 from ..relay.suspect_exchange import SuspectExchange
-from ..relay.suspects import CRASH_LIMIT, Suspects, make_fingerprint
+from ..relay.suspects import (
+    CRASH_LIMIT,
+    PART_CRASH_LIMIT,
+    Suspects,
+    make_fingerprint,
+    make_part_fingerprints,
+)
 from .relays_in_memory import MemoryStore
 
 
@@ -112,3 +119,40 @@
         suspects.record_success("harmless", 5.0 * number + 6.0)
         crash(suspects, f"j-{number + 1}", ["harmless"], 5.0 * number + 7.0)
     assert suspects.blocks("bad", 30.0)
+
+
+def test_request_is_the_same_whatever_its_query():
+    """A caller that sends the same path and body again with another query crashes one
+    runner after another. Without a body, only the query tells requests apart."""
+    one = make_fingerprint("farm", "POST", b"/a?try=1", b"x")
+    assert one == make_fingerprint("farm", "POST", b"/a?try=2", b"x")
+    assert one == make_fingerprint("farm", "POST", b"/a", b"x")
+    status = make_fingerprint("farm", "GET", b"/a?job=1", b"")
+    assert status != make_fingerprint("farm", "GET", b"/a?job=2", b"")
+
+
+def test_end_of_all_runners_makes_no_part_of_all_prompts_a_suspect():
+    """All runners of an endpoint end together, and the first part of every prompt was
+    on each of them. If that counted, the endpoint's callers would all be refused."""
+    shared, own = make_part_fingerprints(
+        (PromptPart("a0", 9), PromptPart("b0", 9), PromptPart("c0", 9))
+    )
+    relays = [Suspects() for _ in range(2)]
+    relays[0].record_success(shared, 9.5)
+    lines = [
+        line
+        for number in range(3 * PART_CRASH_LIMIT)
+        for line in crash(relays[number % 2], f"i-{number}", [shared, own], 10.0)
+    ]
+    for relay in (relays[0], relays[1], relays[0]):
+        relay.merge(lines, 10.5)
+        lines = relay.list_serious()
+    assert not any(relay.blocks(shared, 11.0) for relay in relays)
+    assert all(relay.blocks(own, 11.0) for relay in relays)
+
+
+def test_malformed_lines_of_another_relay_change_nothing():
+    suspects = Suspects()
+    lines = ["", "|", "x", "x|", "x||i-0#1", "|i-0#1,i-1#1,i-2#1|", "part:|,,,|,"]
+    assert not suspects.merge(lines, 0.0).changed
+    assert not any(suspects.blocks(text, 1.0) for text in ("x", "part:"))
