Note runners' crashes at once in the soak, and until the last request is over

Answers that a crashed runner broke off were held against relays that were stopping: the crash was noted after its replacement had started, or not at all when the step had ended. Change: a crash is noted when the runner's process is seen to have ended, and the watch goes on for four seconds after the last request.

--- a/knapweedrail/soak/crashers.py
+++ b/knapweedrail/soak/crashers.py
@@ -6,6 +6,7 @@
 import time
 
 import anyio
+import anyio.abc
 import httpx
 
 from ..platform import names
@@ -35,6 +36,10 @@
 WAIT_SECONDS = 3.0
 """How long one of these callers waits for its answer."""
 
+LINGER_SECONDS = 4.0
+"""How long crashed runners are replaced after the last request: relays may still send it
+to a second one."""
+
 OF_PART = 1
 """Bit of a step's variant: requests share a part of their prompts, and differ in all
 else; otherwise all have the same content."""
@@ -58,11 +63,12 @@
         self._step = step
         self._rng = random.Random(f"{step.at} {step.variant}")
         self._count = 0
+        self._over = False
 
     async def run(self) -> None:
         """Send requests and replace crashed runners until the step is over."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._replace_crashed)
+            group.start_soon(self._replace_crashed, group)
             async with (
                 httpx.AsyncClient(timeout=WAIT_SECONDS) as client,
                 anyio.create_task_group() as calls,
@@ -71,8 +77,8 @@
                 while time.monotonic() < end:
                     calls.start_soon(self._send, client)
                     await anyio.sleep(PAUSE_SECONDS)
-            await anyio.sleep(RETURN_SECONDS)
-            group.cancel_scope.cancel()
+            await anyio.sleep(LINGER_SECONDS)
+            self._over = True
 
     async def _send(self, client: httpx.AsyncClient) -> None:
         self._count += 1
@@ -114,18 +120,25 @@
         except httpx.HTTPError as error:
             self._history.crashing_errors.append(repr(error))
 
-    async def _replace_crashed(self) -> None:
+    async def _replace_crashed(self, group: anyio.abc.TaskGroup) -> None:
         while True:
-            for runner in list(self._world.runners):
-                if not runner.busy and not runner.process.is_running():
-                    await self._replace(runner)
+            crashed = [
+                runner
+                for runner in self._world.runners
+                if not runner.busy and not runner.process.is_running()
+            ]
+            if self._over and not crashed:
+                return
+            now = time.monotonic()
+            for runner in crashed:
+                runner.busy = True
+                crash = Disturbance("crash", runner.name, now - SEEN_AFTER_SECONDS, now)
+                self._history.disturbances.append(crash)
+                group.start_soon(self._replace, runner)
             await anyio.sleep(POLL_SECONDS)
 
     async def _replace(self, runner: RunnerHost) -> None:
-        began_at = time.monotonic() - SEEN_AFTER_SECONDS
         await runner.link.set_fault(ANYONE, Fault(Mode.CUT))
         self._world.end_runner(runner)
         await anyio.sleep(RETURN_SECONDS)
         await self._world.add_runner()
-        crash = Disturbance("crash", runner.name, began_at, time.monotonic())
-        self._history.disturbances.append(crash)
