--- a/knapweedrail/soak/crashers.py
+++ b/knapweedrail/soak/crashers.py
@@ -37,7 +37,7 @@
 """How long one of these callers waits for its answer."""
 
 LINGER_SECONDS = 4.0
-"""How long crashed runners are replaced after the last request: relays may still send it
+"""How long crashed runners are replaced after the last request: relays may send it on
 to a second one."""
 
 OF_PART = 1
