--- a/knapweedrail/relay/attempt_records.py
+++ b/knapweedrail/relay/attempt_records.py
@@ -17,9 +17,9 @@
 timeout may be shorter than its work takes, which is no evidence against the runner."""
 
 MIN_SOUND_SECONDS = 1.0
-MIN_SOUND_PARTS = 8
-"""Time since the first part of a stream, and number of its parts, after which the
-prompt doesn't crash the runner. A late event loop reads several parts at once, so the
+MIN_SOUND_PIECES = 8
+"""Time since the first piece of a stream, and number of its pieces, after which the
+prompt doesn't crash the runner. A late event loop reads several pieces at once, so the
 time alone isn't enough."""
 
 SUCCESS_STATUSES = range(200, 300)
@@ -37,9 +37,9 @@
         self._context = context
         self._view = view
         self._prefill_pending = False
-        self._part_count = 0
+        self._piece_count = 0
         self._shows_sound = False
-        self._first_part_at = 0.0
+        self._first_piece_at = 0.0
 
     def record_sent(self) -> None:
         """Record that the request is about to be sent to the runner."""
@@ -125,19 +125,19 @@
         else:
             detector.record_sound(context.fingerprints)
 
-    def record_stream_part(self) -> None:
-        """Record that the runner has sent one more part of a stream.
+    def record_stream_piece(self) -> None:
+        """Record that the runner has sent one more piece of a stream.
 
         A prompt part that crashes runners does so as the answer begins. A runner that
         has written for some time shows that none of the parts does.
         """
         now = time.monotonic()
-        self._part_count += 1
-        if self._part_count == 1:
-            self._first_part_at = now
-        if self._part_count < MIN_SOUND_PARTS or self._shows_sound:
+        self._piece_count += 1
+        if self._piece_count == 1:
+            self._first_piece_at = now
+        if self._piece_count < MIN_SOUND_PIECES or self._shows_sound:
             return
-        if now - self._first_part_at >= MIN_SOUND_SECONDS:
+        if now - self._first_piece_at >= MIN_SOUND_SECONDS:
             self._shows_sound = True
             prompt_parts = self._context.fingerprints[1:]
             self._context.services.crash_detector.record_sound(prompt_parts)
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -312,7 +312,7 @@
         with anyio.move_on_after(self._context.get_remaining_seconds()):
             while data:
                 await self._send_chunk(answer, data)
-                self._recorder.record_stream_part()
+                self._recorder.record_stream_piece()
                 if not self._may_fail_over():
                     # The remaining time already bounds the wait, and a timeout for each
                     # event is expensive if most requests are streams.
--- a/knapweedrail/relay/suspects.py
+++ b/knapweedrail/relay/suspects.py
@@ -199,8 +199,8 @@
     def merge(self, lines: Iterable[str], now: float) -> Merged:
         """Merge the suspects that another relay sent."""
         lines = list(lines)
-        before = {fingerprint for fingerprint in self.list_contents(lines)}
-        before = set(self.list_contents(self.format_serious(before)))
+        known = self.format_serious(self.list_contents(lines))
+        before = set(self.list_contents(known))
         changed = self._quarantine.hear(lines, now)
         for fingerprint in changed:
             if self._is_trusted(fingerprint, now):
