--- a/knapweedrail/tests/test_soak.py
+++ b/knapweedrail/tests/test_soak.py
@@ -99,6 +99,22 @@
     return [finding.promise for finding in judge(history)]
 
 
+@pytest.mark.parametrize(("content", "limit"), [("crash1", 3), ("bad1", 5)])
+def test_content_that_crashes_too_many_runners_is_found(content, limit):
+    """Judges a content that reaches four runners after all relays have to know of it."""
+    crashing = [attrs.evolve(WHOLE, identity=f"c{n}") for n in range(limit + 4)]
+    ran = [
+        attrs.evolve(RUN, identity=f"c{n}", at=n + (n >= limit) * 10.0, crashes=content)
+        for n in range(limit + 4)
+    ]
+    for count, promises in ((limit + 4, ["crash"]), (limit + 3, [])):
+        history = History({}, ran=ran[:count], crashing=crashing)
+        assert [finding.promise for finding in judge(history)] == promises
+    cut = Disturbance("kill", WHOLE.relay, limit + 9.0, limit + 20.0)
+    history = History({}, ran=ran, crashing=crashing, disturbances=[cut])
+    assert judge(history) == []
+
+
 def test_what_is_well_is_no_finding():
     assert judge_all(WHOLE) == []
     assert judge_all(STREAM) == []
