--- a/knapweedrail/tests/test_soak.py
+++ b/knapweedrail/tests/test_soak.py
@@ -101,7 +101,7 @@
 
 @pytest.mark.parametrize(("content", "limit"), [("crash1", 3), ("bad1", 5)])
 def test_content_that_crashes_too_many_runners_is_found(content, limit):
-    """Judges a content that reaches four runners after all relays have to know of it."""
+    """Judges a content that reaches four runners after all relays have to know it."""
     crashing = [attrs.evolve(WHOLE, identity=f"c{n}") for n in range(limit + 4)]
     ran = [
         attrs.evolve(RUN, identity=f"c{n}", at=n + (n >= limit) * 10.0, crashes=content)
