--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -158,7 +158,7 @@
         710,
         "a late entry of a runner's earlier incarnation was ignored",
     )
-    RUNNER_CRASHED = (705, "a runner is gone; the requests that ran there are suspects")
+    RUNNER_CRASHED = (705, "a runner is gone; the contents that ran there are suspects")
 
     EVACUATION_BEGUN = (713, "nothing more is sent to a data centre's runners")
     EVACUATION_ENDED = (
--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -106,9 +106,8 @@
                 context.request.identity, context.fingerprints
             )
             if refusal is not None:
-                return await self._resume_stalled(
-                    last_failure
-                ) or self._end_quarantined(refusal, last_failure)
+                resumed = await self._resume_stalled(last_failure)
+                return resumed or self._end_quarantined(refusal, last_failure)
             view = self._choose_runner()
             if view is None:
                 return await self._resume_stalled(last_failure) or self._fail_request(
--- a/knapweedrail/relay/request_context.py
+++ b/knapweedrail/relay/request_context.py
@@ -87,7 +87,7 @@
         data_centre: Name of this host's data centre.
         rng: Source of random choices and retry-after times.
         metrics: Metrics of this relay.
-        suspects: Requests that may crash runners.
+        suspects: Contents that may crash runners.
         crash_detector: Attributes crashes of runners to requests.
         overload: Load of this host.
         count_relays: Returns the number of relays.
--- a/knapweedrail/relay/suspects.py
+++ b/knapweedrail/relay/suspects.py
@@ -63,6 +63,14 @@
 
 @attrs.frozen
 class _BrokenRequest:
+    """A content whose connection a runner closed.
+
+    Attributes:
+        fingerprint: Its fingerprint.
+        at: When the connection ended, seconds.
+        answered: Whether that may have been the end of a whole answer.
+    """
+
     fingerprint: str
     at: float
     answered: bool = False
@@ -73,8 +81,8 @@
     """What a message of another relay has changed.
 
     Attributes:
-        changed: Lines of contents that ran on several crashed runners.
-        combined: Contents that did so by neither relay's knowledge alone.
+        changed: Changed lines of contents that ran on several crashed runners.
+        combined: Contents of which each of the two relays knew one crash only.
     """
 
     changed: list[str]
--- a/knapweedrail/tests/test_purity.py
+++ b/knapweedrail/tests/test_purity.py
@@ -89,6 +89,7 @@
     "runners",
     "selection",
     "streams",
+    "suspect_spread",
     "suspects",
 ]
 """The relay's modules that decide, and can be tried without network or clock."""
