--- a/knapweedrail/relay/allowances.py
+++ b/knapweedrail/relay/allowances.py
@@ -108,6 +108,16 @@
         """Tokens spent or lent in total; never decreases."""
         return self.spent + sum(loan.total for loan in self.lent.values())
 
+    @property
+    def lent_outstanding(self) -> int:
+        """Tokens lent to others that are neither returned nor known to be spent."""
+        return sum(max(0, loan.outstanding) for loan in self.lent.values())
+
+    @property
+    def borrowed_outstanding(self) -> int:
+        """Tokens borrowed that are neither returned nor spent."""
+        return sum(max(0, loan.outstanding) for loan in self.borrowed.values())
+
     @property
     def available(self) -> int:
         """Tokens that a new request may reserve now."""
--- a/knapweedrail/relay/ledger_updates.py
+++ b/knapweedrail/relay/ledger_updates.py
@@ -284,12 +284,22 @@
         return first is None or time.monotonic() - first < WARM_UP_SECONDS
 
     def _log_plan(self, holding: AccountHolding, plan: Plan) -> None:
-        demand = holding.allowance.demand
+        allowance = holding.allowance
+        demand = allowance.demand
+        grant = plan.ledger.grants.get(self._holder)
+        vesting = grant.vesting if grant else None
         log_event(
             Event.GRANT_PLANNED,
             account=holding.name,
             change=plan.change,
-            available=holding.allowance.available,
+            available=allowance.available,
+            granted=grant.tokens if grant else 0,
+            spent=grant.spent if grant else 0,
+            reserved=allowance.reserved,
+            lent=allowance.lent_outstanding,
+            borrowed=allowance.borrowed_outstanding,
+            opened=vesting.tokens if vesting else None,
+            vesting_rate=vesting.rate if vesting else None,
             rate=round(demand.estimate_rate(time.monotonic())),
             unmet=demand.unmet,
             prepaid=plan.prepaid,
