Draw on the ledgers at each relay of a small fleet

Relays that don't draw themselves borrow seconds of demand ahead; what a borrower has left at its crash is settled by nobody, and what a lender has lent counts as used. Change: in fleets of up to twelve relays each one draws on the ledgers; relays lend only what another one finds neither free nor by itself, and then ask all others.

--- a/knapweedrail/relay/borrowing.py
+++ b/knapweedrail/relay/borrowing.py
@@ -57,7 +57,7 @@
     async def return_excess(self, holding: AccountHolding) -> None:
         """Return borrowed tokens that aren't needed to the account's primary relay."""
         allowance = holding.allowance
-        if holding.borrowing or self._membership.is_primary_for(holding.name):
+        if holding.borrowing or self._membership.draws_on(holding.name):
             return
         if self._holder in holding.ledger.grants:
             # This relay drew on the ledger itself, and returns tokens there.
@@ -141,7 +141,7 @@
             # The second lender of a data centre stands in while the first is
             # unresponsive. If the first answered, the second would only draw on the
             # same ledger, in which the first has found too few tokens.
-            if member.data_centre in answered:
+            if member.data_centre in answered and not self._membership.all_draw:
                 continue
             if self._peers.is_in_backoff(member, now):
                 continue
--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -45,8 +45,9 @@
 class Holdings(Task, TokenLender):
     """Holds tokens by conditional updates of the ledger and by loans.
 
-    For each account, one primary relay per data centre draws on the ledger and lends
-    tokens to the other relays there. A relay that finds no lender draws for itself.
+    In small fleets each relay draws on the ledgers. In larger ones, one primary relay
+    per data centre draws for each account, and lends tokens to the other relays there.
+    A relay that finds no lender draws for itself.
 
     Args:
         store: The platform's store.
@@ -165,13 +166,19 @@
         holding = self._by_account.get(account)
         return float(holding.allowance.available) if holding else 0.0
 
+    def count_lent(self, account: str) -> int:
+        """Return the tokens of an account that this relay has lent in total."""
+        holding = self._by_account.get(account)
+        lent = holding.allowance.lent.values() if holding else ()
+        return sum(loan.total for loan in lent)
+
     def describe(self, account: Account) -> dict[str, Any]:
         """Return the state of an account for a log line, with its age in seconds."""
         holding = self._get_holding(account.name)
         return {
             "available": holding.allowance.available,
             "reserved": holding.allowance.reserved,
-            "keeps": self._membership.is_primary_for(account.name),
+            "keeps": self._membership.draws_on(account.name),
             "prepaid": account.prepaid,
             "free": (account.prepaid or 0) - holding.ledger.committed,
             "held_elsewhere": holding.ledger.count_held(excluding=self._holder),
@@ -200,7 +207,7 @@
     def _start_due_work(self, group: anyio.abc.TaskGroup) -> None:
         """Start the ledger updates and loan messages that are due."""
         for account in self._updater.list_prepaid_accounts():
-            if account.name in self._by_account or self._membership.is_primary_for(
+            if account.name in self._by_account or self._membership.draws_on(
                 account.name
             ):
                 group.start_soon(self._maintain_loans, self._get_holding(account.name))
@@ -217,7 +224,7 @@
     async def _maintain_loans(self, holding: AccountHolding) -> None:
         await self._borrower.return_excess(holding)
         await self._borrower.resolve_unconfirmed(holding)
-        if self._membership.is_primary_for(holding.name):
+        if self._membership.draws_on(holding.name):
             await self._borrower.prompt_settlements(holding)
 
     async def _obtain_tokens(
@@ -230,7 +237,7 @@
         """
         allowance = holding.allowance
         shortage: Shortage | None = None
-        if self._membership.is_primary_for(account.name):
+        if self._membership.draws_on(account.name):
             shortage = await self._updater.draw(holding, account, tokens)
             if allowance.reserve(tokens):
                 return None
--- a/knapweedrail/relay/ledger_updates.py
+++ b/knapweedrail/relay/ledger_updates.py
@@ -199,8 +199,8 @@
             return None
         return holding.plan(
             account,
-            self._membership.count_primaries(),
-            self._membership.is_primary_for(holding.name),
+            self._membership.count_drawing(),
+            self._membership.draws_on(holding.name),
             self._is_warming_up(),
             time.monotonic(),
             self._clock.read(),
--- a/knapweedrail/relay/members.py
+++ b/knapweedrail/relay/members.py
@@ -49,6 +49,11 @@
 RETRY_SECONDS = 0.5
 """Pause between attempts while the store doesn't answer."""
 
+MAX_DRAWING_RELAYS = 12
+"""Number of relays up to which each of them draws on the ledgers itself. Tokens that
+are lent can't be recovered when the borrower's host crashes. In larger fleets so many
+writers would conflict, and only the primaries draw."""
+
 LOCAL_LENDERS = 2
 """Relays of the own data centre to borrow tokens from: the primary of the account, and
 one more while the primary restarts or is partitioned."""
@@ -157,6 +162,8 @@
 
     def list_lenders(self, account: str) -> list[Member]:
         """Return the relays to borrow tokens of an account from, in order."""
+        if self.all_draw:
+            return [member for member in self.list_others() if member.address]
         return order_lenders(
             account, self.list_all(), self.member.data_centre, self.member.holder
         )
@@ -165,6 +172,19 @@
         """Return the number of primaries of an account: one for each data centre."""
         return len({member.data_centre for member in self._members.values()})
 
+    @property
+    def all_draw(self) -> bool:
+        """Whether each relay draws on the ledgers, not only the primaries."""
+        return self.count <= MAX_DRAWING_RELAYS
+
+    def count_drawing(self) -> int:
+        """Return the number of relays that draw on an account's ledger."""
+        return self.count if self.all_draw else self.count_primaries()
+
+    def draws_on(self, account: str) -> bool:
+        """Return whether this relay draws on an account's ledger in advance."""
+        return (self.settled and self.all_draw) or self.is_primary_for(account)
+
     def is_primary_for(self, account: str) -> bool:
         """Return whether this relay draws on the ledger for its data centre.
 
--- a/knapweedrail/standins/tokenfleet.py
+++ b/knapweedrail/standins/tokenfleet.py
@@ -259,6 +259,11 @@
         """Return whether a host draws on the ledger for its data centre."""
         return self.relays[host].membership.is_primary_for(account)
 
+    def count_lent(self, host: str) -> int:
+        """Return the tokens of all accounts that a host has lent so far."""
+        holdings = self.relays[host].holdings
+        return sum(holdings.count_lent(account) for account in self.consumption)
+
     def count_held_by_ended(self, account: str) -> int:
         """Return the tokens of an account at holders that have ended."""
         present = {relay.member.holder for relay in self.relays.values()}
--- a/knapweedrail/tests/test_relay_lending.py
+++ b/knapweedrail/tests/test_relay_lending.py
@@ -9,6 +9,7 @@
 import pytest
 
 from ..relay import holdings as holdings_module
+from ..relay import members as members_module
 from ..relay import peers as peers_module
 from ..relay.holdings import Holdings, compute_refill_pause
 from ..relay.ledger_updates import LEDGER_KIND
@@ -41,6 +42,11 @@
     monkeypatch.setattr(peers_module, "CALL_SECONDS", TEST_TIMEOUT_SECONDS)
 
 
+@pytest.fixture(autouse=True)
+def lend_as_in_large_fleets(monkeypatch):
+    monkeypatch.setattr(members_module, "MAX_DRAWING_RELAYS", 0)
+
+
 class Fleet:
     """Relays that list each other as members, each with a server for the others."""
 
--- a/knapweedrail/tests/test_relay_power_loss.py
+++ b/knapweedrail/tests/test_relay_power_loss.py
@@ -98,6 +98,17 @@
     assert tally.served >= SERVED_SHARE * tally.owed
 
 
+def test_small_fleet_lends_no_tokens_while_the_store_answers():
+    """Guards against loans, which are lost with the borrower's host and unused at the
+    lender's crash."""
+
+    async def scenario(fleet):
+        await fleet.send_for(5.0, KINDS, WEIGHTS)
+        return sum(fleet.count_lent(host) for host in fleet.hosts)
+
+    assert run_scenario(200, 1, scenario) == 0
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_direct_draw_is_settled_by_the_next_incarnation(seed):
     """Guards against tokens that stay out of reach, because the host that drew them
