Bound the use of a crashed relay by a record of its host

A grant's schedule is as old as the last write of its ledger, and vests at twice the demand from then on, also while the host is down. The class: what bounds the use of a holder is written when its grant changes, not when its use does. Change: each host has one object of its own with schedules of all its accounts, written each half second if that saves a hundredth of an account, at once when a request needs more, and at once when the time of day was set. By it nothing vests in the first three seconds. A relay keeps to the ledger's and to the record's schedules; its next process reads the record by the conflict of a conditional write, as an older one would bound too little, and settles by the tighter of both. Warm-up, requests that wait and outages are as before. The state machine of the ledger now writes records with lost, late and unanswered writes; three planted faults of the record overspend.

--- a/knapweedrail/relay/account_holdings.py
+++ b/knapweedrail/relay/account_holdings.py
@@ -7,14 +7,17 @@
 from .allowances import Allowance
 from .grants import (
     MAX_VESTING_SECONDS,
+    RECORD_DELAY_MILLISECONDS,
     VESTING_FACTOR,
     BudgetView,
     VestingTerms,
     is_over_vested,
     plan_change,
     plan_direct_draw,
+    plan_recorded_vesting,
     plan_vesting,
 )
+from .host_records import NO_RECORD, HostRecord
 from .ledgers import (
     AccountLedger,
     Grant,
@@ -54,6 +57,20 @@
     free: int
 
 
+@attrs.frozen
+class RecordPlan:
+    """A planned entry of an account in the host's record.
+
+    Attributes:
+        schedule: Its vesting schedule.
+        saved_share: Part of the prepaid tokens that a crash would lose by the present
+            schedules, but not by this one.
+    """
+
+    schedule: VestingSchedule
+    saved_share: float
+
+
 def estimate_others_rate(ledger: AccountLedger, excluding: str) -> float:
     """Return the demand rate at all holders but one, tokens per second.
 
@@ -154,6 +171,7 @@
         now: float,
         boot_time: BootTime | None = None,
         started: BootTime | None = None,
+        previous: HostRecord = NO_RECORD,
     ) -> Plan | None:
         """Return the ledger as it should be, or ``None`` if no change is due.
 
@@ -172,6 +190,7 @@
             boot_time: Current reading of this host's clock; without it, grants are
                 written without a vesting schedule.
             started: Reading at the start of this relay.
+            previous: The host's record as the previous incarnation left it.
         """
         prepaid = account.prepaid or 0
         known = self.holder in self.ledger.grants
@@ -180,18 +199,16 @@
         if not (is_drawing or list_previous_incarnations(self.ledger, self.holder)):
             return None
         ledger = self.ledger.copy()
-        settled = settle_previous_incarnations(ledger, self.holder, started)
+        settled = settle_previous_incarnations(
+            ledger,
+            self.holder,
+            started,
+            lambda ended: previous.find_schedule(ended, self.name),
+        )
         if not is_drawing:
             return Plan(ledger, 0, settled, prepaid, prepaid - ledger.committed)
         grant = self.allowance.record_spent(ledger)
-        budget = BudgetView(
-            prepaid=prepaid,
-            free=prepaid - ledger.committed,
-            held=ledger.count_held(excluding=self.holder),
-            others_rate=estimate_others_rate(ledger, self.holder),
-            primaries=max(1, primaries),
-            warming_up=warming_up and self.unused_at_first_read,
-        )
+        budget = self._view_budget(ledger, prepaid, primaries, warming_up)
         if is_primary:
             change = plan_change(budget, self.allowance.balance, demand, now)
         else:
@@ -216,6 +233,51 @@
         ledger.grants[self.holder] = Grant(tokens, grant.spent, vesting)
         return Plan(ledger, change, settled, prepaid, budget.free)
 
+    def plan_recorded(
+        self,
+        prepaid: int,
+        primaries: int,
+        warming_up: bool,
+        now: float,
+        boot_time: BootTime,
+    ) -> RecordPlan | None:
+        """Return what the host's record should say; ``None`` without a grant.
+
+        Args:
+            primaries: Number of relays that draw on the ledger.
+            warming_up: Whether this relay has had too little traffic to know its
+                demand.
+        """
+        if self.holder not in self.ledger.grants:
+            return None
+        allowance = self.allowance
+        budget = self._view_budget(self.ledger, prepaid, primaries, warming_up)
+        terms = plan_recorded_vesting(
+            budget, max(0, allowance.free), allowance.demand, now
+        )
+        delay = RECORD_DELAY_MILLISECONDS
+        schedule = VestingSchedule(
+            allowance.used + terms.burst, terms.rate, boot_time, delay
+        )
+        # An idle account must cost no writes.
+        saved = 0
+        if not allowance.demand.is_idle(now):
+            at_risk = allowance.count_available_at(boot_time.uptime + delay)
+            saved = max(0, at_risk - terms.burst)
+        return RecordPlan(schedule, saved / max(1, prepaid))
+
+    def _view_budget(
+        self, ledger: AccountLedger, prepaid: int, primaries: int, warming_up: bool
+    ) -> BudgetView:
+        return BudgetView(
+            prepaid=prepaid,
+            free=prepaid - ledger.committed,
+            held=ledger.count_held(excluding=self.holder),
+            others_rate=estimate_others_rate(ledger, self.holder),
+            primaries=max(1, primaries),
+            warming_up=warming_up and self.unused_at_first_read,
+        )
+
     def _needs_new_schedule(
         self, budget: BudgetView, terms: VestingTerms, boot_time: BootTime | None
     ) -> bool:
@@ -231,7 +293,8 @@
             return False
         if not boot_time.boot.is_same(allowance.schedules[-1].since.boot):
             return True
-        narrow = allowance.demand.unmet > allowance.available < allowance.free
+        available = allowance.available_in_ledger
+        narrow = allowance.demand.unmet > available < allowance.free
         disbursed_since = allowance.disbursed - self.disbursed_at_write
         return narrow or is_over_vested(
             budget, allowance.available, terms, disbursed_since
--- a/knapweedrail/relay/allowances.py
+++ b/knapweedrail/relay/allowances.py
@@ -66,6 +66,8 @@
         schedules: Vesting schedules of its grant: the one in the ledger as last seen,
             and those of later writes that may have taken effect. The one by which the
             fewest tokens have vested applies.
+        record_schedules: The same for the host's record; empty if the record has none
+            for this account.
     """
 
     holder: str
@@ -78,6 +80,7 @@
     lent: dict[str, Loan] = attrs.field(factory=dict)
     demand: Demand = attrs.field(factory=Demand)
     schedules: list[VestingSchedule] = attrs.field(factory=list)
+    record_schedules: list[VestingSchedule] = attrs.field(factory=list)
     _written_off_spent: int = 0
 
     @property
@@ -121,11 +124,21 @@
     @property
     def available(self) -> int:
         """Tokens that a new request may reserve now."""
-        if not self.schedules:
-            return self.free
-        now = self.read_clock()
-        vested = min(vesting.count_vested_at(now) for vesting in self.schedules)
-        return min(self.free, vested - self.used)
+        return self.count_available_at(self.read_clock())
+
+    @property
+    def available_in_ledger(self) -> int:
+        """Tokens that a new request might reserve now if the host's record allowed
+        it."""
+        return self._count_available(self.schedules, self.read_clock())
+
+    def count_available_at(self, uptime: int) -> int:
+        """Return the tokens that requests could reserve at a time if none did before.
+
+        Args:
+            uptime: Milliseconds since the host's boot.
+        """
+        return self._count_available([*self.schedules, *self.record_schedules], uptime)
 
     def reserve(self, tokens: int) -> bool:
         """Reserve tokens if enough are available; return whether it did."""
@@ -189,6 +202,12 @@
         if grant.vesting is not None and grant.vesting not in self.schedules:
             self.schedules.append(grant.vesting)
 
+    def _count_available(self, schedules: list[VestingSchedule], uptime: int) -> int:
+        if not schedules:
+            return self.free
+        vested = min(vesting.count_vested_at(uptime) for vesting in schedules)
+        return min(self.free, vested - self.used)
+
     def _attribute_spending(self, used: int) -> None:
         """Attribute spent tokens to their origin, so that each is reported to the
         ledger once.
--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -90,6 +90,19 @@
 account with little demand has few requests, and they are large compared with its demand
 rate."""
 
+RECORD_DELAY_MILLISECONDS = 3_000
+"""Time after a write of the host's record in which nothing vests by it. A relay that
+reaches the store writes its record sooner, so a crash that is followed by a restart
+within this time loses no tokens that vested with time."""
+
+RECORD_BURST_SECONDS = 0.5
+"""Seconds of demand that vest at once by the host's record, on top of the margin that
+the drawing relays share."""
+
+MAX_RECORD_SHARE = 0.03
+"""Largest share of the remaining budget that vests at once by the records of all
+drawing relays together. A request that finds too few costs a write of the record."""
+
 BURST_SECONDS = 1.0
 """Seconds of demand that vest at once, on top of the margin that the primary relays
 share. Requests arrive at random, and each one that finds too few vested tokens costs a
@@ -286,9 +299,6 @@
         free: Unused tokens of the grant.
     """
     demand_rate = demand.estimate_rate(now)
-    rate = VESTING_FACTOR * demand_rate
-    if not demand.has_reliable_rate(now):
-        rate = max(rate, free / MAX_VESTING_SECONDS)
     burst = (
         MARGIN_REQUESTS * demand.largest / budget.primaries
         + BURST_SECONDS * demand_rate
@@ -296,7 +306,35 @@
     if budget.warming_up:
         # The first requests may come during an outage, and their demand isn't known.
         burst = max(burst, WARM_UP_SHARE * budget.prepaid / budget.primaries)
-    return VestingTerms(int(burst) + demand.unmet, int(rate))
+    return VestingTerms(int(burst) + demand.unmet, _plan_rate(free, demand, now))
+
+
+def plan_recorded_vesting(
+    budget: BudgetView, free: int, demand: Demand, now: float
+) -> VestingTerms:
+    """Return how a grant should vest by the host's record.
+
+    It is designed for crashes soon after a write of the record, which loses what vests
+    at once. During an outage the rest vests as by the ledger, after a delay.
+
+    Args:
+        free: Unused tokens of the grant.
+    """
+    demand_rate = demand.estimate_rate(now)
+    left = max(0, budget.free) + budget.held + free
+    margin = min(MARGIN_REQUESTS * demand.largest, MAX_RECORD_SHARE * left)
+    burst = margin / budget.primaries + RECORD_BURST_SECONDS * demand_rate
+    if budget.warming_up:
+        burst = max(burst, WARM_UP_SHARE * budget.prepaid / budget.primaries)
+    return VestingTerms(int(burst) + demand.unmet, _plan_rate(free, demand, now))
+
+
+def _plan_rate(free: int, demand: Demand, now: float) -> int:
+    """Return the tokens of a grant that should vest per second."""
+    rate = VESTING_FACTOR * demand.estimate_rate(now)
+    if not demand.has_reliable_rate(now):
+        rate = max(rate, free / MAX_VESTING_SECONDS)
+    return int(rate)
 
 
 def is_over_vested(
--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -202,6 +202,7 @@
         if account not in self._by_account:
             allowance = Allowance(self._holder, self._clock.read_milliseconds)
             self._by_account[account] = AccountHolding(account, allowance)
+            self._updater.add(self._by_account[account])
         return self._by_account[account]
 
     def _start_due_work(self, group: anyio.abc.TaskGroup) -> None:
--- a/knapweedrail/relay/ledger_updates.py
+++ b/knapweedrail/relay/ledger_updates.py
@@ -11,9 +11,10 @@
 
 from ..events import Event, log_event
 from ..outcomes import Unavailable, Unknown
-from .account_holdings import FRESH_SECONDS, AccountHolding, Plan
+from .account_holdings import FRESH_SECONDS, AccountHolding, Plan, RecordPlan
 from .boot_clock import BootClock
 from .grants import WARM_UP_SECONDS
+from .host_recorder import HostRecorder
 from .ledgers import AccountLedger, decode_ledger, encode_ledger
 from .malformed import MalformedObjects
 from .members import Membership
@@ -98,6 +99,18 @@
         self._lost_replies = 0
         self._group: anyio.abc.TaskGroup | None = None
         self._running = anyio.Event()
+        self._holdings: dict[str, AccountHolding] = {}
+        self._recorder = HostRecorder(
+            store,
+            self._holder,
+            clock,
+            lambda: list(self._holdings.values()),
+            self._plan_recorded,
+            self._record_outcome,
+            lambda: self.reachable and not self.store_unavailable,
+            changed,
+            self._malformed,
+        )
 
     @property
     def reachable(self) -> bool:
@@ -107,6 +120,7 @@
     def start(self, group: anyio.abc.TaskGroup) -> None:
         """Run updates as tasks of ``group`` from now on."""
         self._group = group
+        group.start_soon(self._recorder.run)
         self._running.set()
 
     def close(self) -> None:
@@ -125,6 +139,10 @@
         accounts = (configuration.accounts if configuration else None) or {}
         return accounts.get(name)
 
+    def add(self, holding: AccountHolding) -> None:
+        """Include an account in the host's record."""
+        self._holdings[holding.name] = holding
+
     async def draw(
         self, holding: AccountHolding, account: Account, tokens: int
     ) -> Shortage | None:
@@ -143,8 +161,12 @@
             shortage = self._find_shortage(holding, account, tokens)
             if shortage is not None:
                 return shortage
-            self.schedule_refresh(holding)
-            while holding.refreshing:
+            allowance = holding.allowance
+            if allowance.available_in_ledger < tokens:
+                self.schedule_refresh(holding)
+            if allowance.record_schedules:
+                self._recorder.request_write()
+            while holding.refreshing or self._recorder.pending:
                 await self._changed.wait()
             if holding.allowance.available >= tokens:
                 return None
@@ -205,12 +227,26 @@
             time.monotonic(),
             self._clock.read(),
             self._clock.started,
+            self._recorder.previous,
+        )
+
+    def _plan_recorded(self, holding: AccountHolding) -> RecordPlan | None:
+        """Return what the host's record should say of an account."""
+        account = self.find_account(holding.name)
+        if account is None or account.prepaid is None:
+            return None
+        return holding.plan_recorded(
+            account.prepaid,
+            self._membership.count_drawing(),
+            self._is_warming_up(),
+            time.monotonic(),
+            self._clock.read(),
         )
 
     async def _refresh(self, holding: AccountHolding) -> None:
         """Update an account's grant as planned."""
         try:
-            if not await self._peek(holding):
+            if not (await self._recorder.load() and await self._peek(holding)):
                 return
             for _ in range(MAX_WRITE_ATTEMPTS):
                 plan = self.plan(holding)
--- a/knapweedrail/relay/ledgers.py
+++ b/knapweedrail/relay/ledgers.py
@@ -7,8 +7,8 @@
 
 A holder is one incarnation of a relay process. The grant of an ended holder stays in
 the ledger until the next incarnation on the same host settles it: tokens that may have
-been used count as used, and the rest is free again. The grant's vesting schedule bounds
-what may have been used.
+been used count as used, and the rest is free again. The vesting schedules of the grant
+and of the host's record bound what may have been used.
 
 The ledger doesn't record loans between holders. A relay whose lender has ended may
 return tokens to another relay. A grant is therefore a net figure, and may be negative
@@ -49,6 +49,7 @@
 class Evidence(enum.Enum):
     """Basis on which the use of an ended holder is determined."""
 
+    RECORD = "its host's record opened with time, on this boot's clock"
     VESTING = "its grant opened with time, on this boot's clock"
     NO_VESTING = "its grant was open as a whole"
     OTHER_BOOT = "the host may have started anew since"
@@ -63,7 +64,7 @@
         spent: Tokens reported as spent.
         used: Tokens that count as used from now on.
         evidence: Basis of that number.
-        vesting: Vesting schedule of the grant as last written.
+        vesting: The vesting schedule that was applied.
         elapsed: Milliseconds from that write to the latest time at which the holder can
             have ended; ``None`` if unknown.
     """
@@ -162,7 +163,10 @@
 
 
 def settle_previous_incarnations(
-    ledger: AccountLedger, holder: str, started: BootTime | None = None
+    ledger: AccountLedger,
+    holder: str,
+    started: BootTime | None = None,
+    find_recorded: Callable[[str], VestingSchedule | None] = lambda _: None,
 ) -> list[Settlement]:
     """Settle the grants of previous incarnations on a holder's host.
 
@@ -171,32 +175,49 @@
     Args:
         started: When the holder itself started, by which time the others had ended;
             ``None`` if unknown.
+        find_recorded: Returns the schedule of a previous incarnation in the host's
+            record.
 
     Returns:
         One settlement for each previous incarnation.
     """
     settled = []
     for name in list_previous_incarnations(ledger, holder):
-        settlement = _settle_grant(name, ledger.grants.pop(name), started)
+        settlement = _settle_grant(
+            name, ledger.grants.pop(name), started, find_recorded(name)
+        )
         ledger.used += settlement.used
         settled.append(settlement)
     return settled
 
 
-def _settle_grant(holder: str, grant: Grant, started: BootTime | None) -> Settlement:
-    vesting = grant.vesting
-    if vesting is None:
-        evidence = Evidence.NO_VESTING
-        return Settlement(holder, grant.tokens, grant.spent, grant.tokens, evidence)
-    used, evidence = grant.tokens, Evidence.OTHER_BOOT
-    elapsed = started.measure_since(vesting.since) if started else None
-    if elapsed is not None:
+def _settle_grant(
+    holder: str,
+    grant: Grant,
+    started: BootTime | None,
+    recorded: VestingSchedule | None = None,
+) -> Settlement:
+    """Settle a grant by the schedule by which the fewest tokens had vested."""
+    evidence = Evidence.NO_VESTING if grant.vesting is None else Evidence.OTHER_BOOT
+    settlement = Settlement(
+        holder, grant.tokens, grant.spent, grant.tokens, evidence, grant.vesting
+    )
+    for vesting, evidence in (
+        (grant.vesting, Evidence.VESTING),
+        (recorded, Evidence.RECORD),
+    ):
+        if vesting is None or started is None:
+            continue
+        elapsed = started.measure_since(vesting.since)
+        if elapsed is None:
+            continue
         vested = vesting.count_vested_after(elapsed)
         used = min(grant.tokens, max(grant.spent, vested))
-        evidence = Evidence.VESTING
-    return Settlement(
-        holder, grant.tokens, grant.spent, used, evidence, vesting, elapsed
-    )
+        if used < settlement.used or settlement.elapsed is None:
+            settlement = Settlement(
+                holder, grant.tokens, grant.spent, used, evidence, vesting, elapsed
+            )
+    return settlement
 
 
 def release_holder(ledger: AccountLedger, holder: str, returned: int) -> None:
--- a/knapweedrail/relay/vesting.py
+++ b/knapweedrail/relay/vesting.py
@@ -24,7 +24,8 @@
 
 _MILLISECONDS_PER_SECOND = 1000
 
-_FIELD_COUNT = 5
+_FIELD_COUNTS = (5, 6)
+"""Fields of a stored schedule: without and with a delay."""
 
 
 @attrs.frozen
@@ -79,13 +80,16 @@
 
     Attributes:
         tokens: Tokens vested when it was written.
-        rate: Tokens that vest per second after that.
+        rate: Tokens that vest per second after that, once `delay` is over.
         since: When it was written.
+        delay: Milliseconds after the write in which nothing vests. What would have
+            vested in them vests at their end.
     """
 
     tokens: int
     rate: int
     since: BootTime
+    delay: int = 0
 
     def count_vested_at(self, uptime: int) -> int:
         """Return the tokens that have vested by a time.
@@ -101,6 +105,8 @@
         Args:
             elapsed: Milliseconds since it was written.
         """
+        if elapsed < max(0, self.delay):
+            return self.tokens
         return self.tokens + self.rate * max(0, elapsed) // _MILLISECONDS_PER_SECOND
 
 
@@ -108,7 +114,14 @@
     """Return a vesting schedule in its stored form."""
     since = vesting.since
     boot = since.boot
-    return [vesting.tokens, vesting.rate, since.uptime, boot.identity, boot.started_at]
+    fields = [
+        vesting.tokens,
+        vesting.rate,
+        since.uptime,
+        boot.identity,
+        boot.started_at,
+    ]
+    return [*fields, vesting.delay] if vesting.delay else fields
 
 
 def decode_schedule(value: Any) -> VestingSchedule | None:
@@ -117,13 +130,14 @@
     A grant without a schedule counts as fully vested. That costs its tokens if the
     holder crashes, but never lets them be used twice.
     """
-    if not isinstance(value, list) or len(value) != _FIELD_COUNT:
+    if not isinstance(value, list) or len(value) not in _FIELD_COUNTS:
         return None
-    *numbers, identity, started_at = value
-    integers = [*numbers, started_at]
+    tokens, rate, uptime, identity, started_at, *rest = value
+    delay = rest[0] if rest else 0
+    integers = [tokens, rate, uptime, started_at, delay]
     if not all(type(number) is int for number in integers):
         return None
-    tokens, rate, uptime = numbers
-    if rate < 0 or uptime < 0 or not isinstance(identity, str):
+    if min(rate, uptime, delay) < 0 or not isinstance(identity, str):
         return None
-    return VestingSchedule(tokens, rate, BootTime(Boot(identity, started_at), uptime))
+    since = BootTime(Boot(identity, started_at), uptime)
+    return VestingSchedule(tokens, rate, since, delay)
--- a/knapweedrail/tests/test_relay_ledger.py
+++ b/knapweedrail/tests/test_relay_ledger.py
@@ -7,6 +7,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from ..relay.allowances import Allowance
+from ..relay.host_records import (
+    NO_RECORD,
+    HostRecord,
+    decode_record,
+    encode_record,
+)
 from ..relay.ledgers import (
     AccountLedger,
     Grant,
@@ -16,8 +22,10 @@
     release_holder,
     settle_previous_incarnations,
 )
+from ..relay.stores import StoredObject
 from ..relay.vesting import Boot, BootTime, VestingSchedule
 
+ACCOUNT = "farm"
 PREPAID = 100
 HOSTS = ("a", "b", "c")
 
@@ -25,6 +33,7 @@
 amounts = st.integers(5, 60)
 bursts = st.none() | st.integers(0, 40)
 rates = st.integers(0, 30)
+delays = st.sampled_from([0, 500, 3_000])
 
 
 class HostClock:
@@ -63,7 +72,10 @@
 class Relay:
     """One incarnation of a relay: its allowance and its view of the ledger."""
 
-    def __init__(self, host, incarnation, clock):
+    def __init__(self, host, incarnation, clock, records):
+        self.records = records
+        self.previous = read_record(records)
+        self.record_revision = records.revision
         self.holder = name_holder(host, str(incarnation))
         self.clock = clock
         self.started = clock.read()
@@ -77,11 +89,16 @@
         self.allowance.apply_ledger(self.ledger)
 
 
+def read_record(records):
+    """Returns the record of a host as it is stored."""
+    return decode_record(StoredObject("host", records.revision, records.spec))
+
+
 class Store:
     """One object with a revision; writes may be applied late."""
 
-    def __init__(self):
-        self.spec = encode_ledger(AccountLedger())
+    def __init__(self, spec):
+        self.spec = spec
         self.revision = 0
         self.delayed = []
 
@@ -98,7 +115,8 @@
 
     def __init__(self):
         super().__init__()
-        self.store = Store()
+        self.store = Store(encode_ledger(AccountLedger()))
+        self.records = {host: Store(encode_record(NO_RECORD)) for host in HOSTS}
         self.incarnations = 0
         self.spent = 0
         self.late_returns = []
@@ -107,11 +125,16 @@
 
     def start_relay(self, host):
         self.incarnations += 1
-        return Relay(host, self.incarnations, self.clocks[host])
+        return Relay(host, self.incarnations, self.clocks[host], self.records[host])
 
     def plan(self, relay, change, burst=None, rate=0):
         ledger = relay.ledger.copy()
-        settle_previous_incarnations(ledger, relay.holder, relay.started)
+        settle_previous_incarnations(
+            ledger,
+            relay.holder,
+            relay.started,
+            lambda ended: relay.previous.find_schedule(ended, ACCOUNT),
+        )
         grant = relay.allowance.record_spent(ledger)
         change = min(change, PREPAID - ledger.committed)
         change = max(change, -max(0, relay.allowance.free))
@@ -153,6 +176,40 @@
         assert self.store.write(planned, relay.revision)
         relay.apply_ledger(self.store)
 
+    @rule(
+        host=hosts,
+        outcome=st.sampled_from("aalnx"),
+        burst=st.integers(0, 40),
+        rate=rates,
+        delay=delays,
+        listed=st.booleans(),
+    )
+    def write_record(self, host, outcome, burst, rate, delay, listed=True):
+        """A host's record is written as a ledger is; it may leave the account out."""
+        relay = self.relays[host]
+        allowance = relay.allowance
+        schedules = {}
+        if listed:
+            vested = allowance.used + burst
+            schedule = VestingSchedule(vested, rate, relay.clock.read(), delay)
+            schedules[ACCOUNT] = schedule
+            allowance.record_schedules.append(schedule)
+        spec = encode_record(HostRecord(relay.holder, schedules))
+        if outcome == "l":
+            relay.records.delayed.append((spec, relay.record_revision))
+        elif outcome == "n":
+            relay.records.write(spec, relay.record_revision)
+        elif outcome == "a":
+            if relay.records.write(spec, relay.record_revision):
+                allowance.record_schedules = list(schedules.values())
+            relay.record_revision = relay.records.revision
+
+    @rule(host=hosts)
+    def apply_late_record(self, host):
+        records = self.records[host]
+        if records.delayed:
+            records.write(*records.delayed.pop(0))
+
     @rule()
     @precondition(lambda self: self.store.delayed)
     def apply_late_write(self):
--- a/knapweedrail/tests/test_relay_ledger_faults.py
+++ b/knapweedrail/tests/test_relay_ledger_faults.py
@@ -6,19 +6,20 @@
 
 from ..relay import ledgers
 from ..relay.allowances import Allowance
+from ..relay.host_records import HostRecord
 from ..relay.vesting import Boot
 from .test_relay_ledger import PrepaidTokens, PrepaidTokensWithoutBootIds
 
 _settle_grant = ledgers._settle_grant
 
 
-def settle_at_reported_spending(holder, grant, started):
+def settle_at_reported_spending(holder, grant, started, recorded=None):
     """Counts only the spending that an ended holder had reported."""
     evidence = ledgers.Evidence.VESTING
     return ledgers.Settlement(holder, grant.tokens, grant.spent, grant.spent, evidence)
 
 
-def ignore_vesting_rate(holder, grant, started):
+def ignore_vesting_rate(holder, grant, started, recorded=None):
     """Ignores the tokens that have vested since the last write."""
     vesting = grant.vesting and attrs.evolve(grant.vesting, rate=0)
     return _settle_grant(holder, attrs.evolve(grant, vesting=vesting), started)
@@ -77,7 +78,57 @@
     machine.lose_power("a", new_uptime=5_000, downtime=1_000)
 
 
+def ignore_record(self):
+    """Lets a holder use what its host's record doesn't allow."""
+    return self.available_in_ledger
+
+
+def bound_by_older_record(holder, grant, started, recorded=None):
+    """Assumes that nothing vests by the host's record after its delay."""
+    recorded = recorded and attrs.evolve(recorded, rate=0)
+    return _settle_grant(holder, grant, started, recorded)
+
+
+def apply_record_of_another_holder(self, holder, account):
+    """Takes the record of one incarnation for that of another."""
+    return self.schedules.get(account)
+
+
+def use_more_than_recorded(machine):
+    machine.refill("a", 60, burst=60, rate=0)
+    machine.write_record("a", "a", burst=10, rate=0, delay=0)
+    machine.spend("a", kept=0)
+
+
+def use_what_vests_by_the_record(machine):
+    machine.refill("a", 60, burst=60, rate=0)
+    machine.write_record("a", "a", burst=10, rate=20, delay=500)
+    machine.advance_clocks(2_000)
+    machine.spend("a", kept=0)
+
+
+def use_before_the_first_record(machine):
+    machine.refill("a", 60, burst=0, rate=0)
+    machine.write_record("a", "a", burst=0, rate=0, delay=0)
+    machine.crash("a")
+    machine.refill("a", 100, burst=100, rate=0)
+    machine.spend("a", kept=0)
+
+
 FAULTS = [
+    (Allowance, "available", property(ignore_record), use_more_than_recorded),
+    (
+        ledgers,
+        "_settle_grant",
+        bound_by_older_record,
+        use_what_vests_by_the_record,
+    ),
+    (
+        HostRecord,
+        "find_schedule",
+        apply_record_of_another_holder,
+        use_before_the_first_record,
+    ),
     (ledgers, "_settle_grant", settle_at_reported_spending, use_more_than_vested),
     (ledgers, "_settle_grant", ignore_vesting_rate, use_what_vests),
     (Allowance, "available", property(ignore_vesting), use_more_than_vested),
