Hold less of what is left of a budget

Up to half of what is left was held for outages. Change: MAX_HELD_SHARE 0.5 -> 0.3. Relays that draw for themselves serve more in an outage than they did by loans, so less has to be held for it.

--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -14,7 +14,7 @@
 the store. Applies while much of the budget is left. It is twice the length of most
 outages, as demand may double during one."""
 
-MAX_HELD_SHARE = 0.5
+MAX_HELD_SHARE = 0.3
 """Largest share of the remaining budget that all primary relays together may hold.
 Tokens held by a relay are lost when it crashes. Each primary may hold an even share,
 plus whatever the others leave unused: all callers of an account may use one data
