Tell a step of the time of day from another boot

The class: a check that has one answer for two causes. Change: another boot starts at least by the uptime of the write later.

--- a/knapweedrail/relay/vesting.py
+++ b/knapweedrail/relay/vesting.py
@@ -8,7 +8,8 @@
 
 The holder and its successor on the same host read the same clock, which counts from the
 host's boot. The successor has to verify that it is the same boot: a power loss resets
-the clock, and then it isn't known how long the holder was running.
+the clock, and then it isn't known how long the holder was running. It verifies this by
+the boot's identity and by its start according to the time of day.
 """
 
 from __future__ import annotations
@@ -19,8 +20,15 @@
 
 BOOT_TOLERANCE_MILLISECONDS = 500
 """Largest difference between two estimates of one boot's start. The estimates come from
-the time of day, which is corrected in small steps. A larger step looks like another
-boot, and then the whole grant counts as used."""
+the time of day, which is corrected in small steps."""
+
+MAX_CLOCK_STEP_MILLISECONDS = 10_000
+"""Largest step by which the time of day is expected to be set. A boot's start that
+moved by more is that of another boot, and then the whole grant counts as used."""
+
+MIN_UPTIME_MILLISECONDS = 2 * MAX_CLOCK_STEP_MILLISECONDS
+"""Uptime from which on a step of the time of day is told from another boot, which
+starts later by that uptime at least."""
 
 _MILLISECONDS_PER_SECOND = 1000
 
@@ -65,11 +73,31 @@
     uptime: int
 
     def measure_since(self, earlier: BootTime) -> int | None:
-        """Return the milliseconds since an earlier reading; ``None`` if it may be of
-        another boot."""
-        if not self.boot.is_same(earlier.boot) or self.uptime < earlier.uptime:
+        """Return the most milliseconds that may have passed since an earlier reading;
+        ``None`` if it may be of another boot.
+
+        If the boot's start seems to have moved to a later time, then the time of day
+        was set or the clock stood still, and that time may have passed as well.
+        """
+        if self.uptime < earlier.uptime:
             return None
-        return self.uptime - earlier.uptime
+        elapsed = self.uptime - earlier.uptime
+        if self.boot.is_same(earlier.boot):
+            return elapsed
+        if not self._has_stepped_since(earlier):
+            return None
+        return elapsed + max(0, self.boot.started_at - earlier.boot.started_at)
+
+    def _has_stepped_since(self, earlier: BootTime) -> bool:
+        """Return whether only the time of day was set since an earlier reading."""
+        boot = earlier.boot
+        if not boot.identity or boot.identity != self.boot.identity:
+            return False
+        moved = abs(self.boot.started_at - boot.started_at)
+        return (
+            moved <= MAX_CLOCK_STEP_MILLISECONDS
+            and earlier.uptime >= MIN_UPTIME_MILLISECONDS
+        )
 
 
 @attrs.frozen
--- a/knapweedrail/tests/test_relay_ledger.py
+++ b/knapweedrail/tests/test_relay_ledger.py
@@ -46,7 +46,7 @@
     def __init__(self, has_boot_ids):
         self.has_boot_ids = has_boot_ids
         self.boots = 0
-        self.uptime = 5_000
+        self.uptime = 25_000
         self.time_of_day = 1_000_000
 
     def read(self):
@@ -276,7 +276,7 @@
         for host in HOSTS:
             self.crash(host)
 
-    @rule(host=hosts, new_uptime=st.integers(0, 20_000), downtime=st.integers(0, 3_000))
+    @rule(host=hosts, new_uptime=st.integers(0, 40_000), downtime=st.integers(0, 3_000))
     def lose_power(self, host, new_uptime, downtime):
         self.clocks[host].lose_power(new_uptime, downtime)
         self.crash(host)
--- a/knapweedrail/tests/test_relay_ledger_faults.py
+++ b/knapweedrail/tests/test_relay_ledger_faults.py
@@ -7,7 +7,7 @@
 from ..relay import ledgers
 from ..relay.allowances import Allowance
 from ..relay.host_records import HostRecord
-from ..relay.vesting import Boot
+from ..relay.vesting import Boot, BootTime
 from .test_relay_ledger import PrepaidTokens, PrepaidTokensWithoutBootIds
 
 _settle_grant = ledgers._settle_grant
@@ -75,7 +75,7 @@
     machine.refill("a", 100, burst=0, rate=25)
     machine.advance_clocks(4_000)
     machine.spend("a", kept=0)
-    machine.lose_power("a", new_uptime=5_000, downtime=1_000)
+    machine.lose_power("a", new_uptime=25_000, downtime=1_000)
 
 
 def ignore_record(self):
@@ -115,7 +115,23 @@
     machine.spend("a", kept=0)
 
 
+def ignore_moved_start(self, earlier):
+    """Takes the difference of two uptimes for the time that has passed."""
+    return max(0, self.uptime - earlier.uptime)
+
+
+def restore_snapshot(machine):
+    """The host's clock goes back by three seconds."""
+    machine.advance_clocks(30_000)
+    machine.refill("a", 100, burst=0, rate=25)
+    machine.advance_clocks(4_000)
+    machine.spend("a", kept=0)
+    clock = machine.clocks["a"]
+    machine.lose_power("a", new_uptime=clock.uptime - 3_000, downtime=0)
+
+
 FAULTS = [
+    (BootTime, "measure_since", ignore_moved_start, restore_snapshot),
     (Allowance, "available", property(ignore_record), use_more_than_recorded),
     (
         ledgers,
