Wake waiting requests only after a write of the record that one asked for

Cause: the counter of requests never falls, so each check of the record woke all tasks that wait for tokens, ten times a second. Change: they are woken only if a request asked for a write since the last one.

--- a/knapweedrail/relay/host_recorder.py
+++ b/knapweedrail/relay/host_recorder.py
@@ -123,8 +123,8 @@
                 if self._is_due() and await self.load():
                     await self._write()
             finally:
-                self._served_requests = requests
-                if requests:
+                if requests > self._served_requests:
+                    self._served_requests = requests
                     self._changed.notify_all()
 
     def _is_due(self) -> bool:
