Keep hosts' records to small fleets

A relay also wrote one at each start. Change: only relays of fleets in which each one draws write records; the previous record is read when there is a grant to settle.

--- a/knapweedrail/relay/host_recorder.py
+++ b/knapweedrail/relay/host_recorder.py
@@ -130,11 +130,12 @@
     def _is_due(self) -> bool:
         if not self._is_reachable():
             return False
-        if self.pending or not self._boot.is_same(self._clock.read().boot):
-            return True
-        if time.monotonic() - self._written_at < INTERVAL_SECONDS:
+        urgent = self.pending or not self._boot.is_same(self._clock.read().boot)
+        if not urgent and time.monotonic() - self._written_at < INTERVAL_SECONDS:
             return False
         plans = self._plan_all().values()
+        if urgent:
+            return bool(plans)
         return sum(plan.saved_share for plan in plans) >= MIN_SAVED_SHARE
 
     def _plan_all(self) -> dict[str, RecordPlan]:
--- a/knapweedrail/relay/ledger_updates.py
+++ b/knapweedrail/relay/ledger_updates.py
@@ -15,7 +15,12 @@
 from .boot_clock import BootClock
 from .grants import WARM_UP_SECONDS
 from .host_recorder import HostRecorder
-from .ledgers import AccountLedger, decode_ledger, encode_ledger
+from .ledgers import (
+    AccountLedger,
+    decode_ledger,
+    encode_ledger,
+    list_previous_incarnations,
+)
 from .malformed import MalformedObjects
 from .members import Membership
 from .models import Account, Configuration
@@ -231,9 +236,12 @@
         )
 
     def _plan_recorded(self, holding: AccountHolding) -> RecordPlan | None:
-        """Return what the host's record should say of an account."""
+        """Return what the host's record should say of an account.
+
+        In a large fleet the records of all hosts would be too many writes.
+        """
         account = self.find_account(holding.name)
-        if account is None or account.prepaid is None:
+        if account is None or account.prepaid is None or not self._membership.all_draw:
             return None
         return holding.plan_recorded(
             account.prepaid,
@@ -246,9 +254,11 @@
     async def _refresh(self, holding: AccountHolding) -> None:
         """Update an account's grant as planned."""
         try:
-            if not (await self._recorder.load() and await self._peek(holding)):
+            if not await self._peek(holding):
                 return
             for _ in range(MAX_WRITE_ATTEMPTS):
+                if not await self._prepare_settlement(holding):
+                    return
                 plan = self.plan(holding)
                 if plan is None:
                     break
@@ -263,6 +273,13 @@
             holding.refreshing = False
             self._changed.notify_all()
 
+    async def _prepare_settlement(self, holding: AccountHolding) -> bool:
+        """Read the host's record if a previous incarnation's grant is to be settled;
+        return whether that can be done now."""
+        if not list_previous_incarnations(holding.ledger, self._holder):
+            return True
+        return await self._recorder.load()
+
     async def _peek(self, holding: AccountHolding) -> bool:
         """Peek at an account's ledger if it is likely to have changed.
 
