Lift the bounds of a host's record when no more records are written

Cause: a fleet that grows beyond twelve relays writes no records, and the last one bound its relays for ever: requests that it refused asked for a write that never came. Change: a record without schedules is written then. Result: test_record_binds_no_longer_once_none_are_written failed before.

--- a/knapweedrail/relay/host_recorder.py
+++ b/knapweedrail/relay/host_recorder.py
@@ -32,9 +32,7 @@
 
 MIN_SAVED_SHARE = 0.01
 """Smallest part of an account that such a write must save if the relay crashes, summed
-over the accounts. In a large fleet most relays hold less, and their writes would be
-many."""
-
+over the accounts. Less isn't worth a write."""
 
 MAX_ACCOUNTS = 200
 """Accounts in a record, which bounds the size of the object."""
@@ -134,9 +132,11 @@
         if not urgent and time.monotonic() - self._written_at < INTERVAL_SECONDS:
             return False
         plans = self._plan_all().values()
-        if urgent:
-            return bool(plans)
-        return sum(plan.saved_share for plan in plans) >= MIN_SAVED_SHARE
+        if not plans:
+            # The stored record must not bind a relay that writes no more of them.
+            return any(h.allowance.record_schedules for h in self._list_holdings())
+        saved = sum(plan.saved_share for plan in plans)
+        return urgent or saved >= MIN_SAVED_SHARE
 
     def _plan_all(self) -> dict[str, RecordPlan]:
         """Return plans by account, those that save most."""
--- a/knapweedrail/tests/test_relay_host_records.py
+++ b/knapweedrail/tests/test_relay_host_records.py
@@ -137,6 +137,25 @@
     assert all(holding.allowance.available == 100 for holding in unlisted)
 
 
+async def test_record_binds_no_longer_once_none_are_written():
+    """Guards against refusals at relays of a fleet that has grown too large for
+    records."""
+    store, clock = MemoryStore(), ScriptedClock()
+    holding = make_holding(ACCOUNT, clock)
+    recorder = make_recorder(store, clock, [holding])
+    assert await recorder.load()
+    await recorder._write()
+    assert holding.allowance.available == 10
+    recorder._plan = lambda holding: None
+    async with anyio.create_task_group() as group:
+        group.start_soon(recorder.run)
+        with anyio.fail_after(2):
+            while holding.allowance.available < 100:
+                await anyio.sleep(0.02)
+        group.cancel_scope.cancel()
+    assert read_schedule(store) is None
+
+
 async def test_step_of_the_time_of_day_is_recorded_at_once():
     """Guards against a whole grant that is written off, because the boot in the record
     is taken for another one after the time of day was set."""
