Notice a step of the time of day during a write of the record

Cause: the boot that a record names was noted after its write, so a step while it was under way was not written anew. Change: it is noted before. Result: the tests of records pass; the window itself has no test.

--- a/knapweedrail/relay/host_recorder.py
+++ b/knapweedrail/relay/host_recorder.py
@@ -165,6 +165,7 @@
         A relay keeps to each schedule from before it is sent until a later write is
         known to have replaced it, so it doesn't matter when the write takes effect.
         """
+        boot = self._clock.read().boot
         plans = self._plan_all()
         schedules = {name: plan.schedule for name, plan in plans.items()}
         for holding in self._list_holdings():
@@ -175,7 +176,7 @@
         match outcome:
             case Written(revision):
                 self._revision = revision
-                self._boot = self._clock.read().boot
+                self._boot = boot
                 for holding in self._list_holdings():
                     schedule = schedules.get(holding.name)
                     holding.allowance.record_schedules = [schedule] if schedule else []
