Give the writer of hosts' records one source instead of four callables

Cause: nine arguments, four of them functions, hid that the updater of ledgers is the one source of a record. Change: an abstract base class that it implements; no behaviour. Result: the tests of records, recovery and ledger updates pass.

--- a/knapweedrail/relay/host_recorder.py
+++ b/knapweedrail/relay/host_recorder.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterable
+from abc import ABC, abstractmethod
 
 import anyio
-import anyio.abc
 
 from .account_holdings import AccountHolding, RecordPlan
 from .boot_clock import BootClock
@@ -38,6 +37,26 @@
 """Accounts in a record, which bounds the size of the object."""
 
 
+class RecordSource(ABC):
+    """What a host's record is about, and whether it may be written."""
+
+    @abstractmethod
+    def list_holdings(self) -> list[AccountHolding]:
+        """Return the accounts of the relay."""
+
+    @abstractmethod
+    def plan_record(self, holding: AccountHolding) -> RecordPlan | None:
+        """Return what the record should say of an account; ``None`` for nothing."""
+
+    @abstractmethod
+    def can_write(self) -> bool:
+        """Return whether the store answers, as far as known."""
+
+    @abstractmethod
+    def record_outcome(self, outcome: WriteOutcome, seconds: float) -> None:
+        """Record how the store answered a write, and after how many seconds."""
+
+
 class HostRecorder:
     """Writes the vesting schedules of all accounts of a relay to its host's record.
 
@@ -45,11 +64,8 @@
         store: The platform's store.
         holder: The relay's name as a holder in the ledgers.
         clock: Clock by which grants vest.
-        list_holdings: Returns the accounts of the relay.
-        plan: Returns what the record should say of an account.
-        record_outcome: Called with the outcome of each write and its seconds.
-        is_reachable: Returns whether the store may be called.
-        changed: Notified after each write.
+        source: What the record is about.
+        changed: Notified after a write that a request waits for.
         malformed: Records objects that can't be decoded.
     """
 
@@ -58,10 +74,7 @@
         store: Store,
         holder: str,
         clock: BootClock,
-        list_holdings: Callable[[], Iterable[AccountHolding]],
-        plan: Callable[[AccountHolding], RecordPlan | None],
-        record_outcome: Callable[[WriteOutcome, float], None],
-        is_reachable: Callable[[], bool],
+        source: RecordSource,
         changed: Notifier,
         malformed: MalformedObjects,
     ) -> None:
@@ -69,10 +82,7 @@
         self._holder = holder
         self._host = get_host(holder)
         self._clock = clock
-        self._list_holdings = list_holdings
-        self._plan = plan
-        self._record_outcome = record_outcome
-        self._is_reachable = is_reachable
+        self._source = source
         self._changed = changed
         self._malformed = malformed
         self._previous: HostRecord | None = None
@@ -126,7 +136,7 @@
                     self._changed.notify_all()
 
     def _is_due(self) -> bool:
-        if not self._is_reachable():
+        if not self._source.can_write():
             return False
         urgent = self.pending or not self._boot.is_same(self._clock.read().boot)
         if not urgent and time.monotonic() - self._written_at < INTERVAL_SECONDS:
@@ -134,7 +144,9 @@
         plans = self._plan_all().values()
         if not plans:
             # The stored record must not bind a relay that writes no more of them.
-            return any(h.allowance.record_schedules for h in self._list_holdings())
+            return any(
+                h.allowance.record_schedules for h in self._source.list_holdings()
+            )
         saved = sum(plan.saved_share for plan in plans)
         return urgent or saved >= MIN_SAVED_SHARE
 
@@ -142,8 +154,8 @@
         """Return plans by account, those that save most."""
         plans = {
             holding.name: plan
-            for holding in self._list_holdings()
-            if (plan := self._plan(holding)) is not None
+            for holding in self._source.list_holdings()
+            if (plan := self._source.plan_record(holding)) is not None
         }
         if len(plans) <= MAX_ACCOUNTS:
             return plans
@@ -168,7 +180,7 @@
         boot = self._clock.read().boot
         plans = self._plan_all()
         schedules = {name: plan.schedule for name, plan in plans.items()}
-        for holding in self._list_holdings():
+        for holding in self._source.list_holdings():
             if holding.name in schedules:
                 holding.allowance.record_schedules.append(schedules[holding.name])
         self._written_at = time.monotonic()
@@ -177,7 +189,7 @@
             case Written(revision):
                 self._revision = revision
                 self._boot = boot
-                for holding in self._list_holdings():
+                for holding in self._source.list_holdings():
                     schedule = schedules.get(holding.name)
                     holding.allowance.record_schedules = [schedule] if schedule else []
             case Conflict(stored):
@@ -194,7 +206,7 @@
             outcome = await self._store.create(KIND, self._host, spec)
         else:
             outcome = await self._store.replace(KIND, self._host, spec, self._revision)
-        self._record_outcome(outcome, time.monotonic() - began_at)
+        self._source.record_outcome(outcome, time.monotonic() - began_at)
         return outcome
 
     def _decode(self, stored: StoredObject) -> HostRecord:
--- a/knapweedrail/relay/ledger_updates.py
+++ b/knapweedrail/relay/ledger_updates.py
@@ -14,7 +14,7 @@
 from .account_holdings import FRESH_SECONDS, AccountHolding, Plan, RecordPlan
 from .boot_clock import BootClock
 from .grants import WARM_UP_SECONDS
-from .host_recorder import HostRecorder
+from .host_recorder import HostRecorder, RecordSource
 from .ledgers import (
     AccountLedger,
     decode_ledger,
@@ -69,7 +69,7 @@
 another relay's. Without the peek that costs two calls instead of 1.1."""
 
 
-class LedgerUpdater:
+class LedgerUpdater(RecordSource):
     """Draws tokens on account ledgers, and returns tokens to them.
 
     Args:
@@ -106,15 +106,7 @@
         self._running = anyio.Event()
         self._holdings: dict[str, AccountHolding] = {}
         self._recorder = HostRecorder(
-            store,
-            self._holder,
-            clock,
-            lambda: list(self._holdings.values()),
-            self._plan_recorded,
-            self._record_outcome,
-            lambda: self.reachable and not self.store_unavailable,
-            changed,
-            self._malformed,
+            store, self._holder, clock, self, changed, self._malformed
         )
 
     @property
@@ -206,7 +198,7 @@
             outcome = await self._store.replace(
                 LEDGER_KIND, holding.name, spec, holding.revision
             )
-        self._record_outcome(outcome, time.monotonic() - began_at)
+        self.record_outcome(outcome, time.monotonic() - began_at)
         match outcome:
             case Written(revision):
                 holding.apply_ledger(planned, revision, time.monotonic())
@@ -235,7 +227,10 @@
             self._recorder.previous,
         )
 
-    def _plan_recorded(self, holding: AccountHolding) -> RecordPlan | None:
+    def list_holdings(self) -> list[AccountHolding]:
+        return list(self._holdings.values())
+
+    def plan_record(self, holding: AccountHolding) -> RecordPlan | None:
         """Return what the host's record should say of an account.
 
         In a large fleet the records of all hosts would be too many writes.
@@ -251,6 +246,9 @@
             self._clock.read(),
         )
 
+    def can_write(self) -> bool:
+        return self.reachable and not self.store_unavailable
+
     async def _refresh(self, holding: AccountHolding) -> None:
         """Update an account's grant as planned."""
         try:
@@ -297,7 +295,7 @@
         began_at = time.monotonic()
         peeked = await self._store.peek(LEDGER_KIND, holding.name)
         if isinstance(peeked, Unavailable):
-            self._record_outcome(peeked, time.monotonic() - began_at)
+            self.record_outcome(peeked, time.monotonic() - began_at)
             return False
         now = time.monotonic()
         holding.peeked_at = now
@@ -389,7 +387,7 @@
             return
         holding.apply_ledger(ledger, stored.revision, time.monotonic())
 
-    def _record_outcome(self, outcome: WriteOutcome, seconds: float) -> None:
+    def record_outcome(self, outcome: WriteOutcome, seconds: float) -> None:
         """Record whether the store replied.
 
         A write whose reply is lost at once is retried at once. If the store doesn't
--- a/knapweedrail/tests/test_relay_host_records.py
+++ b/knapweedrail/tests/test_relay_host_records.py
@@ -5,7 +5,7 @@
 
 from ..relay.account_holdings import AccountHolding, RecordPlan
 from ..relay.allowances import Allowance
-from ..relay.host_recorder import MAX_ACCOUNTS, HostRecorder
+from ..relay.host_recorder import MAX_ACCOUNTS, HostRecorder, RecordSource
 from ..relay.host_records import KIND as RECORD_KIND
 from ..relay.host_records import HostRecord, decode_record, encode_record
 from ..relay.ledgers import AccountLedger, Evidence, Grant, settle_previous_incarnations
@@ -33,24 +33,35 @@
     return holding
 
 
-def make_recorder(store, clock, holdings, burst=10, saved_share=1.0):
-    """Makes a recorder whose records let some tokens vest at once."""
+class FixedSource(RecordSource):
+    """Lets the same number of tokens vest at once for each account."""
+
+    def __init__(self, clock, holdings, burst, saved_share):
+        self.clock = clock
+        self.holdings = holdings
+        self.burst = burst
+        self.saved_share = saved_share
+        self.writes_records = True
+
+    def list_holdings(self):
+        return self.holdings
+
+    def plan_record(self, holding):
+        if not self.writes_records:
+            return None
+        vested = holding.allowance.used + self.burst
+        return RecordPlan(make_schedule(self.clock, vested), self.saved_share)
 
-    def plan(holding):
-        vested = holding.allowance.used + burst
-        return RecordPlan(make_schedule(clock, vested), saved_share)
+    def can_write(self):
+        return True
 
-    return HostRecorder(
-        store,
-        HOLDER,
-        clock,
-        lambda: holdings,
-        plan,
-        lambda outcome, seconds: None,
-        lambda: True,
-        Notifier(),
-        MalformedObjects(),
-    )
+    def record_outcome(self, outcome, seconds):
+        pass
+
+
+def make_recorder(store, clock, holdings, burst=10, saved_share=1.0):
+    source = FixedSource(clock, holdings, burst, saved_share)
+    return HostRecorder(store, HOLDER, clock, source, Notifier(), MalformedObjects())
 
 
 def put_record(store, clock, tokens, holder="host/1"):
@@ -146,7 +157,7 @@
     assert await recorder.load()
     await recorder._write()
     assert holding.allowance.available == 10
-    recorder._plan = lambda holding: None
+    recorder._source.writes_records = False
     async with anyio.create_task_group() as group:
         group.start_soon(recorder.run)
         with anyio.fail_after(2):
