--- a/knapweedrail/tests/routers_in_memory.py
+++ b/knapweedrail/tests/routers_in_memory.py
@@ -9,6 +9,7 @@
 
 from knapweedrail.centres import REGISTRY_PREFIX
 from knapweedrail.changes import ConfigurationTask, Peers, Times
+from knapweedrail.decoding import decode_object
 from knapweedrail.models import Holder
 from knapweedrail.registries import (
     Registry,
@@ -37,6 +38,7 @@
     def __init__(self, fleet, router):
         self.fleet = fleet
         self.router = router
+        self.live = ()
 
     def reach(self):
         return [r for r in self.fleet.running if self.fleet.joined(self.router, r)]
@@ -60,9 +62,13 @@
             )
 
     def neighbours(self):
-        value = self.fleet.store.objects.get(REGISTRY_PREFIX + self.router.data_centre)
-        live = decode_registry(value[0]).live() if value else ()
-        return frozenset(live) - {self.router.holder}
+        key = REGISTRY_PREFIX + self.router.data_centre
+        value = self.fleet.store.objects.get(key)
+        # As the members' task does, keeps what was known if the object is unreadable.
+        registry = decode_object(key, value[0], decode_registry) if value else None
+        if isinstance(registry, Registry):
+            self.live = registry.live()
+        return frozenset(self.live) - {self.router.holder}
 
 
 class Router:
