--- a/knapweedrail/tests/test_relay_grants.py
+++ b/knapweedrail/tests/test_relay_grants.py
@@ -4,21 +4,23 @@
 from ..relay.grants import (
     AMPLE_SECONDS,
     MAX_HELD_SHARE,
-    VESTING_FACTOR,
     Balance,
     BudgetView,
     Demand,
-    VestingTerms,
     compute_held_share,
     compute_target,
-    is_over_vested,
     plan_change,
     plan_loan,
-    plan_vesting,
 )
 from ..relay.ledgers import AccountLedger, Grant
 from ..relay.reservations import Shortage, find_shortage
 from ..relay.vesting import Boot, BootTime, VestingSchedule
+from ..relay.vesting_plans import (
+    VESTING_FACTOR,
+    VestingTerms,
+    is_over_vested,
+    plan_vesting,
+)
 
 MILLION = 1_000_000
 
--- a/knapweedrail/tests/test_relay_ledger_faults.py
+++ b/knapweedrail/tests/test_relay_ledger_faults.py
@@ -83,7 +83,7 @@
     return self.available_in_ledger
 
 
-def bound_by_older_record(holder, grant, started, recorded=None):
+def ignore_recorded_rate(holder, grant, started, recorded=None):
     """Assumes that nothing vests by the host's record after its delay."""
     recorded = recorded and attrs.evolve(recorded, rate=0)
     return _settle_grant(holder, grant, started, recorded)
@@ -136,7 +136,7 @@
     (
         ledgers,
         "_settle_grant",
-        bound_by_older_record,
+        ignore_recorded_rate,
         use_what_vests_by_the_record,
     ),
     (
