--- a/knapweedrail/relay/account_holdings.py
+++ b/knapweedrail/relay/account_holdings.py
@@ -5,18 +5,7 @@
 import attrs
 
 from .allowances import Allowance
-from .grants import (
-    MAX_VESTING_SECONDS,
-    RECORD_DELAY_MILLISECONDS,
-    VESTING_FACTOR,
-    BudgetView,
-    VestingTerms,
-    is_over_vested,
-    plan_change,
-    plan_direct_draw,
-    plan_recorded_vesting,
-    plan_vesting,
-)
+from .grants import BudgetView, plan_change, plan_direct_draw
 from .host_records import NO_RECORD, HostRecord
 from .ledgers import (
     AccountLedger,
@@ -27,6 +16,15 @@
 )
 from .models import Account
 from .vesting import BootTime, VestingSchedule
+from .vesting_plans import (
+    MAX_VESTING_SECONDS,
+    RECORD_DELAY_MILLISECONDS,
+    VESTING_FACTOR,
+    VestingTerms,
+    is_over_vested,
+    plan_recorded_vesting,
+    plan_vesting,
+)
 
 FRESH_SECONDS = 1.5
 """Largest age of a view of the ledger by which a request may be refused without another
--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -80,43 +80,6 @@
 """Fewest tokens that are worth a message to return them; about the tokens of a few
 stream events."""
 
-VESTING_FACTOR = 2.0
-"""Rate at which a grant vests, as a multiple of the demand rate. It can't be raised
-during an outage, when demand may double. Tokens that are vested and unused are lost
-when the relay crashes."""
-
-MAX_VESTING_SECONDS = 12.0
-"""Longest time in which a grant vests completely while its demand isn't known. An
-account with little demand has few requests, and they are large compared with its demand
-rate."""
-
-RECORD_DELAY_MILLISECONDS = 3_000
-"""Time after a write of the host's record in which nothing vests by it. A relay that
-reaches the store writes its record sooner, so a crash that is followed by a restart
-within this time loses no tokens that vested with time."""
-
-RECORD_BURST_SECONDS = 0.5
-"""Seconds of demand that vest at once by the host's record, on top of the margin that
-the drawing relays share."""
-
-MAX_RECORD_SHARE = 0.03
-"""Largest share of the remaining budget that vests at once by the records of all
-drawing relays together. A request that finds too few costs a write of the record."""
-
-BURST_SECONDS = 1.0
-"""Seconds of demand that vest at once, on top of the margin that the primary relays
-share. Requests arrive at random, and each one that finds too few vested tokens costs a
-write and a wait, or a loan while the store is unavailable."""
-
-MAX_EXCESS_SHARE = 0.01
-"""Excess of vested tokens above which a primary relay writes a new vesting schedule, as
-a share of the prepaid tokens. Tokens that are vested and unused are lost when the relay
-crashes."""
-
-MIN_DISBURSED_SHARE = 0.5
-"""Fraction of `MAX_EXCESS_SHARE` that must also have been disbursed since the last
-write. This bounds the writes per budget, however long it lasts, and an account without
-demand costs none."""
 
 DEMAND_WINDOW_SECONDS = 8.0
 """Time constant of the demand average, seconds. It is as long as the tokens held have
@@ -175,19 +138,6 @@
         )
 
 
-@attrs.frozen
-class VestingTerms:
-    """Terms of a new vesting schedule.
-
-    Attributes:
-        burst: Tokens beyond those in use that vest at once.
-        rate: Tokens that vest per second after that.
-    """
-
-    burst: int
-    rate: int
-
-
 @attrs.frozen(kw_only=True)
 class BudgetView:
     """What the ledger says about one account, and who shares it.
@@ -287,71 +237,6 @@
     return 0
 
 
-def plan_vesting(
-    budget: BudgetView, free: int, demand: Demand, now: float
-) -> VestingTerms:
-    """Return how a grant should vest.
-
-    It is designed for crashes of one host or of all, while each holds many seconds of
-    demand. What hadn't vested by then returns to the account.
-
-    Args:
-        free: Unused tokens of the grant.
-    """
-    demand_rate = demand.estimate_rate(now)
-    burst = (
-        MARGIN_REQUESTS * demand.largest / budget.primaries
-        + BURST_SECONDS * demand_rate
-    )
-    if budget.warming_up:
-        # The first requests may come during an outage, and their demand isn't known.
-        burst = max(burst, WARM_UP_SHARE * budget.prepaid / budget.primaries)
-    return VestingTerms(int(burst) + demand.unmet, _plan_rate(free, demand, now))
-
-
-def plan_recorded_vesting(
-    budget: BudgetView, free: int, demand: Demand, now: float
-) -> VestingTerms:
-    """Return how a grant should vest by the host's record.
-
-    It is designed for crashes soon after a write of the record, which loses what vests
-    at once. During an outage the rest vests as by the ledger, after a delay.
-
-    Args:
-        free: Unused tokens of the grant.
-    """
-    demand_rate = demand.estimate_rate(now)
-    left = max(0, budget.free) + budget.held + free
-    margin = min(MARGIN_REQUESTS * demand.largest, MAX_RECORD_SHARE * left)
-    burst = margin / budget.primaries + RECORD_BURST_SECONDS * demand_rate
-    if budget.warming_up:
-        burst = max(burst, WARM_UP_SHARE * budget.prepaid / budget.primaries)
-    return VestingTerms(int(burst) + demand.unmet, _plan_rate(free, demand, now))
-
-
-def _plan_rate(free: int, demand: Demand, now: float) -> int:
-    """Return the tokens of a grant that should vest per second."""
-    rate = VESTING_FACTOR * demand.estimate_rate(now)
-    if not demand.has_reliable_rate(now):
-        rate = max(rate, free / MAX_VESTING_SECONDS)
-    return int(rate)
-
-
-def is_over_vested(
-    budget: BudgetView, available: int, terms: VestingTerms, disbursed_since: int
-) -> bool:
-    """Return whether the vested tokens exceed the need by enough to be worth a write.
-
-    Args:
-        disbursed_since: Tokens disbursed since the grant was written.
-    """
-    threshold = MAX_EXCESS_SHARE * budget.prepaid
-    return (
-        available - terms.burst > threshold
-        and disbursed_since >= MIN_DISBURSED_SHARE * threshold
-    )
-
-
 def plan_direct_draw(free: int, available: int, demand: Demand, now: float) -> int:
     """Return the change of the grant of a relay that isn't primary for the account.
 
--- a/knapweedrail/relay/ledger_updates.py
+++ b/knapweedrail/relay/ledger_updates.py
@@ -13,6 +13,7 @@
 from ..outcomes import Unavailable, Unknown
 from .account_holdings import FRESH_SECONDS, AccountHolding, Plan, RecordPlan
 from .boot_clock import BootClock
+from .grant_logs import log_plan, log_settlements
 from .grants import WARM_UP_SECONDS
 from .host_recorder import HostRecorder, RecordSource
 from .ledgers import (
@@ -260,9 +261,9 @@
                 plan = self.plan(holding)
                 if plan is None:
                     break
-                self._log_plan(holding, plan)
+                log_plan(holding, plan, time.monotonic())
                 if await self.write(holding, plan.ledger):
-                    self._log_settled(holding, plan)
+                    log_settlements(holding, plan)
                     break
                 if not self.reachable or self._is_unreadable(holding):
                     break
@@ -334,47 +335,6 @@
         first = self.first_request_at
         return first is None or time.monotonic() - first < WARM_UP_SECONDS
 
-    def _log_plan(self, holding: AccountHolding, plan: Plan) -> None:
-        allowance = holding.allowance
-        demand = allowance.demand
-        grant = plan.ledger.grants.get(self._holder)
-        vesting = grant.vesting if grant else None
-        log_event(
-            Event.GRANT_PLANNED,
-            account=holding.name,
-            change=plan.change,
-            available=allowance.available,
-            granted=grant.tokens if grant else 0,
-            spent=grant.spent if grant else 0,
-            reserved=allowance.reserved,
-            lent=allowance.lent_outstanding,
-            borrowed=allowance.borrowed_outstanding,
-            opened=vesting.tokens if vesting else None,
-            vesting_rate=vesting.rate if vesting else None,
-            rate=round(demand.estimate_rate(time.monotonic())),
-            unmet=demand.unmet,
-            prepaid=plan.prepaid,
-            free=plan.free,
-            revision=holding.revision,
-        )
-
-    def _log_settled(self, holding: AccountHolding, plan: Plan) -> None:
-        for settlement in plan.settled:
-            log_event(
-                Event.GRANT_SETTLED,
-                account=holding.name,
-                holder=settlement.holder,
-                granted=settlement.tokens,
-                spent=settlement.spent,
-                written_off=settlement.written_off,
-                returned=settlement.returned,
-                evidence=settlement.evidence.value,
-                opened=settlement.vesting.tokens if settlement.vesting else None,
-                rate=settlement.vesting.rate if settlement.vesting else None,
-                elapsed=settlement.elapsed,
-                revision=holding.revision,
-            )
-
     def _apply_stored(self, holding: AccountHolding, stored: StoredObject) -> None:
         try:
             ledger = decode_ledger(stored.spec)
