Move the decisions on where and when requests go into one folder

Cause: relay/ has 84 modules side by side; which of them decide where and when a request goes can't be seen from their names. Change: selection, runner_views, queue_wait, cold_starts and brittleness move to relay/scheduling/; no change of behaviour. The test of purity covers the whole folder, and that nothing there imports what acts on decisions. Result: the tests of the moved modules and of purity pass.

--- a/knapweedrail/platform/relays.py
+++ b/knapweedrail/platform/relays.py
@@ -5,7 +5,6 @@
 import socket
 from collections.abc import Callable
 
-from ..relay.cold_starts import BurstAllowance
 from ..relay.evacuations import EvacuationWatcher
 from ..relay.malformed import MalformedObjects
 from ..relay.members import MEMBER_KIND
@@ -13,6 +12,7 @@
 from ..relay.options import RelaySettings
 from ..relay.process import VANISHED_GRACE_SECONDS, Relay
 from ..relay.runners import RunnerTable
+from ..relay.scheduling.cold_starts import BurstAllowance
 from ..relay.store_probe import StoreProbe
 from ..relay.stores import Store
 from ..relay.watchers import ConfigurationWatcher, RunnerWatcher
--- a/knapweedrail/relay/attempt_records.py
+++ b/knapweedrail/relay/attempt_records.py
@@ -9,8 +9,8 @@
 from .models import Framing, RunnerAnswer
 from .request_context import RequestContext
 from .runner_statements import MISDIRECTED, record_statements
-from .runner_views import RunnerView
-from .selection import find_shared_part
+from .scheduling.runner_views import RunnerView
+from .scheduling.selection import find_shared_part
 
 UNRESPONSIVE_SECONDS = 0.5
 """Shortest wait for the first byte that counts as a failure of the runner. A route's
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -15,7 +15,7 @@
 from .models import RunnerAnswer
 from .request_context import Answered, AttemptFailed, FailureKind, RequestContext
 from .runner_statements import MISDIRECTED
-from .runner_views import RunnerView
+from .scheduling.runner_views import RunnerView
 from .stream_origins import make_origin
 
 FIRST_BYTE_FACTOR = 2.0
--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -12,12 +12,12 @@
 from ..outcomes import Ran, Refusal, RefusalKind
 from .attempts import Attempt
 from .models import Route, RunnerIncarnation
-from .queue_wait import compute_retry_after, estimate_shortest_wait
 from .refusals import draw_retry_after
 from .request_context import Answered, AttemptFailed, FailureKind, RequestContext
 from .reservations import Reservation
-from .runner_views import RunnerView
-from .selection import choose_runner
+from .scheduling.queue_wait import compute_retry_after, estimate_shortest_wait
+from .scheduling.runner_views import RunnerView
+from .scheduling.selection import choose_runner
 
 HANDOVER_SECONDS = 0.3
 """Time for which the run of a stalled stream stays open while another runner is asked
--- a/knapweedrail/relay/runner_bounds.py
+++ b/knapweedrail/relay/runner_bounds.py
@@ -9,15 +9,15 @@
 from collections.abc import Sequence
 
 from ..limits import FindStanding, LimitUpdate, measure_next_turn, stand_alone
-from .brittleness import (
+from .models import Endpoint
+from .scheduling.brittleness import (
     Brittleness,
     compute_part,
     compute_sender_rate,
     is_lightly_loaded,
 )
-from .cold_starts import BurstAllowance, make_limit
-from .models import Endpoint
-from .runner_views import RunnerView
+from .scheduling.cold_starts import BurstAllowance, make_limit
+from .scheduling.runner_views import RunnerView
 
 MIN_ANSWER_SECONDS = 0.02
 """Shortest time that an answer is assumed to take where none is known."""
--- a/knapweedrail/relay/runner_directory.py
+++ b/knapweedrail/relay/runner_directory.py
@@ -16,7 +16,7 @@
     RunnerIncarnation,
     RunnerState,
 )
-from .runner_views import RunnerView
+from .scheduling.runner_views import RunnerView
 from .stream_origins import StreamOrigin, make_origin
 from .version_history import VersionHistory
 
--- a/knapweedrail/relay/runner_statements.py
+++ b/knapweedrail/relay/runner_statements.py
@@ -4,8 +4,8 @@
 
 from ..events import Event, log_event
 from .models import RunnerAnswer
-from .runner_views import RunnerView
 from .runners import RunnerTable
+from .scheduling.runner_views import RunnerView
 
 MISDIRECTED = 421
 """Status with which a runner rejects a request addressed to another runner."""
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -8,13 +8,13 @@
 from collections.abc import Iterable
 
 from ..limits import LimitUpdate
-from .cold_starts import BurstAllowance
 from .models import RunnerIncarnation
 from .prefixes import PrefixMemory
 from .reachability import Reachability
 from .runner_bounds import RunnerBounds
 from .runner_directory import RunnerDirectory
-from .runner_views import RunnerView
+from .scheduling.cold_starts import BurstAllowance
+from .scheduling.runner_views import RunnerView
 from .stream_origins import StreamOrigin
 
 REJECTION_BACKOFF_SECONDS = 0.15
--- a/knapweedrail/relay/brittleness.py
+++ b/knapweedrail/relay/scheduling/brittleness.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from ..limits import Standing
+from ...limits import Standing
 
 DIVIDED_SECONDS = 5.0
 """How long after a rejection a relay keeps to its part of the slots. When it ends, each
--- a/knapweedrail/relay/cold_starts.py
+++ b/knapweedrail/relay/scheduling/cold_starts.py
@@ -14,8 +14,8 @@
 
 import attrs
 
-from ..limits import MIN_RATE, USED_SHARE, Standing
-from .models import Endpoint
+from ...limits import MIN_RATE, USED_SHARE, Standing
+from ..models import Endpoint
 
 BURST_SHARE = 0.75
 """Part of a cold runner's largest burst that its senders use together, since relays
--- a/knapweedrail/relay/queue_wait.py
+++ b/knapweedrail/relay/scheduling/queue_wait.py
@@ -8,7 +8,7 @@
 import random
 from collections.abc import Iterable
 
-from .models import Route
+from ..models import Route
 from .runner_views import RunnerView
 
 MAX_WAIT_FACTOR = 0.4
--- a/knapweedrail/relay/runner_views.py
+++ b/knapweedrail/relay/scheduling/runner_views.py
@@ -7,9 +7,9 @@
 
 import attrs
 
-from ..limits import LimitRecord
+from ...limits import LimitRecord
+from ..models import Runner, RunnerIncarnation
 from .cold_starts import ColdState
-from .models import Runner, RunnerIncarnation
 
 LOAD_REPORT_TTL_SECONDS = 1.0
 """Time in which the weight of a runner's load report falls to zero. Requests take a
--- a/knapweedrail/relay/selection.py
+++ b/knapweedrail/relay/scheduling/selection.py
@@ -8,11 +8,11 @@
 import random
 import statistics
 
-from ..hashing import hash_pair
-from .models import CallerRequest, PromptPart, RunnerIncarnation
+from ...hashing import hash_pair
+from ..models import CallerRequest, PromptPart, RunnerIncarnation
+from ..runners import MAX_SLOW_FACTOR, SLOW_FACTOR, RunnerTable
+from ..stream_origins import StreamOrigin
 from .runner_views import RunnerView
-from .runners import MAX_SLOW_FACTOR, SLOW_FACTOR, RunnerTable
-from .stream_origins import StreamOrigin
 
 RUNNING_REQUEST_TOKENS = 60.0
 """Cost of one running request in prompt tokens. Each request that a runner generates
--- a/knapweedrail/standins/brittlefleet.py
+++ b/knapweedrail/standins/brittlefleet.py
@@ -16,9 +16,9 @@
 
 from ..limits import Senders
 from ..relay.models import CallerRequest, Runner, RunnerState
-from ..relay.runner_views import RunnerView
 from ..relay.runners import RunnerTable
-from ..relay.selection import choose_runner
+from ..relay.scheduling.runner_views import RunnerView
+from ..relay.scheduling.selection import choose_runner
 
 ENDPOINT = "e"
 CONTACT_SECONDS = 3.0
--- a/knapweedrail/standins/coldfleet.py
+++ b/knapweedrail/standins/coldfleet.py
@@ -13,11 +13,11 @@
 import attrs
 
 from ..limits import Standing
-from ..relay.cold_starts import BurstAllowance, make_limit
 from ..relay.models import CallerRequest, Endpoint, PromptPart
-from ..relay.runner_views import RunnerView
 from ..relay.runners import RunnerTable
-from ..relay.selection import choose_runner, find_shared_part
+from ..relay.scheduling.cold_starts import BurstAllowance, make_limit
+from ..relay.scheduling.runner_views import RunnerView
+from ..relay.scheduling.selection import choose_runner, find_shared_part
 from .limitfleet import ENDPOINT, LimitFleet, PlayedRelay, make_runner
 
 DATA_CENTRES = 3
--- a/knapweedrail/standins/pausingfleet.py
+++ b/knapweedrail/standins/pausingfleet.py
@@ -4,8 +4,8 @@
 
 import collections
 
-from ..relay.runner_views import RunnerView
 from ..relay.runners import RunnerTable
+from ..relay.scheduling.runner_views import RunnerView
 from .brittlefleet import BrittleFleet, PlayedRunner
 
 SLACK_SECONDS = 0.5
--- a/knapweedrail/tests/test_purity.py
+++ b/knapweedrail/tests/test_purity.py
@@ -87,7 +87,6 @@
     "retries",
     "routes",
     "runners",
-    "selection",
     "streams",
     "suspect_spread",
     "suspects",
@@ -95,7 +94,15 @@
 """The relay's modules that decide, and can be tried without network or clock."""
 
 
-@pytest.mark.parametrize("name", PURE_RELAY)
+SCHEDULING = sorted(path.stem for path in (ROOT / "relay/scheduling").glob("*.py"))
+
+ACTING = {"attempts", "connections", "forwarding", "gateway", "stores"}
+"""Modules of the relay that act on decisions, and that no decision may import."""
+
+
+@pytest.mark.parametrize(
+    "name", PURE_RELAY + [f"scheduling/{name}" for name in SCHEDULING]
+)
 def test_what_decides_in_the_relay_imports_neither_network_nor_clock(name):
     tree = ast.parse((ROOT / "relay" / f"{name}.py").read_text())
     found = set()
@@ -105,3 +112,10 @@
         if isinstance(node, ast.ImportFrom) and not node.level:
             found.add((node.module or "").partition(".")[0])
     assert not found & FORBIDDEN
+
+
+@pytest.mark.parametrize("name", SCHEDULING)
+def test_scheduling_imports_nothing_that_acts_on_its_decisions(name):
+    tree = ast.parse((ROOT / "relay/scheduling" / f"{name}.py").read_text())
+    modules = [node.module or "" for node in ast.walk(tree) if hasattr(node, "module")]
+    assert not {module.rpartition(".")[2] for module in modules} & ACTING
--- a/knapweedrail/tests/test_relay_brittleness.py
+++ b/knapweedrail/tests/test_relay_brittleness.py
@@ -4,9 +4,9 @@
 import pytest
 
 from ..limits import Standing
-from ..relay.brittleness import DIVIDED_SECONDS
 from ..relay.models import RetryPolicy
 from ..relay.runners import RunnerTable
+from ..relay.scheduling.brittleness import DIVIDED_SECONDS
 from ..standins.brittlefleet import BrittleFleet
 from .relays_in_memory import (
     ScriptedRunner,
--- a/knapweedrail/tests/test_relay_cold_starts.py
+++ b/knapweedrail/tests/test_relay_cold_starts.py
@@ -11,9 +11,9 @@
 
 from ..limits import Standing, count_senders
 from ..platform.decoding import DecodingError, decode_runner
-from ..relay.cold_starts import BurstAllowance, ColdLimit, make_limit
 from ..relay.models import Endpoint
 from ..relay.runners import RunnerTable
+from ..relay.scheduling.cold_starts import BurstAllowance, ColdLimit, make_limit
 from ..standins.coldfleet import (
     COLD_SECONDS,
     ColdFleet,
--- a/knapweedrail/tests/test_relay_queue_wait.py
+++ b/knapweedrail/tests/test_relay_queue_wait.py
@@ -7,12 +7,12 @@
 import pytest
 
 from ..relay.models import RetryPolicy
-from ..relay.queue_wait import (
+from ..relay.runners import RunnerTable
+from ..relay.scheduling.queue_wait import (
     MAX_WAIT_FACTOR,
     compute_retry_after,
     estimate_shortest_wait,
 )
-from ..relay.runners import RunnerTable
 from .relays_in_memory import (
     ScriptedRunner,
     make_answer,
--- a/knapweedrail/tests/test_relay_selection.py
+++ b/knapweedrail/tests/test_relay_selection.py
@@ -6,7 +6,7 @@
 from ..relay.models import CallerRequest, PromptPart
 from ..relay.retries import RetryBudget
 from ..relay.runners import RunnerTable
-from ..relay.selection import choose_runner
+from ..relay.scheduling.selection import choose_runner
 from .relays_in_memory import make_runner
 
 
