Read load statements with more than three values

Cause: a load statement was read only with exactly three values. Change: further values are ignored, decimals are read, the fourth is kept as the pace; what can't be read is counted and logged once for each incarnation. The same class: token usage with a third value counted as no tokens, a Keep-Alive time with a decimal part as none. The caller's length hint is decoded.

--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -202,6 +202,7 @@
         728,
         "a starting relay has asked others and the store which contents crash runners",
     )
+    LOAD_UNREADABLE = (729, "a runner states a load that can't be read")
     TUNNELS_OFF = (720, "the address for tunnels can't be bound; none are opened")
     RUNNER_LIMITED = (712, "a runner limits its request rate; 0 if the limit has ended")
     HEADER_UNREAD = (
--- a/knapweedrail/platform/names.py
+++ b/knapweedrail/platform/names.py
@@ -27,6 +27,7 @@
 RUNNER_ID = b"knapweedrail-instance-id"
 MODEL = b"knapweedrail-model"
 TOKENS = b"knapweedrail-token-usage"
+LENGTH_HINT = b"knapweedrail-length-hint"
 PRIORITY = b"knapweedrail-request-priority"
 KEY = b"knapweedrail-key"
 
@@ -87,7 +88,7 @@
         MODEL,
         TOKENS,
         KEY,
-        b"knapweedrail-length-hint",
+        LENGTH_HINT,
         b"accept",
         b"accept-encoding",
         b"content-type",
--- a/knapweedrail/platform/requests.py
+++ b/knapweedrail/platform/requests.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 
+import attrs
 import orjson
 
 from ..limits import read_rate
@@ -34,6 +35,14 @@
 """Largest number of prompt parts that are read; further ones don't affect routing."""
 
 
+LOAD_VALUES = 4
+"""Values of a load statement that are read; further ones are ignored."""
+
+MAX_STATED_REQUESTS = 1_000_000
+MAX_PACE_PERCENT = 100_000
+"""Largest values of a valid load statement."""
+
+
 class PlatformCodec(Codec):
     """Codec for the headers of the platform's callers and runners.
 
@@ -53,6 +62,7 @@
     ) -> CallerRequest | Malformed:
         single: dict[bytes, bytes] = {}
         forwarded = []
+        hinted: float | None = None
         dropped = (
             names.RESERVED_HEADERS
             | names.HOP_BY_HOP_HEADERS
@@ -66,6 +76,8 @@
                 if lower in single:
                     continue
                 single[lower] = value
+            if lower == names.LENGTH_HINT:
+                hinted = _parse_number(value)
             if lower not in dropped and lower not in _REPLACED:
                 forwarded.append((name, value))
         if b"content-length" in single and b"transfer-encoding" in single:
@@ -89,6 +101,7 @@
             deadline=None if deadline is None else deadline / 1000,
             prompt_tokens=prompt,
             max_output_tokens=output,
+            hinted_tokens=hinted,
             parts=_parse_prompt_parts(single.get(names.PROMPT_PREFIX)),
             last_event=None if last_event is None else int(last_event),
             resumes=None if resumes is None else resumes.decode("latin-1").strip(),
@@ -127,7 +140,7 @@
         found = {name.lower(): value for name, value in headers}
         dropped = names.HOP_BY_HOP_HEADERS | _list_connection_headers(headers)
         unknown = found.keys() - dropped - names.KNOWN_ANSWER_HEADERS
-        running, waiting, slots = _parse_load(found.get(names.LOAD))
+        load = _parse_load(found.get(names.LOAD))
         identity = found.get(names.REQUEST_ID)
         runner = found.get(names.RUNNER_ID)
         return RunnerAnswer(
@@ -135,9 +148,11 @@
             identity=None if identity is None else identity.decode("latin-1"),
             sealed=names.SEAL in found,
             not_run=names.NOT_RUN in found or status == 421,
-            running=running,
-            waiting=waiting,
-            slots=slots,
+            running=load.running,
+            waiting=load.waiting,
+            slots=load.slots,
+            pace=load.pace,
+            load_unreadable=load.unreadable,
             event_stream=found.get(b"content-type", b"").startswith(
                 b"text/event-stream"
             ),
@@ -241,10 +256,11 @@
 
 
 def _parse_token_usage(value: bytes | None) -> tuple[int, int]:
-    first, _, second = (value or b"").partition(b",")
-    if not (first.strip().isdigit() and second.strip().isdigit()):
+    """Return the prompt tokens and the most output tokens; ignore further values."""
+    numbers = [_parse_number(text) for text in (value or b"").split(b",")[:2]]
+    if len(numbers) < 2 or numbers[0] is None or numbers[1] is None:
         return 0, 0
-    return int(first), int(second)
+    return math.ceil(numbers[0]), math.ceil(numbers[1])
 
 
 def _parse_prompt_parts(value: bytes | None) -> tuple[PromptPart, ...]:
@@ -256,12 +272,42 @@
     return tuple(parts)
 
 
-def _parse_load(value: bytes | None) -> tuple[int | None, int | None, int | None]:
-    numbers = (value or b"").split(b",")
-    if len(numbers) != 3 or not all(text.strip().isdigit() for text in numbers):
-        return None, None, None
-    running, waiting, slots = (int(text) for text in numbers)
-    return running, waiting, slots
+@attrs.frozen
+class _StatedLoad:
+    """Load that a runner states.
+
+    Attributes:
+        running, waiting, slots: Numbers of requests; ``None`` if not given.
+        pace: How long work takes now, as a multiple of the usual; ``None`` if not
+            given.
+        unreadable: Whether something was stated that can't be read.
+    """
+
+    running: int | None = None
+    waiting: int | None = None
+    slots: int | None = None
+    pace: float | None = None
+    unreadable: bool = False
+
+
+def _parse_load(value: bytes | None) -> _StatedLoad:
+    """Parse running and waiting requests, slots and, if given, the pace in percent.
+
+    Further values are ignored: runners may state more than is known here, and what is
+    known stays readable.
+    """
+    if value is None:
+        return _StatedLoad()
+    texts = value.split(b",", LOAD_VALUES)[:LOAD_VALUES]
+    numbers = [_parse_number(text) for text in texts]
+    counts = [n for n in numbers[:3] if n is not None and n <= MAX_STATED_REQUESTS]
+    if len(counts) < 3:
+        return _StatedLoad(unreadable=True)
+    running, waiting, slots = (math.ceil(count) for count in counts)
+    percent = numbers[3] if len(numbers) > 3 else None
+    if percent is None or not 0 < percent <= MAX_PACE_PERCENT:
+        return _StatedLoad(running, waiting, slots)
+    return _StatedLoad(running, waiting, slots, percent / 100)
 
 
 def _parse_limit(value: bytes | None) -> float | None:
@@ -283,6 +329,6 @@
 def _parse_keep_alive(value: bytes | None) -> float | None:
     for part in (value or b"").split(b","):
         name, _, number = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.isdigit():
-            return float(number)
+        if name.lower() == b"timeout":
+            return _parse_number(number)
     return None
--- a/knapweedrail/relay/attempt_records.py
+++ b/knapweedrail/relay/attempt_records.py
@@ -162,9 +162,28 @@
             self._prefill_pending = False
 
     def _record_load(self, answer: RunnerAnswer) -> None:
+        services, now = self._context.services, time.monotonic()
         if answer.running is not None and answer.waiting is not None:
-            self._context.services.runners.record_load_report(
-                self._view, answer.running, answer.waiting, time.monotonic()
+            services.runners.record_load_report(
+                self._view, answer.running, answer.waiting, now
+            )
+        if answer.pace is not None and self._is_from_runner(answer):
+            services.runners.record_pace(self._view, answer.pace, now)
+        if answer.load_unreadable:
+            self._record_unreadable_load()
+
+    def _record_unreadable_load(self) -> None:
+        """Count a load statement that can't be read, and log a runner's first one."""
+        endpoint = self._view.runner.endpoint
+        metrics = self._context.services.metrics
+        metrics.unreadable_loads.add(1, {"endpoint": endpoint})
+        if not self._view.load_unreadable:
+            self._view.load_unreadable = True
+            log_event(
+                Event.LOAD_UNREADABLE,
+                runner=str(self._view.incarnation),
+                endpoint=endpoint,
+                request=self._context.request.identity,
             )
 
     def _record_cold_left(self, answer: RunnerAnswer) -> None:
--- a/knapweedrail/relay/metrics.py
+++ b/knapweedrail/relay/metrics.py
@@ -50,6 +50,7 @@
         gaps: Longest pause of each stream, seconds, by route.
         tunnels: Connections to runners through other relays by side (``asked`` or
             ``asking``) and outcome.
+        unreadable_loads: Runners' load statements that couldn't be read, by endpoint.
         store_calls: Calls to the store by step, kind and outcome.
         malformed: Objects of the store that couldn't be used, by kind; each revision of
             an object is counted once.
@@ -64,6 +65,9 @@
         self.tunnels = self.make_counter(
             "tunnels", "Connections to runners through other relays"
         )
+        self.unreadable_loads = self.make_counter(
+            "unreadable_loads", "Load statements of runners that couldn't be read"
+        )
         self.store_calls = self.make_counter("store_calls", "Calls to the store")
         self.malformed = self.make_counter(
             "malformed_objects", "Objects of the store that couldn't be used, by kind"
--- a/knapweedrail/relay/models.py
+++ b/knapweedrail/relay/models.py
@@ -206,6 +206,8 @@
         deadline: Seconds for which the caller waits; ``None`` if not given.
         prompt_tokens: Prompt tokens; 0 for a plain call.
         max_output_tokens: Largest number of output tokens; 0 for a plain call.
+        hinted_tokens: The caller's estimate of its output tokens; ``None`` if there is
+            none.
         last_event: Number of the last event that the caller has received, if it
             resumes a stream.
         resumes: Identity of the caller's attempt that brought the first event of the
@@ -223,6 +225,7 @@
     deadline: float | None
     prompt_tokens: int = 0
     max_output_tokens: int = 0
+    hinted_tokens: float | None = None
     parts: tuple[PromptPart, ...] = ()
     last_event: int | None = None
     resumes: str | None = None
@@ -262,6 +265,9 @@
         sealed: Whether the answer has the runner's seal header.
         not_run: Whether the runner reports that it didn't run the request.
         running, waiting, slots: The runner's load; ``None`` if not given.
+        pace: How long work takes there now, as a multiple of the usual; ``None`` if not
+            given.
+        load_unreadable: Whether it states a load that can't be read.
         event_stream: Whether its body is an event stream.
         headers: Headers to forward to the caller.
         idle_seconds: How long the runner keeps an idle connection open; ``None`` if not
@@ -294,6 +300,8 @@
     brittle: float | None = None
     leaving: bool = False
     retry_after: float | None = None
+    pace: float | None = None
+    load_unreadable: bool = False
     unknown_headers: tuple[str, ...] = ()
 
 
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -128,6 +128,29 @@
         view.other_requests_waiting = min(view.other_requests, float(waiting))
         view.reported_at = now
 
+    def record_pace(self, view: RunnerView, pace: float, now: float) -> None:
+        """Record how long work takes at a runner, as it states; 1.0 is usual."""
+        view.pace.record(pace, now)
+
+    def list_paces(self) -> dict[RunnerIncarnation, float]:
+        """Return the lowest pace of each incarnation that has stated one."""
+        return {
+            view.incarnation: view.pace.lowest
+            for view in self._views.values()
+            if view.pace.lowest is not None
+        }
+
+    def merge_paces(self, paces: dict[RunnerIncarnation, float]) -> None:
+        """Merge lowest paces that another relay knows; drop other incarnations'.
+
+        Args:
+            paces: Lowest pace by incarnation.
+        """
+        for incarnation, pace in paces.items():
+            view = self._views.get(incarnation.name)
+            if view is not None and view.incarnation == incarnation:
+                view.pace.merge_lowest(pace)
+
     def merge_limit(self, update: LimitUpdate, now: float) -> bool:
         """Merge a limit received from another relay; return whether it was new."""
         view = self._views.get(update.runner)
--- a/knapweedrail/relay/scheduling/runner_views.py
+++ b/knapweedrail/relay/scheduling/runner_views.py
@@ -10,6 +10,7 @@
 from ...limits import LimitRecord
 from ..models import Runner, RunnerIncarnation
 from .cold_starts import ColdState
+from .paces import PaceRecord
 
 LOAD_REPORT_TTL_SECONDS = 1.0
 """Time in which the weight of a runner's load report falls to zero. Requests take a
@@ -47,6 +48,8 @@
             listed yet.
         limit_record: The rate limit that its answers state, if any.
         cold: Whether it may be cold after a start, and when this relay last sent to it.
+        pace: How long work takes there, as stated in its answers.
+        load_unreadable: Whether it stated a load that can't be read.
         paused_until: Monotonic time until which it wants no requests from this host.
         leaving_since: Monotonic time at which it first said in an answer that it
             leaves; ``None`` before. Its entry in the store may say so seconds later.
@@ -76,6 +79,8 @@
     absent_since: float | None = None
     limit_record: LimitRecord = attrs.field(factory=LimitRecord)
     cold: ColdState = attrs.field(factory=ColdState)
+    pace: PaceRecord = attrs.field(factory=PaceRecord)
+    load_unreadable: bool = False
     paused_until: float = float("-inf")
     leaving_since: float | None = None
     superseded: bool = False
