Place prompts by their cost, runners' pace and prompts' length

Cause: a relay chose among runners by the number of requests, each like another. Change: where runners state a pace, a prompt goes to the runner with the least estimated time to read it, among the prefix's home (rendezvous hash weighted by speed, several for a popular prefix), the runner that recently got the prefix, and two drawn by speed. Short prompts use the fastest runners and long ones the others; the boundary follows the ratio of both demands, so that relays agree without asking. Choices are logged with the answer and counted. Endpoints whose runners state none are served as before.

--- a/knapweedrail/relay/attempt_records.py
+++ b/knapweedrail/relay/attempt_records.py
@@ -10,7 +10,7 @@
 from .request_context import RequestContext
 from .runner_statements import MISDIRECTED, record_statements
 from .scheduling.runner_views import RunnerView
-from .scheduling.selection import find_shared_part
+from .scheduling.workloads import find_shared_part
 
 UNRESPONSIVE_SECONDS = 0.5
 """Shortest wait for the first byte that counts as a failure of the runner. A route's
@@ -37,24 +37,51 @@
         self._context = context
         self._view = view
         self._prefill_pending = False
+        self._prefill_tokens = 0
+        self._long = False
+        self._sent_at = 0.0
+        self._pace = 1.0
         self._piece_count = 0
         self._shows_sound = False
         self._first_piece_at = 0.0
 
     def record_sent(self) -> None:
         """Record that the request is about to be sent to the runner."""
+        now = time.monotonic()
+        self._prefill_tokens = self._estimate_prefill(now)
         self._context.services.runners.record_sent(
             self._view,
-            self._context.request.prompt_tokens,
+            self._prefill_tokens,
             self,
             self._context.priorities.by_account_and_route,
-            time.monotonic(),
+            now,
         )
         self._prefill_pending = True
 
+    def _estimate_prefill(self, now: float) -> int:
+        """Return the tokens that the runner has to prefill, and count the request."""
+        request = self._context.request
+        runners = self._context.services.runners
+        placement = runners.find_placement(self._view.runner.endpoint)
+        if placement is None or not request.parts:
+            return request.prompt_tokens
+        recent = runners.prefixes.find(find_shared_part(request.parts).name, now)
+        cached = recent == self._view.incarnation
+        tokens = placement.estimate_prefill(request.parts, cached)
+        self._long = placement.workload.record_sent(request.parts, tokens, now)
+        self._sent_at = now
+        self._pace = self._view.pace.estimate(now, placement.division.median_pace)
+        return tokens
+
     def record_finished(self) -> None:
         """Record that the runner no longer works on the request."""
-        self._context.services.runners.record_finished(self._view)
+        runners = self._context.services.runners
+        runners.record_finished(self._view)
+        placement = runners.find_placement(self._view.runner.endpoint)
+        if placement is not None and self._sent_at:
+            now = time.monotonic()
+            seconds = (now - self._sent_at) / self._pace
+            placement.workload.record_finished(self._long, seconds, now)
 
     def record_answer(self, answer: RunnerAnswer, sent_at: float) -> None:
         """Record what the head of an answer says about the runner.
@@ -105,10 +132,20 @@
         context.services.runners.record_success(self._view, now - began_at, now)
         self.record_prefill_end()
         self._record_prompt_wait(began_at, abandoned=False)
+        self._record_prefill_rate(now - began_at)
         if context.request.parts:
             shared = find_shared_part(context.request.parts)
             context.services.runners.record_prefix(shared.name, self._view, now)
 
+    def _record_prefill_rate(self, seconds: float) -> None:
+        """Record how long the runner took to read a long prompt, seconds."""
+        runners = self._context.services.runners
+        placement = runners.find_placement(self._view.runner.endpoint)
+        if placement is not None and self._long:
+            placement.workload.record_first_event(
+                self._prefill_tokens, seconds / self._pace
+            )
+
     def record_complete(self, framing: Framing) -> None:
         """Record that the runner has sent a whole answer.
 
@@ -157,8 +194,9 @@
     def record_prefill_end(self) -> None:
         """Record that the runner has read the prompt, or never will."""
         if self._prefill_pending:
-            tokens = self._context.request.prompt_tokens
-            self._context.services.runners.record_prefill_end(self._view, tokens, self)
+            self._context.services.runners.record_prefill_end(
+                self._view, self._prefill_tokens, self
+            )
             self._prefill_pending = False
 
     def _record_load(self, answer: RunnerAnswer) -> None:
--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -261,7 +261,7 @@
         context = self._context
         if context.get_remaining_seconds() <= 0:
             return None
-        return choose_runner(
+        choice = choose_runner(
             context.services.runners,
             context.endpoint.name,
             context.request,
@@ -271,7 +271,19 @@
             context.services.rng,
             context.priorities.by_account_and_route,
             context.origin,
+            context.route.objective,
         )
+        if choice is None:
+            return None
+        context.choice = choice
+        if choice.long is not None:
+            labels = {
+                "endpoint": context.endpoint.name,
+                "prompt": "long" if choice.long else "short",
+                "own_side": choice.own_side,
+            }
+            context.services.metrics.placements.add(1, labels)
+        return choice.view
 
     def _may_retry(self, outcome: AttemptFailed) -> bool:
         """Return whether the request may be retried at another runner.
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -30,6 +30,7 @@
 from .reservations import Reservation, Shortage
 from .response_writer import ResponseWriter, Send
 from .routes import RouteTable, choose_endpoint
+from .scheduling.placement import Choice
 from .stream_origins import StreamOrigin
 from .streams import StreamProgress
 from .suspects import make_fingerprint, make_part_fingerprints
@@ -366,6 +367,7 @@
             seconds=round(now - began_at, 4),
             configuration=table.configuration.version,
             configuration_age=round(now - self._configuration.confirmed_at, 2),
+            **_describe_choice(context.choice),
         )
 
     async def _reserve_tokens(
@@ -418,3 +420,14 @@
         )
         headers = self._services.codec.encode_refusal(identity, refusal.retry_after)
         await response.send_whole(status, headers, body)
+
+
+def _describe_choice(choice: Choice | None) -> dict[str, object]:
+    """Return the fields of a log line on how a runner was chosen by cost."""
+    if choice is None or choice.long is None:
+        return {}
+    return {
+        "prompt": "long" if choice.long else "short",
+        "own_side": choice.own_side,
+        "estimate": round(choice.seconds, 3),
+    }
--- a/knapweedrail/relay/metrics.py
+++ b/knapweedrail/relay/metrics.py
@@ -50,6 +50,8 @@
         gaps: Longest pause of each stream, seconds, by route.
         tunnels: Connections to runners through other relays by side (``asked`` or
             ``asking``) and outcome.
+        placements: Runners chosen by estimated cost, by endpoint, by whether the prompt
+            is long, and by whether the runner serves prompts of that class.
         unreadable_loads: Runners' load statements that couldn't be read, by endpoint.
         store_calls: Calls to the store by step, kind and outcome.
         malformed: Objects of the store that couldn't be used, by kind; each revision of
@@ -65,6 +67,9 @@
         self.tunnels = self.make_counter(
             "tunnels", "Connections to runners through other relays"
         )
+        self.placements = self.make_counter(
+            "placements", "Runners chosen by estimated cost"
+        )
         self.unreadable_loads = self.make_counter(
             "unreadable_loads", "Load statements of runners that couldn't be read"
         )
--- a/knapweedrail/relay/request_context.py
+++ b/knapweedrail/relay/request_context.py
@@ -22,6 +22,7 @@
 from .retries import RetryBudget
 from .routes import Priorities
 from .runners import RunnerTable
+from .scheduling.placement import Choice
 from .stream_origins import StreamOrigin
 from .streams import StreamProgress
 from .suspects import Suspects
@@ -138,6 +139,7 @@
             before the first byte is sent, so that the prompt is charged even if the
             caller disconnects right after.
         origin: What began the stream; ``None`` before its first event.
+        choice: The latest choice of a runner.
     """
 
     services: Services
@@ -154,6 +156,7 @@
     counted_attempts: int = 0
     may_have_run: bool = False
     origin: StreamOrigin | None = None
+    choice: Choice | None = None
 
     @property
     def stream(self) -> str:
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -14,6 +14,7 @@
 from .runner_bounds import RunnerBounds
 from .runner_directory import RunnerDirectory
 from .scheduling.cold_starts import BurstAllowance
+from .scheduling.placement import Placement
 from .scheduling.runner_views import RunnerView
 from .stream_origins import StreamOrigin
 
@@ -69,6 +70,7 @@
         self.bounds = RunnerBounds(burst_allowance)
         self.mean_prompt_tokens = 0.0
         self.prefixes = PrefixMemory()
+        self._placements: dict[str, Placement] = {}
         self._reachability = Reachability()
 
     def record_sent(
@@ -131,6 +133,15 @@
     def record_pace(self, view: RunnerView, pace: float, now: float) -> None:
         """Record how long work takes at a runner, as it states; 1.0 is usual."""
         view.pace.record(pace, now)
+        self._enable_placement(view)
+
+    def find_placement(self, endpoint: str) -> Placement | None:
+        """Return how prompts are placed by cost; ``None`` if no pace is known."""
+        return self._placements.get(endpoint)
+
+    def _enable_placement(self, view: RunnerView) -> None:
+        if view.pace.lowest is not None:
+            self._placements.setdefault(view.runner.endpoint, Placement())
 
     def list_paces(self) -> dict[RunnerIncarnation, float]:
         """Return the lowest pace of each incarnation that has stated one."""
@@ -150,6 +161,7 @@
             view = self._views.get(incarnation.name)
             if view is not None and view.incarnation == incarnation:
                 view.pace.merge_lowest(pace)
+                self._enable_placement(view)
 
     def merge_limit(self, update: LimitUpdate, now: float) -> bool:
         """Merge a limit received from another relay; return whether it was new."""
--- a/knapweedrail/relay/scheduling/selection.py
+++ b/knapweedrail/relay/scheduling/selection.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import statistics
 
@@ -12,7 +13,9 @@
 from ..models import CallerRequest, PromptPart, RunnerIncarnation
 from ..runners import MAX_SLOW_FACTOR, SLOW_FACTOR, RunnerTable
 from ..stream_origins import StreamOrigin
+from .placement import Choice
 from .runner_views import RunnerView
+from .workloads import find_shared_part
 
 RUNNING_REQUEST_TOKENS = 60.0
 """Cost of one running request in prompt tokens. Each request that a runner generates
@@ -30,7 +33,8 @@
     rng: random.Random,
     priority: int | None = None,
     origin: StreamOrigin | None = None,
-) -> RunnerView | None:
+    objective: float = math.inf,
+) -> Choice | None:
     """Return the runner for the next attempt, or ``None`` if there is none.
 
     Handles bursts on a few runners, one of which may be slow or failing, while load
@@ -44,31 +48,27 @@
         now: Monotonic time, seconds.
         priority: Urgency of the request; 0 is the most urgent.
         origin: What began the stream that goes on; ``None`` for a new request.
+        objective: Callers' objective for the time to the first byte, seconds.
     """
+    listed = table.list_views(endpoint, now, origin)
     untried = [
         view
-        for view in table.list_views(endpoint, now, origin)
+        for view in listed
         if view.incarnation not in tried and table.bounds.may_send(view, priority, now)
     ]
     if not untried:
         return None
     available = [view for view in untried if table.is_available(view, now)]
     if not available:
-        return min(untried, key=lambda v: max(v.ejected_until, v.backoff_until))
-    if request.parts:
-        return _choose_by_prefix(table, available, request.parts, now)
-    return _choose_by_load(available, data_centre, now, rng)
-
-
-def find_shared_part(parts: tuple[PromptPart, ...]) -> PromptPart:
-    """Return the part of a prompt by which requests are routed to the same runner.
-
-    The last part belongs to the request alone. The one before it completes the longest
-    prefix shared with other requests, such as the history of a farm, and those requests
-    gain from using the same runner's prefix cache. Earlier parts are so widely shared
-    that every runner soon has them cached.
-    """
-    return parts[-2] if len(parts) >= 2 else parts[0]
+        return Choice(min(untried, key=lambda v: max(v.ejected_until, v.backoff_until)))
+    if not request.parts:
+        return Choice(_choose_by_load(available, data_centre, now, rng))
+    placement = table.find_placement(endpoint)
+    if placement is None:
+        return Choice(_choose_by_prefix(table, available, request.parts, now))
+    placement.divide(listed, now)
+    recent = table.prefixes.find(find_shared_part(request.parts).name, now)
+    return placement.choose(available, request.parts, recent, objective, now, rng)
 
 
 def _choose_by_prefix(
@@ -124,6 +124,8 @@
             view.latency / median_latency if median_latency and view.latency else 1.0
         )
         factor = min(MAX_SLOW_FACTOR, max(1.0, factor))
+        if view.pace.lowest is not None:
+            factor = view.pace.estimate(now, 1.0)
         load = (view.estimate_load(now) + 1) / view.runner.slots * factor
         return round(load, 2), view.runner.data_centre != data_centre, rng.random()
 
--- a/knapweedrail/standins/brittlefleet.py
+++ b/knapweedrail/standins/brittlefleet.py
@@ -130,12 +130,13 @@
         self._call_later(self.rng.expovariate(self._rate), self._arrive)
 
     def _attempt(self, table: RunnerTable, tried: set) -> None:
-        view = choose_runner(
+        choice = choose_runner(
             table, ENDPOINT, _REQUEST, tried, "dc", self._now, self.rng
         )
-        if view is None:
+        if choice is None:
             table.bounds.record_refusal(ENDPOINT, self._now)
             return
+        view = choice.view
         token = object()
         table.record_sent(view, 0, token, None, self._now)
         latency = self.rng.uniform(*LATENCY_SECONDS)
--- a/knapweedrail/standins/coldfleet.py
+++ b/knapweedrail/standins/coldfleet.py
@@ -17,7 +17,8 @@
 from ..relay.runners import RunnerTable
 from ..relay.scheduling.cold_starts import BurstAllowance, make_limit
 from ..relay.scheduling.runner_views import RunnerView
-from ..relay.scheduling.selection import choose_runner, find_shared_part
+from ..relay.scheduling.selection import choose_runner
+from ..relay.scheduling.workloads import find_shared_part
 from .limitfleet import ENDPOINT, LimitFleet, PlayedRelay, make_runner
 
 DATA_CENTRES = 3
@@ -213,12 +214,13 @@
         if self.relays.get(relay.host) is not relay:
             return
         request = self._draw_request()
-        view = choose_runner(
+        choice = choose_runner(
             relay.table, ENDPOINT, request, set(), "dc0", self.now, self._rng, rank
         )
-        if view is None:
+        if choice is None:
             self.refused += 1
             return
+        view = choice.view
         self.sent += 1
         shared = find_shared_part(request.parts)
         known = relay.table.prefixes.find(shared.name, self.now)
--- a/knapweedrail/standins/limitfleet.py
+++ b/knapweedrail/standins/limitfleet.py
@@ -191,12 +191,13 @@
     def _send(self, relay: PlayedRelay, rank: int) -> None:
         if self.relays.get(relay.host) is not relay:
             return
-        view = choose_runner(
+        choice = choose_runner(
             relay.table, ENDPOINT, _REQUEST, set(), "dc", self.now, self._rng, rank
         )
-        if view is None:
+        if choice is None:
             self.refused += 1
             return
+        view = choice.view
         relay.table.record_sent(view, 0, (), None, self.now)
         relay.table.record_prefill_end(view, 0, ())
         runner = self.runners[view.runner.name]
--- a/knapweedrail/tests/test_relay_selection.py
+++ b/knapweedrail/tests/test_relay_selection.py
@@ -34,7 +34,8 @@
 
 def choose(table, request, now=0.0, tried=(), rng=None):
     rng = rng or random.Random(1)
-    return choose_runner(table, "e", request, set(tried), "dc-0", now, rng)
+    choice = choose_runner(table, "e", request, set(tried), "dc-0", now, rng)
+    return None if choice is None else choice.view
 
 
 def find_view(table, name):
