--- a/knapweedrail/relay/reachability.py
+++ b/knapweedrail/relay/reachability.py
@@ -55,6 +55,10 @@
         """Return whether runners of a data centre may get requests."""
         return now >= self._unreachable_until.get(data_centre, float("-inf"))
 
+    def is_every_reachable(self, now: float) -> bool:
+        """Return whether runners of all data centres may get requests."""
+        return all(now >= until for until in self._unreachable_until.values())
+
     def is_partitioned(self, data_centre: str, known: set[str], now: float) -> bool:
         """Return whether a data centre seems to be partitioned from all others.
 
--- a/knapweedrail/relay/runner_bounds.py
+++ b/knapweedrail/relay/runner_bounds.py
@@ -176,6 +176,30 @@
             and self.has_slot_for(view, now)
         )
 
+    def select_open(
+        self, views: Sequence[RunnerView], priority: int | None, now: float
+    ) -> list[RunnerView]:
+        """Return those of an endpoint's runners that `may_send` allows.
+
+        It is called for every request. What depends on the endpoint alone is looked up
+        once, as most endpoints are neither cold nor brittle.
+        """
+        if not views:
+            return []
+        name = views[0].runner.endpoint
+        endpoint, brittleness = self.endpoints.get(name), self._brittleness.get(name)
+        if (endpoint is not None and endpoint.cold_rate > 0) or brittleness is not None:
+            return [view for view in views if self.may_send(view, priority, now)]
+        return [
+            view
+            for view in views
+            if now >= view.paused_until
+            and (
+                view.limit_record.limit is None
+                or self.compute_limit_delay(view, priority, now) <= 0
+            )
+        ]
+
     def compute_wait(
         self, views: Sequence[RunnerView], priority: int | None, now: float
     ) -> float | None:
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -219,6 +219,18 @@
             now
         )
 
+    def select_available(
+        self, views: Iterable[RunnerView], now: float
+    ) -> list[RunnerView]:
+        """Return the runners that `is_available` allows."""
+        if self._reachability.is_every_reachable(now):
+            return [
+                view
+                for view in views
+                if now >= view.ejected_until and now >= view.backoff_until
+            ]
+        return [view for view in views if self.is_available(view, now)]
+
     def readmit(self, incarnations: Iterable[RunnerIncarnation], now: float) -> None:
         """End the ejection of runners that are sound, as another relay reaches them."""
         for incarnation in incarnations:
--- a/knapweedrail/relay/scheduling/placement.py
+++ b/knapweedrail/relay/scheduling/placement.py
@@ -19,9 +19,8 @@
 
 import attrs
 
-from ...hashing import hash_pair
+from ...hashing import combine_hashes, hash_name
 from ..models import PromptPart, RunnerIncarnation
-from .paces import PaceRecord
 from .runner_views import RunnerView
 from .workloads import (
     MIN_REQUESTS,
@@ -31,8 +30,9 @@
     find_shared_part,
 )
 
-REFRESH_SECONDS = 0.5
-"""Age at which the division of the runners is worked out anew."""
+REFRESH_SECONDS = 2.0
+"""Age at which the division of the runners is worked out anew. Runners that come or go
+meanwhile serve long prompts."""
 
 MIN_RUNNERS = 4
 """Smallest number of runners that is divided."""
@@ -62,6 +62,13 @@
 """Runners drawn at random beside the preferred one. With all runners to choose from,
 relays that know the same would all take the same one."""
 
+MIN_DRAWN_PACE = 0.5
+"""Pace up to which a drawn runner is always taken; one of twice that every second
+time."""
+
+MAX_DRAWS = 16
+"""Largest number of draws, in case all runners are slow."""
+
 CROSSING_SHARE = 1 / 3
 """Share of a route's objective by which the estimate has to be better before a request
 crosses to the runners of the other class."""
@@ -74,16 +81,16 @@
     """How an endpoint's runners are divided between long and short prompts.
 
     Attributes:
-        short: Incarnations for short prompts; empty if the runners aren't divided.
+        short: Names of the runners for short prompts; empty if they aren't divided.
         median_pace: Median of the lowest paces, assumed for runners that state none.
     """
 
-    short: frozenset[RunnerIncarnation] = frozenset()
+    short: frozenset[str] = frozenset()
     median_pace: float = 1.0
 
     def is_own(self, view: RunnerView, long: bool) -> bool:
         """Return whether a runner serves a class of prompts."""
-        return not self.short or (view.incarnation in self.short) != long
+        return not self.short or (view.runner.name in self.short) != long
 
 
 @attrs.frozen
@@ -145,17 +152,26 @@
             objective: Callers' objective for the time to the first event, seconds.
         """
         long = self.workload.is_long(count_private_tokens(parts))
-        own = [view for view in views if self.division.is_own(view, long)]
+        own = self._select_side(views, long)
         best = self._choose_among(own or views, parts, long, recent, now, rng)
         if not own or len(own) == len(views):
             return best
         if best.seconds <= CROSSING_SHARE * objective:
             return best
-        others = [view for view in views if not self.division.is_own(view, long)]
+        others = self._select_side(views, not long)
         other = self._choose_among(others, parts, long, recent, now, rng)
         gain = best.seconds - other.seconds
         return other if gain > CROSSING_SHARE * objective else best
 
+    def _select_side(
+        self, views: Sequence[RunnerView], long: bool
+    ) -> Sequence[RunnerView]:
+        """Return the runners that serve a class of prompts."""
+        short = self.division.short
+        if not short:
+            return views
+        return [view for view in views if (view.runner.name in short) != long]
+
     def estimate_prefill(self, parts: tuple[PromptPart, ...], cached: bool) -> int:
         """Return the tokens of a prompt that a runner has to prefill.
 
@@ -207,9 +223,11 @@
         preferred for twice as many prefixes.
         """
 
+        key, default = hash_name(prefix), self.division.median_pace
+
         def compute_rank(view: RunnerView) -> float:
-            position = (hash_pair(prefix, view.runner.name) + 1) / _HASH_RANGE
-            return -math.log(position) * self._get_lowest_pace(view.pace)
+            position = (combine_hashes(key, view.name_hash) + 1) / _HASH_RANGE
+            return -math.log(position) * (view.pace.lowest or default)
 
         homes = self.workload.count_homes(prefix, len(views), now) if long else 1
         if homes == 1:
@@ -220,11 +238,15 @@
         self, views: Sequence[RunnerView], now: float, rng: random.Random
     ) -> list[RunnerView]:
         """Return runners drawn at random, faster ones more often."""
-        if not views:
-            return []
         default = self.division.median_pace
-        weights = [1.0 / view.pace.estimate(now, default) for view in views]
-        return rng.choices(views, weights, k=SAMPLED_RUNNERS)
+        drawn: list[RunnerView] = []
+        for _ in range(MAX_DRAWS if views else 0):
+            view = rng.choice(views)
+            if rng.random() * view.pace.estimate(now, default) < MIN_DRAWN_PACE:
+                drawn.append(view)
+            if len(drawn) == SAMPLED_RUNNERS:
+                break
+        return drawn
 
     def _estimate_seconds(
         self,
@@ -243,9 +265,6 @@
         seconds = tokens / self.workload.prefill_rate * pace
         return seconds + max(0.0, load + 1 - view.runner.slots)
 
-    def _get_lowest_pace(self, pace: PaceRecord) -> float:
-        return self.division.median_pace if pace.lowest is None else pace.lowest
-
 
 def divide_runners(views: Sequence[RunnerView], workload: Workload) -> Division:
     """Divide an endpoint's runners between long and short prompts.
@@ -269,12 +288,11 @@
         return undivided
     ranked = sorted(views, key=lambda view: _rank_fastest_first(view, median))
     count = _count_short_runners(ranked, workload, median)
-    return Division(frozenset(view.incarnation for view in ranked[:count]), median)
+    return Division(frozenset(view.runner.name for view in ranked[:count]), median)
 
 
 def _rank_fastest_first(view: RunnerView, median: float) -> tuple[float, int]:
-    pace = median if view.pace.lowest is None else view.pace.lowest
-    return pace, hash_pair("division", view.runner.name)
+    return view.pace.lowest or median, view.name_hash
 
 
 def _count_short_runners(
@@ -283,31 +301,37 @@
     """Return how many of the fastest runners should serve short prompts."""
     slots = [view.runner.slots for view in ranked]
     speeds = [1.0 / (view.pace.lowest or median) for view in ranked]
-    all_slots, all_speed = sum(slots), sum(speeds)
-    rate = workload.prefill_rate
+    left_slots, left_speed = float(sum(slots)), sum(speeds)
+    short, long = _measure_use(workload, False), _measure_use(workload, True)
     best, least = 1, math.inf
     short_slots = short_speed = 0.0
     for count in range(1, len(ranked)):
         short_slots += slots[count - 1]
         short_speed += speeds[count - 1]
+        left_slots -= slots[count - 1]
+        left_speed -= speeds[count - 1]
         need = max(
-            _measure_use(workload.short, short_slots, short_speed * rate),
-            _measure_use(
-                workload.long, all_slots - short_slots, (all_speed - short_speed) * rate
-            ),
+            short.slots / short_slots,
+            short.prefill / short_speed,
+            long.slots / left_slots,
+            long.prefill / left_speed,
         )
         if need < least:
             best, least = count, need
     return best
 
 
-def _measure_use(demand: ClassDemand, slots: float, prefill_rate: float) -> float:
-    """Return how busy runners are with a class, as a multiple that differs by relay.
+@attrs.frozen
+class _Use:
+    """Slots and speed that a class needs, as multiples that differ by relay."""
 
-    Args:
-        slots: Slots of all the runners.
-        prefill_rate: Prompt tokens that all of them prefill in a second.
-    """
-    occupancy = demand.slot_seconds / (slots * FULL_SLOTS)
-    prefill = demand.tokens / (prefill_rate * FULL_PREFILL)
-    return max(occupancy, prefill)
+    slots: float
+    prefill: float
+
+
+def _measure_use(workload: Workload, long: bool) -> _Use:
+    demand = workload.get_demand(long)
+    return _Use(
+        slots=demand.slot_seconds / FULL_SLOTS,
+        prefill=demand.tokens / workload.prefill_rate / FULL_PREFILL,
+    )
--- a/knapweedrail/relay/scheduling/runner_views.py
+++ b/knapweedrail/relay/scheduling/runner_views.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from ...hashing import hash_name
 from ...limits import LimitRecord
 from ..models import Runner, RunnerIncarnation
 from .cold_starts import ColdState
@@ -24,6 +25,7 @@
     Attributes:
         runner: Its latest entry.
         incarnation: Cached, because every choice among runners compares it.
+        name_hash: Hash of the runner's name, for the same reason.
         running: Number of this relay's requests at the runner.
         pending_prompt_tokens: Prompt tokens of those that have no first byte yet, which
             the runner still has to prefill, one request after another.
@@ -59,6 +61,7 @@
 
     runner: Runner
     incarnation: RunnerIncarnation = attrs.field(init=False)
+    name_hash: int = attrs.field(init=False)
     running: int = 0
     pending_prompt_tokens: int = 0
     awaiting_first_byte: dict[object, tuple[float, int | None]] = attrs.field(
@@ -85,6 +88,10 @@
     leaving_since: float | None = None
     superseded: bool = False
 
+    @name_hash.default
+    def _hash_name(self) -> int:
+        return hash_name(self.runner.name)
+
     @incarnation.default
     def _get_incarnation(self) -> RunnerIncarnation:
         return self.runner.incarnation
--- a/knapweedrail/relay/scheduling/selection.py
+++ b/knapweedrail/relay/scheduling/selection.py
@@ -51,14 +51,12 @@
         objective: Callers' objective for the time to the first byte, seconds.
     """
     listed = table.list_views(endpoint, now, origin)
-    untried = [
-        view
-        for view in listed
-        if view.incarnation not in tried and table.bounds.may_send(view, priority, now)
-    ]
+    untried = table.bounds.select_open(listed, priority, now)
+    if tried:
+        untried = [view for view in untried if view.incarnation not in tried]
     if not untried:
         return None
-    available = [view for view in untried if table.is_available(view, now)]
+    available = table.select_available(untried, now)
     if not available:
         return Choice(min(untried, key=lambda v: max(v.ejected_until, v.backoff_until)))
     if not request.parts:
