Exchange the runners' lowest paces over the links of the update feed

The table logs changes in their order with a counter, so that a link without news compares two numbers. A pace of an incarnation that isn't listed is kept aside and merged once it is; invalid ones are dropped.

--- a/knapweedrail/relay/grpc_links.py
+++ b/knapweedrail/relay/grpc_links.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterable, Iterator
 
+from google.protobuf.message import DecodeError
 from grpclib.client import Channel
 from grpclib.client import Stream as ClientStream
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.server import Stream
 
 from ..addresses import split_address
+from ..wire import relays_pb2
 from ..wire.relays_grpc import RelaysStub
 from ..wire.relays_pb2 import KindNews, NewsReply, NewsRequest
 from .links import (
@@ -22,7 +24,8 @@
     SourceLink,
     SubscriberLink,
 )
-from .models import Member
+from .models import Member, RunnerIncarnation
+from .pace_exchange import RunnerPace
 
 MILLISECONDS = 1000
 
@@ -53,7 +56,9 @@
 
     async def send(self, request: FeedRequest) -> None:
         message = NewsRequest(
-            clock=int(request.clock * MILLISECONDS), revisions=request.revisions
+            clock=int(request.clock * MILLISECONDS),
+            revisions=request.revisions,
+            paces=_encode_paces(request.paces),
         )
         with _translate_errors():
             await self._stream.send_message(message)
@@ -73,7 +78,8 @@
             )
             for kind_news in message.kinds
         ]
-        return FeedReply(message.clock / MILLISECONDS, tuple(kinds))
+        paces = _decode_paces(message.paces)
+        return FeedReply(message.clock / MILLISECONDS, tuple(kinds), paces)
 
 
 class GrpcSubscriberLink(SubscriberLink):
@@ -87,7 +93,11 @@
             message = await self._stream.recv_message()
         if message is None:
             raise LinkLostError("closed by the subscriber")
-        return FeedRequest(message.clock / MILLISECONDS, dict(message.revisions))
+        return FeedRequest(
+            message.clock / MILLISECONDS,
+            dict(message.revisions),
+            _decode_paces(message.paces),
+        )
 
     async def send(self, reply: FeedReply) -> None:
         kinds = [
@@ -101,14 +111,43 @@
             )
             for update in reply.kinds
         ]
-        message = NewsReply(clock=round(reply.clock * MILLISECONDS), kinds=kinds)
+        message = NewsReply(
+            clock=round(reply.clock * MILLISECONDS),
+            kinds=kinds,
+            paces=_encode_paces(reply.paces),
+        )
         with _translate_errors():
             await self._stream.send_message(message)
 
 
+def _encode_paces(paces: Iterable[RunnerPace]) -> list[relays_pb2.RunnerPace]:
+    return [
+        relays_pb2.RunnerPace(
+            runner=pace.incarnation.name,
+            started=pace.incarnation.started,
+            lowest=pace.lowest,
+        )
+        for pace in paces
+    ]
+
+
+def _decode_paces(messages: Iterable[relays_pb2.RunnerPace]) -> tuple[RunnerPace, ...]:
+    """Decode paces of any value; the receiver drops invalid ones."""
+    return tuple(
+        RunnerPace(RunnerIncarnation(each.runner, each.started), each.lowest)
+        for each in messages
+    )
+
+
 @contextlib.contextmanager
 def _translate_errors() -> Iterator[None]:
     try:
         yield
-    except (OSError, GRPCError, ProtocolError, StreamTerminatedError) as error:
+    except (
+        OSError,
+        GRPCError,
+        ProtocolError,
+        StreamTerminatedError,
+        DecodeError,
+    ) as error:
         raise LinkLostError(repr(error)) from error
--- a/knapweedrail/relay/links.py
+++ b/knapweedrail/relay/links.py
@@ -8,6 +8,7 @@
 import attrs
 
 from .models import Member
+from .pace_exchange import RunnerPace
 
 
 class LinkLostError(Exception):
@@ -21,10 +22,12 @@
     Attributes:
         clock: The subscriber's clock, seconds; the next reply returns it.
         revisions: Revision of its replica, by kind; 0 without a replica.
+        paces: Lowest paces of runners not exchanged on this link yet.
     """
 
     clock: float
     revisions: dict[str, int]
+    paces: tuple[RunnerPace, ...] = ()
 
 
 @attrs.frozen
@@ -54,10 +57,12 @@
     Attributes:
         clock: Clock value of the subscriber's last request, seconds.
         kinds: One update for each kind.
+        paces: Lowest paces of runners not exchanged on this link yet.
     """
 
     clock: float
     kinds: tuple[EncodedUpdate, ...]
+    paces: tuple[RunnerPace, ...] = ()
 
 
 class SourceLink(ABC):
--- a/knapweedrail/relay/process.py
+++ b/knapweedrail/relay/process.py
@@ -30,6 +30,7 @@
 from .notifiers import Notifier
 from .options import RelaySettings
 from .overload import OverloadMonitor
+from .pace_exchange import PaceExchange
 from .peers import PeerClient, make_server
 from .request_context import Services
 from .resumptions import Resumptions
@@ -146,6 +147,7 @@
             self._peers,
             GrpcDialer(),
             self._watchers,
+            PaceExchange(runners.table),
             FeedTiming(settings.heartbeat_seconds, settings.heartbeat_timeout_seconds),
             settings.first_start,
         )
--- a/knapweedrail/relay/runner_directory.py
+++ b/knapweedrail/relay/runner_directory.py
@@ -35,6 +35,8 @@
         versions: Software versions that endpoints' runners recently had.
         on_new_version: Called with an endpoint and the time when a runner of another
             version serves it.
+        on_new_incarnation: Called with an incarnation that is newly listed, after its
+            view was added.
     """
 
     def __init__(self, grace_seconds: float) -> None:
@@ -42,6 +44,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.versions = VersionHistory()
         self.on_new_version: Callable[[str, float], None] = lambda endpoint, now: None
+        self.on_new_incarnation: Callable[[RunnerIncarnation], None] = lambda new: None
         self._views: dict[str, RunnerView] = {}
         self._by_endpoint: dict[str, dict[str, RunnerView]] = {}
         self._incarnations = IncarnationTracker()
@@ -135,6 +138,7 @@
             self._supersede(view, now)
             result = EntryResult.RESTARTED
             view = None
+        is_new = view is None
         if view is None:
             view = RunnerView(runner)
             self._views[runner.name] = view
@@ -152,6 +156,8 @@
             self.versions.forget_unknown(runner.endpoint)
         if self.versions.record(runner.endpoint, runner.version, now):
             self.on_new_version(runner.endpoint, now)
+        if is_new:
+            self.on_new_incarnation(runner.incarnation)
         return result
 
     def find_versions(self, endpoint: str, now: float) -> set[str | None]:
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -14,6 +14,7 @@
 from .runner_bounds import RunnerBounds
 from .runner_directory import RunnerDirectory
 from .scheduling.cold_starts import BurstAllowance
+from .scheduling.pace_log import PaceLog
 from .scheduling.placement import Placement
 from .scheduling.runner_views import RunnerView
 from .stream_origins import StreamOrigin
@@ -61,6 +62,7 @@
         bounds: Which of the runners this relay may send to.
         mean_prompt_tokens: Moving average of the prompt tokens per request.
         prefixes: Runners to which prompt prefixes were recently sent.
+        pace_log: Lowest paces of the runners in the order of their changes.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.bounds = RunnerBounds(burst_allowance)
         self.mean_prompt_tokens = 0.0
         self.prefixes = PrefixMemory()
+        self.pace_log = PaceLog()
         self._placements: dict[str, Placement] = {}
         self._reachability = Reachability()
 
@@ -132,7 +135,8 @@
 
     def record_pace(self, view: RunnerView, pace: float, now: float) -> None:
         """Record how long work takes at a runner, as it states; 1.0 is usual."""
-        view.pace.record(pace, now)
+        if view.pace.record(pace, now) and not view.superseded:
+            self._record_lowest_pace(view)
         self._enable_placement(view)
 
     def find_placement(self, endpoint: str) -> Placement | None:
@@ -160,9 +164,14 @@
         for incarnation, pace in paces.items():
             view = self._views.get(incarnation.name)
             if view is not None and view.incarnation == incarnation:
-                view.pace.merge_lowest(pace)
+                if view.pace.merge_lowest(pace):
+                    self._record_lowest_pace(view)
                 self._enable_placement(view)
 
+    def _record_lowest_pace(self, view: RunnerView) -> None:
+        if view.pace.lowest is not None:
+            self.pace_log.record(view.incarnation, view.pace.lowest)
+
     def merge_limit(self, update: LimitUpdate, now: float) -> bool:
         """Merge a limit received from another relay; return whether it was new."""
         view = self._views.get(update.runner)
--- a/knapweedrail/relay/sources.py
+++ b/knapweedrail/relay/sources.py
@@ -18,6 +18,7 @@
 
 from ..hashing import hash_pair
 from .models import Member
+from .pace_exchange import LinkPaces
 
 SOURCE_COUNT = 2
 """Sources that each relay subscribes to."""
@@ -51,10 +52,12 @@
         last_reply_at: Time of its last reply, seconds.
         confirmed_at: By kind, a time up to which all writes that the store
             acknowledged have been applied here, seconds.
+        paces: Which paces of runners were exchanged with it.
     """
 
     member: Member
     last_reply_at: float
+    paces: LinkPaces
     confirmed_at: dict[str, float] = attrs.field(factory=dict)
 
     def record_reply(self, now: float) -> None:
--- a/knapweedrail/relay/update_feed.py
+++ b/knapweedrail/relay/update_feed.py
@@ -28,6 +28,7 @@
 from .members import Membership
 from .models import Member
 from .notifiers import Notifier
+from .pace_exchange import LinkPaces, PaceExchange
 from .peer_updates import PeerUpdates, UpdateReceiver
 from .peers import PeerClient
 from .replicas import KindUpdate, UpdateRejectedError, decode_items
@@ -54,6 +55,7 @@
     Attributes:
         clock: Clock value of its last request, seconds.
         sent_revisions: Last revision sent to it, by kind.
+        paces: Which paces of runners were exchanged with it.
         reply_due: Whether its last request still needs a reply.
         store_available: Whether this relay could reach the store as of the last reply.
         update_available: Notified when there may be something to send.
@@ -61,6 +63,7 @@
 
     clock: float
     sent_revisions: dict[str, int]
+    paces: LinkPaces
     reply_due: bool = True
     store_available: bool = True
     update_available: Notifier = attrs.field(factory=Notifier)
@@ -81,6 +84,7 @@
         peers: Tracks which relays are in backoff.
         dialer: Opens links to sources.
         receivers: Apply the updates, one receiver for each kind.
+        paces: The paces of runners that relays exchange.
         timing: Heartbeat interval and timeout of sources.
         first_start: Whether the whole fleet starts for the first time.
     """
@@ -91,6 +95,7 @@
         peers: PeerClient,
         dialer: Dialer,
         receivers: Sequence[UpdateReceiver],
+        paces: PaceExchange,
         timing: FeedTiming,
         first_start: bool = False,
     ) -> None:
@@ -101,6 +106,7 @@
         self._peers = peers
         self._dialer = dialer
         self._receivers = {receiver.replica.kind: receiver for receiver in receivers}
+        self._paces = paces
         self._timing = timing
         self._sources: list[Source | None] = [None] * SOURCE_COUNT
         self._subscribers: set[_Subscriber] = set()
@@ -161,7 +167,9 @@
             request = await link.receive()
         except LinkLostError:
             return
-        subscriber = _Subscriber(request.clock, dict(request.revisions))
+        paces = self._paces.open_link()
+        paces.receive(request.paces)
+        subscriber = _Subscriber(request.clock, dict(request.revisions), paces)
         self._subscribers.add(subscriber)
         self._handle_subscriber_change()
         try:
@@ -187,6 +195,7 @@
             while True:
                 with anyio.fail_after(SUBSCRIBER_TIMEOUT_FACTOR * self._timing.timeout):
                     request = await link.receive()
+                subscriber.paces.receive(request.paces)
                 subscriber.clock = request.clock
                 subscriber.reply_due = True
                 subscriber.update_available.notify_all()
@@ -207,7 +216,8 @@
                 ):
                     subscriber.store_available = available
                     subscriber.record_sent(reply)
-                    await link.send(reply)
+                    paces = subscriber.paces.take_next()
+                    await link.send(attrs.evolve(reply, paces=paces))
                     continue
                 await subscriber.update_available.wait()
         except LinkLostError:
@@ -246,7 +256,7 @@
             if member is None:
                 await anyio.sleep(self._timing.heartbeat_interval)
                 continue
-            source = Source(member, time.monotonic())
+            source = Source(member, time.monotonic(), self._paces.open_link())
             self._sources[slot] = source
             answered = await self._subscribe(slot, source)
             self._sources[slot] = None
@@ -291,7 +301,7 @@
     ) -> None:
         log_event(Event.SOURCE_CHOSEN, slot=slot, source=source.member.holder)
         async with self._dialer.dial(source.member) as link:
-            await self._send_request(link, source_lost)
+            await self._send_request(link, source, source_lost)
             if not source_lost.is_set():
                 async with anyio.create_task_group() as group:
                     group.start_soon(self._receive_replies, link, source, source_lost)
@@ -317,18 +327,22 @@
                 source_lost.set()
             if source_lost.is_set() or not self._is_best_source(slot, source.member):
                 return
-            await self._send_request(link, source_lost)
+            await self._send_request(link, source, source_lost)
 
-    async def _send_request(self, link: SourceLink, source_lost: anyio.Event) -> None:
+    async def _send_request(
+        self, link: SourceLink, source: Source, source_lost: anyio.Event
+    ) -> None:
         revisions = {
             kind: receiver.replica.revision
             for kind, receiver in self._receivers.items()
         }
+        paces = source.paces.take_next()
+        request = FeedRequest(time.monotonic(), revisions, paces)
         try:
             # The first request opens the connection. A host without power never answers
             # the attempt.
             with anyio.fail_after(self._timing.heartbeat_interval):
-                await link.send(FeedRequest(time.monotonic(), revisions))
+                await link.send(request)
         except (LinkLostError, TimeoutError):
             source_lost.set()
 
@@ -342,6 +356,7 @@
                 self._peers.record_answer(source.member)
                 for update in reply.kinds:
                     self._apply_update(source, reply.clock, update)
+                source.paces.receive(reply.paces)
         except (LinkLostError, UpdateRejectedError, ValueError) as error:
             log_event(
                 Event.NEIGHBOUR_SILENT,
--- a/knapweedrail/standins/newsfleet.py
+++ b/knapweedrail/standins/newsfleet.py
@@ -29,6 +29,7 @@
     RunnerState,
 )
 from ..relay.options import RelaySettings
+from ..relay.pace_exchange import PaceExchange
 from ..relay.peers import PeerClient
 from ..relay.runners import RunnerTable
 from ..relay.sources import FeedTiming
@@ -252,6 +253,7 @@
             PeerClient(),
             PlayedDialer(self, host),
             watchers,
+            PaceExchange(runners.table),
             FeedTiming(settings.heartbeat_seconds, settings.heartbeat_timeout_seconds),
             first_start=host not in self._seen,
         )
--- a/knapweedrail/tests/test_purity.py
+++ b/knapweedrail/tests/test_purity.py
@@ -83,6 +83,7 @@
     "ledgers",
     "models",
     "overload",
+    "pace_exchange",
     "reservations",
     "retries",
     "routes",
--- a/knapweedrail/tests/test_relay_sources.py
+++ b/knapweedrail/tests/test_relay_sources.py
@@ -5,6 +5,8 @@
 from hypothesis import strategies as st
 
 from ..relay.models import Member
+from ..relay.pace_exchange import PaceExchange
+from ..relay.runners import RunnerTable
 from ..relay.sources import (
     MIN_LOCAL_RELAYS,
     FeedTiming,
@@ -26,6 +28,11 @@
     ]
 
 
+def make_source(last_reply_at):
+    paces = PaceExchange(RunnerTable(grace_seconds=1.9)).open_link()
+    return Source(make_fleet(1)[0], last_reply_at, paces)
+
+
 def find_sources(fleet):
     """Return the hosts that are sources when all relays answer."""
     chosen_hosts = set()
@@ -93,7 +100,7 @@
 
 def test_delayed_reply_does_not_extend_validity():
     """Guards against stale updates that count as current on a host that was paused."""
-    source = Source(make_fleet(1)[0], last_reply_at=100.0)
+    source = make_source(last_reply_at=100.0)
     source.record_confirmation("k", asked_at=90.0, age=3.0)
     source.record_reply(100.0)
     assert source.measure_validity("k", 100.0, TIMING, limit=13.0) == 0.0
@@ -103,7 +110,7 @@
 
 def test_source_that_timed_out_is_not_valid():
     """Guards against relying on a source that is paused."""
-    source = Source(make_fleet(1)[0], last_reply_at=100.0)
+    source = make_source(last_reply_at=100.0)
     source.record_confirmation("k", asked_at=100.0, age=0.0)
     assert not source.has_timed_out(101.9, TIMING)
     assert source.has_timed_out(102.0, TIMING)
