--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -135,7 +135,7 @@
 
     def record_pace(self, view: RunnerView, pace: float, now: float) -> None:
         """Record how long work takes at a runner, as it states; 1.0 is usual."""
-        if view.pace.record(pace, now) and not view.superseded:
+        if view.pace.record(pace, now):
             self._record_lowest_pace(view)
         self._enable_placement(view)
 
