Bound the size of one event of a stream

Cause: EventSplitter.feed copied and searched the whole remainder for each piece, and the remainder had no bound. One event without end took quadratic time, which delayed all callers of a relay, and held the memory of what was read so far.

Change: a search resumes three bytes before the end of the last piece, where an event's end can begin. An event of more than 1 MiB ends the attempt as a broken answer: the connection is reset, the failure counts against the runner, and the stream is resumed where the route allows it.

--- a/knapweedrail/relay/event_readers.py
+++ b/knapweedrail/relay/event_readers.py
@@ -4,7 +4,7 @@
 
 from .connections import ConnectionFailed, RunnerConnection
 from .models import Framing
-from .streams import EventSplitter, StreamProgress
+from .streams import EventSplitter, InvalidStream, StreamEvent, StreamProgress
 
 
 class EventReader:
@@ -27,15 +27,22 @@
         """Return the next events that the caller lacks; empty at the stream's end.
 
         Raises:
-            ConnectionFailed: If the connection ends before the stream is complete.
+            ConnectionFailed: If the connection ends before the stream is complete, or
+                the runner sends something else than events.
         """
         while chunk := await self.connection.receive_chunk():
-            data = progress.select_new(self._splitter.feed(chunk))
+            data = progress.select_new(self._split(chunk))
             if data:
                 return data
         self._check_end()
         return b""
 
+    def _split(self, chunk: bytes) -> list[StreamEvent]:
+        try:
+            return self._splitter.feed(chunk)
+        except InvalidStream as error:
+            raise self._make_error(str(error)) from error
+
     def _check_end(self) -> None:
         """Raise an error if the stream ended before it was complete.
 
@@ -50,4 +57,7 @@
             detail = "the connection ended inside an event"
         else:
             return
-        raise ConnectionFailed(self.connection.address, "body", detail, sent=True)
+        raise self._make_error(detail)
+
+    def _make_error(self, detail: str) -> ConnectionFailed:
+        return ConnectionFailed(self.connection.address, "body", detail, sent=True)
--- a/knapweedrail/relay/streams.py
+++ b/knapweedrail/relay/streams.py
@@ -12,7 +12,14 @@
 
 import attrs
 
+MAX_EVENT_BYTES = 1_048_576
+"""Maximum size of one event. The searches of one unbounded event once delayed all
+callers of a relay."""
+
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_MAX_PARTIAL_END = 3
+"""Longest part of an event's end that may precede a piece's first byte."""
+
 _EVENT_FIELD = re.compile(rb"(?:^|\n)[^:\r\n]")
 _IGNORED_LINES = re.compile(rb"(?:(?::[^\r\n]*)?\r?\n)*")
 """Blank lines and comments, which belong to no event."""
@@ -33,6 +40,10 @@
     event_id: int | None
 
 
+class InvalidStream(Exception):
+    """The bytes of a run aren't a valid event stream."""
+
+
 class EventSplitter:
     """Splits the bytes of one run into events.
 
@@ -42,12 +53,13 @@
 
     def __init__(self) -> None:
         self.has_events = False
-        self._remainder = b""
+        self._remainder = bytearray()
+        self._search_from = 0
 
     @property
     def remainder(self) -> bytes:
         """Bytes after the last complete event."""
-        return self._remainder
+        return bytes(self._remainder)
 
     @property
     def is_between_events(self) -> bool:
@@ -55,19 +67,35 @@
         return _IGNORED_LINES.fullmatch(self._remainder) is not None
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Append bytes and return the events that they complete."""
-        data = self._remainder + data
+        """Append bytes and return the events that they complete.
+
+        Raises:
+            InvalidStream: If an event is longer than `MAX_EVENT_BYTES`. Other events
+                that these bytes complete are lost.
+        """
+        self._remainder += data
         events = []
         start = 0
-        for match in _EVENT_END.finditer(data):
-            text = data[start : match.end()]
-            event_id = _EVENT_ID.search(text)
-            self.has_events = self.has_events or bool(_EVENT_FIELD.search(text))
-            events.append(StreamEvent(text, int(event_id[1]) if event_id else None))
+        for match in _EVENT_END.finditer(self._remainder, self._search_from):
+            events.append(self._make_event(start, match.end()))
             start = match.end()
-        self._remainder = data[start:]
+        del self._remainder[:start]
+        _check_size(len(self._remainder))
+        self._search_from = max(0, len(self._remainder) - _MAX_PARTIAL_END)
         return events
 
+    def _make_event(self, start: int, end: int) -> StreamEvent:
+        _check_size(end - start)
+        text = bytes(self._remainder[start:end])
+        self.has_events = self.has_events or bool(_EVENT_FIELD.search(text))
+        event_id = _EVENT_ID.search(text)
+        return StreamEvent(text, int(event_id[1]) if event_id else None)
+
+
+def _check_size(size: int) -> None:
+    if size > MAX_EVENT_BYTES:
+        raise InvalidStream(f"an event of more than {MAX_EVENT_BYTES} bytes")
+
 
 class StreamProgress:
     """Tracks which events a caller has received over all runs of its request.
--- /dev/null
+++ b/knapweedrail/tests/test_relay_unbounded_answers.py
@@ -0,0 +1,152 @@
+"""Tests of runners that send bytes without end until the relay closes."""
+
+import time
+
+import anyio
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ..relay.models import RetryPolicy
+from ..relay.streams import MAX_EVENT_BYTES, EventSplitter, InvalidStream
+from .relays_in_memory import (
+    ScriptedRunner,
+    find_header,
+    make_chunk,
+    make_configuration,
+    make_event,
+    make_route,
+    make_stream_head,
+    run_relay,
+)
+
+RESUMABLE = make_route(RetryPolicy.STREAM, resumable=True, objective=1.0)
+NON_RESUMABLE = make_route(RetryPolicy.STREAM, resumable=False, objective=1.0)
+
+KERNEL_BYTES = 8 * 1_048_576
+"""Upper bound of what the kernel holds of one connection in both directions."""
+
+MAX_SECONDS = 0.9
+"""Upper bound of one call. Timeouts for a stall and the first byte are longer."""
+
+
+@attrs.define
+class EndlessSender:
+    """Answers the first request with bytes without end, and the others by a function.
+
+    Attributes:
+        start: Makes the answer's start from the request's head.
+        filler: Bytes that follow until the connection breaks.
+        finish: `ScriptedRunner.respond` for all requests but the first.
+        sent_bytes: Bytes sent without end.
+        closed: Whether the connection broke.
+    """
+
+    start: object
+    filler: bytes
+    finish: object = None
+    sent_bytes: int = 0
+    closed: bool = False
+    _begun: bool = False
+
+    async def respond(self, stream, head):
+        """Answer a request."""
+        if self._begun:
+            return await self.finish(stream, head)
+        self._begun = True
+        try:
+            await stream.send(self.start(head))
+            while True:
+                await stream.send(self.filler)
+                self.sent_bytes += len(self.filler)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            self.closed = True
+            return False
+
+
+async def call_and_check(route, sender, max_bytes, **headers):
+    """Call two runners, the first of which sends without end, and check the bounds."""
+    runners = ScriptedRunner(sender.respond), ScriptedRunner(sender.respond)
+    async with run_relay(make_configuration(route), *runners) as relay:
+        began_at = time.monotonic()
+        answer = await relay.call(**headers)
+        assert time.monotonic() - began_at < MAX_SECONDS
+        with anyio.fail_after(1.0):
+            while not sender.closed:
+                await anyio.sleep(0.01)
+        views = relay.table.list_views("e", 0.0)
+    assert sender.sent_bytes < max_bytes + KERNEL_BYTES
+    assert sorted(view.failure_rate > 0 for view in views) == [False, True]
+    return answer
+
+
+def start_stream(head):
+    """Return the head and the first event of a stream."""
+    return make_stream_head(head) + make_chunk(make_event(1))
+
+
+async def finish_stream(stream, head):
+    """Send the events after the last that the caller has."""
+    first = int(find_header(head, "last-event-id") or 0) + 1
+    events = b"".join(make_event(n) for n in range(first, 4))
+    await stream.send(make_stream_head(head) + make_chunk(events) + make_chunk(b""))
+    return True
+
+
+WHOLE_STREAM = b"".join(make_event(n) for n in (1, 2, 3))
+
+
+def test_time_to_split_an_event_grows_linearly_with_its_size():
+    """Each piece of a long event caused a search of the whole remainder."""
+    splitter, began_at = EventSplitter(), time.process_time()
+    for _ in range(MAX_EVENT_BYTES // 64):
+        splitter.feed(b"x" * 64)
+        assert time.process_time() - began_at < 1.0
+
+
+@given(st.lists(st.sampled_from([b"\r", b"\n", b"x", b"\r\n"])), st.data())
+def test_ends_of_events_are_found_in_any_two_pieces(parts, data):
+    """A resumed search missed an event's end that was split over two pieces."""
+    stream = b"".join(parts)
+    cut = data.draw(st.integers(0, len(stream)))
+    whole, split = EventSplitter(), EventSplitter()
+    expected = whole.feed(stream)
+    assert split.feed(stream[:cut]) + split.feed(stream[cut:]) == expected
+    assert split.remainder == whole.remainder
+
+
+@pytest.mark.parametrize("end", [b"", b"\n\n"], ids=["open", "complete"])
+def test_longer_event_is_invalid(end):
+    splitter = EventSplitter()
+    splitter.feed(make_event(1) + b"x" * MAX_EVENT_BYTES)
+    with pytest.raises(InvalidStream):
+        splitter.feed(b"x" + end)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("filler", [b"x" * 60_000, b": x\n" * 15_000])
+async def test_stream_with_unbounded_event_is_resumed(filler):
+    """An event without end delayed all callers of a relay and held their memory."""
+    sender = EndlessSender(start_stream, make_chunk(filler), finish_stream)
+    answer = await call_and_check(RESUMABLE, sender, MAX_EVENT_BYTES)
+    assert answer.complete
+    assert answer.body == WHOLE_STREAM
+
+
+@pytest.mark.anyio
+async def test_unbounded_first_event_is_followed_by_another_attempt():
+    """No event of the stream was complete, and the caller got no answer."""
+    sender = EndlessSender(make_stream_head, make_chunk(b"x" * 60_000), finish_stream)
+    answer = await call_and_check(RESUMABLE, sender, MAX_EVENT_BYTES)
+    assert answer.complete
+    assert answer.body == WHOLE_STREAM
+
+
+@pytest.mark.anyio
+async def test_stream_with_unbounded_event_does_not_look_complete():
+    """A stream that may not be resumed must look broken off after its last event."""
+    sender = EndlessSender(start_stream, make_chunk(b"x" * 60_000))
+    answer = await call_and_check(NON_RESUMABLE, sender, MAX_EVENT_BYTES)
+    assert not answer.complete
+    assert answer.body == make_event(1)
