Treat an overlong event ID as a broken answer

Cause: int() raises ValueError for more than 4300 digits. An event with such an ID raised it in the relay, so the request failed without another attempt and nothing counted against the runner.

Change: an ID of more than 18 digits ends the attempt as a broken answer.

Result: the new test failed with this ValueError before the change and passes now.

--- a/knapweedrail/relay/streams.py
+++ b/knapweedrail/relay/streams.py
@@ -16,6 +16,10 @@
 """Maximum size of one event. The searches of one unbounded event once delayed all
 callers of a relay."""
 
+MAX_ID_DIGITS = 18
+"""Maximum length of an event's ID. Python refuses to convert numbers of more than 4300
+digits."""
+
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _MAX_PARTIAL_END = 3
 """Longest part of an event's end that may precede a piece's first byte."""
@@ -70,8 +74,8 @@
         """Append bytes and return the events that they complete.
 
         Raises:
-            InvalidStream: If an event is longer than `MAX_EVENT_BYTES`. Other events
-                that these bytes complete are lost.
+            InvalidStream: If an event is longer than `MAX_EVENT_BYTES` or its ID longer
+                than `MAX_ID_DIGITS`. Other events that these bytes complete are lost.
         """
         self._remainder += data
         events = []
@@ -89,7 +93,11 @@
         text = bytes(self._remainder[start:end])
         self.has_events = self.has_events or bool(_EVENT_FIELD.search(text))
         event_id = _EVENT_ID.search(text)
-        return StreamEvent(text, int(event_id[1]) if event_id else None)
+        if event_id is None:
+            return StreamEvent(text, None)
+        if len(event_id[1]) > MAX_ID_DIGITS:
+            raise InvalidStream(f"an event ID of {len(event_id[1])} digits")
+        return StreamEvent(text, int(event_id[1]))
 
 
 def _check_size(size: int) -> None:
--- a/knapweedrail/tests/test_relay_unbounded_answers.py
+++ b/knapweedrail/tests/test_relay_unbounded_answers.py
@@ -150,3 +150,13 @@
     answer = await call_and_check(NON_RESUMABLE, sender, MAX_EVENT_BYTES)
     assert not answer.complete
     assert answer.body == make_event(1)
+
+
+@pytest.mark.anyio
+async def test_stream_with_unreadable_event_id_is_resumed():
+    """Python refuses to convert an ID of 5000 digits, and the relay failed itself."""
+    event = make_chunk(b"id: " + b"9" * 5000 + b"\ndata: x\n\n")
+    sender = EndlessSender(start_stream, event, finish_stream)
+    answer = await call_and_check(RESUMABLE, sender, MAX_EVENT_BYTES)
+    assert answer.complete
+    assert answer.body == WHOLE_STREAM
