Bound the size of a body that is buffered whole

Cause: RunnerConnection.receive_body collected the parts of a body until its end or the request's timeout, so a body without end took all the memory that a runner could fill in that time.

Change: a body of more than 8 MiB ends the attempt as a broken answer. The parts are joined as they arrive, since a list of small parts takes several times their size.

--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -35,6 +35,9 @@
 HEADER_BYTES = 65_536
 """Maximum size of the status line and headers that a runner may send."""
 
+MAX_BODY_BYTES = 8 * 1_048_576
+"""Maximum size of a body that is buffered whole. Legitimate ones are below 1 MiB."""
+
 BODILESS_STATUSES = (204, 304)
 """Status codes whose answers have no body."""
 
@@ -161,12 +164,16 @@
         """Return the answer's complete body.
 
         Raises:
-            ConnectionFailed: As in `receive_chunk`.
+            ConnectionFailed: As in `receive_chunk`, or if the body is longer than
+                `MAX_BODY_BYTES`.
         """
-        parts = []
+        body = bytearray()
         while chunk := await self.receive_chunk():
-            parts.append(chunk)
-        return b"".join(parts)
+            body += chunk
+            if len(body) > MAX_BODY_BYTES:
+                detail = f"a body of more than {MAX_BODY_BYTES} bytes"
+                raise self._make_error("body", detail)
+        return bytes(body)
 
     def finish(self) -> bool:
         """Finish an exchange; return whether the connection can be reused.
--- a/knapweedrail/tests/test_relay_unbounded_answers.py
+++ b/knapweedrail/tests/test_relay_unbounded_answers.py
@@ -8,11 +8,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ..relay.connections import MAX_BODY_BYTES
 from ..relay.models import RetryPolicy
 from ..relay.streams import MAX_EVENT_BYTES, EventSplitter, InvalidStream
 from .relays_in_memory import (
     ScriptedRunner,
+    answer_normally,
     find_header,
+    make_answer,
     make_chunk,
     make_configuration,
     make_event,
@@ -22,6 +25,8 @@
 )
 
 RESUMABLE = make_route(RetryPolicy.STREAM, resumable=True, objective=1.0)
+REPEATABLE = make_route(RetryPolicy.SAFE, objective=1.0)
+ONCE = make_route(RetryPolicy.ONCE, objective=1.0)
 NON_RESUMABLE = make_route(RetryPolicy.STREAM, resumable=False, objective=1.0)
 
 KERNEL_BYTES = 8 * 1_048_576
@@ -160,3 +165,60 @@
     answer = await call_and_check(RESUMABLE, sender, MAX_EVENT_BYTES)
     assert answer.complete
     assert answer.body == WHOLE_STREAM
+
+
+PIECE = b"x" * 60_000
+
+ENDLESS_BODIES = {
+    "without length": (b"", PIECE),
+    "chunked": (b"Transfer-Encoding: chunked\r\n", make_chunk(PIECE)),
+    "announced": (b"Content-Length: 99999999999\r\n", PIECE),
+}
+
+
+def start_body(framing, status=200):
+    """Return a function that makes the head of a plain answer."""
+    return lambda head: make_answer(head, b"", status).replace(
+        b"Content-Length: 0\r\n", framing
+    )
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("status", [200, 500])
+@pytest.mark.parametrize("body", ENDLESS_BODIES.values(), ids=ENDLESS_BODIES)
+async def test_request_with_unbounded_body_is_repeated(body, status):
+    """A relay buffered the bytes of a body without end until the request's timeout."""
+    framing, filler = body
+    sender = EndlessSender(start_body(framing, status), filler, answer_normally)
+    answer = await call_and_check(REPEATABLE, sender, MAX_BODY_BYTES)
+    assert (answer.status, answer.body) == (200, b"ok")
+
+
+@pytest.mark.anyio
+async def test_unbounded_body_is_not_passed_on():
+    """A request that must not be repeated gets an error and no part of the body."""
+    sender = EndlessSender(start_body(b""), PIECE)
+    answer = await call_and_check(ONCE, sender, MAX_BODY_BYTES)
+    assert answer.status == 502
+    assert PIECE not in answer.body
+
+
+@pytest.mark.anyio
+async def test_started_stream_with_unbounded_plain_answer_does_not_look_complete():
+    """The runner that resumes a stream sends a body without end instead of events."""
+    sender = EndlessSender(start_body(b""), PIECE)
+
+    async def respond(stream, head):
+        if find_header(head, "last-event-id"):
+            return await sender.respond(stream, head)
+        await stream.send(start_stream(head))
+        return False
+
+    runners = ScriptedRunner(respond), ScriptedRunner(respond)
+    async with run_relay(make_configuration(RESUMABLE), *runners) as relay:
+        began_at = time.monotonic()
+        answer = await relay.call()
+        assert time.monotonic() - began_at < MAX_SECONDS
+    assert sender.sent_bytes < MAX_BODY_BYTES + KERNEL_BYTES
+    assert answer.body == make_event(1)
+    assert not answer.complete
