Bound the head of an answer

Cause: the parser bounds an incomplete response only. Informational responses (1xx) without end were read until the timeout for the first byte, and a complete head could exceed the bound by as much as one read.

Change: at most 64 KiB are read until an answer's head is complete, and at most 16 informational responses are accepted before it. More ends the attempt as a broken answer.

Result: five of the new tests failed before the change: the three of unbounded informational responses, the 17th informational response, and the head that is one byte too long. Tests verify that the parser bounds chunk size lines and trailers. All tests of unbounded answers, forwarding, successors and raw requests pass.

--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -15,7 +15,7 @@
 import struct
 import time
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 import anyio.abc
@@ -33,7 +33,11 @@
 is retransmitted only after a second."""
 
 HEADER_BYTES = 65_536
-"""Maximum size of the status line and headers that a runner may send."""
+"""Maximum size of what a runner may send up to the end of its answer's head, including
+informational responses, and of a chunk size line and of trailers."""
+
+MAX_INFORMATIONAL_RESPONSES = 16
+"""Maximum number of informational responses (1xx) before an answer."""
 
 MAX_BODY_BYTES = 8 * 1_048_576
 """Maximum size of a body that is buffered whole. Legitimate ones are below 1 MiB."""
@@ -104,6 +108,7 @@
             h11.CLIENT, max_incomplete_event_size=HEADER_BYTES
         )
         self._unsent_bytes = 0
+        self._head_bytes_left = 0
 
     async def send(
         self,
@@ -136,15 +141,19 @@
         """Receive the status line and headers of the answer.
 
         Raises:
-            ConnectionFailed: If the connection ends or the peer sends something else.
+            ConnectionFailed: If the connection ends or the peer sends something else,
+                or more than `HEADER_BYTES` or `MAX_INFORMATIONAL_RESPONSES`.
         """
-        while True:
-            event = await self._next_event("answer")
+        self._head_bytes_left = HEADER_BYTES
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
+            event = await self._next_event("answer", self._receive_head_bytes)
             if isinstance(event, h11.Response):
                 self.framing = _find_framing(self._method, event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self._make_error("answer", f"unexpected {type(event).__name__}")
+        detail = f"more than {MAX_INFORMATIONAL_RESPONSES} informational responses"
+        raise self._make_error("answer", detail)
 
     async def receive_chunk(self) -> bytes:
         """Return the next part of the answer's body; empty at its end.
@@ -153,7 +162,7 @@
             ConnectionFailed: If the connection ends before the body is complete. The
                 body of an answer without a length or chunks ends with the connection.
         """
-        event = await self._next_event("body")
+        event = await self._next_event("body", self._receive_body_bytes)
         if isinstance(event, h11.EndOfMessage):
             return b""
         if not isinstance(event, h11.Data):
@@ -208,7 +217,9 @@
         """
         await reset_stream(self._stream)
 
-    async def _next_event(self, step: str) -> object:
+    async def _next_event(
+        self, step: str, receive: Callable[[], Awaitable[bytes]]
+    ) -> object:
         while True:
             try:
                 event = self._parser.next_event()
@@ -217,13 +228,23 @@
             if event is not h11.NEED_DATA:
                 return event
             try:
-                data = await self._stream.receive(RECEIVE_BYTES)
+                data = await receive()
             except anyio.EndOfStream:
                 data = b""
             except (OSError, anyio.BrokenResourceError) as error:
                 raise self._make_error(step, error) from error
             self._parser.receive_data(data)
 
+    async def _receive_head_bytes(self) -> bytes:
+        if not self._head_bytes_left:
+            raise self._make_error("answer", f"no head within {HEADER_BYTES} bytes")
+        data = await self._stream.receive(self._head_bytes_left)
+        self._head_bytes_left -= len(data)
+        return data
+
+    async def _receive_body_bytes(self) -> bytes:
+        return await self._stream.receive(RECEIVE_BYTES)
+
     def _make_error(self, step: str, error: object) -> ConnectionFailed:
         return ConnectionFailed(self.address, step, repr(error), self.sent)
 
--- a/knapweedrail/tests/test_relay_unbounded_answers.py
+++ b/knapweedrail/tests/test_relay_unbounded_answers.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ..relay.connections import MAX_BODY_BYTES
+from ..relay.connections import HEADER_BYTES, MAX_BODY_BYTES
 from ..relay.models import RetryPolicy
 from ..relay.streams import MAX_EVENT_BYTES, EventSplitter, InvalidStream
 from .relays_in_memory import (
@@ -222,3 +222,79 @@
     assert sender.sent_bytes < MAX_BODY_BYTES + KERNEL_BYTES
     assert answer.body == make_event(1)
     assert not answer.complete
+
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+ENDLESS_HEADS = {
+    "no HTTP": (b"", b"x" * 1000),
+    "lines that are no HTTP": (b"", b"no HTTP\r\n" * 100),
+    "one header line": (b"HTTP/1.1 200 OK\r\nA: ", b"x" * 1000),
+    "header lines": (b"HTTP/1.1 200 OK\r\n", b"A: x\r\n" * 100),
+    "informational responses": (b"", CONTINUE * 40),
+    "informational response in each piece": (b"", CONTINUE),
+    "long informational responses": (
+        b"",
+        b"HTTP/1.1 103 Early Hints\r\nA: " + b"x" * 30_000 + b"\r\n\r\n",
+    ),
+}
+
+ENDLESS_FRAMINGS = {
+    "chunk size": b"1" * 1000,
+    "chunk extension": b"1;" + b"x" * 1000,
+    "trailer line": b"0\r\nA: " + b"x" * 1000,
+    "trailer lines": b"0\r\n" + b"A: x\r\n" * 100,
+}
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("head", ENDLESS_HEADS.values(), ids=ENDLESS_HEADS)
+async def test_request_with_unbounded_head_is_repeated(head):
+    """The parser bounds one response's head, but not a series of informational ones,
+    which was read until the timeout for the first byte."""
+    start, filler = head
+    sender = EndlessSender(lambda _: start, filler, answer_normally)
+    answer = await call_and_check(REPEATABLE, sender, HEADER_BYTES)
+    assert (answer.status, answer.body) == (200, b"ok")
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("framing", ENDLESS_FRAMINGS.values(), ids=ENDLESS_FRAMINGS)
+async def test_stream_with_unbounded_framing_is_resumed(framing):
+    """The parser bounds chunk size lines and trailers, not the relay itself."""
+    sender = EndlessSender(
+        lambda head: start_stream(head) + framing, framing[-600:], finish_stream
+    )
+    answer = await call_and_check(RESUMABLE, sender, HEADER_BYTES)
+    assert answer.complete
+    assert answer.body == WHOLE_STREAM
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("count, status", [(16, 200), (17, 502)])
+async def test_number_of_informational_responses_is_bounded(count, status):
+    """Sound runners may send some of them before the answer."""
+
+    async def respond(stream, head):
+        await stream.send(CONTINUE * count + make_answer(head))
+        return True
+
+    async with run_relay(make_configuration(ONCE), ScriptedRunner(respond)) as relay:
+        answer = await relay.call()
+    assert answer.status == status
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("excess, status", [(0, 200), (1, 502)])
+async def test_size_of_complete_head_is_bounded(excess, status):
+    """The parser accepts a longer head if its end arrives with the excess."""
+
+    async def respond(stream, head):
+        size = len(make_answer(head, b"", Padding=""))
+        padding = "x" * (HEADER_BYTES - size + excess)
+        await stream.send(make_answer(head, b"", Padding=padding))
+        return True
+
+    async with run_relay(make_configuration(ONCE), ScriptedRunner(respond)) as relay:
+        answer = await relay.call()
+    assert answer.status == status
