Bound what a tunnel parses of an answer's head

Cause: a relay that passes on the bytes of a tunnel also parses the answer's head, and went on without end while informational responses arrived.

Tests cover the bounds of events, bodies and heads in tunnels and in calls for reports.

Result: the new test of the parser failed before the change. All pass now, as do the tests of tunnels and successors.

--- a/knapweedrail/relay/answer_heads.py
+++ b/knapweedrail/relay/answer_heads.py
@@ -24,11 +24,18 @@
         # The parser accepts an answer only after a request.
         self._parser.send(h11.Request(method="GET", target="/", headers=[("host", "")]))
         self._finished = False
+        self._bytes_left = HEADER_BYTES
 
     def feed(self, data: bytes) -> RunnerAnswer | None:
         """Return the answer's head if these bytes complete it."""
         if self._finished:
             return None
+        if not self._bytes_left:
+            # Whoever gets the bytes rejects such a head.
+            self._finished = True
+            return None
+        data = data[: self._bytes_left]
+        self._bytes_left -= len(data)
         self._parser.receive_data(data)
         try:
             event = self._parser.next_event()
--- a/knapweedrail/tests/test_relay_unbounded_answers.py
+++ b/knapweedrail/tests/test_relay_unbounded_answers.py
@@ -8,6 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ..platform.requests import PlatformCodec
+from ..relay.answer_heads import AnswerHeadParser
 from ..relay.connections import HEADER_BYTES, MAX_BODY_BYTES
 from ..relay.models import RetryPolicy
 from ..relay.streams import MAX_EVENT_BYTES, EventSplitter, InvalidStream
@@ -23,6 +25,8 @@
     make_stream_head,
     run_relay,
 )
+from .test_relay_successors import RestartedRunner, make_engines, send_requests
+from .test_relay_tunnels import call_until_lost, run_two_relays
 
 RESUMABLE = make_route(RetryPolicy.STREAM, resumable=True, objective=1.0)
 REPEATABLE = make_route(RetryPolicy.SAFE, objective=1.0)
@@ -298,3 +302,72 @@
     async with run_relay(make_configuration(ONCE), ScriptedRunner(respond)) as relay:
         answer = await relay.call()
     assert answer.status == status
+
+
+ENDLESS_ANSWERS = {
+    "event": (RESUMABLE, start_stream, make_chunk(PIECE), finish_stream),
+    "body": (REPEATABLE, start_body(b""), PIECE, answer_normally),
+    "head": (REPEATABLE, lambda _: b"", CONTINUE, answer_normally),
+    "no HTTP": (REPEATABLE, lambda _: b"", PIECE, answer_normally),
+}
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("case", ENDLESS_ANSWERS.values(), ids=ENDLESS_ANSWERS)
+async def test_unbounded_answer_in_a_tunnel_is_bounded(monkeypatch, case):
+    """The runner is reached through another relay, which must close its end too."""
+    route, start, filler, finish = case
+    sender = EndlessSender(start, filler, finish)
+    respond = finish
+
+    async def respond_now(stream, head):
+        return await respond(stream, head)
+
+    async with run_two_relays(monkeypatch, route, respond=respond_now) as world:
+        await call_until_lost(world.far)
+        views = world.far.table.list_views("e", 0.0)
+        # Connections that failed before the path counted as lost count as well.
+        rates = [view.failure_rate for view in views]
+        respond = sender.respond
+        began_at = time.monotonic()
+        answer = await world.far.call()
+        assert time.monotonic() - began_at < MAX_SECONDS
+        with anyio.fail_after(1.0):
+            while not sender.closed:
+                await anyio.sleep(0.01)
+    failed = [view.failure_rate > rate for view, rate in zip(views, rates, strict=True)]
+    assert world.near.tunnels.opened_count >= 2
+    assert sum(failed) == 1
+    assert sender.sent_bytes < MAX_BODY_BYTES + 2 * KERNEL_BYTES
+    assert answer.complete
+    assert answer.body == (WHOLE_STREAM if route is RESUMABLE else b"ok")
+
+
+def test_head_that_is_passed_on_is_parsed_up_to_its_bound():
+    """A relay that only passes on bytes parsed informational responses without end."""
+    parser = AnswerHeadParser(PlatformCodec())
+    data = CONTINUE * (HEADER_BYTES // len(CONTINUE) + 1)
+    for start in range(0, len(data), 1000):
+        assert parser.feed(data[start : start + 1000]) is None
+    assert parser.feed(make_answer("")) is None
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("case", ["body", "head", "no HTTP"])
+async def test_unbounded_report_does_not_affect_requests(case):
+    """The query for the report of a restarted runner reads bytes without end."""
+    _, start, filler, _ = ENDLESS_ANSWERS[case]
+    sender, restarted = EndlessSender(start, filler), RestartedRunner()
+    answer_others = restarted.respond
+
+    async def respond(stream, head):
+        is_report = head.startswith("GET /report ")
+        return await (sender.respond if is_report else answer_others)(stream, head)
+
+    restarted.respond = respond
+    began_at = time.monotonic()
+    status, *_ = await send_requests(make_engines(), restarted)
+    assert time.monotonic() - began_at < MAX_SECONDS
+    assert status == 503
+    assert sender.closed
+    assert sender.sent_bytes < MAX_BODY_BYTES + KERNEL_BYTES
