Ask only relays with an address for suspects

A member without an address can't be called, and the attempt raised a ValueError that ended the relay.

Change: The exchange of suspects skips members without an address, as the choice of lenders and of update sources does.

The new test fails without the change with the same error and passes with it.

--- a/knapweedrail/relay/suspect_exchange.py
+++ b/knapweedrail/relay/suspect_exchange.py
@@ -123,12 +123,16 @@
 
     async def _ask_others(self) -> None:
         await self._membership.first_listed.wait()
-        others = self._membership.list_others()
+        others = self._list_reachable()
         asked = random.sample(others, min(ASKED_RELAYS, len(others)))
         async with anyio.create_task_group() as group:
             for member in asked:
                 group.start_soon(self._compare_with, member)
 
+    def _list_reachable(self) -> list[Member]:
+        """Return the other relays that other relays can call."""
+        return [m for m in self._membership.list_others() if m.address]
+
     async def _read_store(self) -> bool:
         """Merge what the store keeps; return whether it has answered."""
         found = await read_suspects(self._store, self._malformed, time.monotonic())
@@ -163,7 +167,7 @@
             if not self._outbox:
                 await self._added.wait()
             await anyio.sleep(SEND_DELAY_SECONDS)
-            messages = self._outbox.take(self._membership.list_others())
+            messages = self._outbox.take(self._list_reachable())
             async with anyio.create_task_group() as group:
                 for member, lines in messages:
                     group.start_soon(self._peers.send_suspects, member, lines)
@@ -180,7 +184,7 @@
                 await self._added.wait()
                 continue
             await anyio.sleep(pause)
-            others = self._membership.list_others()
+            others = self._list_reachable()
             if others:
                 await self._compare_with(random.choice(others))
 
--- a/knapweedrail/tests/test_relay_suspects.py
+++ b/knapweedrail/tests/test_relay_suspects.py
@@ -6,7 +6,8 @@
 import pytest
 
 from ..relay.malformed import MalformedObjects
-from ..relay.models import PromptPart
+from ..relay.models import Member, PromptPart
+from ..relay.peers import PeerClient
 from ..relay.suspect_exchange import SuspectExchange
 from ..relay.suspects import (
     CRASH_LIMIT,
@@ -84,7 +85,7 @@
     """When a runner crashes, all its requests fail at once and each one is reported.
     The other relays must get them in one call, soon enough not to run them too."""
     membership = types.SimpleNamespace(
-        list_others=lambda: ["other"],
+        list_others=lambda: [types.SimpleNamespace(address="127.0.0.1:9")],
         member=types.SimpleNamespace(host="own"),
         first_listed=anyio.Event(),
     )
@@ -109,6 +110,27 @@
         group.cancel_scope.cancel()
 
 
+@pytest.mark.anyio
+async def test_relay_without_an_address_is_not_asked_for_suspects():
+    """A relay whose address for other relays isn't known can't be called. An attempt
+    raised an error that ended the relay that was starting."""
+    listed = anyio.Event()
+    listed.set()
+    membership = types.SimpleNamespace(
+        list_others=lambda: [Member("other", "other/1")],
+        member=Member("own", "own/1"),
+        first_listed=listed,
+    )
+    exchange = SuspectExchange(
+        Suspects(), membership, PeerClient(), MemoryStore(), MalformedObjects()
+    )
+    async with anyio.create_task_group() as group:
+        await exchange.start(group)
+        with anyio.fail_after(5):
+            await exchange.loaded.wait()
+        group.cancel_scope.cancel()
+
+
 def test_crashing_request_is_blamed_beside_an_earlier_suspect():
     """A harmless request that once ran on a crashed runner takes the blame for each
     later crash of a runner that it shares with the request that causes them."""
