--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -240,6 +240,8 @@
             return None
         runners = context.services.runners
         views = runners.list_views(context.endpoint.name, now, context.origin)
+        if any(self._accepts_soon(view, now) for view in views):
+            return None
         views = [
             v
             for v in views
@@ -257,6 +259,22 @@
         detail = f"prompts wait {wait:.2f} s at every runner"
         return self._refuse(RefusalKind.FULL, Ran.NOT_RUN, detail, retry_after)
 
+    def _accepts_soon(self, view: RunnerView, now: float) -> bool:
+        """Return whether a prompt may be sent to a runner and waits there shortly.
+
+        One such runner shows that the shortest wait is short. Nearly always the first
+        one is, so the waits at the others need not be estimated.
+        """
+        context = self._context
+        runners = context.services.runners
+        priority = context.priorities.by_account_and_route
+        wait = view.estimate_wait(priority, now)
+        return (
+            compute_retry_after(wait, context.route, context.services.rng) is None
+            and runners.is_available(view, now)
+            and runners.bounds.may_send(view, priority, now)
+        )
+
     def _choose_runner(self) -> RunnerView | None:
         context = self._context
         if context.get_remaining_seconds() <= 0:
