--- a/knapweedrail/relay/runner_bounds.py
+++ b/knapweedrail/relay/runner_bounds.py
@@ -167,14 +167,19 @@
         """Return whether a runner's own bounds let this relay send to it now.
 
         These are a pause that it wants, its limit, its coldness, and the rejections
-        that it tolerates.
+        that it tolerates. Most runners have none of them, and each request asks for
+        every runner, so a bound that a runner lacks costs no call here.
         """
-        return (
-            now >= view.paused_until
-            and self.compute_limit_delay(view, priority, now) <= 0
-            and self.compute_cold_delay(view, now) <= 0
-            and self.has_slot_for(view, now)
-        )
+        if now < view.paused_until:
+            return False
+        if (
+            view.limit_record.limit is not None
+            and self.compute_limit_delay(view, priority, now) > 0
+        ):
+            return False
+        if self.is_cold(view, now) and self.compute_cold_delay(view, now) > 0:
+            return False
+        return not self._brittleness or self.has_slot_for(view, now)
 
     def select_open(
         self, views: Sequence[RunnerView], priority: int | None, now: float
