--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import select
 import socket
 import struct
@@ -202,10 +203,15 @@
 
     def is_idle(self) -> bool:
         """Return whether no data or end of stream came since the last exchange."""
+        return not self._poll.poll(0)
+
+    @functools.cached_property
+    def _poll(self) -> select.poll:
+        # Kept, as finding the socket asks the kernel for the addresses of both ends.
         raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
         poll = select.poll()
         poll.register(raw.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
-        return not poll.poll(0)
+        return poll
 
     async def close(self) -> None:
         """Reset the connection, so that the runner drops the work it was doing for it.
