--- a/knapweedrail/relay/logs.py
+++ b/knapweedrail/relay/logs.py
@@ -67,8 +67,8 @@
 
     def __init__(self, stream: BinaryIO) -> None:
         self._stream = stream
-        # Bounded by `_put`. The locks of a bounded `queue.Queue` hand the interpreter to
-        # the writer thread within each call, while answers wait.
+        # Bounded by `_put`. The locks of a bounded `queue.Queue` hand the interpreter
+        # to the writer thread within each call, while answers wait.
         self._queue: queue.SimpleQueue[bytes | None] = queue.SimpleQueue()
         self._thread = threading.Thread(target=self._write, daemon=True)
         self._second = 0
