Test that paces of a link's first request are merged

Cause: a planted fault that ignores the paces of a subscriber's first request failed no test. Change: in test_paces_wait_for_the_next_reply the first request carries a pace. Result: that fault fails the test; the tests of the exchange, the feed and the links pass.

--- a/knapweedrail/tests/test_relay_pace_exchange.py
+++ b/knapweedrail/tests/test_relay_pace_exchange.py
@@ -276,8 +276,8 @@
             group.start_soon(feed.serve, WatcherEnd(link, Traffic()))
             group.start_soon(feed.serve, WatcherEnd(other, Traffic()))
             near, far = FollowerEnd(link), FollowerEnd(other)
-            for end in (near, far):
-                await end.send(FeedRequest(1.0, {}))
+            for end, first in ((near, ()), (far, (make_pace("i-2"),))):
+                await end.send(FeedRequest(1.0, {}, first))
                 assert (await end.receive()).paces == ()
             await far.send(FeedRequest(1.2, {}, (make_pace("i-0"),)))
             host.observe("i-1", 0.7)
@@ -288,7 +288,7 @@
             feed._is_store_available = lambda: False
             feed.notify_change()
             paces = (await near.receive()).paces
-            assert set(paces) == {make_pace("i-0"), make_pace("i-1")}
+            assert set(paces) == {make_pace(f"i-{number}") for number in range(3)}
             await near.send(FeedRequest(2.0, {}))
             assert (await near.receive()).paces == ()
             group.cancel_scope.cancel()
