Eject a runner at once that doesn't speak HTTP

Cause: bytes that are no HTTP counted as one failed answer among others, so a runner was ejected after four of them. Each repeat takes one retry, and one of twelve relays may make one retry in a window by the default settings, so the repeatable requests after the first got 502 although another runner was left. If the connection stayed open, the parser also waited for the end of a head until the first-byte timeout.

Change: an answer that doesn't start with "HTTP/" fails as soon as its first bytes arrive, and the runner is ejected for it, as the request can't be the cause.

Result: both cases of the new test failed before the change and pass now, as do the tests of forwarding, crashes, isolation, incarnations, tunnels and streams.

--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -143,7 +143,8 @@
         late = self._context.services.overload.may_cause_timeouts(time.monotonic())
         if not (error.timed_out and late):
             self._recorder.record_connection_error(error)
-            self._recorder.record_failure(certain=not error.sent)
+            certain = not error.sent or error.not_http
+            self._recorder.record_failure(certain)
         kind = FailureKind.BROKEN if error.sent else FailureKind.NOT_SENT
         return AttemptFailed(kind, f"{error.step}: {error.detail}")
 
--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -43,9 +43,15 @@
 MAX_BODY_BYTES = 8 * 1_048_576
 """Maximum size of a body that is buffered whole. Legitimate ones are below 1 MiB."""
 
+ANSWER_START = b"HTTP/"
+"""Bytes with which each answer starts."""
+
 BODILESS_STATUSES = (204, 304)
 """Status codes whose answers have no body."""
 
+MAX_LOGGED_BYTES = 40
+"""Number of bytes that are no HTTP in the description of a failure."""
+
 IDLE_SECONDS = 4.0
 """Idle timeout of a pooled connection if the runner doesn't state one."""
 
@@ -76,6 +82,7 @@
         timed_out: Whether the peer didn't respond at all, not even with a reset.
         tried: Whether anyone tried to connect to the peer, so that the failure may be
             its own.
+        not_http: Whether the peer sent bytes that are no HTTP where an answer starts.
     """
 
     peer: str
@@ -84,6 +91,7 @@
     sent: bool
     timed_out: bool = False
     tried: bool = True
+    not_http: bool = False
 
 
 class RunnerConnection:
@@ -261,6 +269,11 @@
         if not self._head_bytes_left:
             raise self._make_error("answer", f"no head within {HEADER_BYTES} bytes")
         data = await self._stream.receive(self._head_bytes_left)
+        is_start = self._head_bytes_left == HEADER_BYTES
+        if is_start and data[: len(ANSWER_START)] != ANSWER_START[: len(data)]:
+            # The parser would wait for the end of a head until the timeout.
+            error = self._make_error("answer", f"no HTTP: {data[:MAX_LOGGED_BYTES]!r}")
+            raise attrs.evolve(error, not_http=True)
         self._head_bytes_left -= len(data)
         return data
 
--- a/knapweedrail/tests/test_relay_unbounded_answers.py
+++ b/knapweedrail/tests/test_relay_unbounded_answers.py
@@ -12,7 +12,9 @@
 from ..relay.answer_heads import AnswerHeadParser
 from ..relay.connections import HEADER_BYTES, MAX_BODY_BYTES
 from ..relay.models import RetryPolicy
+from ..relay.retries import RetryBudget
 from ..relay.streams import MAX_EVENT_BYTES, EventSplitter, InvalidStream
+from . import relays_in_memory
 from .relays_in_memory import (
     ScriptedRunner,
     answer_normally,
@@ -371,3 +373,43 @@
     assert status == 503
     assert sender.closed
     assert sender.sent_bytes < MAX_BODY_BYTES + KERNEL_BYTES
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("stays_open", [True, False])
+async def test_runner_that_does_not_speak_http_is_ejected_at_once(
+    monkeypatch, stays_open
+):
+    """Guards against 502 while another runner is left. It took four failures to eject
+    the runner, and the repeats took more than one relay's share of the retry budget."""
+    budget = RetryBudget(ratio=0.0, reserve=2.0, window=10.0)
+    monkeypatch.setattr(relays_in_memory, "RetryBudget", lambda *_: budget)
+
+    async def respond(stream, head):
+        await stream.send(b"no HTTP\r\n")
+        if stays_open:
+            await stream.receive()
+        return False
+
+    runners = ScriptedRunner(respond), ScriptedRunner(answer_normally)
+    async with run_relay(make_configuration(REPEATABLE), *runners) as relay:
+        began_at = time.monotonic()
+        answers = [await relay.call(knapweedrail_request_id=f"{n}") for n in range(20)]
+        assert time.monotonic() - began_at < MAX_SECONDS
+    assert [answer.status for answer in answers] == [200] * 20
+    assert len(runners[0].heads) == 1
+
+
+@pytest.mark.anyio
+async def test_start_of_an_answer_may_arrive_in_small_pieces():
+    """The check of an answer's first bytes must not take a part of them for others."""
+
+    async def respond(stream, head):
+        for byte in make_answer(head)[:8]:
+            await stream.send(bytes([byte]))
+            await anyio.sleep(0.002)
+        await stream.send(make_answer(head)[8:])
+        return True
+
+    async with run_relay(make_configuration(ONCE), ScriptedRunner(respond)) as relay:
+        assert (await relay.call()).status == 200
