Bound the description of a failed answer

Cause: the parser's error quotes a line that it can't read, up to the size of a head. It went into the log and into the caller's answer.

Change: the description is cut after 200 characters.

--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -52,6 +52,10 @@
 MAX_LOGGED_BYTES = 40
 """Number of bytes that are no HTTP in the description of a failure."""
 
+MAX_DETAIL_LENGTH = 200
+"""Maximum length of the description of a failure. The parser quotes a whole line that
+it can't read, which may be as long as a head."""
+
 IDLE_SECONDS = 4.0
 """Idle timeout of a pooled connection if the runner doesn't state one."""
 
@@ -281,7 +285,8 @@
         return await self._stream.receive(RECEIVE_BYTES)
 
     def _make_error(self, step: str, error: object) -> ConnectionFailed:
-        return ConnectionFailed(self.address, step, repr(error), self.sent)
+        detail = repr(error)[:MAX_DETAIL_LENGTH]
+        return ConnectionFailed(self.address, step, detail, self.sent)
 
 
 def _find_framing(method: str, head: h11.Response) -> Framing:
--- a/knapweedrail/tests/test_relay_unbounded_answers.py
+++ b/knapweedrail/tests/test_relay_unbounded_answers.py
@@ -413,3 +413,17 @@
 
     async with run_relay(make_configuration(ONCE), ScriptedRunner(respond)) as relay:
         assert (await relay.call()).status == 200
+
+
+@pytest.mark.anyio
+async def test_description_of_a_failure_is_short():
+    """The parser's error quoted a line of 60 kB in the log and the caller's answer."""
+
+    async def respond(stream, head):
+        await stream.send(b"HTTP/1.1 200 OK\r\n" + PIECE + b"\r\n\r\n")
+        return False
+
+    async with run_relay(make_configuration(ONCE), ScriptedRunner(respond)) as relay:
+        answer = await relay.call()
+    assert answer.status == 502
+    assert len(answer.body) < 1000
