Eject a runner that doesn't speak HTTP after the second time only

Cause: a runner was ejected for a second or more after one answer that is no HTTP. Runners that garble a few percent of their answers would be ejected all the time, and the others get their work. Change: it takes two in a row without an answer that began well between them.

--- a/knapweedrail/relay/attempt_records.py
+++ b/knapweedrail/relay/attempt_records.py
@@ -16,6 +16,9 @@
 """Shortest wait for the first byte that counts as a failure of the runner. A route's
 timeout may be shorter than its work takes, which is no evidence against the runner."""
 
+NOT_HTTP_IN_A_ROW = 2
+"""Answers in a row that are no HTTP after which a runner is ejected at once."""
+
 MIN_SOUND_SECONDS = 1.0
 MIN_SOUND_PIECES = 8
 """Time since the first piece of a stream, and number of its pieces, after which the
@@ -130,6 +133,7 @@
         """Record that the runner has begun a valid answer."""
         context, now = self._context, time.monotonic()
         context.services.runners.record_success(self._view, now - began_at, now)
+        self._view.not_http_count = 0
         self.record_prefill_end()
         self._record_prompt_wait(began_at, abandoned=False)
         self._record_prefill_rate(now - began_at)
@@ -299,6 +303,15 @@
         else:
             detector.record_refused(runner)
 
+    def record_not_http(self) -> bool:
+        """Record bytes that are no HTTP; return whether the runner can't serve.
+
+        One such answer may be an accident that some runners have now and then, and to
+        eject each of them for it would cost more than it saves.
+        """
+        self._view.not_http_count += 1
+        return self._view.not_http_count >= NOT_HTTP_IN_A_ROW
+
     def _record_unresponsive(self) -> None:
         if self._context.services.runners.record_timeout(self._view, time.monotonic()):
             log_event(
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -143,7 +143,9 @@
         late = self._context.services.overload.may_cause_timeouts(time.monotonic())
         if not (error.timed_out and late):
             self._recorder.record_connection_error(error)
-            certain = not error.sent or error.not_http
+            certain = not error.sent
+            if error.not_http:
+                certain = self._recorder.record_not_http()
             self._recorder.record_failure(certain)
         kind = FailureKind.BROKEN if error.sent else FailureKind.NOT_SENT
         return AttemptFailed(kind, f"{error.step}: {error.detail}")
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -293,8 +293,8 @@
 
         Args:
             certain: Whether the runner is known to be unable to serve, so that the
-                request can't be the cause: it accepts no connections, it doesn't speak
-                HTTP, or another runner has taken over its address.
+                request can't be the cause: it accepts no connections, it doesn't
+                speak HTTP, or another runner has taken over its address.
         """
         if view.superseded:
             return False
--- a/knapweedrail/relay/scheduling/runner_views.py
+++ b/knapweedrail/relay/scheduling/runner_views.py
@@ -52,6 +52,7 @@
         cold: Whether it may be cold after a start, and when this relay last sent to it.
         pace: How long work takes there, as stated in its answers.
         load_unreadable: Whether it stated a load that can't be read.
+        not_http_count: Its latest answers in a row that were no HTTP.
         paused_until: Monotonic time until which it wants no requests from this host.
         leaving_since: Monotonic time at which it first said in an answer that it
             leaves; ``None`` before. Its entry in the store may say so seconds later.
@@ -84,6 +85,7 @@
     cold: ColdState = attrs.field(factory=ColdState)
     pace: PaceRecord = attrs.field(factory=PaceRecord)
     load_unreadable: bool = False
+    not_http_count: int = 0
     paused_until: float = float("-inf")
     leaving_since: float | None = None
     superseded: bool = False
