Write hosts' records only while tokens are at risk

Cause: in fleets of up to twelve relays each host's record was written about three times a second, however much was left of the accounts. Change: a record covers an account if its budget lasts less than 75 s, while the relay doesn't know its demand yet, or for 30 s after a holder has ended. Otherwise it says nothing of the account, and the ledger's schedule alone bounds it; an empty record withdraws the last one, and the old schedule binds until that write is acknowledged.

--- a/knapweedrail/relay/account_holdings.py
+++ b/knapweedrail/relay/account_holdings.py
@@ -5,7 +5,7 @@
 import attrs
 
 from .allowances import Allowance
-from .grants import BudgetView, plan_change, plan_direct_draw
+from .grants import BudgetView, is_scarce, plan_change, plan_direct_draw
 from .host_records import NO_RECORD, HostRecord
 from .ledgers import (
     AccountLedger,
@@ -110,6 +110,7 @@
             was first read.
         prompted_at: When hosts were last prompted to settle a previous incarnation,
             seconds, by holder.
+        holder_ended_at: When the view last showed that a holder had ended, seconds.
     """
 
     name: str
@@ -127,6 +128,7 @@
     disbursed_at_write: int = 0
     unused_at_first_read: bool = True
     prompted_at: dict[str, float] = attrs.field(factory=dict)
+    holder_ended_at: float = float("-inf")
 
     @property
     def holder(self) -> str:
@@ -152,6 +154,8 @@
         """Replace the view of the ledger by the stored one."""
         if self.revision is None:
             self.unused_at_first_read = not ledger.confirmed_used
+        if self._shows_ended_holder(ledger):
+            self.holder_ended_at = now
         self.ledger = ledger
         self.revision = revision
         self.seen_at = now
@@ -160,6 +164,16 @@
         if self.allowance.schedules != schedules:
             self.disbursed_at_write = self.allowance.disbursed
 
+    def _shows_ended_holder(self, ledger: AccountLedger) -> bool:
+        """Return whether a new view of the ledger shows that a holder has ended.
+
+        A relay that first reads a ledger in use has probably been restarted.
+        """
+        if self.revision is None:
+            return not self.unused_at_first_read
+        others = self.ledger.grants.keys() - {self.holder}
+        return not others <= ledger.grants.keys()
+
     def plan(
         self,
         account: Account,
@@ -238,18 +252,28 @@
         warming_up: bool,
         now: float,
         boot_time: BootTime,
+        holders_end: bool,
     ) -> RecordPlan | None:
-        """Return what the host's record should say; ``None`` without a grant.
+        """Return what the host's record should say; ``None`` if nothing.
+
+        It says nothing of an account without a grant. Neither does it of one that isn't
+        scarce, once its demand is known and unless a holder has ended recently: a
+        record must be rewritten as often as its few vested tokens are used, and an
+        ample budget outlasts what the ledger's schedule loses with a crash.
 
         Args:
             primaries: Number of relays that draw on the ledger.
             warming_up: Whether this relay has had too little traffic to know its
                 demand.
+            holders_end: Whether a holder of any account has ended recently.
         """
         if self.holder not in self.ledger.grants:
             return None
         allowance = self.allowance
         budget = self._view_budget(self.ledger, prepaid, primaries, warming_up)
+        scarce = is_scarce(budget, allowance.free, allowance.demand, now)
+        if not (scarce or warming_up or holders_end):
+            return None
         terms = plan_recorded_vesting(
             budget, max(0, allowance.free), allowance.demand, now
         )
--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -31,6 +31,12 @@
 `AMPLE_SECONDS`. Of a budget that lasts half as long, an eighth of the full share may be
 held."""
 
+SCARCE_SECONDS = 75.0
+"""Seconds of demand below which a remaining budget is scarce, so that hosts' records
+bound what a crash loses of it. Crashes in series within a minute lose about a third of
+a budget of 60 seconds even with records; a quarter is added, as the relays' estimates
+of demand vary."""
+
 MIN_TARGET_SECONDS = 0.8
 """Seconds of demand that a primary relay holds even if the budget runs out soon. With
 less, every request would cost a write."""
@@ -159,6 +165,14 @@
     others_rate: float = 0.0
     warming_up: bool = False
 
+    def count_left(self, available: int) -> int:
+        """Return the tokens that aren't known to be used.
+
+        Args:
+            available: Unused tokens of this relay's own grant.
+        """
+        return max(0, self.free) + self.held + max(0, available)
+
 
 @attrs.frozen(kw_only=True)
 class Balance:
@@ -192,7 +206,7 @@
         # It isn't known yet how long the budget will last, either.
         minimum = max(minimum, WARM_UP_SHARE * budget.prepaid / budget.primaries)
         need = max(need, minimum)
-    left = max(0, budget.free) + budget.held + max(0, balance.available)
+    left = budget.count_left(balance.available)
     maximum = left * compute_held_share(left, rate + budget.others_rate)
     minimum = min(minimum, MAX_HELD_SHARE * left / budget.primaries)
     return int(
@@ -214,6 +228,16 @@
     return MAX_HELD_SHARE * ample_ratio**SCARCITY_EXPONENT
 
 
+def is_scarce(budget: BudgetView, available: int, demand: Demand, now: float) -> bool:
+    """Return whether the remaining budget lasts less than `SCARCE_SECONDS`.
+
+    Args:
+        available: Unused tokens of this relay's own grant.
+    """
+    rate = demand.estimate_rate(now) + budget.others_rate
+    return budget.count_left(available) < rate * SCARCE_SECONDS
+
+
 def plan_change(
     budget: BudgetView, balance: Balance, demand: Demand, now: float
 ) -> int:
--- a/knapweedrail/relay/ledger_updates.py
+++ b/knapweedrail/relay/ledger_updates.py
@@ -69,6 +69,10 @@
 centres write an account's ledger, so the next write of each often conflicts with
 another relay's. Without the peek that costs two calls instead of 1.1."""
 
+CRASH_SERIES_SECONDS = 30.0
+"""Seconds after a holder ended for which the host's record covers all accounts, scarce
+or not. Crashes come in series, and each one takes a part of the same budgets."""
+
 
 class LedgerUpdater(RecordSource):
     """Draws tokens on account ledgers, and returns tokens to them.
@@ -103,6 +107,7 @@
         self._holder = membership.member.holder
         self._unavailable_until = float("-inf")
         self._lost_replies = 0
+        self._holder_ended_at = float("-inf")
         self._group: anyio.abc.TaskGroup | None = None
         self._running = anyio.Event()
         self._holdings: dict[str, AccountHolding] = {}
@@ -239,12 +244,15 @@
         account = self.find_account(holding.name)
         if account is None or account.prepaid is None or not self._membership.all_draw:
             return None
+        now = time.monotonic()
+        self._holder_ended_at = max(self._holder_ended_at, holding.holder_ended_at)
         return holding.plan_recorded(
             account.prepaid,
             self._membership.count_drawing(),
             self._is_warming_up(),
-            time.monotonic(),
+            now,
             self._clock.read(),
+            now - self._holder_ended_at < CRASH_SERIES_SECONDS,
         )
 
     def can_write(self) -> bool:
--- a/knapweedrail/relay/vesting_plans.py
+++ b/knapweedrail/relay/vesting_plans.py
@@ -95,7 +95,7 @@
         free: Unused tokens of the grant.
     """
     demand_rate = demand.estimate_rate(now)
-    left = max(0, budget.free) + budget.held + free
+    left = budget.count_left(free)
     margin = min(MARGIN_REQUESTS * demand.largest, MAX_RECORD_SHARE * left)
     burst = margin / budget.primaries + RECORD_BURST_SECONDS * demand_rate
     if budget.warming_up:
