Return smaller excesses only of scarce budgets

Cause: in fleets of up to twelve relays six instead of four relays of the virtual fleet hold each account, each with fewer calls, so that their demand estimates vary more. Change: while a budget lasts for 75 s or longer, a relay returns an excess only from 0.01 of the prepaid tokens on, 0.002 before; a scarce one is treated as before.

--- a/knapweedrail/relay/grants.py
+++ b/knapweedrail/relay/grants.py
@@ -68,6 +68,10 @@
 """Smallest excess to return, as a share of the prepaid tokens. Less isn't worth a
 write."""
 
+MIN_AMPLE_RETURN_SHARE = 0.01
+"""The same while the budget isn't scarce. What is returned after a burst is drawn again
+in the next one, and each costs a write; others don't need it meanwhile."""
+
 BORROW_AHEAD_SECONDS = 3.0
 """Seconds of demand that a relay borrows in advance, about as long as its lender is
 down for a restart. More would lie idle at relays with few requests: with eighty of them
@@ -253,10 +257,9 @@
     if short or (has_demand and available < REFILL_THRESHOLD * target):
         return max(0, min(max(0, budget.free), wanted - available))
     excess = available - target
-    if (
-        available > RETURN_THRESHOLD * target
-        and excess > MIN_RETURN_SHARE * budget.prepaid
-    ):
+    scarce = is_scarce(budget, available, demand, now)
+    min_share = MIN_RETURN_SHARE if scarce else MIN_AMPLE_RETURN_SHARE
+    if available > RETURN_THRESHOLD * target and excess > min_share * budget.prepaid:
         return -excess
     return 0
 
--- a/knapweedrail/tests/test_relay_grants.py
+++ b/knapweedrail/tests/test_relay_grants.py
@@ -92,6 +92,17 @@
     assert change < -held / 2
 
 
+def test_small_excess_is_returned_only_of_a_scarce_budget():
+    """Guards against a write for each small burst while there is plenty for all, and
+    against tokens that others lack of a budget that runs low."""
+    demand = make_demand(rate=100)
+    for free, returns in ((MILLION, False), (6_000, True)):
+        budget = make_budget(free, others_rate=300)
+        target = compute_target(budget, make_balance(0), demand, 100.0)
+        balance = make_balance(target + 6_000)
+        assert (plan_change(budget, balance, demand, 100.0) < 0) is returns
+
+
 def test_account_without_callers_is_held_only_while_warming_up():
     warming_up = make_budget(free=MILLION, warming_up=True)
     assert compute_target(warming_up, make_balance(0), Demand(), 0.0) > 0
