Let other tasks run while many small chunks are parsed

Cause: the parts of one read were parsed without giving other tasks a turn. A read of 64 KiB may have 10,923 chunks of one byte, whose parsing alone took 0.17 s.

Change: other tasks get a turn after each 256 parts.

--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -20,6 +20,7 @@
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import attrs
 import h11
 
@@ -46,6 +47,10 @@
 ANSWER_START = b"HTTP/"
 """Bytes with which each answer starts."""
 
+PARTS_PER_TURN = 256
+"""Parts of answers after which other tasks get a turn. One read may have 10,000 chunks
+of one byte, which take 0.17 s to parse."""
+
 BODILESS_STATUSES = (204, 304)
 """Status codes whose answers have no body."""
 
@@ -126,6 +131,7 @@
         self._unsent_bytes = 0
         self._head_bytes_left = 0
         self._between_chunks = False
+        self._part_count = 0
 
     async def send(
         self,
@@ -249,6 +255,10 @@
     async def _next_event(
         self, step: str, receive: Callable[[], Awaitable[bytes]]
     ) -> object:
+        self._part_count += 1
+        if self._part_count % PARTS_PER_TURN == 0:
+            # A cancellation must not lose a part, so this precedes the parsing.
+            await anyio.lowlevel.checkpoint()
         while True:
             try:
                 event = self._parser.next_event()
--- a/knapweedrail/tests/test_relay_unbounded_answers.py
+++ b/knapweedrail/tests/test_relay_unbounded_answers.py
@@ -3,6 +3,7 @@
 import time
 
 import anyio
+import anyio.lowlevel
 import attrs
 import pytest
 from hypothesis import given
@@ -10,7 +11,12 @@
 
 from ..platform.requests import PlatformCodec
 from ..relay.answer_heads import AnswerHeadParser
-from ..relay.connections import HEADER_BYTES, MAX_BODY_BYTES
+from ..relay.connections import (
+    HEADER_BYTES,
+    MAX_BODY_BYTES,
+    RunnerConnection,
+    open_stream,
+)
 from ..relay.models import RetryPolicy
 from ..relay.retries import RetryBudget
 from ..relay.streams import MAX_EVENT_BYTES, EventSplitter, InvalidStream
@@ -428,3 +434,32 @@
         answer = await relay.call()
     assert answer.status == 502
     assert len(answer.body) < 1000
+
+
+@pytest.mark.anyio
+async def test_other_tasks_run_while_many_small_chunks_are_parsed():
+    """A read with 10,000 chunks of one byte delayed all callers by 0.17 s."""
+    chunks, turns = make_chunk(b"x") * 10_000, 0
+
+    async def respond(stream, head):
+        await stream.send(start_body(ENDLESS_BODIES["chunked"][0])(head) + chunks)
+        await stream.send(make_chunk(b""))
+        return True
+
+    async def count_turns():
+        nonlocal turns
+        while True:
+            await anyio.lowlevel.checkpoint()
+            turns += 1
+
+    runner = ScriptedRunner(respond)
+    async with anyio.create_task_group() as group:
+        await runner.serve(group)
+        connection = RunnerConnection(await open_stream(runner.address), "")
+        await connection.send("GET", b"/", [(b"host", b"a")], b"")
+        await connection.receive_head()
+        await anyio.sleep(0.1)
+        group.start_soon(count_turns)
+        assert await connection.receive_body() == b"x" * 10_000
+        group.cancel_scope.cancel()
+    assert turns >= 30
