--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import contextlib
-import functools
 import select
 import socket
 import struct
@@ -69,10 +68,6 @@
 are stated in whole seconds, and a request that is sent while the runner closes the
 connection may be lost."""
 
-CHUNK_END = b"\r\n"
-"""End of a chunk, which ``h11`` leaves in its buffer after the chunk's data."""
-
-
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _NO_RESET_ON_CLOSE = struct.pack("ii", 0, 0)
 """``struct linger`` with a zero timeout, with which the kernel resets the connection on
@@ -130,7 +125,6 @@
         )
         self._unsent_bytes = 0
         self._head_bytes_left = 0
-        self._between_chunks = False
         self._part_count = 0
 
     async def send(
@@ -185,14 +179,7 @@
             ConnectionFailed: If the connection ends before the body is complete. The
                 body of an answer without a length or chunks ends with the connection.
         """
-        if self._between_chunks and self._parser.trailing_data == (CHUNK_END, False):
-            # The parser can only ask for more data. Not asking it saves a tenth of its
-            # work on a stream, whose events mostly come one by one.
-            await self._receive_data("body", self._receive_body_bytes)
         event = await self._next_event("body", self._receive_body_bytes)
-        self._between_chunks = self.framing is Framing.CHUNKS and isinstance(
-            event, h11.Data
-        )
         if isinstance(event, h11.EndOfMessage):
             return b""
         if not isinstance(event, h11.Data):
@@ -232,15 +219,10 @@
 
     def is_idle(self) -> bool:
         """Return whether no data or end of stream came since the last exchange."""
-        return not self._poll.poll(0)
-
-    @functools.cached_property
-    def _poll(self) -> select.poll:
-        # Kept, as finding the socket asks the kernel for the addresses of both ends.
         raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
         poll = select.poll()
         poll.register(raw.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
-        return poll
+        return not poll.poll(0)
 
     async def close(self) -> None:
         """Reset the connection, so that the runner drops the work it was doing for it.
@@ -266,18 +248,13 @@
                 raise self._make_error(step, error) from error
             if event is not h11.NEED_DATA:
                 return event
-            await self._receive_data(step, receive)
-
-    async def _receive_data(
-        self, step: str, receive: Callable[[], Awaitable[bytes]]
-    ) -> None:
-        try:
-            data = await receive()
-        except anyio.EndOfStream:
-            data = b""
-        except (OSError, anyio.BrokenResourceError) as error:
-            raise self._make_error(step, error) from error
-        self._parser.receive_data(data)
+            try:
+                data = await receive()
+            except anyio.EndOfStream:
+                data = b""
+            except (OSError, anyio.BrokenResourceError) as error:
+                raise self._make_error(step, error) from error
+            self._parser.receive_data(data)
 
     async def _receive_head_bytes(self) -> bytes:
         if not self._head_bytes_left:
--- a/knapweedrail/relay/logs.py
+++ b/knapweedrail/relay/logs.py
@@ -67,9 +67,7 @@
 
     def __init__(self, stream: BinaryIO) -> None:
         self._stream = stream
-        # Bounded by `_put`. The locks of a bounded `queue.Queue` hand the interpreter
-        # to the writer thread within each call, while answers wait.
-        self._queue: queue.SimpleQueue[bytes | None] = queue.SimpleQueue()
+        self._queue: queue.Queue[bytes | None] = queue.Queue(MAX_QUEUED_LINES)
         self._thread = threading.Thread(target=self._write, daemon=True)
         self._second = 0
         self._lines = 0
@@ -83,8 +81,11 @@
     def close(self) -> None:
         """Write the queued lines that the reader accepts within `CLOSE_SECONDS`."""
         self._report_dropped()
-        if self._put(None):
-            self._thread.join(CLOSE_SECONDS)
+        try:
+            self._queue.put_nowait(None)
+        except queue.Full:
+            return
+        self._thread.join(CLOSE_SECONDS)
 
     def __call__(self, message: dict) -> None:
         """Queue one message, or drop it; never blocks."""
@@ -119,16 +120,11 @@
         if len(line) > MAX_LINE_BYTES:
             head = line[: MAX_LINE_BYTES // 2].decode("utf-8", "replace")
             line = orjson.dumps({"message_type": kind, "cut": head})
-        if not self._put(line + b"\n"):
+        try:
+            self._queue.put_nowait(line + b"\n")
+        except queue.Full:
             self._drop(kind)
 
-    def _put(self, line: bytes | None) -> bool:
-        """Queue one line or the end mark; return whether there was room."""
-        if self._queue.qsize() >= MAX_QUEUED_LINES:
-            return False
-        self._queue.put(line)
-        return True
-
     def _drop(self, kind: str) -> None:
         self._dropped_by_type[kind] += 1
         self.dropped += 1
