Let the relay bench measure chosen kinds of requests

Cause: A change that saves some percent of a plain request needs hundreds of them for each tree. With streams in each round, a run of several trees takes too long for that, and the table didn't say how many requests it rests on.

The table has the number of requests.

--- a/knapweedrail/benches/relays.py
+++ b/knapweedrail/benches/relays.py
@@ -94,15 +94,25 @@
 
 @attrs.define
 class Row:
-    """What one tree showed at one kind of work, one figure a round."""
+    """What one tree showed at one kind of work, one figure a round.
+
+    Attributes:
+        costs: Processor seconds of each request, or of each second when idle.
+        delays: Seconds from a runner's event to its receipt.
+        requests: Number of requests in all rounds.
+    """
 
     costs: list[float] = attrs.field(factory=list)
     delays: list[float] = attrs.field(factory=list)
+    requests: int = 0
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the options of this measurement."""
     parser.add_argument("--tree", action="append", help="folder of a source tree")
+    parser.add_argument(
+        "--kind", action="append", choices=KINDS, help="of requests; all by default"
+    )
     parser.add_argument("--seconds", type=float, default=10.0, help="of each load")
     parser.add_argument("--idle", type=float, default=20.0, help="seconds of idleness")
     parser.add_argument("--rounds", type=int, default=3)
@@ -115,7 +125,8 @@
 
 async def measure(arguments: argparse.Namespace, trees: list[str]) -> int:
     """Run a relay of each tree, and print the medians."""
-    rows = {(tree, kind): Row() for tree in trees for kind in ("idle", *KINDS)}
+    kinds = arguments.kind or list(KINDS)
+    rows = {(tree, kind): Row() for tree in trees for kind in ("idle", *kinds)}
     objects = ObjectStore()
     async with anyio.create_task_group() as group, contextlib.AsyncExitStack() as stack:
         server = HttpServer(objects.app, "127.0.0.1:0", ServerLimits())
@@ -134,7 +145,7 @@
             for tree, used in before.items():
                 used = read_processor(relays[tree][0]) - used
                 rows[tree, "idle"].costs.append(used / arguments.idle)
-            for kind in KINDS:
+            for kind in kinds:
                 for tree in trees:
                     row = rows[tree, kind]
                     await load(*relays[tree], kind, arguments.seconds, row)
@@ -142,14 +153,15 @@
         await server.close(CLOSE_SECONDS)
         group.cancel_scope.cancel()
     print("| work | tree | ms a request (share of a core when idle) | median", end="")
-    print(" | event's way p50 ms | p99 |\n|---|---|---|---:|---:|---:|")
+    print(" | requests | event's way p50 ms | p99 |\n|---|---|---|---:|---:|---:|---:|")
     for (tree, kind), row in sorted(rows.items(), key=lambda item: item[0][1]):
         scale = 1.0 if kind == "idle" else 1000.0
         costs = [f"{cost * scale:.4f}" for cost in row.costs]
         median = f"{statistics.median(row.costs) * scale:.4f}"
         cuts = statistics.quantiles(row.delays or [0.0, 0.0], n=100)
         ways = f"{cuts[49] * 1000:.2f} | {cuts[98] * 1000:.2f}"
-        print(f"| {kind} | {tree} | {' '.join(costs)} | {median} | {ways} |")
+        print(f"| {kind} | {tree} | {' '.join(costs)} | {median}", end="")
+        print(f" | {row.requests} | {ways} |")
     return 0
 
 
@@ -233,6 +245,7 @@
         for _ in range(CALLERS):
             group.start_soon(call, port, kind, until, counts, row.delays)
     row.costs.append((read_processor(process) - before) / counts[0])
+    row.requests += counts[0]
 
 
 async def call(
