Compute an account's free tokens without a balance object

Cause: An idle relay with 12 accounts reads Allowance.free about 290 times a second, for the checks of the host's record. Each read made a Balance and summed two empty dicts of loans. Change: The sums are skipped without loans, and free is computed directly.

--- a/knapweedrail/relay/allowances.py
+++ b/knapweedrail/relay/allowances.py
@@ -86,9 +86,13 @@
     @property
     def granted(self) -> int:
         """Its grant plus tokens borrowed, without those lent or being returned."""
-        borrowed = sum(loan.total - loan.returned for loan in self.borrowed.values())
-        lent = sum(loan.total - loan.returned for loan in self.lent.values())
-        return self.tokens - self.withheld + borrowed - lent
+        granted = self.tokens - self.withheld
+        # Read some hundred times a second on an idle relay; most accounts have no loan.
+        if self.borrowed:
+            granted += sum(x.total - x.returned for x in self.borrowed.values())
+        if self.lent:
+            granted -= sum(x.total - x.returned for x in self.lent.values())
+        return granted
 
     @property
     def balance(self) -> Balance:
@@ -98,7 +102,7 @@
     @property
     def free(self) -> int:
         """Unused tokens, vested or not."""
-        return self.balance.available
+        return self.granted - self.spent - self.reserved
 
     @property
     def used(self) -> int:
