Read plain settings without a syntax tree

Cause: Each start parsed its settings with tree-sitter, for comments and for the lines of faults. Its import draws in importlib.resources as well, all before callers can connect. Change: Plain JSON that is in order is read by the standard library; doubled keys, NaN and the form 1e+16 are left to the parser that describes faults, as is anything that isn't accepted.

--- a/knapweedrail/documents.py
+++ b/knapweedrail/documents.py
@@ -7,11 +7,10 @@
 from typing import TYPE_CHECKING, Any, TypeAlias
 
 import attrs
-import tree_sitter
-import tree_sitter_json
 
 if TYPE_CHECKING:
     import jsonschema
+    import tree_sitter
 
 Path: TypeAlias = tuple[str | int, ...]
 
@@ -21,8 +20,6 @@
 MAX_SHOWN = 200
 """Longest message of a fault, so that a huge value can't flood the terminal."""
 
-_LANGUAGE = tree_sitter.Language(tree_sitter_json.language())
-
 
 @attrs.frozen(order=True)
 class Fault:
@@ -89,7 +86,12 @@
     Returns:
         The document, or every fault of syntax and every key that stands twice.
     """
-    tree = tree_sitter.Parser(_LANGUAGE).parse(text.encode())
+    # Not imported by a relay whose settings are plain JSON and in order.
+    import tree_sitter
+    import tree_sitter_json
+
+    language = tree_sitter.Language(tree_sitter_json.language())
+    tree = tree_sitter.Parser(language).parse(text.encode())
     reader = _Reader(file)
     reader.read_root(tree.root_node)
     if reader.faults:
@@ -97,6 +99,38 @@
     return Document(file, reader.value, reader.lines)
 
 
+def parse_plain(text: str) -> Any:
+    """Parse JSON without comments, in which no key stands twice.
+
+    Raises:
+        ValueError: If the text isn't that; `parse_document` tells what is wrong.
+    """
+    return json.loads(
+        text,
+        object_pairs_hook=_make_object,
+        parse_float=_read_float,
+        parse_constant=_refuse_constant,
+    )
+
+
+def _make_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    values = dict(pairs)
+    if len(values) < len(pairs):
+        raise ValueError("a key stands twice")
+    return values
+
+
+def _read_float(text: str) -> float:
+    # `parse_document` doesn't read the form 1e+16.
+    if "+" in text:
+        raise ValueError(f"not accepted: {text:.40}")
+    return float(text)
+
+
+def _refuse_constant(text: str) -> Any:
+    raise ValueError(f"not JSON: {text}")
+
+
 def check_shape(document: Document, shape: dict) -> tuple[Fault, ...]:
     """Return every place where a document differs from a JSON schema."""
     # Not imported by a relay whose settings are in order: it takes a tenth of a start.
--- a/knapweedrail/settings.py
+++ b/knapweedrail/settings.py
@@ -15,7 +15,7 @@
 from attrs import validators
 
 from .addresses import check_address
-from .documents import Document, Fault, check_shape, parse_document
+from .documents import Document, Fault, check_shape, parse_document, parse_plain
 from .shapes import MAX_SECONDS, NAME, make_object
 
 GIBIBYTE = 2**30
@@ -270,6 +270,8 @@
     text: str, file: str, table: type[Table] = RouterSettings
 ) -> Table | tuple[Fault, ...]:
     """Check the text of a settings file against a table of settings."""
+    if (plain := _accept_plain(text, file, table)) is not None:
+        return plain
     document = parse_document(text, file)
     if not isinstance(document, Document):
         return document
@@ -284,6 +286,17 @@
     return cattrs.structure(document.value, table)
 
 
+def _accept_plain(text: str, file: str, table: type[Table]) -> Table | None:
+    """Make settings from plain JSON that is in order; ``None`` leaves it open."""
+    try:
+        values = parse_plain(text)
+    except (ValueError, RecursionError):
+        return None
+    if _check_texts(Document(file, values, {}), table):
+        return None
+    return _accept(values, table)
+
+
 def _accept(values: Any, table: type[Table]) -> Table | None:
     """Make settings whose file is in order beyond doubt; ``None`` leaves it open.
 
--- a/knapweedrail/tests/test_documents.py
+++ b/knapweedrail/tests/test_documents.py
@@ -6,7 +6,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from knapweedrail.documents import Document, Fault, check_shape, parse_document
+from knapweedrail.documents import (
+    Document,
+    Fault,
+    check_shape,
+    parse_document,
+    parse_plain,
+)
 from knapweedrail.shapes import make_integer, make_object
 
 VALUES = st.recursive(
@@ -48,12 +54,19 @@
     and the operator believes that something else is in force than what is."""
     faults = parse_document(text, "f")
     assert faults and all(isinstance(fault, Fault) for fault in faults)
+    # Deep nesting is left to the check of the settings, which hold no such value.
+    if not text.startswith("[["):
+        with pytest.raises(ValueError):
+            parse_plain(text)
 
 
 def test_tells_every_key_that_stands_twice():
     """Someone pastes a block and forgets the old one; most readers take the last
     value and the operator looks at the first."""
-    faults = parse_document('{"a": 1,\n "a": 2,\n "b": {"c": 1,\n "c": 1}}', "f")
+    text = '{"a": 1,\n "a": 2,\n "b": {"c": 1,\n "c": 1}}'
+    with pytest.raises(ValueError):
+        parse_plain(text)
+    faults = parse_document(text, "f")
     assert [str(f) for f in faults] == [
         "f:2: a: the key stands twice",
         "f:4: b.c: the key stands twice",
--- a/knapweedrail/tests/test_relay_start.py
+++ b/knapweedrail/tests/test_relay_start.py
@@ -68,6 +68,20 @@
     assert found.stdout.strip() == "[]"
 
 
+def test_plain_settings_need_no_syntax_tree(tmp_path):
+    """Guards against a parser for comments and faults that is imported by each start,
+    though the settings that the platform writes have neither."""
+    program = (
+        "import sys; from knapweedrail.tools import relay;"
+        "code = relay.main(sys.argv[1:]);"
+        "print(code, 'tree_sitter' in sys.modules)"
+    )
+    settings = write_settings(tmp_path, "127.0.0.1:0")
+    command = [sys.executable, "-c", program, "--check", "--settings", settings]
+    found = subprocess.run(command, capture_output=True, text=True, check=True)
+    assert found.stdout.strip() == "0 False"
+
+
 def test_listener_accepts_while_libraries_are_imported(tmp_path, monkeypatch):
     """A caller connects while the process still imports its libraries. Its connection
     stays in the backlog, and the server answers it as soon as it runs."""
