Mend what a review of placement by cost found

Change: demand decays with each division; the rate is learned from the first events of streams with the tokens of the choice, within bounds; lengths are bounded; the division takes all listed runners; a prompt crosses only if it has to wait; the penalty for slow runners is kept.

--- a/knapweedrail/hashing.py
+++ b/knapweedrail/hashing.py
@@ -16,8 +16,8 @@
 def combine_hashes(key: int, name: int) -> int:
     """Return the weight of a name for a key, 64 bits, from the hashes of both.
 
-    For choices among more than a hundred names it takes a fraction of the time of
-    `hash_pair`. It is the finalizer of a common 64-bit mixing function.
+    The name with the largest or smallest weight is chosen. Among more than a hundred
+    names it takes a fraction of the time of `hash_pair`.
     """
     mixed = ((key ^ name) * 0x9E3779B97F4A7C15) & _MASK
     mixed ^= mixed >> 32
--- a/knapweedrail/platform/requests.py
+++ b/knapweedrail/platform/requests.py
@@ -35,6 +35,10 @@
 """Largest number of prompt parts that are read; further ones don't affect routing."""
 
 
+MAX_TOKEN_DIGITS = 9
+"""Longest number of tokens of a prompt part. Python refuses to convert numbers of more
+than 4300 digits."""
+
 LOAD_VALUES = 4
 """Values of a load statement that are read; further ones are ignored."""
 
@@ -267,7 +271,7 @@
     parts = []
     for entry in (value or b"").split(b",")[:MAX_PROMPT_PARTS]:
         name, _, tokens = entry.strip().partition(b":")
-        if name and tokens.isdigit():
+        if name and tokens.isdigit() and len(tokens) <= MAX_TOKEN_DIGITS:
             parts.append(PromptPart(name.decode("latin-1"), int(tokens)))
     return tuple(parts)
 
--- a/knapweedrail/relay/attempt_records.py
+++ b/knapweedrail/relay/attempt_records.py
@@ -10,7 +10,7 @@
 from .request_context import RequestContext
 from .runner_statements import MISDIRECTED, record_statements
 from .scheduling.runner_views import RunnerView
-from .scheduling.workloads import find_shared_part
+from .scheduling.workloads import count_private_tokens, find_shared_part
 
 UNRESPONSIVE_SECONDS = 0.5
 """Shortest wait for the first byte that counts as a failure of the runner. A route's
@@ -48,6 +48,11 @@
         self._shows_sound = False
         self._first_piece_at = 0.0
 
+    @property
+    def prefill_tokens(self) -> int:
+        """Tokens that the runner probably has to read."""
+        return self._prefill_tokens
+
     def record_sent(self) -> None:
         """Record that the request is about to be sent to the runner."""
         now = time.monotonic()
@@ -66,12 +71,14 @@
         request = self._context.request
         runners = self._context.services.runners
         placement = runners.find_placement(self._view.runner.endpoint)
-        if placement is None or not request.parts:
+        choice = self._context.choice
+        if placement is None or choice is None or choice.long is None:
             return request.prompt_tokens
-        recent = runners.prefixes.find(find_shared_part(request.parts).name, now)
-        cached = recent == self._view.incarnation
-        tokens = placement.estimate_prefill(request.parts, cached)
-        self._long = placement.workload.record_sent(request.parts, tokens, now)
+        tokens = choice.prefill
+        if self._context.counted_attempts:
+            self._long = placement.workload.is_long(count_private_tokens(request.parts))
+        else:
+            self._long = placement.workload.record_sent(request.parts, tokens, now)
         self._sent_at = now
         self._pace = self._view.pace.estimate(now, placement.division.median_pace)
         return tokens
@@ -83,7 +90,7 @@
         placement = runners.find_placement(self._view.runner.endpoint)
         if placement is not None and self._sent_at:
             now = time.monotonic()
-            seconds = (now - self._sent_at) / self._pace
+            seconds = (now - self._sent_at) / (self._view.pace.lowest or 1.0)
             placement.workload.record_finished(self._long, seconds, now)
 
     def record_answer(self, answer: RunnerAnswer, sent_at: float) -> None:
@@ -136,13 +143,17 @@
         self._view.not_http_count = 0
         self.record_prefill_end()
         self._record_prompt_wait(began_at, abandoned=False)
-        self._record_prefill_rate(now - began_at)
         if context.request.parts:
             shared = find_shared_part(context.request.parts)
             context.services.runners.record_prefix(shared.name, self._view, now)
 
-    def _record_prefill_rate(self, seconds: float) -> None:
-        """Record how long the runner took to read a long prompt, seconds."""
+    def record_stream_begin(self, began_at: float) -> None:
+        """Record that the first event of a stream has arrived.
+
+        Other answers don't show how long the runner took to read the prompt: errors
+        come at once, and a whole answer only when it is written.
+        """
+        seconds = time.monotonic() - began_at
         runners = self._context.services.runners
         placement = runners.find_placement(self._view.runner.endpoint)
         if placement is not None and self._long:
--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -212,6 +212,7 @@
                 FailureKind.SILENT, "the answer's body took too long"
             ), False
         self._recorder.record_success(began_at)
+        self._recorder.record_stream_begin(began_at)
         await self._on_stream_start()
         return await self._relay_stream(answer, reader, first_events)
 
@@ -234,9 +235,7 @@
         """Return whether enough prompts queue at the runner for order to matter."""
         mean = self._context.services.runners.mean_prompt_tokens
         queued_tokens = self._view.estimate_prefill_backlog(mean, time.monotonic())
-        return (
-            queued_tokens > self._context.request.prompt_tokens + QUEUED_PROMPTS * mean
-        )
+        return queued_tokens > self._recorder.prefill_tokens + QUEUED_PROMPTS * mean
 
     async def _receive_answer(self, connection: RunnerConnection) -> RunnerAnswer:
         head = await connection.receive_head()
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -41,10 +41,6 @@
 again in about the same time. Each trial after an ejection costs a caller at most one
 retry."""
 
-SLOW_FACTOR = 3.0
-"""Latency relative to the median from which a runner is passed over while others have
-capacity. Runners of one service normally differ by up to about a factor of two."""
-
 MAX_SLOW_FACTOR = 8.0
 """Upper bound of the factor by which the load of a slow runner is scaled. A runner at
 the bound gets nothing while others have capacity, except for occasional trials that
--- a/knapweedrail/relay/scheduling/placement.py
+++ b/knapweedrail/relay/scheduling/placement.py
@@ -31,8 +31,8 @@
 )
 
 REFRESH_SECONDS = 2.0
-"""Age at which the division of the runners is worked out anew. Runners that come or go
-meanwhile serve long prompts."""
+"""Age at which the division of the runners is worked out anew. Runners that
+come meanwhile serve long prompts."""
 
 MIN_RUNNERS = 4
 """Smallest number of runners that is divided."""
@@ -69,9 +69,14 @@
 MAX_DRAWS = 16
 """Largest number of draws, in case all runners are slow."""
 
+SLOW_FACTOR = 3.0
+"""Latency relative to the median from which a runner is passed over while others have
+capacity. Runners of one service normally differ by up to about a factor of two."""
+
 CROSSING_SHARE = 1 / 3
-"""Share of a route's objective by which the estimate has to be better before a request
-crosses to the runners of the other class."""
+"""Share of a route's objective that a prompt has to wait at its own runners, and by
+which the estimate elsewhere has to be better, before it crosses to the runners of the
+other class."""
 
 _HASH_RANGE = float(2**64)
 
@@ -102,12 +107,16 @@
         long: Whether the prompt is long; ``None`` if its cost wasn't estimated.
         own_side: Whether the runner serves prompts of that class.
         seconds: Estimated time until the runner has read the prompt.
+        wait: The part of it before the runner begins to read the prompt.
+        prefill: Estimated tokens that the runner has to read.
     """
 
     view: RunnerView
     long: bool | None = None
     own_side: bool = True
     seconds: float = 0.0
+    wait: float = 0.0
+    prefill: int = 0
 
 
 class Placement:
@@ -132,6 +141,8 @@
         if now - self._divided_at < REFRESH_SECONDS:
             return
         self._divided_at = now
+        for long in (False, True):
+            self.workload.get_demand(long).decay(now)
         self.division = divide_runners(views, self.workload)
 
     def choose(
@@ -153,13 +164,15 @@
         """
         long = self.workload.is_long(count_private_tokens(parts))
         own = self._select_side(views, long)
-        best = self._choose_among(own or views, parts, long, recent, now, rng)
+        best = self._choose_among(
+            own or views, parts, long, recent, now, rng, bool(own)
+        )
         if not own or len(own) == len(views):
             return best
-        if best.seconds <= CROSSING_SHARE * objective:
+        if best.wait <= CROSSING_SHARE * objective:
             return best
         others = self._select_side(views, not long)
-        other = self._choose_among(others, parts, long, recent, now, rng)
+        other = self._choose_among(others, parts, long, recent, now, rng, False)
         gain = best.seconds - other.seconds
         return other if gain > CROSSING_SHARE * objective else best
 
@@ -189,10 +202,17 @@
         recent: RunnerIncarnation | None,
         now: float,
         rng: random.Random,
+        has_homes: bool,
     ) -> Choice:
+        """Return the runner with the least estimate among some candidates.
+
+        Args:
+            has_homes: Whether relays usually send the prefix to runners among these, so
+                that its home has it cached.
+        """
         prefix = find_shared_part(parts).name
         homes = self._list_homes(views, prefix, long, now)
-        cached = {view.incarnation for view in homes}
+        cached = {view.incarnation for view in homes} if has_homes else set()
         if recent is not None:
             cached.add(recent)
         home = rng.choice(homes)
@@ -200,19 +220,18 @@
         others = [view for view in views if view is not home]
         for view in self._sample(others, now, rng):
             candidates.setdefault(view.incarnation, view)
-        if recent not in candidates:
+        if recent is not None and recent not in candidates:
             found = next((v for v in views if v.incarnation == recent), None)
             if found is not None:
                 candidates[found.incarnation] = found
-        best, least = None, math.inf
-        for view in candidates.values():
-            seconds = self._estimate_seconds(
-                view, parts, view.incarnation in cached, long, now
+        latency = compute_median_latency(views)
+        choices = [
+            self._make_choice(
+                view, parts, view.incarnation in cached, long, latency, now
             )
-            if seconds < least:
-                best, least = view, seconds
-        assert best is not None
-        return Choice(best, long, self.division.is_own(best, long), least)
+            for view in candidates.values()
+        ]
+        return min(choices, key=lambda choice: choice.seconds)
 
     def _list_homes(
         self, views: Sequence[RunnerView], prefix: str, long: bool, now: float
@@ -248,22 +267,39 @@
                 break
         return drawn
 
-    def _estimate_seconds(
+    def _make_choice(
         self,
         view: RunnerView,
         parts: tuple[PromptPart, ...],
         cached: bool,
         long: bool,
+        median_latency: float,
         now: float,
-    ) -> float:
-        """Return the estimated time until a runner has read a prompt, seconds."""
+    ) -> Choice:
+        """Return the choice of a runner, with estimates of its cost."""
         pace = view.pace.estimate(now, self.division.median_pace)
         load = view.estimate_load(now)
-        tokens = view.estimate_prefill_backlog(self.workload.mean_tokens, now)
-        tokens += RUNNING_REQUEST_TOKENS * load
-        tokens += self.estimate_prefill(parts, cached)
-        seconds = tokens / self.workload.prefill_rate * pace
-        return seconds + max(0.0, load + 1 - view.runner.slots)
+        waiting = view.estimate_prefill_backlog(self.workload.mean_tokens, now)
+        waiting += RUNNING_REQUEST_TOKENS * load
+        if median_latency and view.latency > SLOW_FACTOR * median_latency:
+            # It is slower than it says.
+            waiting += self.workload.mean_tokens * view.latency / median_latency
+        prefill = self.estimate_prefill(parts, cached)
+        token_seconds = pace / self.workload.prefill_rate
+        wait = waiting * token_seconds + max(0.0, load + 1 - view.runner.slots)
+        own_side = self.division.is_own(view, long)
+        seconds = wait + prefill * token_seconds
+        return Choice(view, long, own_side, seconds, wait, prefill)
+
+
+def compute_median_latency(views: Sequence[RunnerView]) -> float:
+    """Return the median time to the first byte, seconds.
+
+    Returns:
+        0 if fewer than two runners have a known latency.
+    """
+    known = [view.latency for view in views if view.latency]
+    return statistics.median(known) if len(known) >= 2 else 0.0
 
 
 def divide_runners(views: Sequence[RunnerView], workload: Workload) -> Division:
--- a/knapweedrail/relay/scheduling/selection.py
+++ b/knapweedrail/relay/scheduling/selection.py
@@ -7,13 +7,12 @@
 
 import math
 import random
-import statistics
 
 from ...hashing import hash_pair
 from ..models import CallerRequest, PromptPart, RunnerIncarnation
-from ..runners import MAX_SLOW_FACTOR, SLOW_FACTOR, RunnerTable
+from ..runners import MAX_SLOW_FACTOR, RunnerTable
 from ..stream_origins import StreamOrigin
-from .placement import Choice
+from .placement import SLOW_FACTOR, Choice, compute_median_latency
 from .runner_views import RunnerView
 from .workloads import find_shared_part
 
@@ -62,9 +61,11 @@
     if not request.parts:
         return Choice(_choose_by_load(available, data_centre, now, rng))
     placement = table.find_placement(endpoint)
-    if placement is None:
+    if placement is None or all(view.pace.lowest is None for view in listed):
         return Choice(_choose_by_prefix(table, available, request.parts, now))
-    placement.divide(listed, now)
+    # A resumed stream may use only some of the runners.
+    whole = listed if origin is None else table.list_views(endpoint, now)
+    placement.divide(whole, now)
     recent = table.prefixes.find(find_shared_part(request.parts).name, now)
     return placement.choose(available, request.parts, recent, objective, now, rng)
 
@@ -91,7 +92,7 @@
     shared = find_shared_part(parts)
     preferred = min(views, key=lambda v: hash_pair(shared.name, v.runner.name))
     recent = table.prefixes.find(shared.name, now)
-    median_latency = _compute_median_latency(views)
+    median_latency = compute_median_latency(views)
 
     def compute_cost(view: RunnerView) -> float:
         tokens = view.estimate_prefill_backlog(table.mean_prompt_tokens, now)
@@ -115,26 +116,16 @@
     relay's own data centre and then at random, so that relays don't all choose the same
     runner.
     """
-    median_latency = _compute_median_latency(views)
+    median_latency = compute_median_latency(views)
 
     def compute_cost(view: RunnerView) -> tuple[float, bool, float]:
         factor = (
             view.latency / median_latency if median_latency and view.latency else 1.0
         )
         factor = min(MAX_SLOW_FACTOR, max(1.0, factor))
-        if view.pace.lowest is not None:
+        if view.pace.lowest is not None and factor <= SLOW_FACTOR:
             factor = view.pace.estimate(now, 1.0)
         load = (view.estimate_load(now) + 1) / view.runner.slots * factor
         return round(load, 2), view.runner.data_centre != data_centre, rng.random()
 
     return min(views, key=compute_cost)
-
-
-def _compute_median_latency(views: list[RunnerView]) -> float:
-    """Return the median time to the first byte, seconds.
-
-    Returns:
-        0 if fewer than two runners have a known latency.
-    """
-    known = [view.latency for view in views if view.latency]
-    return statistics.median(known) if len(known) >= 2 else 0.0
--- a/knapweedrail/relay/scheduling/workloads.py
+++ b/knapweedrail/relay/scheduling/workloads.py
@@ -26,12 +26,27 @@
 RATE_STEP = 0.05
 """Relative change of the prefill rate with each measurement, towards its median."""
 
+MIN_PREFILL_RATE = 3_000.0
+MAX_PREFILL_RATE = 300_000.0
+"""Bounds of the prefill rate. Beyond them, estimates would be all alike."""
+
+INITIAL_MEAN_TOKENS = 2_850.0
+INITIAL_PROMPTS = 20
+"""Mean length of a prompt before any was seen, and the number of prompts it counts as.
+Without it the first prompts of each relay that starts would all be long."""
+
+MAX_PRIVATE_TOKENS = 131_072
+"""Largest length that counts. Callers state the length of each part, and one of them
+could otherwise change for minutes which prompts are long."""
+
 MEAN_WEIGHT = 0.02
 """Smallest weight of a new prompt in the mean length."""
 
 POPULARITY_SECONDS = 20.0
 POPULARITY_REQUESTS = 64
-"""Age and number of the latest long prompts by which a prefix counts as popular."""
+MIN_POPULARITY_REQUESTS = 16
+"""Age and number of the latest long prompts by which a prefix counts as popular, and
+the smallest number that shows it."""
 
 
 def find_shared_part(parts: tuple[PromptPart, ...]) -> PromptPart:
@@ -51,7 +66,7 @@
     These are the last two parts. Earlier ones are shared so widely that every runner
     soon has them cached.
     """
-    return sum(part.tokens for part in parts[-2:])
+    return min(MAX_PRIVATE_TOKENS, sum(part.tokens for part in parts[-2:]))
 
 
 @attrs.define
@@ -74,11 +89,18 @@
         self, now: float, requests: float, tokens: float, slot_seconds: float
     ) -> None:
         """Add to the sums after their decay."""
+        self.decay(now)
+        self.requests += requests
+        self.tokens += tokens
+        self.slot_seconds += slot_seconds
+
+    def decay(self, now: float) -> None:
+        """Decay the sums, which would otherwise keep a class that has ended."""
         factor = math.exp(-max(0.0, now - self.decayed_at) / DEMAND_SECONDS)
         self.decayed_at = now
-        self.requests = self.requests * factor + requests
-        self.tokens = self.tokens * factor + tokens
-        self.slot_seconds = self.slot_seconds * factor + slot_seconds
+        self.requests *= factor
+        self.tokens *= factor
+        self.slot_seconds *= factor
 
 
 @attrs.define
@@ -91,11 +113,11 @@
         short, long: Demand of short and of long prompts.
     """
 
-    mean_tokens: float = 0.0
+    mean_tokens: float = INITIAL_MEAN_TOKENS
     prefill_rate: float = INITIAL_PREFILL_RATE
     short: ClassDemand = attrs.field(factory=ClassDemand)
     long: ClassDemand = attrs.field(factory=ClassDemand)
-    _prompts: int = 0
+    _prompts: int = INITIAL_PROMPTS
     _popular: deque[tuple[float, str]] = attrs.field(
         factory=lambda: deque(maxlen=POPULARITY_REQUESTS)
     )
@@ -134,8 +156,11 @@
             tokens: Tokens that the runner had to prefill.
             seconds: Time from sending to the first event, at the usual pace.
         """
+        if tokens <= 0 or seconds <= 0:
+            return
         slower = seconds * self.prefill_rate > tokens
-        self.prefill_rate *= 1.0 - RATE_STEP if slower else 1.0 + RATE_STEP
+        rate = self.prefill_rate * (1.0 - RATE_STEP if slower else 1.0 + RATE_STEP)
+        self.prefill_rate = min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, rate))
 
     def get_demand(self, long: bool) -> ClassDemand:
         """Return the demand of a class."""
@@ -149,7 +174,7 @@
         """
         self._expire_prefixes(now)
         repeated = self._counts[prefix] - 1
-        if repeated < 2:
+        if repeated < 2 or len(self._popular) < MIN_POPULARITY_REQUESTS:
             return 1
         return 1 + int(repeated * runners / (2 * len(self._popular)))
 
--- a/knapweedrail/tests/test_platform_requests.py
+++ b/knapweedrail/tests/test_platform_requests.py
@@ -168,6 +168,12 @@
     assert answer.idle_seconds == 5.5
 
 
+def test_prompt_part_of_absurd_length_is_dropped():
+    # Python refuses to convert numbers of more than 4300 digits.
+    request = decode((b"Knapweedrail-Prompt-Prefix", b"a:5,b:" + b"9" * 5000 + b",c:7"))
+    assert [part.tokens for part in request.parts] == [5, 7]
+
+
 def test_token_usage_may_hold_more_than_two_values():
     # Dropped as a whole, it would count as no tokens at all.
     request = decode((b"Knapweedrail-Token-Usage", b"1460,80,3"))
--- a/knapweedrail/tests/test_relay_placement.py
+++ b/knapweedrail/tests/test_relay_placement.py
@@ -10,7 +10,12 @@
 from ..relay.runners import RunnerTable
 from ..relay.scheduling.placement import Division, divide_runners
 from ..relay.scheduling.selection import choose_runner
-from ..relay.scheduling.workloads import Workload
+from ..relay.scheduling.workloads import (
+    MAX_PREFILL_RATE,
+    MIN_PREFILL_RATE,
+    Workload,
+)
+from ..relay.stream_origins import make_origin
 from .relays_in_memory import make_runner
 from .test_relay_selection import make_request
 
@@ -199,3 +204,92 @@
 def test_without_a_division_every_runner_serves_every_prompt():
     view = make_table([1.0]).list_views("e", 0.0)[0]
     assert Division().is_own(view, True) and Division().is_own(view, False)
+
+
+def test_a_class_of_prompts_that_has_ended_keeps_no_runners():
+    """Its demand decayed only when more of it came, so its runners stayed reserved."""
+    table = make_table([FAST] * 8 + [SLOW] * 4)
+    learn(table)
+    placement, views = table.find_placement("e"), table.list_views("e", 0.0)
+    placement.divide(views, 1.0)
+    assert placement.division.short
+    for second in range(2, 700, 3):
+        parts = make_parts(LONG, second % 50)
+        placement.workload.record_sent(parts, 6670, float(second))
+        placement.divide(views, float(second))
+    assert not placement.division.short
+
+
+def test_a_resumed_stream_doesnt_divide_the_runners_for_all():
+    """The runners of its version alone would be divided, for all other requests too."""
+    table = make_table([FAST] * 8 + [SLOW] * 4)
+    learn(table)
+    first = attrs.evolve(find_view(table, "i-0").runner, version="only-one")
+    table.set_runner(first)
+    request, rng = request_of(SHORT, 1), random.Random(1)
+    origin = make_origin(first)
+    choice = choose_runner(
+        table, "e", request, set(), "dc-0", 1.0, rng, origin=origin, objective=0.3
+    )
+    assert choice.view.runner.name == "i-0"
+    assert table.find_placement("e").division.short
+
+
+def test_part_of_absurd_size_doesnt_change_which_prompts_are_long():
+    table = make_table([FAST] * 8 + [SLOW] * 4)
+    workload = learn(table)
+    huge = (PromptPart("session", 999_999_999), PromptPart("own", 999_999_999))
+    workload.record_sent(huge, 999_999_999, 1.0)
+    assert workload.is_long(6670)
+
+
+def test_a_relay_that_starts_knows_short_prompts():
+    assert not Workload().is_long(708)
+    assert Workload().is_long(6670)
+
+
+@pytest.mark.parametrize(("tokens", "seconds"), [(0, 1.0), (6670, 1e-9), (1, 1e9)])
+def test_the_prefill_rate_stays_plausible(tokens, seconds):
+    """At an absurd rate all estimates are alike, or infinite."""
+    workload = Workload()
+    for _ in range(20_000):
+        workload.record_first_event(tokens, seconds)
+    assert MIN_PREFILL_RATE <= workload.prefill_rate <= MAX_PREFILL_RATE
+
+
+def test_long_prompts_dont_cross_to_idle_faster_runners():
+    """The difference in speed alone would put the largest prefills beside streams of
+    short prompts."""
+    table = make_table([FAST] * 4 + [SLOW] * 8)
+    learn(table)
+    table.find_placement("e").divide(table.list_views("e", 0.0), 0.9)
+    largest = (LONG[0], ("farm", 11_000), ("own", 12_000))
+    for subject in range(100):
+        assert choose(table, largest, subject, objective=0.635).own_side
+
+
+def test_prompts_cross_when_their_own_runners_are_much_busier():
+    table = make_table([1.0] * 12)
+    learn(table)
+    placement, views = table.find_placement("e"), table.list_views("e", 0.0)
+    placement.divide(views, 0.9)
+    for number, view in enumerate(views):
+        if placement.division.is_own(view, True):
+            table.record_sent(view, 60_000, number, 1, 1.0)
+    assert not choose(table, LONG, 1, objective=0.6).own_side
+
+
+def test_a_runner_much_slower_than_it_states_is_passed_over():
+    table = make_table([1.0] * 6)
+    learn(table, short=0.0)
+    for number, view in enumerate(table.list_views("e", 0.0)):
+        table.record_success(view, 4.0 if number == 0 else 0.2, 0.5)
+    assert count_choices(table, LONG)["i-0"] < 5
+
+
+def test_runners_restarted_without_pace_are_chosen_as_before():
+    table = make_table([FAST] * 4)
+    for number in range(4):
+        runner = find_view(table, f"i-{number}").runner
+        table.set_runner(attrs.evolve(runner, started=5))
+    assert choose(table, LONG, 1).long is None
