Bound the estimate of a prompt whose prefix is cached

Cause: of a prompt with parts of absurd size the whole part was subtracted from the bounded length, so the estimate was negative and drew other requests to the runner. One with a single part counted whole when cached. Change: what is left to read is the last part, bounded in the same way. Result: the test of absurd sizes checks it and failed before by reasoning, not by a run.

--- a/knapweedrail/relay/scheduling/placement.py
+++ b/knapweedrail/relay/scheduling/placement.py
@@ -191,8 +191,7 @@
         Args:
             cached: Whether the runner has probably cached the prefix.
         """
-        tokens = count_private_tokens(parts)
-        return tokens - parts[-2].tokens if cached and len(parts) >= 2 else tokens
+        return count_private_tokens(parts[-1:] if cached else parts)
 
     def _choose_among(
         self,
@@ -241,7 +240,6 @@
         The rendezvous hash is weighted by speed: a runner that is twice as fast is
         preferred for twice as many prefixes.
         """
-
         key, default = hash_name(prefix), self.division.median_pace
 
         def compute_rank(view: RunnerView) -> float:
--- a/knapweedrail/tests/test_relay_placement.py
+++ b/knapweedrail/tests/test_relay_placement.py
@@ -12,6 +12,7 @@
 from ..relay.scheduling.selection import choose_runner
 from ..relay.scheduling.workloads import (
     MAX_PREFILL_RATE,
+    MAX_PRIVATE_TOKENS,
     MIN_PREFILL_RATE,
     Workload,
 )
@@ -241,6 +242,8 @@
     huge = (PromptPart("session", 999_999_999), PromptPart("own", 999_999_999))
     workload.record_sent(huge, 999_999_999, 1.0)
     assert workload.is_long(6670)
+    placement = table.find_placement("e")
+    assert 0 < placement.estimate_prefill(huge, cached=True) <= MAX_PRIVATE_TOKENS
 
 
 def test_a_relay_that_starts_knows_short_prompts():
