--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 import tempfile
+import time
 import tomllib
 from collections.abc import Callable
 from typing import Any
@@ -79,6 +80,7 @@
         runs: Receives all runs.
         record: Receives a line for each run.
         work_seconds: How long a plain request takes.
+        states_start: Whether its entry and report state when it started.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         runs: list[Run],
         record: Record,
         work_seconds: float = 0.05,
+        states_start: bool = False,
     ) -> None:
         self.name = name
         self.service = service
@@ -97,6 +100,7 @@
         self._runs = runs
         self._record = record
         self._work_seconds = work_seconds
+        self._start = {"born": time.time_ns() // 1_000_000} if states_start else {}
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -123,6 +127,7 @@
             "state": state,
             "coldLeftMs": 0,
             "seq": seq,
+            **self._start,
         }
 
     async def _handle(
@@ -135,7 +140,8 @@
             headers["Knapweedrail-Instance-Id"] = self.name
             return Response(421, headers)
         if request.target in ("/health", "/report"):
-            return Response(200, {"Knapweedrail-Instance-Id": self.name}, b"{}")
+            report = json.dumps(self._start).encode()
+            return Response(200, {"Knapweedrail-Instance-Id": self.name}, report)
         usage = request.headers.get("knapweedrail-token-usage", "0,0").split(",")
         now = asyncio.get_running_loop().time()
         run = Run(identity, self.name, now, int(usage[0]))
@@ -178,6 +184,7 @@
         folder: For settings and logs.
         store_port: Port of the store.
         command: The command of the deploy file.
+        bounds: Settings that follow from the bounds of the deployment.
     """
 
     def __init__(
@@ -187,6 +194,7 @@
         folder: pathlib.Path,
         store_port: int,
         command: list[str],
+        bounds: dict[str, float],
     ) -> None:
         self.name = name
         self.front, self.ready, self.peer, _, self.metrics = find_free_ports(5)
@@ -197,6 +205,7 @@
         self._settings = folder / f"{name}.jsonc"
         self._store_port = store_port
         self._command = command
+        self._bounds = bounds
 
     async def start(self, first: bool = False) -> None:
         """Start the process."""
@@ -209,7 +218,7 @@
             "tunnel_port_offset": 1,
             "metrics_address": f"127.0.0.1:{self.metrics}",
             "store_address": f"127.0.0.1:{self._store_port}",
-            **BOUNDS,
+            **self._bounds,
         }
         if first:
             settings["first_start"] = True
@@ -250,9 +259,15 @@
     Args:
         record: Receives what was sent, answered and run.
         folder: For settings and logs.
+
+    Attributes:
+        bounds: Settings that follow from the bounds of the deployment.
+        states_start: Whether servers state when they started.
     """
 
     def __init__(self, record: Record, folder: pathlib.Path) -> None:
+        self.bounds = dict(BOUNDS)
+        self.states_start = False
         self.store = Store()
         self.relays: list[Relay] = []
         self.runs: list[Run] = []
@@ -267,7 +282,7 @@
         port = await self.store.start()
         for number, zone in enumerate(zones, 1):
             name = f"front-{zone}-{number}"
-            relay = Relay(name, zone, self._folder, port, command)
+            relay = Relay(name, zone, self._folder, port, command, self.bounds)
             self.relays.append(relay)
             await relay.start(first=True)
             self.record.write(f"start {name}")
@@ -277,7 +292,10 @@
     ) -> Server:
         """Start a server and list it."""
         name = f"i-{next(self._numbers):08x}"
-        server = Server(name, service, zone, self.runs, self.record, work_seconds)
+        server = Server(
+            *(name, service, zone, self.runs, self.record, work_seconds),
+            states_start=self.states_start,
+        )
         await server.start()
         self.store.put("servers", name, server.make_entry())
         return server
