--- a/review/common/http.py
+++ b/review/common/http.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import random
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -96,7 +97,8 @@
     return server.sockets[0].getsockname()[1]
 
 
-_first_ports = iter(range(14_000, 30_000, 10))
+_PORT_BLOCKS = list(range(14_000, 30_000, 10))
+random.SystemRandom().shuffle(_PORT_BLOCKS)
 
 
 def find_free_ports(count: int) -> list[int]:
@@ -104,7 +106,8 @@
 
     No two calls return the same ports. At most ten can be asked for.
     """
-    for first in _first_ports:
+    while _PORT_BLOCKS:
+        first = _PORT_BLOCKS.pop()
         sockets = []
         try:
             for port in range(first, first + count):
