--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")"
 out=$(mktemp -d)
 trap 'rm -r "$out"' EXIT
-for file in common/*.py [0-9]*/*.py; do
+for file in *.py [0-9]*/*.py; do
   python3 -c 'import py_compile, sys; py_compile.compile(sys.argv[1], sys.argv[2], doraise=True)' \
     "$file" "$out/x.pyc"
 done
--- a/review/common/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and process control shared by the cases of the review."""
--- a/review/common/fleet.py
+++ b/review/fleet.py
@@ -16,10 +16,18 @@
 from collections.abc import Callable
 from typing import Any
 
-from .http import Request, Response, encode_head, find_free_ports, get_port, serve
+from .http_streams import (
+    Request,
+    Response,
+    encode_head,
+    find_free_ports,
+    get_port,
+    send_request,
+    serve,
+)
 from .store import Store
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 HOST = "ficu95.example"
 SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 STRIDE = 4
@@ -199,6 +207,7 @@
         self.name = name
         self.front, self.ready, self.peer, _, self.metrics = find_free_ports(5)
         self.process: asyncio.subprocess.Process | None = None
+        self._starting: asyncio.Future[None] | None = None
         self.exits: list[int] = []
         self.log = folder / f"{name}.log"
         self._zone = zone
@@ -223,6 +232,11 @@
         if first:
             settings["first_start"] = True
         self._settings.write_text(json.dumps(settings))
+        # A start that is cancelled half-way must not leave a process behind.
+        self._starting = asyncio.ensure_future(self._spawn())
+        await asyncio.shield(self._starting)
+
+    async def _spawn(self) -> None:
         variables = {k: os.environ[k] for k in ("PATH", "HOME") if k in os.environ}
         variables["KNAPWEEDRAIL_NODE_FILE"] = str(self._settings)
         variables["PYTHONPATH"] = str(ROOT / "target" / "deps")
@@ -248,6 +262,8 @@
 
     async def close(self) -> None:
         """End the process if it is running."""
+        if self._starting is not None:
+            await self._starting
         if self.is_running():
             self.process.kill()
             await self.process.wait()
@@ -384,8 +400,6 @@
 
 async def is_ready(relay: Relay) -> bool:
     """Return whether a relay reports that it is ready."""
-    from .http import send_request
-
     found = await send_request(relay.ready, "GET", "/ready", {"Host": "x"}, seconds=1)
     return found.status == 200
 
@@ -397,13 +411,15 @@
 
     Args:
         play: Plays the case on a fleet that isn't started yet, with or without the
-            disruption, and returns whether the rule was broken.
-        folder: The case's folder, for `record.txt`.
+            disruption (`TROUBLE`), and returns whether the rule was broken.
+        folder: The case's folder, for the record that the command line names.
         seconds: Longest duration.
     """
 
     async def run() -> int:
-        record = Record(folder / "record.txt")
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        record = Record(folder / (sys.argv[1:] or ["record.txt"])[0])
         trouble = os.environ.get("TROUBLE", "1") != "0"
         record.write(f"trouble {int(trouble)}")
         with tempfile.TemporaryDirectory() as name:
--- a/review/common/store.py
+++ b/review/store.py
@@ -9,7 +9,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from .http import Request, Response, get_port, serve
+from .http_streams import Request, Response, get_port, serve
 
 PAGE_ENTRIES = 500
 
