--- a/review/fleet.py
+++ b/review/fleet.py
@@ -427,7 +427,7 @@
             try:
                 async with asyncio.timeout(seconds):
                     broken = await play(fleet, trouble)
-            except Exception as error:
+            except (Exception, asyncio.CancelledError) as error:
                 record.write(f"couldn't run: {error!r}")
                 print(f"couldn't run: {error!r}")
                 return 2
