Split an invalid page of the store at its objects, in linear time

Cause: a page that no strict parser takes went to an error-tolerant parser, whose errors may cover the whole page and whose time grows with the number of errors. Change: such a page is split where the next object of the store begins. Each part is parsed strictly, and of an invalid one only the metadata are read. The library goes, as no option of it bounds its time.

--- a/knapweedrail/platform/pages.py
+++ b/knapweedrail/platform/pages.py
@@ -1,16 +1,18 @@
 """Parses JSON pages of the store in which single objects may be invalid.
 
-One object among hundreds may contain bytes that aren't UTF-8, a NaN, or lists nested a
-thousand deep. A strict parser rejects the whole page; the store then counts as
-unavailable at every relay, and relays no longer learn of runners that start or leave.
-So such a page is parsed again by an error-tolerant parser, and only the invalid object
-is unreadable.
+One object among hundreds may contain bytes that aren't UTF-8, a NaN, lists nested a
+thousand deep, or be cut off. A strict parser rejects the whole page; the store then
+counts as unavailable at every relay, and relays no longer learn of runners that start
+or leave. So such a page is split at the beginnings of its objects, and only the invalid
+ones are unreadable. All steps take time linear in the size of the page.
 """
 
 from __future__ import annotations
 
 import contextlib
 import json
+import re
+from collections.abc import Iterator
 from typing import Any
 
 import orjson
@@ -23,26 +25,51 @@
 the page itself and for the items of a list. Any other value is read completely or not
 at all, since a partly read object could pass for a valid one."""
 
-
 MAX_NESTING = 64
 """Deepest nesting of lists and objects in a valid part of a page. Python's recursion
 limit is far above it, and so are the limits of the encoders that objects pass."""
 
+MAX_TAIL_BRACKETS = 16
+"""Closing brackets, counted from the end of an invalid page, at which its list may
+end; a few short fields follow the list."""
+
 _NOT_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
 
+_LIST_START = re.compile(rb'"(?P<key>entries|events)"\s*:\s*\[')
+_ITEM_START = re.compile(
+    rb'\{\s*(?:"removed"\s*:\s*(?:true|false)\s*,\s*)?'
+    rb'(?:"object"\s*:\s*\{\s*)?"(?:metadata|spec|status)"\s*:'
+)
+_SEPARATOR = re.compile(rb",\s*(?=" + _ITEM_START.pattern + rb")")
+_METADATA = re.compile(rb'"metadata"\s*:\s*')
+_OBJECT = re.compile(rb'\{\s*(?:"removed"\s*:\s*\w+\s*,\s*)?"object"\s*:')
+_REMOVED = re.compile(
+    rb'^\{\s*"removed"\s*:\s*(true|false)|"removed"\s*:\s*(true|false)\s*\}\s*$'
+)
+
 
 def parse_page(content: bytes) -> Any:
     """Parse a response body of the store; invalid parts become `Unreadable`.
 
     Raises:
-        ValueError: If the body as a whole isn't a page or an object.
+        ValueError: If the body as a whole isn't a page or an object, or nothing in it
+            can be read.
     """
     with contextlib.suppress(ValueError):
-        page = orjson.loads(content)
-        return _mask_unreadable(page, "") if _may_be_deep(content) else page
+        return _mask_deep(orjson.loads(content), content)
+    # The standard library accepts NaN and lone surrogates, which are masked here.
     with contextlib.suppress(ValueError, RecursionError):
         return _mask_unreadable(json.loads(content), "")
-    return _parse_tolerantly(content)
+    return _split_page(content)
+
+
+def _mask_deep(value: Any, content: bytes, key: str = "") -> Any:
+    """Return a value without parts that are nested too deeply.
+
+    Args:
+        content: The text from which the value was parsed.
+    """
+    return _mask_unreadable(value, key) if _may_be_deep(content) else value
 
 
 def _mask_unreadable(value: Any, key: str) -> Any:
@@ -58,9 +85,12 @@
     """Return whether a page may exceed `MAX_NESTING`; brackets in texts count too."""
     brackets = content.translate(None, _NOT_BRACKETS)
     for _ in range(MAX_NESTING):
-        brackets = brackets.replace(b"[]", b"").replace(b"{}", b"")
-        if not brackets:
+        shorter = brackets.replace(b"[]", b"").replace(b"{}", b"")
+        if not shorter:
             return False
+        if len(shorter) == len(brackets):
+            break
+        brackets = shorter
     return True
 
 
@@ -91,46 +121,83 @@
     return True
 
 
-def _parse_tolerantly(content: bytes) -> Any:
-    """Parse a page from its syntax tree, which allows any depth and local errors.
+def _split_page(content: bytes) -> Any:
+    """Parse a page whose text isn't JSON, item by item.
 
     Raises:
-        ValueError: If the page itself is invalid.
+        ValueError: If nothing in it can be read.
     """
-    # Imported on demand, since invalid pages are rare.
-    import tree_sitter
-    import tree_sitter_json
+    found = _LIST_START.search(content)
+    if found is None:
+        return _read_metadata(content)
+    page, end = _parse_frame(content, found.end())
+    items = [_parse_item(text) for text in _split_items(content, found.end(), end)]
+    if all(isinstance(item, Unreadable) for item in items):
+        raise ValueError("no object of the page can be read")
+    return page | {found["key"].decode(): items}
+
 
-    language = tree_sitter.Language(tree_sitter_json.language())
-    root = tree_sitter.Parser(language).parse(content).root_node
-    return _convert_node(_list_children(root)[0], "")
+def _parse_frame(content: bytes, start: int) -> tuple[dict[str, Any], int]:
+    """Return the page with an empty list, and where the list ends.
 
+    Args:
+        start: Where the list starts, after its bracket.
 
-def _convert_node(node: Any, key: str) -> Any:
+    Raises:
+        ValueError: If what surrounds the list can't be read.
+    """
+    end = len(content)
+    for _ in range(MAX_TAIL_BRACKETS):
+        end = content.rfind(b"]", start, end)
+        if end < 0:
+            break
+        with contextlib.suppress(ValueError):
+            page = orjson.loads(content[:start] + content[end:])
+            if isinstance(page, dict):
+                return page, end
+    raise ValueError("the fields of the page can't be read")
+
+
+def _split_items(content: bytes, start: int, end: int) -> Iterator[bytes]:
+    """Yield the texts of a list's items.
+
+    Each starts like an object of the store. An object that contains such a list itself
+    is split too, and counts as unreadable.
+    """
+    for separator in _SEPARATOR.finditer(content, start, end):
+        yield content[start : separator.start()]
+        start = separator.end()
+    yield content[start:end]
+
+
+def _parse_item(text: bytes) -> Any:
     try:
-        return orjson.loads(node.text)
+        return _mask_deep(orjson.loads(text), text)
     except ValueError:
-        if node.type == "array" and key in _SPLIT_LISTS:
-            return [_convert_node(item, "") for item in _list_children(node)]
-        if node.type == "object" and key in _SPLIT_OBJECTS:
-            return dict(_convert_member(pair) for pair in _list_children(node))
-        return Unreadable()
+        with contextlib.suppress(ValueError):
+            return _read_metadata(text)
+    return Unreadable()
 
 
-def _list_children(node: Any) -> list[Any]:
-    """Return the children of a node.
+def _read_metadata(text: bytes) -> dict[str, Any]:
+    """Return an object, or a change of one, of which only the metadata is readable.
 
     Raises:
-        ValueError: If there are none, or if one of them is a syntax error.
+        ValueError: If they aren't readable either.
     """
-    if not node.named_children:
-        raise ValueError("empty JSON document or value")
-    if any(part.is_error or part.is_missing for part in node.children):
-        raise ValueError(f"invalid JSON after byte {node.start_byte}")
-    return list(node.named_children)
-
-
-def _convert_member(pair: Any) -> tuple[str, Any]:
-    key, value = pair.named_children
-    name = str(orjson.loads(key.text))
-    return name, _convert_node(value, name)
+    found = _METADATA.search(text)
+    if found is None:
+        raise ValueError("no metadata")
+    rest = text[found.end() :].decode("utf-8", "replace")
+    try:
+        metadata, _ = json.JSONDecoder().raw_decode(rest)
+    except RecursionError as error:
+        raise ValueError("metadata are nested too deeply") from error
+    if not _is_valid_json(metadata):
+        raise ValueError("metadata aren't valid")
+    stored = {"metadata": metadata, "spec": Unreadable()}
+    if _OBJECT.match(text) is None:
+        return stored
+    removed = _REMOVED.search(text)
+    is_removed = removed is not None and b"true" in (removed[1], removed[2])
+    return {"removed": is_removed, "object": stored}
--- a/knapweedrail/tests/test_relay_foreign.py
+++ b/knapweedrail/tests/test_relay_foreign.py
@@ -1,6 +1,7 @@
 """Entries of the store that a foreign writer wrote, or that can't be parsed."""
 
 import math
+import time
 
 import anyio
 import orjson
@@ -270,8 +271,30 @@
     # Depths that a parser accepts and an encoder, or the text of an error, doesn't.
     *[b'{"slots":%s}' % (b"[" * depth + b"]" * depth) for depth in (100, 300, 980)],
     b'{"slots":%s}' % (b'[{"a":' * 400 + b"1" + b"}]" * 400),
+    # Cut off, or with brackets and quotes that don't match.
+    b"[1,2",
+    b'{"service":"e","slots":',
+    b'{"service":"e',
+    b'{"slots":1]}]',
+    b'"}],"asOf":9}',
+    b"[" * 50_000,
+    b"1" * 5000,
+    b"1e400",
+    b'{"slots":1,"slots":NaN}',
 ]
 
+LONG = 800_000
+LONG_TEXTS = [
+    b"[" + b"1,," * (LONG // 3) + b"1]",
+    b"[" * LONG,
+    b"[" + b"[]," * (LONG // 3) + b"NaN]",
+    b"{" + b'"a":{},' * (LONG // 7) + b'"b":\xff}',
+    b'"' + b'\\"' * (LONG // 2),
+    b'"metadata":' * (LONG // 11),
+]
+
+MAX_PARSE_SECONDS = 0.5
+
 
 def make_object(name, spec):
     head = b'{"metadata":{"name":"%s","revision":7},"spec":%s,"status":null}'
@@ -300,6 +323,38 @@
     assert parse_page(items[1])["spec"] == Unreadable()
 
 
+@pytest.mark.parametrize("spec", LONG_TEXTS)
+def test_unparsable_object_takes_time_by_its_length(spec):
+    """Guards against one entry of another writer that keeps every relay from work for
+    seconds, each time that the page with it is read."""
+    items = b",".join(
+        make_object(name, text)
+        for name, text in ((b"a", VALID_SPEC), (b"b", spec), (b"c", VALID_SPEC))
+    )
+    began_at = time.process_time()
+    page = parse_page(b'{"entries":[%s],"morePages":false,"asOf":9}' % items)
+    assert time.process_time() - began_at < MAX_PARSE_SECONDS
+    specs = {one["metadata"]["name"]: one["spec"] for one in page["entries"]}
+    assert specs["a"] == specs["c"] == orjson.loads(VALID_SPEC)
+    assert specs["b"] == Unreadable()
+
+
+@settings(max_examples=200)
+@given(st.lists(st.binary(max_size=12), max_size=4), st.data())
+def test_cut_object_does_not_affect_others_on_the_page(parts, data):
+    """Guards against an entry that ends in the middle, and takes the next ones with
+    it."""
+    whole = make_object(b"b", orjson.dumps(make_entry(OLD)) + b"".join(parts))
+    start = whole.index(b'"spec":') + len(b'"spec":')
+    cut = whole[: data.draw(st.integers(start, len(whole) - 1))]
+    items = b",".join([make_object(b"a", VALID_SPEC), cut])
+    items += b"," + make_object(b"c", VALID_SPEC)
+    page = parse_page(b'{"entries":[%s],"asOf":9}' % items)
+    found = {one["metadata"]["name"]: one["spec"] for one in page["entries"]}
+    assert found["a"] == found["c"] == orjson.loads(VALID_SPEC)
+    assert page["asOf"] == 9
+
+
 @pytest.mark.parametrize("body", [b"", b"{", b"<html>", b'{"entries":[{]}', b"NaN,"])
 def test_invalid_page_is_an_error(body):
     with pytest.raises(ValueError):
