Name lists and objects by their size in errors on entries

The text of an error about a value of another writer contained repr() of it, cut to fifty characters after the whole text had been made. It raises RecursionError for values nested deeply enough, which no caller expects. Cause: the error's text was as deep and as long as the value. Change: make_excerpt names a list or an object by its size.

--- a/knapweedrail/platform/converters.py
+++ b/knapweedrail/platform/converters.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+from ..excerpts import make_excerpt
+
 
 def require_string(value: Any, _: object = None) -> str:
     """Return a string unchanged.
@@ -12,7 +14,7 @@
         TypeError: If the value isn't a string.
     """
     if not isinstance(value, str):
-        raise TypeError(f"{value!r:.50} isn't a string")
+        raise TypeError(f"{make_excerpt(value)} isn't a string")
     return value
 
 
@@ -23,7 +25,7 @@
         TypeError: If the value isn't a number.
     """
     if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise TypeError(f"{value!r:.50} isn't a number")
+        raise TypeError(f"{make_excerpt(value)} isn't a number")
     return value
 
 
@@ -37,5 +39,5 @@
     """
     number = require_number(value)
     if isinstance(number, float) and not number.is_integer():
-        raise TypeError(f"{value!r:.50} isn't an integer")
+        raise TypeError(f"{make_excerpt(value)} isn't an integer")
     return int(number)
--- a/knapweedrail/platform/entries.py
+++ b/knapweedrail/platform/entries.py
@@ -13,6 +13,7 @@
 import attrs
 
 from ..addresses import check_address
+from ..excerpts import make_excerpt
 from . import names
 from .converters import require_integer, require_number, require_string
 
@@ -100,7 +101,7 @@
     if not _NAME.fullmatch(name):
         raise ValueError(f"invalid runner name: {name!r:.50}")
     if not isinstance(spec, dict):
-        raise ValueError(f"entry is not an object: {spec!r:.50}")
+        raise ValueError(f"entry is not an object: {make_excerpt(spec)}")
     given = {field: spec[key] for field, key in _FIELDS.items() if key in spec}
     try:
         return RunnerEntry(**given)
--- a/knapweedrail/platform/store.py
+++ b/knapweedrail/platform/store.py
@@ -10,6 +10,7 @@
 import orjson
 
 from ..events import Event, log_event
+from ..excerpts import make_excerpt
 from ..outcomes import Unavailable, Unknown
 from ..relay.stores import (
     Change,
@@ -221,11 +222,11 @@
     try:
         yield
     except _DECODE_ERRORS as error:
-        log_event(Event.OBJECT_MALFORMED, item=repr(item)[:100], error=repr(error))
+        log_event(Event.OBJECT_MALFORMED, item=make_excerpt(item), error=repr(error))
 
 
 def _decode_object(item: dict[str, Any]) -> StoredObject:
     meta = item["metadata"]
     if not isinstance(meta["name"], str):
-        raise TypeError(f"object name is not a string: {meta['name']!r:.50}")
+        raise TypeError(f"object name is not a string: {make_excerpt(meta['name'])}")
     return StoredObject(meta["name"], int(meta["revision"]), item.get("spec"))
--- a/knapweedrail/relay/ledgers.py
+++ b/knapweedrail/relay/ledgers.py
@@ -23,6 +23,7 @@
 
 import attrs
 
+from ..excerpts import make_excerpt
 from .vesting import BootTime, VestingSchedule, decode_schedule, encode_schedule
 
 MAX_TOKENS = 2**53
@@ -292,7 +293,7 @@
 
 def _parse_holder(value: Any) -> str:
     if not (isinstance(value, str) and "/" in value):
-        raise ValueError(f"invalid holder name: {value!r:.50}")
+        raise ValueError(f"invalid holder name: {make_excerpt(value)}")
     return value
 
 
@@ -303,7 +304,7 @@
     were granted, and the difference would be granted a second time.
     """
     if isinstance(value, bool) or not isinstance(value, int):
-        raise ValueError(f"token count is not an integer: {value!r:.50}")
+        raise ValueError(f"token count is not an integer: {make_excerpt(value)}")
     if abs(value) > MAX_TOKENS:
         raise ValueError("token count exceeds 2**53")
     return value
--- a/knapweedrail/relay/members.py
+++ b/knapweedrail/relay/members.py
@@ -12,6 +12,7 @@
 
 from ..addresses import check_address
 from ..events import Event, log_event
+from ..excerpts import make_excerpt
 from ..hashing import hash_pair
 from ..limits import Senders, Standing
 from ..tasks import Task
@@ -365,12 +366,12 @@
         ValueError: If it isn't in the format of `encode_member`.
     """
     if not isinstance(spec, dict):
-        raise ValueError(f"not a relay's entry: {spec!r:.50}")
+        raise ValueError(f"not a relay's entry: {make_excerpt(spec)}")
     texts = [spec.get(key) for key in ("holder", "address", "data_centre")]
     # Relays of earlier versions don't state it.
     texts.append(spec.get("tunnel_address", ""))
     if not all(isinstance(text, str) for text in texts):
-        raise ValueError(f"not a relay's entry: {spec!r:.200}")
+        raise ValueError("a field of a relay's entry isn't text")
     member = Member(name, *texts)
     if member.holder.rpartition("/")[0] != name:
         raise ValueError(f"holder {member.holder!r:.100} doesn't belong to this host")
--- a/knapweedrail/relay/patches.py
+++ b/knapweedrail/relay/patches.py
@@ -12,6 +12,8 @@
 
 import orjson
 
+from ..excerpts import make_excerpt
+
 
 class _Form(enum.StrEnum):
     """Forms of a patch; the form is the first item of the patch's list."""
@@ -97,4 +99,4 @@
             return items
         case [_Form.SPLICE, start, removed, items]:
             return [*old[:start], *items, *old[start + removed :]]
-    raise ValueError(f"unknown form of patch: {patch!r:.50}")
+    raise ValueError(f"unknown form of patch: {make_excerpt(patch)}")
--- a/knapweedrail/tests/test_relay_foreign.py
+++ b/knapweedrail/tests/test_relay_foreign.py
@@ -355,6 +355,22 @@
     assert page["asOf"] == 9
 
 
+class UnreadList(list):
+    """List whose text must not be made."""
+
+    def __repr__(self):
+        raise AssertionError("the whole value is written out")
+
+
+@pytest.mark.parametrize("field", [*FIELDS, "version", "seq", "coldLeftMs", "born"])
+def test_error_text_of_an_entry_does_not_contain_the_whole_value(field):
+    """Guards against the text of an error that is as deep or as long as the value, and
+    raises where a log line is made."""
+    spec = make_entry(OLD) | {field: UnreadList([1])}
+    with pytest.raises(ValueError):
+        decode_runner("i-0", spec)
+
+
 @pytest.mark.parametrize("body", [b"", b"{", b"<html>", b'{"entries":[{]}', b"NaN,"])
 def test_invalid_page_is_an_error(body):
     with pytest.raises(ValueError):
