Compare large objects to a bounded depth

An entry of many levels that changes is compared again, as a part of all levels above, at each of them. Change: patches end at eight levels; what is below is sent whole. A configuration has six. Measured: test_patch_of_a_deep_value_takes_time_by_its_length failed before.

--- a/knapweedrail/relay/patches.py
+++ b/knapweedrail/relay/patches.py
@@ -14,6 +14,10 @@
 
 from ..excerpts import make_excerpt
 
+MAX_PATCH_DEPTH = 8
+"""Depth of a value below which a change is sent whole. Each level is compared again as
+a part of all levels above it."""
+
 
 class _Form(enum.StrEnum):
     """Forms of a patch; the form is the first item of the patch's list."""
@@ -36,25 +40,33 @@
     return orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
 
 
-def make_patch(old: Any, new: Any) -> list[Any]:
-    """Return the patch that turns the old value into the new one."""
+def make_patch(old: Any, new: Any, depth: int = MAX_PATCH_DEPTH) -> list[Any]:
+    """Return the patch that turns the old value into the new one.
+
+    Args:
+        depth: Number of levels that are compared part by part.
+    """
+    if depth == 0:
+        return [_Form.VALUE, new]
     if isinstance(old, dict) and isinstance(new, dict):
         changed = {
-            key: make_patch(old[key], value) if key in old else [_Form.VALUE, value]
+            key: make_patch(old[key], value, depth - 1)
+            if key in old
+            else [_Form.VALUE, value]
             for key, value in new.items()
             if key not in old or not is_same(old[key], value)
         }
         return [_Form.FIELDS, changed, [key for key in old if key not in new]]
     if isinstance(old, list) and isinstance(new, list):
-        return _compare_lists(old, new)
+        return _compare_lists(old, new, depth - 1)
     return [_Form.VALUE, new]
 
 
-def _compare_lists(old: list[Any], new: list[Any]) -> list[Any]:
+def _compare_lists(old: list[Any], new: list[Any], depth: int) -> list[Any]:
     if len(old) == len(new):
         pairs = enumerate(zip(old, new, strict=True))
         changed = {
-            str(index): make_patch(before, after)
+            str(index): make_patch(before, after, depth)
             for index, (before, after) in pairs
             if not is_same(before, after)
         }
--- a/knapweedrail/tests/test_relay_patches.py
+++ b/knapweedrail/tests/test_relay_patches.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ..relay import patches
 from ..relay.patches import apply_patch, is_same, make_patch
 
 SCALARS = st.none() | st.booleans() | st.integers(-3, 3) | st.text("ab", max_size=2)
@@ -46,3 +47,18 @@
     """Guards against applying a part of a patch."""
     with pytest.raises(ValueError):
         apply_patch({"b": []}, patch)
+
+
+def test_patch_of_a_deep_value_takes_time_by_its_length(monkeypatch):
+    """Guards against an entry of another writer that is compared again at each of its
+    levels, and keeps a relay from work while it changes."""
+    old, new = ["x" * 100_000], ["x" * 100_000, 1]
+    for _ in range(60):
+        old, new = [old], [new]
+    compared = []
+    render = patches._render
+    monkeypatch.setattr(
+        patches, "_render", lambda value: compared.append(1) or render(value)
+    )
+    assert apply_patch(old, make_patch(old, new)) == new
+    assert len(compared) < 30
