Remove only its own entry when a relay leaves, and write a lost one again

The removal of a stopping relay's entry may be done seconds after its reply was lost, and then removes the entry of the next process on that host, which no relay started later knows then. Cause: the removal had no condition, and a relay looked at its own entry only if it was unreadable. Change: the removal carries the revision of the entry, and a relay whose entry is gone from a newer list writes it again. The stand-ins of the store do late and unanswered writes, and leave the revision as it is if a write changes nothing, as the platform's does. Measured: test_late_removal_spares_the_entry_of_the_next_process and test_relay_rewrites_its_own_removed_entry are new; without a condition or a look at the list neither can pass, but they weren't run on the old interface.

--- a/knapweedrail/platform/store.py
+++ b/knapweedrail/platform/store.py
@@ -114,17 +114,21 @@
         body = {"metadata": {"name": name, "revision": revision}, "spec": spec}
         return await self._write("replace", "PUT", f"/objects/{kind}/{name}", body)
 
-    async def delete(self, kind: str, name: str) -> WriteOutcome:
-        # The answer to a deletion has a status only, and no object to decode.
+    async def delete(self, kind: str, name: str, revision: int) -> WriteOutcome:
+        path, query = f"/objects/{kind}/{name}", {"revision": str(revision)}
         try:
-            answer = await self._request("DELETE", f"/objects/{kind}/{name}")
+            answer = await self._request("DELETE", path, query)
         except httpx.HTTPError as error:
             return Unknown("store.delete", self._address, repr(error))
         if answer.status_code == httpx.codes.NOT_FOUND:
             return Missing()
         if answer.is_success:
-            return Written(0)
-        return self._unavailable("delete", answer.status_code)
+            # The answer has no object to decode.
+            return Written(revision)
+        try:
+            return await self._decode_write("delete", answer)
+        except _DECODE_ERRORS as error:
+            return Unknown("store.delete", self._address, repr(error))
 
     async def _read(
         self,
--- a/knapweedrail/relay/members.py
+++ b/knapweedrail/relay/members.py
@@ -21,7 +21,15 @@
 from .models import Member
 from .record_keepers import KeeperPlan
 from .sources import plan_sources
-from .stores import Conflict, Listing, Missing, Store, StoredObject, Written
+from .stores import (
+    Conflict,
+    Listing,
+    Missing,
+    Store,
+    StoredObject,
+    WriteOutcome,
+    Written,
+)
 
 MEMBER_KIND = "relay-members"
 
@@ -136,6 +144,7 @@
         self._own_entry_listed = False
         self._revision: int | None = None
         self._own_entry_malformed = False
+        self._own_entry_removed = False
         self._store = store
         self._members: dict[str, Member] = {member.host: member}
         self._first_ranked_by_account: dict[str, bool] = {}
@@ -261,10 +270,11 @@
                 compute_list_interval(self.count) * random.uniform(0.8, 1.2)
             )
             await self._refresh(stale=True)
-            if self._own_entry_malformed:
-                # Relays that start later can't decode the entry and wouldn't know this
-                # relay.
-                self._own_entry_malformed = not await self._register()
+            if self._own_entry_malformed or self._own_entry_removed:
+                # Relays that start later wouldn't know this relay.
+                registered = await self._register()
+                self._own_entry_malformed = not registered
+                self._own_entry_removed = not registered
 
     async def _wait_until_settled(self) -> None:
         """Wait until relays that start at the same time are listed.
@@ -282,8 +292,21 @@
             await anyio.sleep(RETRY_SECONDS)
 
     async def leave(self) -> None:
-        """Remove this relay's entry from the store."""
-        await self._store.delete(MEMBER_KIND, self.member.host)
+        """Remove this relay's entry from the store.
+
+        The removal may take effect after its reply was lost, when the next process on
+        this host has written its own entry, which must stay.
+        """
+        outcome: object = Missing()
+        if self._revision is not None:
+            outcome = await self._remove_entry(self._revision)
+        if isinstance(outcome, Conflict):
+            stored = outcome.stored
+            if stored.spec == encode_member(self.member):
+                await self._remove_entry(stored.revision)
+
+    async def _remove_entry(self, revision: int) -> WriteOutcome:
+        return await self._store.delete(MEMBER_KIND, self.member.host, revision)
 
     async def _register(self) -> bool:
         """Write this relay's entry; return whether that took effect."""
@@ -305,7 +328,10 @@
                 )
             case Missing():
                 self._revision = None
-        return isinstance(outcome, Written)
+        if isinstance(outcome, Written):
+            self._revision = outcome.revision
+            return True
+        return False
 
     async def _refresh(self, stale: bool) -> bool:
         began_at = time.monotonic()
@@ -313,10 +339,13 @@
         if not isinstance(outcome, Listing):
             return False
         found = {m.host: m for m in map(self._decode_entry, outcome.objects) if m}
-        for stored in outcome.objects:
-            if stored.name == self.member.host:
-                self._revision = stored.revision
-                self._previously_registered = True
+        entry = next((o for o in outcome.objects if o.name == self.member.host), None)
+        if entry is not None:
+            self._revision = max(self._revision or 0, entry.revision)
+            self._previously_registered = True
+        elif self._revision is not None and outcome.revision > self._revision:
+            self._revision = None
+            self._own_entry_removed = True
         own = found.get(self.member.host)
         self._own_entry_listed = own is not None and own.holder == self.member.holder
         found[self.member.host] = self.member
--- a/knapweedrail/relay/metrics.py
+++ b/knapweedrail/relay/metrics.py
@@ -198,8 +198,9 @@
         call = self._store.replace(kind, name, spec, revision)
         return await self._count_call("replace", kind, call)
 
-    async def delete(self, kind: str, name: str) -> Any:
-        return await self._count_call("delete", kind, self._store.delete(kind, name))
+    async def delete(self, kind: str, name: str, revision: int) -> Any:
+        call = self._store.delete(kind, name, revision)
+        return await self._count_call("delete", kind, call)
 
     async def report_calls(self) -> None:
         """Log the counts of calls at regular intervals until cancelled."""
--- a/knapweedrail/relay/stores.py
+++ b/knapweedrail/relay/stores.py
@@ -142,5 +142,5 @@
         """Replace an object if it still has the given revision."""
 
     @abstractmethod
-    async def delete(self, kind: str, name: str) -> WriteOutcome:
-        """Remove an object, whatever its revision."""
+    async def delete(self, kind: str, name: str, revision: int) -> WriteOutcome:
+        """Remove an object if it still has the given revision."""
--- a/knapweedrail/standins/objects.py
+++ b/knapweedrail/standins/objects.py
@@ -206,13 +206,19 @@
         if revision is not None and revision != entry.revision:
             return _answer(409, entry.render())
         kind, name = request.path_params["kind"], entry.name
-        self.put(kind, name, body.get("spec"))
+        if body.get("spec") != entry.spec:
+            # A write that changes nothing doesn't raise the revision.
+            self.put(kind, name, body.get("spec"))
         return self._finish(kind, name, 200)
 
     async def _delete(self, request: Request) -> Response:
         refused = await self._refuse()
         if refused:
             return refused
+        entry = self._find(request)
+        revision = request.query_params.get("revision")
+        if entry is not None and revision not in (None, str(entry.revision)):
+            return _answer(409, entry.render())
         self.remove(request.path_params["kind"], request.path_params["name"])
         return _answer(200, {})
 
--- a/knapweedrail/standins/playedstore.py
+++ b/knapweedrail/standins/playedstore.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import random
 import time
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 import anyio
+import attrs
 
-from ..outcomes import Unavailable
+from ..outcomes import Unavailable, Unknown
 from ..relay.notifiers import Notifier
 from ..relay.stores import (
     Change,
@@ -34,6 +37,26 @@
 STALE_PRICE = 0.1
 
 
+LATE_SECONDS = (0.5, 6.0)
+"""How much later a write that got no answer may be done."""
+
+
+@attrs.frozen
+class WriteFaults:
+    """What becomes of writes and their answers.
+
+    Attributes:
+        unanswered: Share of the writes that are done and not answered.
+        late: Share that is done seconds later, if the condition still holds then, and
+            not answered.
+        rng: Decides for each write.
+    """
+
+    unanswered: float = 0.0
+    late: float = 0.0
+    rng: random.Random = attrs.field(factory=random.Random)
+
+
 class PlayedStore:
     """The store's state, its history, and what each relay's calls meet.
 
@@ -42,6 +65,7 @@
         lost: Hosts that it can't be reached from.
         price: Of all calls, one that may be stale at a tenth.
         calls: By step and kind.
+        faults: What becomes of writes now.
     """
 
     def __init__(self) -> None:
@@ -50,14 +74,35 @@
         self.lost: set[str] = set()
         self.price = 0.0
         self.calls: Counter[str] = Counter()
+        self.faults = WriteFaults()
         self.changed = Notifier()
         self._objects: dict[tuple[str, str], StoredObject] = {}
         self._events: list[tuple[float, int, str, Change]] = []
         self._oldest = 0
         self._breaks: Counter[str] = Counter()
+        self._late: list[tuple[float, Callable[[], object]]] = []
+
+    def write_later(self, write: Callable[[], object]) -> None:
+        """Do a write some time from now."""
+        due_at = time.monotonic() + self.faults.rng.uniform(*LATE_SECONDS)
+        self._late.append((due_at, write))
+
+    def do_late_writes(self) -> None:
+        """Do the writes that are due."""
+        now = time.monotonic()
+        due = sorted((w for w in self._late if w[0] <= now), key=lambda w: w[0])
+        self._late = [write for write in self._late if write[0] > now]
+        for _, write in due:
+            write()
 
     def put(self, kind: str, name: str, spec: Any) -> int:
-        """Write an object; return its revision."""
+        """Write an object; return its revision.
+
+        A write that changes nothing leaves the revision as it is.
+        """
+        known = self._objects.get((kind, name))
+        if known is not None and known.spec == spec:
+            return known.revision
         self.revision += 1
         stored = StoredObject(name, self.revision, spec)
         self._objects[kind, name] = stored
@@ -177,29 +222,60 @@
         return self._played.find(kind, name) or Missing()
 
     async def create(self, kind: str, name: str, spec: Any) -> WriteOutcome:
-        if not await self._call("create", kind):
-            return self._away()
-        known = self._played.find(kind, name)
-        if known is not None:
-            return Conflict(known)
-        return Written(self._played.put(kind, name, spec))
+        def write() -> WriteOutcome:
+            known = self._played.find(kind, name)
+            if known is not None:
+                return Conflict(known)
+            return Written(self._played.put(kind, name, spec))
+
+        return await self._write("create", kind, write)
 
     async def replace(
         self, kind: str, name: str, spec: Any, revision: int
     ) -> WriteOutcome:
-        if not await self._call("replace", kind):
-            return self._away()
-        known = self._played.find(kind, name)
-        if known is None:
-            return Missing()
-        if known.revision != revision:
-            return Conflict(known)
-        return Written(self._played.put(kind, name, spec))
-
-    async def delete(self, kind: str, name: str) -> WriteOutcome:
-        if not await self._call("delete", kind):
+        def write() -> WriteOutcome:
+            known = self._played.find(kind, name)
+            if known is None:
+                return Missing()
+            if known.revision != revision:
+                return Conflict(known)
+            return Written(self._played.put(kind, name, spec))
+
+        return await self._write("replace", kind, write)
+
+    async def delete(self, kind: str, name: str, revision: int) -> WriteOutcome:
+        def write() -> WriteOutcome:
+            known = self._played.find(kind, name)
+            if known is None:
+                return Missing()
+            if known.revision != revision:
+                return Conflict(known)
+            return Written(self._played.remove(kind, name))
+
+        return await self._write("delete", kind, write)
+
+    async def _write(
+        self, step: str, kind: str, write: Callable[[], WriteOutcome]
+    ) -> WriteOutcome:
+        faults = self._played.faults
+        try:
+            reached = await self._call(step, kind)
+        except anyio.get_cancelled_exc_class():
+            # The write of a process that ends may have been sent.
+            if faults.rng.random() < faults.unanswered + faults.late:
+                self._played.write_later(write)
+            raise
+        if not reached:
             return self._away()
-        return Written(self._played.remove(kind, name))
+        drawn = faults.rng.random()
+        if drawn >= faults.unanswered + faults.late:
+            return write()
+        if drawn < faults.late:
+            self._played.write_later(write)
+        else:
+            write()
+        await anyio.sleep(faults.rng.uniform(0.0, CALL_SECONDS))
+        return Unknown(step, "played", "no answer")
 
     async def _wait_for_changes(
         self, kind: str, revision: int, seconds: float
@@ -220,6 +296,7 @@
             await anyio.sleep(limit)
             return False
         await anyio.sleep(STORE_SECONDS)
+        self._played.do_late_writes()
         return True
 
     def _away(self) -> Unavailable:
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -63,8 +63,9 @@
 
     Attributes:
         write_results: Results of the next writes, in order: ``"answer"`` (normal),
-            ``"lose"`` (applied, reply lost), ``"drop"`` (not applied, no reply) or
-            ``"away"`` (store unavailable). Normal after the last.
+            ``"lose"`` (applied, reply lost), ``"drop"`` (not applied, no reply),
+            ``"late"`` (no reply, applied by `apply_late_writes` if its condition holds
+            then) or ``"away"`` (store unavailable). Normal after the last.
         unavailable: Whether all calls fail because the store can't be reached.
         writes: Number of applied writes.
         conflicts: Number of writes rejected for their revision.
@@ -82,6 +83,7 @@
         self.conflicts = 0
         self.peeks = 0
         self.stale: dict[tuple[str, str], StoredObject] = {}
+        self._late_writes: list[tuple[str, str, Any, int | None]] = []
 
     async def list_kind(self, kind: str, stale: bool = False) -> Listing | Unavailable:
         if self.unavailable:
@@ -106,11 +108,17 @@
     async def replace(self, kind: str, name: str, spec: Any, revision: int) -> Any:
         return await self._write(kind, name, spec, revision)
 
-    async def delete(self, kind: str, name: str) -> Any:
+    async def delete(self, kind: str, name: str, revision: int) -> Any:
         if self.unavailable:
             return Unavailable("delete", "store", "away")
-        self.objects.pop((kind, name), None)
-        return Written(0)
+        current = self.objects.get((kind, name))
+        if current is None:
+            return Missing()
+        if current.revision != revision:
+            return Conflict(copy.deepcopy(current))
+        del self.objects[kind, name]
+        self.revision += 1
+        return Written(self.revision)
 
     def put(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Write an object unconditionally."""
@@ -130,8 +138,24 @@
         result = self.write_results.pop(0) if self.write_results else "answer"
         if self.unavailable or result == "away":
             return Unavailable("write", "store", "away")
-        if result == "drop":
+        if result == "late":
+            self._late_writes.append((kind, name, copy.deepcopy(spec), revision))
+        if result in ("drop", "late"):
+            return Unknown("write", "store", "no answer")
+        outcome = self._apply_write(kind, name, spec, revision)
+        if result == "lose" and isinstance(outcome, Written):
             return Unknown("write", "store", "no answer")
+        return outcome
+
+    def apply_late_writes(self) -> None:
+        """Apply the writes that got no reply and are still to be done."""
+        late, self._late_writes = self._late_writes, []
+        for write in late:
+            self._apply_write(*write)
+
+    def _apply_write(
+        self, kind: str, name: str, spec: Any, revision: int | None
+    ) -> Any:
         current = self.objects.get((kind, name))
         if current is None and revision is not None:
             return Missing()
@@ -140,10 +164,10 @@
             return Conflict(copy.deepcopy(current))
         self.writes += 1
         self._writes_by_kind[kind] += 1
-        stored = self.put(kind, name, spec)
-        if result == "lose":
-            return Unknown("write", "store", "no answer")
-        return Written(stored.revision)
+        if current is not None and current.spec == spec:
+            # A write that changes nothing doesn't raise the revision.
+            return Written(current.revision)
+        return Written(self.put(kind, name, spec).revision)
 
 
 @attrs.define
--- a/knapweedrail/tests/test_relay_foreign_state.py
+++ b/knapweedrail/tests/test_relay_foreign_state.py
@@ -244,9 +244,8 @@
     assert first == second == {"me", *valid}
 
 
-async def test_relay_rewrites_its_own_corrupted_entry(monkeypatch):
-    """Guards against a relay that stays unknown to relays started later, because its
-    entry can't be read."""
+async def check_entry_is_rewritten(monkeypatch, disturb):
+    """Check that a relay writes its entry again after something happened to it."""
     monkeypatch.setattr("knapweedrail.relay.members.LIST_SECONDS", 0.01)
     monkeypatch.setattr("knapweedrail.relay.members.SETTLE_SECONDS", 0.01)
     store = MemoryStore()
@@ -256,8 +255,48 @@
         await membership.start(group)
         while not membership.settled:
             await anyio.sleep(0.01)
-        store.put(MEMBER_KIND, "me", {"holder": 7})
+        await disturb(store)
         with anyio.fail_after(3):
-            while store.objects[MEMBER_KIND, "me"].spec != encode_member(own_member):
+            while read_entry(store) != encode_member(own_member):
                 await anyio.sleep(0.01)
         await membership.close()
+
+
+def read_entry(store):
+    stored = store.objects.get((MEMBER_KIND, "me"))
+    return stored.spec if stored else None
+
+
+async def test_relay_rewrites_its_own_corrupted_entry(monkeypatch):
+    """Guards against a relay that stays unknown to relays started later, because its
+    entry can't be read."""
+
+    async def corrupt(store):
+        store.put(MEMBER_KIND, "me", {"holder": 7})
+
+    await check_entry_is_rewritten(monkeypatch, corrupt)
+
+
+async def test_relay_rewrites_its_own_removed_entry(monkeypatch):
+    """Guards against a relay that stays unknown to relays started later, because its
+    entry was removed."""
+
+    async def remove(store):
+        revision = store.objects[MEMBER_KIND, "me"].revision
+        await store.delete(MEMBER_KIND, "me", revision)
+
+    await check_entry_is_rewritten(monkeypatch, remove)
+
+
+async def test_late_removal_spares_the_entry_of_the_next_process():
+    """Guards against a relay that nobody knows, because the removal of the previous
+    process's entry took effect after its own was written."""
+    store = MemoryStore()
+    first, second = (Member("me", f"me/{n}", "127.0.0.1:9", "dc") for n in (1, 2))
+    previous, current = Membership(store, first), Membership(store, second)
+    assert await previous._register()
+    assert await current._register()
+    await previous.leave()
+    assert read_entry(store) == encode_member(second)
+    await current.leave()
+    assert read_entry(store) is None
