Number the writes of a host's record, so that none changes nothing

What callers saw: nothing yet; a budget could be overspent. Cause: a write that changes nothing leaves the revision as it is. A relay whose record became empty again after a write whose reply was lost was freed from the lost one, though that could still be done: its condition held. After a crash the grant was settled by it, and more had been used. Change: each write of a record has a number. Ledgers need none: each of their writes has the time of its schedule, or ends a grant. Measured: test_late_record_does_not_replace_one_that_binds_less failed before.

--- a/knapweedrail/relay/host_recorder.py
+++ b/knapweedrail/relay/host_recorder.py
@@ -6,6 +6,7 @@
 from abc import ABC, abstractmethod
 
 import anyio
+import attrs
 
 from .account_holdings import AccountHolding, RecordPlan
 from .boot_clock import BootClock
@@ -93,6 +94,7 @@
         self._requests = 0
         self._served_requests = 0
         self._written_at = float("-inf")
+        self._sequence = 0
         self._boot = clock.started.boot
 
     @property
@@ -204,7 +206,8 @@
 
     async def _send(self, record: HostRecord) -> WriteOutcome:
         began_at = time.monotonic()
-        spec = encode_record(record)
+        self._sequence += 1
+        spec = encode_record(attrs.evolve(record, sequence=self._sequence))
         if self._revision is None:
             outcome = await self._store.create(KIND, self._host, spec)
         else:
--- a/knapweedrail/relay/host_records.py
+++ b/knapweedrail/relay/host_records.py
@@ -28,10 +28,14 @@
     Attributes:
         holder: The relay's name as a holder in the ledgers.
         schedules: Schedules by account. Without one, only the ledger's applies.
+        sequence: Number of the write. A write that changed nothing would leave the
+            revision as it is, and an earlier one whose reply was lost could still take
+            effect.
     """
 
     holder: str
     schedules: Mapping[str, VestingSchedule] = attrs.field(factory=dict)
+    sequence: int = 0
 
     def find_schedule(self, holder: str, account: str) -> VestingSchedule | None:
         """Return a holder's schedule for an account, or ``None``."""
@@ -47,7 +51,11 @@
         account: encode_schedule(schedule)
         for account, schedule in record.schedules.items()
     }
-    return {"holder": record.holder, "schedules": schedules}
+    return {
+        "holder": record.holder,
+        "schedules": schedules,
+        "sequence": record.sequence,
+    }
 
 
 def decode_record(stored: StoredObject) -> HostRecord:
--- a/knapweedrail/tests/test_relay_host_records.py
+++ b/knapweedrail/tests/test_relay_host_records.py
@@ -136,6 +136,23 @@
     assert read_schedule(store).tokens == 50
 
 
+async def test_late_record_does_not_replace_one_that_binds_less():
+    """Guards against overspending after a write of the record that is done seconds
+    later, while a newer write that changed nothing has freed the relay from it."""
+    store, clock = MemoryStore(), ScriptedClock()
+    holding = make_holding(ACCOUNT, clock)
+    recorder = make_recorder(store, clock, [holding])
+    assert await recorder.load()
+    store.write_results = ["late"]
+    await recorder._write()
+    assert holding.allowance.available == 10
+    recorder._source.writes_records = False
+    await recorder._write()
+    store.apply_late_writes()
+    assert holding.allowance.available == 100
+    assert read_schedule(store) is None
+
+
 async def test_record_is_bounded():
     """Guards against a record that outgrows the store's objects."""
     store, clock = MemoryStore(), ScriptedClock()
