Draw no tokens for other relays while a relay stops

What callers saw: nothing yet. A relay that stopped while another one waited for its tokens used a whole core and never ended by itself: its answers weren't finished in good order, its tokens weren't returned, and its entry stayed until the platform killed it. Cause: the update for the waiting relay was started in a task group that was already cancelled. Such a task is never cancelled, and the group waits for it for ever. Change: close() ends loans and draws before the tasks. The fleet in virtual time stops relays in good order now, with unanswered and late writes, and counts what callers had of a budget and still could have; a loop in which no time passes is an error there.

--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -84,7 +84,7 @@
         self._peers = peers
         self._borrower = TokenBorrower(peers, membership, self._changed)
         self._by_account: dict[str, AccountHolding] = {}
-        self._released = False
+        self._closed = False
 
     async def run(self) -> None:
         async with anyio.create_task_group() as group:
@@ -95,6 +95,14 @@
                     compute_refill_pause(self._updater.store_unavailable, random)
                 )
 
+    async def close(self) -> None:
+        """Stop; answer other relays' requests for tokens with none from now on."""
+        self._closed = True
+        # A task that is started in a group after its cancellation is never cancelled,
+        # and the group waits for it.
+        self._updater.close()
+        await super().close()
+
     async def reserve(self, account: Account, tokens: int) -> Reservation | Shortage:
         """Reserve the largest number of tokens that a request may use.
 
@@ -106,7 +114,7 @@
         """
         if account.prepaid is None:
             return Reservation(None, 0)
-        if self._released:
+        if self._closed:
             return Shortage.OUT_OF_REACH
         holding = self._get_holding(account.name)
         allowance = holding.allowance
@@ -131,7 +139,7 @@
         self._membership.record_caller(trade.holder)
         holding = self._get_holding(trade.account)
         allowance = holding.allowance
-        if self._released:
+        if self._closed:
             return TradeAnswer(self._holder, 0, Shortage.OUT_OF_REACH)
         if holding.revision is None:
             # The call may be a prompt to settle the grant of a previous incarnation on
@@ -166,6 +174,11 @@
         holding = self._by_account.get(account)
         return float(holding.allowance.available) if holding else 0.0
 
+    def count_free(self, account: str) -> int:
+        """Return the unused tokens of an account at this relay, vested or not."""
+        holding = self._by_account.get(account)
+        return holding.allowance.free if holding else 0
+
     def count_lent(self, account: str) -> int:
         """Return the tokens of an account that this relay has lent in total."""
         holding = self._by_account.get(account)
@@ -192,7 +205,7 @@
 
     async def release(self) -> None:
         """Return all tokens. To be called after the last request has ended."""
-        self._released = True
+        self._closed = True
         self._updater.close()
         async with anyio.create_task_group() as group:
             for holding in self._by_account.values():
--- a/knapweedrail/standins/looptime.py
+++ b/knapweedrail/standins/looptime.py
@@ -28,17 +28,30 @@
         return self.now
 
 
+MAX_IDLE_TURNS = 200_000
+"""Turns of the loop without any time passing after which a task must be spinning."""
+
+
+class SpinningError(Exception):
+    """Tasks run without end while no time passes."""
+
+
 class _WaitingSelector(selectors.DefaultSelector):
     """Lets the clock go on by as long as the loop would wait."""
 
     def __init__(self, clock: VirtualClock) -> None:
         super().__init__()
         self._clock = clock
+        self._turns = 0
 
     def select(self, timeout: float | None = None) -> list[Any]:
         ready = super().select(0)
+        self._turns += 1
         if not ready and timeout:
             self._clock.now += timeout
+            self._turns = 0
+        if self._turns > MAX_IDLE_TURNS:
+            raise SpinningError(f"no time passes at {self._clock.now:.3f} s")
         return ready
 
 
--- a/knapweedrail/standins/tokenfleet.py
+++ b/knapweedrail/standins/tokenfleet.py
@@ -30,6 +30,12 @@
 OWED_SHARE = 0.97
 """Part of what was prepaid up to which callers are owed an answer."""
 
+STOP_SECONDS = 2.2
+"""How long a relay that stops waits for its requests."""
+
+RELEASE_SECONDS = 2.0
+"""Longest time in which it returns its tokens."""
+
 SETTLE_SECONDS = 1.5
 """How long a request counts at its most after it has ended."""
 
@@ -84,19 +90,34 @@
             self.record_failure(member, now)
             return None
         await anyio.sleep(CALL_TAKES_SECONDS)
-        answer = await lender.holdings.answer_trade(trade)
+        if self._fleet.relays.get(member.host) is not lender:
+            self.record_failure(member, time.monotonic())
+            return None
+        answer = None
+        with anyio.CancelScope() as scope:
+            lender.calls.add(scope)
+            answer = await lender.holdings.answer_trade(trade)
+        lender.calls.discard(scope)
+        if answer is None:
+            self.record_failure(member, time.monotonic())
+            return None
         self.record_answer(member)
         return answer
 
 
 @attrs.define(eq=False)
 class TokenRelay:
-    """One life of a relay."""
+    """One life of a relay.
+
+    Attributes:
+        calls: Other relays' calls that it answers.
+    """
 
     member: Member
     membership: Membership
     holdings: Holdings
     group: anyio.abc.TaskGroup
+    calls: set[anyio.CancelScope] = attrs.field(factory=set)
 
 
 @attrs.frozen
@@ -229,8 +250,27 @@
         """End a relay's process."""
         relay = self.relays.pop(host, None)
         if relay is not None:
+            for call in relay.calls:
+                call.cancel()
             relay.group.cancel_scope.cancel()
 
+    async def stop(self, host: str) -> None:
+        """Stop a relay as its process does, once its requests have ended."""
+        relay = self.relays.get(host)
+        if relay is None or host in self.bypassed:
+            return
+        self.bypassed.add(host)
+        await anyio.sleep(STOP_SECONDS)
+        if self.relays.get(host) is relay:
+            await relay.membership.close()
+            await relay.holdings.close()
+            with anyio.move_on_after(RELEASE_SECONDS):
+                await relay.holdings.release()
+                await relay.membership.leave()
+        if self.relays.get(host) is relay:
+            self.kill(host)
+        self.bypassed.discard(host)
+
     def lose_power(self, host: str) -> None:
         """End a relay's host; its next life has another boot."""
         self.kill(host)
@@ -259,6 +299,14 @@
         stored = self.store.find(LEDGER_KIND, account)
         return decode_ledger(stored.spec) if stored else AccountLedger()
 
+    def count_attainable(self, account: str) -> int:
+        """Return the tokens that callers had of an account, and still can have."""
+        consumption = self.consumption[account]
+        relays = self.relays.values()
+        held = sum(max(0, relay.holdings.count_free(account)) for relay in relays)
+        unheld = consumption.prepaid - self.read_ledger(account).committed
+        return consumption.used + held + unheld
+
     def is_primary_for(self, host: str, account: str) -> bool:
         """Return whether a host draws on the ledger for its data centre."""
         return self.relays[host].membership.is_primary_for(account)
