Return a stopping relay's tokens also after replies that were lost slowly

What callers saw: refusals. A planned stop while replies of the store were lost cost what the relay held: after one reply that was lost for half a second or more the store counted as unavailable, nothing was left to give to other relays, and the rest was written off. Cause: an unknown outcome was handled as one of which it is known that nothing was written. Change: after an unknown outcome the next conditional write follows, within the time of the stop; only what was certainly not written goes to other relays.

--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -18,7 +18,12 @@
 from .boot_clock import BootClock
 from .borrowing import TokenBorrower
 from .grants import plan_loan
-from .ledger_updates import MAX_WRITE_ATTEMPTS, OUTAGE_RETRY_SECONDS, LedgerUpdater
+from .ledger_updates import (
+    MAX_CONFLICT_BACKOFF_SECONDS,
+    MAX_WRITE_ATTEMPTS,
+    OUTAGE_RETRY_SECONDS,
+    LedgerUpdater,
+)
 from .ledgers import release_holder
 from .malformed import MalformedObjects
 from .members import Membership
@@ -304,8 +309,10 @@
             release_holder(planned, self._holder, returned)
             if await self._updater.write(holding, planned, returned):
                 return
-            if not self._updater.reachable:
+            if not self._updater.reachable and holding.allowance.available > 0:
+                # Nothing was written, so other relays can have them.
                 break
+            await anyio.sleep(random.random() * MAX_CONFLICT_BACKOFF_SECONDS)
         for member in self._membership.list_lenders(holding.name):
             tokens = holding.allowance.available
             if tokens <= 0:
