--- a/knapweedrail/standins/tokenfleet.py
+++ b/knapweedrail/standins/tokenfleet.py
@@ -343,7 +343,7 @@
     def _request(self, kind: Kind, account: str, tally: Tally) -> None:
         """Send one caller's request, to any host that is there."""
         hosts = [host for host in self.hosts if host not in self.bypassed]
-        relay = self.relays.get(self._rng.choice(hosts))
+        relay = self.relays.get(self._rng.choice(hosts)) if hosts else None
         if relay is None:
             return
         owed = self.consumption[account].covers(kind.prompt + kind.output)
