Store a version before its first stream, and take no missing one for the only one

All hosts had been lost at a release. Cause: the store named an endpoint's versions only once relays had seen two of them beside each other, and relays that had just started took a missing word for 'one version only'. The class: the absence of a record was taken for evidence. Change: a version stands in the store before a stream begins at it (one read, and one write by the first relay, for each version and endpoint with resumable streams). While it doesn't, streams begin at runners of other versions, or wait for half a second at most; a relay that the store turns away learns from others what stands there. What the store doesn't name is unknown: a stream that nobody has a record of goes on only at the one version that the store names, and that alone serves. Callers are refused else, 503, not run.

--- a/knapweedrail/benches/streams.py
+++ b/knapweedrail/benches/streams.py
@@ -124,6 +124,88 @@
     return run_virtual(play_day)
 
 
+LOSS_RETURN_SECONDS = (1.6, 4.0)
+"""How long after a break callers return; all hosts have started again by then."""
+
+LOSS_WARM_SECONDS = 12
+LOSS_DOWN_SECONDS = 0.3
+LOSS_RESUME_SECONDS = 6.0
+
+OLD, MIXED, NEW = ["v1"] * 6, ["v1"] * 4 + ["v2"] * 2, ["v2"] * 6
+
+LOSSES: dict[str, tuple[list[tuple[list[str], float]], list[str]]] = {
+    "release while all are away": ([], NEW),
+    "0 s after a release": ([(NEW, 0.0)], NEW),
+    "0.02 s after": ([(NEW, 0.02)], NEW),
+    "0.1 s after": ([(NEW, 0.1)], NEW),
+    "0.3 s after": ([(NEW, 0.3)], NEW),
+    "two of six for 0.05 s, then all": ([(MIXED, 0.05), (NEW, 0.0)], NEW),
+    "two of six for 2 s, then all": ([(MIXED, 2.0), (NEW, 0.0)], NEW),
+    "0.1 s after, and back": ([(NEW, 0.1)], OLD),
+    "release back while all are away": ([(NEW, 3.0)], OLD),
+    "26 s after a release": ([(NEW, 26.0)], NEW),
+    "40 s after a release": ([(NEW, 40.0)], NEW),
+    "26 s after, and another release": ([(NEW, 26.0)], OLD),
+}
+"""Releases before all hosts are lost, the versions that serve and for how long, and the
+versions that serve when the hosts are back."""
+
+
+def play_loss(seed: int, name: str, hosts: int = 9) -> Tally:
+    """Play the loss of all hosts around a release.
+
+    Args:
+        seed: Of all random choices.
+        name: One of `LOSSES`.
+        hosts: Number of hosts, in three data centres.
+
+    Returns:
+        Counts of the streams that are resumed after the loss.
+    """
+    releases, final = LOSSES[name]
+
+    async def play_day(clock: VirtualClock) -> Tally:
+        rng = random.Random(seed)
+        async with anyio.create_task_group() as group:
+            fleet = StreamFleet(
+                group,
+                split_hosts(hosts),
+                RecordedVersion(),
+                rng,
+                LOSS_RETURN_SECONDS,
+            )
+            for host in fleet.members:
+                fleet.start(host)
+            await anyio.sleep(0.5)
+            fleet.set_runners(OLD)
+            await _begin_streams(fleet, LOSS_WARM_SECONDS)
+            for versions, seconds in releases:
+                fleet.set_runners(versions)
+                await _begin_streams(fleet, seconds)
+            fleet.tally = Tally()
+            for host in list(fleet.hosts):
+                fleet.kill(host)
+            fleet.set_runners(final)
+            await anyio.sleep(LOSS_DOWN_SECONDS)
+            for host in fleet.members:
+                fleet.start(host)
+            await anyio.sleep(LOSS_RESUME_SECONDS)
+            group.cancel_scope.cancel()
+        return fleet.tally
+
+    return run_virtual(play_day)
+
+
+async def _begin_streams(fleet: StreamFleet, seconds: float) -> None:
+    """Let callers begin streams for some time."""
+    pause = 1.0 / (len(fleet.members) * STREAMS_PER_HOST)
+    count = int(seconds / pause)
+    for _ in range(count):
+        await anyio.sleep(pause)
+        fleet.begin_stream()
+    await anyio.sleep(seconds - count * pause)
+
+
 DISTURBANCES = ["release", "release", "crash", "kill", "kill", "kill all"]
 DISTURBANCES += ["cut", "join", "start", "start", "kill data centre"]
 
--- a/knapweedrail/events.py
+++ b/knapweedrail/events.py
@@ -218,6 +218,10 @@
         "a stream goes on after a break; which version began it, and what is left",
     )
     STREAM_ORIGIN = (610, "what began a stream that a caller resumes, and who knew it")
+    VERSIONS_STORED = (
+        611,
+        "the versions at which an endpoint's streams may have begun, as now stored",
+    )
 
     @property
     def number(self) -> int:
--- a/knapweedrail/relay/forwarding.py
+++ b/knapweedrail/relay/forwarding.py
@@ -211,20 +211,26 @@
         return services.overload.compute_redirect_delay(now) + jitter
 
     def _refuse_lost_version(self) -> Refusal | None:
-        """Refuse to resume a stream if no runner of its version is left.
+        """Refuse a stream that may use none of the versions that are there.
 
         Returns:
             The refusal; ``None`` if the request may go on.
         """
         context, now = self._context, time.monotonic()
-        origin = context.origin
-        if origin is None:
+        runners, endpoint = context.services.runners, context.endpoint.name
+        if context.bound is None or runners.list_views(endpoint, now, context.bound):
             return None
-        if context.services.runners.list_views(context.endpoint.name, now, origin):
-            return None
-        detail = f"no runner of version {origin.version} is left; begin the stream anew"
         retry_after = draw_retry_after(context.services.rng)
-        return self._refuse(RefusalKind.NOT_RESUMABLE, Ran.NOT_RUN, detail, retry_after)
+        if context.origin is not None:
+            version = context.origin.version
+            detail = f"no runner of version {version} is left; begin the stream anew"
+            kind = RefusalKind.NOT_RESUMABLE
+            return self._refuse(kind, Ran.NOT_RUN, detail, retry_after)
+        if not runners.list_views(endpoint, now):
+            return None
+        detail = "the store doesn't answer, and doesn't know the runners' version yet"
+        kind = RefusalKind.NO_ENDPOINT
+        return self._refuse(kind, Ran.NOT_RUN, detail, retry_after)
 
     def _refuse_queue_wait(self) -> Refusal | None:
         """Refuse a prompt that would wait at every runner until its caller gives up.
@@ -236,7 +242,7 @@
         if not context.request.parts:
             return None
         runners = context.services.runners
-        views = runners.list_views(context.endpoint.name, now, context.origin)
+        views = runners.list_views(context.endpoint.name, now, context.bound)
         if any(self._accepts_soon(view, now) for view in views):
             return None
         views = [
@@ -285,7 +291,7 @@
             time.monotonic(),
             context.services.rng,
             context.priorities.by_account_and_route,
-            context.origin,
+            context.bound,
             context.route.objective,
         )
         if choice is None:
@@ -366,7 +372,7 @@
             context.endpoint.name,
             context.priorities.by_account_and_route,
             time.monotonic(),
-            context.origin,
+            context.bound,
         )
         evacuated = context.services.runners.list_evacuated(context.endpoint.name)
         if limit_wait is not None:
--- a/knapweedrail/relay/gateway.py
+++ b/knapweedrail/relay/gateway.py
@@ -252,6 +252,10 @@
         if isinstance(reservation, Refusal):
             await self._refuse(response, request.identity, reservation)
             return
+        stored = None
+        if route.resumable and origin is None:
+            versions = self._services.resumptions.versions
+            stored = await versions.wait_for_bound(endpoint_name)
         context = RequestContext(
             services=self._services,
             request=request,
@@ -265,6 +269,7 @@
             response=response,
             progress=StreamProgress(request.last_event),
             origin=origin,
+            stored=stored,
             reservation=reservation,
         )
         began_at = time.monotonic()
--- a/knapweedrail/relay/process.py
+++ b/knapweedrail/relay/process.py
@@ -151,6 +151,8 @@
         self._resumptions = Resumptions(
             runners.table, self._membership, self._peers, store
         )
+        # Streams that can't be resumed need no version in the store.
+        self._resumptions.versions.set_endpoints(())
         self._suspects = Suspects()
         self._suspect_exchange = SuspectExchange(
             self._suspects, self._membership, self._peers, store, malformed
@@ -441,6 +443,9 @@
         streams = [r for r in configuration.routes if r.resumable]
         longest = max((route.timeout for route in streams), default=0.0)
         self._runners.table.versions.set_longest_timeout(longest)
+        self._resumptions.versions.set_endpoints(
+            {share.endpoint for route in streams for share in route.shares}
+        )
 
     async def _answer_ready(self, scope: dict, receive: object, send: object) -> None:
         configured = self._configuration.table is not None
--- a/knapweedrail/relay/request_context.py
+++ b/knapweedrail/relay/request_context.py
@@ -24,7 +24,7 @@
 from .routes import Priorities
 from .runners import RunnerTable
 from .scheduling.placement import Choice
-from .stream_origins import StreamOrigin
+from .stream_origins import StoredVersions, StreamOrigin, VersionBound
 from .streams import StreamProgress
 from .suspects import Suspects
 from .unknown_headers import UnknownHeaderLog
@@ -140,6 +140,7 @@
             before the first byte is sent, so that the prompt is charged even if the
             caller disconnects right after.
         origin: What began the stream; ``None`` before its first event.
+        stored: Versions at which it may begin; ``None`` if it can't be resumed.
         choice: The latest choice of a runner.
         reservation: Tokens reserved for the request.
     """
@@ -158,9 +159,15 @@
     counted_attempts: int = 0
     may_have_run: bool = False
     origin: StreamOrigin | None = None
+    stored: StoredVersions | None = None
     choice: Choice | None = None
     reservation: Reservation = attrs.field(factory=lambda: Reservation(None, 0))
 
+    @property
+    def bound(self) -> VersionBound | None:
+        """Which versions the stream may use; ``None`` for all."""
+        return self.origin or self.stored
+
     @property
     def stream(self) -> str:
         """Name of the stream, which all attempts of its caller share."""
--- a/knapweedrail/relay/resumptions.py
+++ b/knapweedrail/relay/resumptions.py
@@ -23,14 +23,11 @@
 from .stores import Store
 from .stream_messages import StreamAnswer, StreamRegistry
 from .stream_origins import StreamOrigin, StreamRecords
-from .version_marks import read_versions, write_versions
+from .version_registry import VersionRegistry
 
 READ_SECONDS = 0.2
 """Timeout of a read of the store for which a caller waits."""
 
-WRITE_RETRY_SECONDS = 1.0
-"""Pause before versions are written to the store again."""
-
 UNANSWERED_SECONDS = 2.0
 """How long a relay that didn't answer gets no records: about the time in which it is
 replaced."""
@@ -44,6 +41,9 @@
         membership: List of the relays.
         peers: Calls to the other relays.
         store: The platform's store.
+
+    Attributes:
+        versions: Keeps in the store at which versions streams may have begun.
     """
 
     def __init__(
@@ -57,19 +57,18 @@
         self._table = table
         self._membership = membership
         self._peers = peers
-        self._store = store
+        self.versions = VersionRegistry(table, membership, peers, store)
         self._own_records = StreamRecords()
         self._kept_records = StreamRecords()
         self._unsent: dict[str, dict[str, StreamOrigin]] = {}
         self._sending: set[str] = set()
         self._unanswered_until: dict[str, float] = {}
-        self._unwritten: set[str] = set()
         self._changed = Notifier()
         table.on_new_version = self._handle_new_version
 
     async def run(self) -> None:
         async with anyio.create_task_group() as group:
-            group.start_soon(self._write_versions)
+            await self.versions.start(group)
             while True:
                 idle = self._unsent.keys() - self._sending
                 for host in idle:
@@ -97,6 +96,7 @@
             frozenset(self._find_versions(endpoints, now)),
             history.is_complete(now),
             frozenset().union(*(history.list_earlier(name) for name in endpoints)),
+            self.versions.list_stored(endpoints),
         )
 
     async def find_origin(
@@ -180,7 +180,9 @@
         """Return the only version that can have begun a stream, if there is just one.
 
         All who are asked may have been cut off together, while a newer version serves
-        elsewhere. The store knows all versions that ever served beside another one.
+        elsewhere, or may have started after a loss of all relays. The store knows all
+        versions at which streams have begun within a stream's life. Without a word of
+        it, nothing is known.
         """
         known = [self.answer_find("", endpoints), *answers.values()]
         versions = frozenset().union(*(answer.versions for answer in known))
@@ -188,14 +190,13 @@
             return None
         stored = None
         with anyio.move_on_after(READ_SECONDS):
-            stored = await read_versions(self._store, endpoints)
+            stored = await self.versions.read(endpoints)
+        all_answered = self._have_all_answered(answers)
         if stored is None:
-            certain = self._have_all_answered(answers) and any(
-                answer.complete for answer in known
-            )
+            certain = all_answered and any(answer.complete for answer in known)
         else:
-            certain = stored <= versions or any(
-                answer.complete and stored <= answer.earlier for answer in known
+            certain = stored == versions or (
+                all_answered and any(a.complete and stored <= a.earlier for a in known)
             )
         return StreamOrigin(endpoints[0], *versions) if certain else None
 
@@ -218,12 +219,11 @@
 
         Until then nothing had to be told, as all streams had begun at the first one.
         """
+        self.versions.handle_new_version(endpoint)
         if len(self._table.find_versions(endpoint, now)) < 2:
             return
         since = now - self._table.versions.stream_seconds
         self._queue(self._own_records.list_since(since, endpoint))
-        self._unwritten.add(endpoint)
-        self._changed.notify_all()
 
     def _queue(self, origins: Mapping[str, StreamOrigin]) -> None:
         now = time.monotonic()
@@ -247,23 +247,3 @@
                 self._unsent[host] = records | self._unsent.get(host, {})
         self._sending.discard(host)
         self._changed.notify_all()
-
-    async def _write_versions(self) -> None:
-        """Write to the store which versions have served beside each other."""
-        while True:
-            if not self._unwritten:
-                await self._changed.wait()
-            for endpoint in list(self._unwritten):
-                if await self._write_versions_of(endpoint):
-                    self._unwritten.discard(endpoint)
-            if self._unwritten:
-                await anyio.sleep(WRITE_RETRY_SECONDS)
-
-    async def _write_versions_of(self, endpoint: str) -> bool:
-        """Return whether the versions are stored, or another relay stores them."""
-        if not self._membership.settled:
-            return False
-        if not self._membership.is_primary_for(endpoint):
-            return True
-        versions = self._table.versions.list_earlier(endpoint)
-        return await write_versions(self._store, endpoint, versions)
--- a/knapweedrail/relay/runner_directory.py
+++ b/knapweedrail/relay/runner_directory.py
@@ -17,7 +17,7 @@
     RunnerState,
 )
 from .scheduling.runner_views import RunnerView
-from .stream_origins import StreamOrigin, make_origin
+from .stream_origins import StreamOrigin, VersionBound, make_origin
 from .version_history import VersionHistory
 
 
@@ -58,13 +58,13 @@
         return {view.incarnation for view in self._views.values()}
 
     def list_views(
-        self, endpoint: str, now: float, origin: StreamOrigin | None = None
+        self, endpoint: str, now: float, bound: VersionBound | None = None
     ) -> list[RunnerView]:
         """Return the endpoint's runners that may get requests.
 
         Args:
             now: Monotonic time, seconds.
-            origin: What began the stream that goes on; ``None`` for a new request.
+            bound: Which versions the stream may use; ``None`` for all.
 
         Returns:
             The listed runners that are ready and in no evacuated data centre, or, if
@@ -74,8 +74,8 @@
         self._expire_absent(now)
         views = self._by_endpoint.get(endpoint, {}).values()
         ready = [v for v in views if v.runner.state is RunnerState.READY]
-        if origin is not None:
-            ready = [v for v in ready if origin.allows(v.runner)]
+        if bound is not None:
+            ready = [v for v in ready if bound.allows(v.runner)]
         if self.evacuated:
             ready = [v for v in ready if v.runner.data_centre not in self.evacuated]
         staying = [
--- a/knapweedrail/relay/runners.py
+++ b/knapweedrail/relay/runners.py
@@ -17,7 +17,7 @@
 from .scheduling.pace_log import PaceLog
 from .scheduling.placement import Placement
 from .scheduling.runner_views import RunnerView
-from .stream_origins import StreamOrigin
+from .stream_origins import VersionBound
 
 REJECTION_BACKOFF_SECONDS = 0.15
 """How long a runner that rejected a request for lack of capacity gets no further one:
@@ -202,19 +202,19 @@
         endpoint: str,
         priority: int | None,
         now: float,
-        origin: StreamOrigin | None = None,
+        bound: VersionBound | None = None,
     ) -> float | None:
         """Return the time until some relay may send to one of an endpoint's runners.
 
         Args:
             priority: Urgency of the request; 0 is the most urgent.
             now: Monotonic time, seconds.
-            origin: What began the stream that goes on; ``None`` for a new request.
+            bound: Which versions the stream may use; ``None`` for all.
 
         Returns:
             Seconds; ``None`` if this relay may send to one now, or there is none.
         """
-        views = self.list_views(endpoint, now, origin)
+        views = self.list_views(endpoint, now, bound)
         return self.bounds.compute_wait(views, priority, now)
 
     def is_available(self, view: RunnerView, now: float) -> bool:
--- a/knapweedrail/relay/scheduling/selection.py
+++ b/knapweedrail/relay/scheduling/selection.py
@@ -11,7 +11,7 @@
 from ...hashing import hash_pair
 from ..models import CallerRequest, PromptPart, RunnerIncarnation
 from ..runners import MAX_SLOW_FACTOR, RunnerTable
-from ..stream_origins import StreamOrigin
+from ..stream_origins import VersionBound
 from .placement import SLOW_FACTOR, Choice, compute_median_latency
 from .runner_views import RunnerView
 from .workloads import find_shared_part
@@ -31,7 +31,7 @@
     now: float,
     rng: random.Random,
     priority: int | None = None,
-    origin: StreamOrigin | None = None,
+    bound: VersionBound | None = None,
     objective: float = math.inf,
 ) -> Choice | None:
     """Return the runner for the next attempt, or ``None`` if there is none.
@@ -46,10 +46,10 @@
         data_centre: The relay's own data centre, preferred among equals.
         now: Monotonic time, seconds.
         priority: Urgency of the request; 0 is the most urgent.
-        origin: What began the stream that goes on; ``None`` for a new request.
+        bound: Which versions the stream may use; ``None`` for all.
         objective: Callers' objective for the time to the first byte, seconds.
     """
-    listed = table.list_views(endpoint, now, origin)
+    listed = table.list_views(endpoint, now, bound)
     untried = table.bounds.select_open(listed, priority, now)
     if tried:
         untried = [view for view in untried if view.incarnation not in tried]
@@ -63,8 +63,8 @@
     placement = table.find_placement(endpoint)
     if placement is None or all(view.pace.lowest is None for view in listed):
         return Choice(_choose_by_prefix(table, available, request.parts, now))
-    # A resumed stream may use only some of the runners.
-    whole = listed if origin is None else table.list_views(endpoint, now)
+    # A stream may be bound to some of the runners.
+    whole = listed if bound is None else table.list_views(endpoint, now)
     placement.divide(whole, now)
     recent = table.prefixes.find(find_shared_part(request.parts).name, now)
     return placement.choose(available, request.parts, recent, objective, now, rng)
--- a/knapweedrail/relay/stream_messages.py
+++ b/knapweedrail/relay/stream_messages.py
@@ -26,12 +26,14 @@
             ``None`` for an unknown one.
         complete: Whether the relay has known the runners for that long.
         earlier: Versions that they had at any time.
+        stored: Versions in use that certainly stand in the store.
     """
 
     origin: StreamOrigin | None
     versions: frozenset[str | None]
     complete: bool
     earlier: frozenset[str] = frozenset()
+    stored: frozenset[str] = frozenset()
 
 
 class StreamRegistry(ABC):
@@ -81,6 +83,7 @@
         unlisted=None in answer.versions,
         complete=answer.complete,
         earlier=sorted(answer.earlier),
+        stored=sorted(answer.stored),
     )
 
 
@@ -88,8 +91,13 @@
     """Decode what another relay knows of a stream."""
     versions = set(reply.versions) | ({None} if reply.unlisted else set())
     found = _decode_record(reply.found) if reply.HasField("found") else None
-    earlier = frozenset(reply.earlier)
-    return StreamAnswer(found, frozenset(versions), reply.complete, earlier)
+    return StreamAnswer(
+        found,
+        frozenset(versions),
+        reply.complete,
+        frozenset(reply.earlier),
+        frozenset(reply.stored),
+    )
 
 
 def _encode_record(stream: str, origin: StreamOrigin) -> StreamRecord:
--- a/knapweedrail/relay/stream_origins.py
+++ b/knapweedrail/relay/stream_origins.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
+
 import attrs
 
 from .models import Runner
@@ -13,8 +15,38 @@
 """Streams that one relay remembers; the oldest are dropped first."""
 
 
+class VersionBound(ABC):
+    """Which runners a stream may use, by their versions."""
+
+    @abstractmethod
+    def allows(self, runner: Runner) -> bool:
+        """Return whether the stream may begin or go on at a runner."""
+
+
+@attrs.frozen
+class StoredVersions(VersionBound):
+    """Versions at which streams may begin, as they stand in the store.
+
+    A stream that began at another one could go on at the wrong version once all relays
+    that know of it are lost.
+
+    Attributes:
+        versions: The versions.
+    """
+
+    versions: frozenset[str | None]
+
+    def allows(self, runner: Runner) -> bool:
+        """Return whether a stream may begin at a runner.
+
+        The version of one that isn't listed yet isn't known; it serves in place of a
+        runner that has ended, where the store can't be reached.
+        """
+        return runner.version is None or runner.version in self.versions
+
+
 @attrs.frozen
-class StreamOrigin:
+class StreamOrigin(VersionBound):
     """The runner that sent the first event of a stream.
 
     Attributes:
--- a/knapweedrail/standins/streamfleet.py
+++ b/knapweedrail/standins/streamfleet.py
@@ -291,6 +291,7 @@
         sizes: Number of hosts in each data centre.
         way: How the version for a resumed stream is found.
         rng: Source of all random choices.
+        return_seconds: Bounds of the time after which callers of broken streams return.
     """
 
     def __init__(
@@ -299,6 +300,7 @@
         sizes: Sequence[int],
         way: Way,
         rng: random.Random,
+        return_seconds: tuple[float, float] = RETURN_SECONDS,
     ) -> None:
         self.way = way
         self.tally = Tally()
@@ -315,6 +317,7 @@
         self.objects: dict[str, StoredObject] = {}
         self._group = group
         self._rng = rng
+        self._return_seconds = return_seconds
         self._cut: set[str] = set()
         self._crashes: dict[str, anyio.Event] = {}
         self._number = 0
@@ -436,18 +439,22 @@
     async def _run_stream(self, stream: str) -> None:
         place = self._rng.choice(list(self.members.values())).data_centre
         host = self._choose_host(place)
+        if host is not None:
+            await host.resumptions.versions.wait_for_bound(ENDPOINT)
         version = None if host is None else self._begin(host, stream)
         if host is None or version is None:
             return
         ends_at = time.monotonic() + self._rng.uniform(*LIFE_SECONDS)
         while await self._is_broken(host, version, ends_at):
-            await anyio.sleep(self._rng.uniform(*RETURN_SECONDS))
+            await anyio.sleep(self._rng.uniform(*self._return_seconds))
             host = self._choose_host(place)
             if host is None or not await self._resume(host, stream, version):
                 return
 
     def _begin(self, host: SimulatedHost, stream: str) -> str | None:
-        views = host.table.list_views(ENDPOINT, time.monotonic())
+        bound = host.resumptions.versions.find_bound(ENDPOINT)
+        bound = bound if self.way.sends_records else None
+        views = host.table.list_views(ENDPOINT, time.monotonic(), bound)
         if not views:
             return None
         chosen = str(self._rng.choice(views).runner.version)
--- a/knapweedrail/tests/test_relay_resumed_streams.py
+++ b/knapweedrail/tests/test_relay_resumed_streams.py
@@ -74,8 +74,11 @@
 @pytest.mark.parametrize("names_attempt", [False, True])
 async def test_stream_that_nobody_knows_goes_on_at_the_only_version(names_attempt):
     """A host that has just started refuses what it doesn't remember itself."""
+    store = MemoryStore()
+    await write_versions(store, "e", {"v1"}, complete=True)
+    configuration = make_configuration(STREAM)
     runners = make_runners("v1", "v1")
-    async with run_versioned_relay(make_configuration(STREAM), runners) as relay:
+    async with run_versioned_relay(configuration, runners, store=store) as relay:
         headers = make_resumption(0)
         if not names_attempt:
             del headers["resumes"]
@@ -83,10 +86,20 @@
     assert answer.complete and find_versions(answer.body) == {"v1"}
 
 
+async def test_version_without_a_word_of_the_store_is_not_the_only_one():
+    """Guards against a stream of two versions after a loss of all hosts, during which
+    the only version was replaced. That the store names none is no evidence."""
+    runners = make_runners("v2", "v2")
+    async with run_versioned_relay(make_configuration(STREAM), runners) as relay:
+        answer = await relay.call(**make_resumption(0))
+    assert answer.status == 503
+    assert b"not-resumable" in answer.body
+
+
 async def test_version_that_only_the_store_remembers_is_not_ruled_out():
     """After a loss of all hosts nobody knows that another version has just ended."""
     store = MemoryStore()
-    await write_versions(store, "e", {"v1", "v2"})
+    await write_versions(store, "e", {"v1", "v2"}, complete=True)
     configuration = make_configuration(STREAM)
     runners = make_runners("v2", "v2")
     async with run_versioned_relay(configuration, runners, store=store) as relay:
--- a/knapweedrail/tests/test_relay_stream_fleet.py
+++ b/knapweedrail/tests/test_relay_stream_fleet.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ..benches.streams import play, play_random
+from ..benches.streams import LOSSES, play, play_loss, play_random
 from ..standins.streamfleet import AnyVersion, OnlyVersion, RecordedVersion
 
 HOSTS = 9
@@ -51,6 +51,14 @@
     check_share(seed)
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("loss", LOSSES)
+def test_streams_join_no_versions_after_a_loss_of_all_hosts(loss, seed):
+    """Guards against a stream that goes on at the only version which serves after a
+    loss of all hosts, though it began at one that has been replaced."""
+    assert play_loss(seed, loss).joined == 0
+
+
 def check_share(seed):
     """Check that half of what is owed goes on in a random schedule."""
     tally = play_random(seed)
--- a/knapweedrail/tests/test_relay_stream_origins.py
+++ b/knapweedrail/tests/test_relay_stream_origins.py
@@ -6,6 +6,7 @@
 from ..relay.models import Member
 from ..relay.record_keepers import SHARD_COUNT, KeeperPlan, find_shard
 from ..relay.runners import RunnerTable
+from ..relay.stores import Conflict, StoredObject
 from ..relay.stream_messages import (
     StreamAnswer,
     decode_answer,
@@ -15,7 +16,15 @@
 )
 from ..relay.stream_origins import MAX_RECORDS, StreamOrigin, StreamRecords
 from ..relay.version_history import CURRENT_SECONDS, MIN_STREAM_SECONDS, VersionHistory
-from ..relay.version_marks import KIND, decode, read_versions, write_versions
+from ..relay.version_marks import (
+    KIND,
+    VersionMark,
+    decode,
+    encode,
+    read_marks,
+    replace_mark,
+    write_versions,
+)
 from .relays_in_memory import MemoryStore, make_runner
 
 ORIGIN = StreamOrigin("e", "v1", "i-1@5")
@@ -109,7 +118,9 @@
     """A version that isn't known becomes one that no entry states."""
     assert decode_records(encode_records({"s": origin})) == {"s": origin}
     versions = frozenset({"v1", None})
-    answer = StreamAnswer(origin, versions, complete=True, earlier=frozenset({"v0"}))
+    answer = StreamAnswer(
+        origin, versions, True, frozenset({"v0"}), stored=frozenset({"v1"})
+    )
     assert decode_answer(encode_answer("s", answer)) == answer
 
 
@@ -175,32 +186,82 @@
     assert reported == [("e", 0), ("e", 0)]
 
 
+async def read_mark(store):
+    marks = await read_marks(store)
+    return marks.get("e")
+
+
 @pytest.mark.anyio
 async def test_versions_of_several_writers_are_all_stored():
     """A relay overwrites the versions that another one has stored."""
     store = MemoryStore()
-    assert await read_versions(store, ["e"]) == set()
+    assert await read_marks(store) == {}
     for versions in ({"v1", "v2"}, {"v2", "v3"}, {"v1"}):
-        assert await write_versions(store, "e", versions)
-    assert await read_versions(store, ["e", "f"]) == {"v1", "v2", "v3"}
+        assert await write_versions(store, "e", versions, complete=True)
+    assert (await read_mark(store)).versions == {"v1", "v2", "v3"}
     assert store.writes == 2
 
 
+@pytest.mark.anyio
+async def test_first_versions_of_a_relay_that_knows_not_all_are_incomplete():
+    """Guards against a relay that writes the versions it sees as the only ones, where
+    an earlier build has begun streams without a word in the store."""
+    store = MemoryStore()
+    assert await write_versions(store, "e", {"v2"})
+    assert (await read_mark(store)).versions == {"v2", None}
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("spec", [None, [], {}, {"versions": "v1"}, {"versions": [1]}])
 async def test_unreadable_versions_count_as_unknown(spec):
     """An object that another writer has spoilt hides that there were two versions."""
     store = MemoryStore()
     store.put(KIND, "e", spec)
-    assert decode(spec) is None
-    assert await read_versions(store, ["e"]) is None
+    assert (await read_mark(store)).versions == {None}
     assert await write_versions(store, "e", {"v1", "v2"})
-    assert await read_versions(store, ["e"]) == {"v1", "v2"}
+    assert (await read_mark(store)).versions == {"v1", "v2", None}
 
 
 @pytest.mark.anyio
 async def test_versions_are_unknown_while_the_store_is_away():
     store = MemoryStore()
     store.unavailable = True
-    assert await read_versions(store, ["e"]) is None
-    assert not await write_versions(store, "e", {"v1", "v2"})
+    assert await read_marks(store) is None
+    assert await write_versions(store, "e", {"v1", "v2"}) is None
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("result", ["lose", "drop", "away"])
+async def test_version_counts_as_stored_only_once_the_store_says_so(result):
+    """Guards against streams at a version that the store never learns of."""
+    store = MemoryStore()
+    store.write_results = [result]
+    assert await write_versions(store, "e", {"v1"}, complete=True) is None
+    assert await write_versions(store, "e", {"v1"}, complete=True)
+    assert (await read_mark(store)).versions == {"v1"}
+
+
+@pytest.mark.anyio
+async def test_version_that_serves_again_is_not_removed():
+    """Guards against the removal of a version that a relay sees again meanwhile."""
+    store = MemoryStore()
+    mark = await write_versions(store, "e", {"v1", "v2"}, complete=True)
+    announced = attrs.evolve(mark, retiring=frozenset({"v1"}))
+    written = await replace_mark(store, "e", announced)
+    assert await write_versions(store, "e", {"v1"})
+    left = VersionMark(frozenset({"v2"}), revision=written.revision)
+    assert isinstance(await replace_mark(store, "e", left), Conflict)
+    assert await read_mark(store) == attrs.evolve(
+        mark, revision=store.objects[KIND, "e"].revision
+    )
+
+
+def test_mark_is_readable_by_relays_of_the_previous_build():
+    """Guards against relays of two builds side by side, of which one can't read what
+    the other writes."""
+    mark = VersionMark(frozenset({"v1", None}), frozenset({None}), 7)
+    spec = encode(mark)
+    assert spec["versions"] == ["v1"]
+    assert decode(StoredObject("e", 7, spec)) == mark
+    earlier = decode(StoredObject("e", 7, {"versions": ["v1", "v2"]}))
+    assert earlier == VersionMark(frozenset({"v1", "v2"}), frozenset(), 7)
