Test streams after all hosts are killed, with relay processes

Twelve streams begin at v1, all three relay processes are killed, v1 is replaced by v2, and the callers come back.

--- a/knapweedrail/tests/test_relay_resumed_streams.py
+++ b/knapweedrail/tests/test_relay_resumed_streams.py
@@ -123,19 +123,32 @@
 
 
 @contextlib.asynccontextmanager
-async def run_fleet(folder, runners):
-    """Run a store, runners of several versions and one relay process for each host."""
+async def run_fleet(folder, runners, unlisted=""):
+    """Run a store, runners of several versions and one relay process for each host.
+
+    Yields a function that lists the runners of all versions but one, too.
+    """
     objects = ObjectStore()
     route = {**CONFIGURATION["routes"][1], "resumable": True, "maxAttempts": 1}
     async with anyio.create_task_group() as group:
         server = HttpServer(objects.app, "127.0.0.1:0", ServerLimits())
         await server.start(group)
         objects.put("config", "main", {**CONFIGURATION, "routes": [route]})
+        entries = {}
         for number, runner in enumerate(runners):
             script = ScriptedRunner(runner.respond)
             await script.serve(group)
             entry = make_entry(address=script.address, version=runner.version)
-            objects.put("servers", f"i-{number}", entry)
+            entries[f"i-{number}"] = entry
+
+        def list_runners(unlisted):
+            for name, entry in entries.items():
+                if entry["version"] == unlisted:
+                    objects.remove("servers", name)
+                else:
+                    objects.put("servers", name, entry)
+
+        list_runners(unlisted)
         relays = {}
         try:
             for host, data_centre in HOSTS.items():
@@ -146,7 +159,7 @@
                 for relay in relays.values():
                     await wait_ready(client, relay)
                     await wait_for_members(relay)
-                yield relays, client
+                yield relays, client, list_runners
         finally:
             for relay in relays.values():
                 relay.process.kill()
@@ -181,21 +194,57 @@
     return received
 
 
+def make_caller_headers(headers):
+    """Return headers as a caller sends them."""
+    return {name.replace("_", "-"): value for name, value in headers.items()}
+
+
+async def test_streams_join_no_versions_after_all_hosts_are_killed(tmp_path):
+    """Guards against a stream that goes on at another version, as all hosts were killed
+    and its own version was replaced before they were back."""
+    runners = [VersionedRunner(version, stall) for version in ("v1", "v1", "v2", "v2")]
+    first, second = {}, {}
+    async with run_fleet(tmp_path, runners, "v2") as (relays, client, list_runners):
+
+        async def begin(number):
+            headers = {"knapweedrail-request-id": f"id-{number}"}
+            first[number] = await receive_events(client, relays["host-1"], headers)
+
+        async with anyio.create_task_group() as group:
+            for number in range(STREAMS):
+                group.start_soon(begin, number)
+            await anyio.sleep(1.0)
+            for relay in relays.values():
+                os.kill(relay.process.pid, signal.SIGKILL)
+        list_runners(unlisted="v1")
+        for relay in relays.values():
+            relay.process.wait()
+            relay.restart()
+        for relay in relays.values():
+            await wait_ready(client, relay)
+        for number in range(STREAMS):
+            relay = relays[f"host-{1 + number % 3}"]
+            headers = make_caller_headers(make_resumption(number))
+            second[number] = await receive_events(client, relay, headers)
+    assert [find_versions(body) for body in first.values()] == [{"v1"}] * STREAMS
+    assert [find_versions(body) for body in second.values()] == [set()] * STREAMS
+    assert all(b"not-resumable" in body for body in second.values())
+
+
 async def test_streams_of_a_killed_host_go_on_at_their_versions(tmp_path):
     """What only the killed host knew of its streams is lost with it."""
     versions = ["v1", "v1", "v2", "v2"]
     runners = [VersionedRunner(version, stall) for version in versions]
     first, second = {}, {}
-    async with run_fleet(tmp_path, runners) as (relays, client):
+    async with run_fleet(tmp_path, runners) as (relays, client, _):
 
         async def begin(number):
             headers = {"knapweedrail-request-id": f"id-{number}"}
             first[number] = await receive_events(client, relays["host-1"], headers)
 
         async def resume(number):
-            headers = make_resumption(number).items()
-            headers = {name.replace("_", "-"): value for name, value in headers}
             relay = relays[f"host-{2 + number % 2}"]
+            headers = make_caller_headers(make_resumption(number))
             second[number] = await receive_events(client, relay, headers)
 
         async with anyio.create_task_group() as group:
