Lend nothing while a relay returns its tokens

What callers saw: nothing; a budget could be overspent. Cause: a relay that stops returns borrowed tokens to the ledger, and its own books still show them as borrowed. Another relay that had waited for its tokens since before the stop got them lent then, so that they were in the ledger and at that relay. Change: whether the relay stops is looked at again after the wait. Requests that wait for tokens can't reserve any more then either; that path wasn't seen.

--- a/knapweedrail/relay/allowances.py
+++ b/knapweedrail/relay/allowances.py
@@ -79,6 +79,8 @@
             fewest tokens have vested applies.
         record_schedules: The same for the host's record; empty if the record has none
             for this account.
+        closed: Whether the holder stops, so that no request may reserve tokens. Those
+            that it returns are counted in the ledger from then on.
     """
 
     holder: str
@@ -93,6 +95,7 @@
     demand: Demand = attrs.field(factory=Demand)
     schedules: list[VestingSchedule] = attrs.field(factory=list)
     record_schedules: list[VestingSchedule] = attrs.field(factory=list)
+    closed: bool = False
     _written_off_spent: int = 0
 
     @property
@@ -158,7 +161,7 @@
 
     def reserve(self, tokens: int) -> bool:
         """Reserve tokens if enough are available; return whether it did."""
-        if self.available < tokens:
+        if self.closed or self.available < tokens:
             return False
         self.reserved += tokens
         return True
--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -102,10 +102,7 @@
 
     async def close(self) -> None:
         """Stop; answer other relays' requests for tokens with none from now on."""
-        self._closed = True
-        # A task that is started in a group after its cancellation is never cancelled,
-        # and the group waits for it.
-        self._updater.close()
+        self._refuse_all()
         await super().close()
 
     async def reserve(self, account: Account, tokens: int) -> Reservation | Shortage:
@@ -160,6 +157,9 @@
         shortage = None
         if trade.needed > allowance.available:
             shortage = await self._draw_for_peer(holding, trade.needed)
+            if self._closed:
+                # What this relay holds is being returned, or has been.
+                return TradeAnswer(self._holder, 0, Shortage.OUT_OF_REACH)
         tokens = plan_loan(allowance.available, trade.needed, trade.wanted)
         total = allowance.lend(trade.holder, tokens)
         if tokens:
@@ -210,12 +210,20 @@
 
     async def release(self) -> None:
         """Return all tokens. To be called after the last request has ended."""
-        self._closed = True
-        self._updater.close()
+        self._refuse_all()
         async with anyio.create_task_group() as group:
             for holding in self._by_account.values():
                 group.start_soon(self._release_account, holding)
 
+    def _refuse_all(self) -> None:
+        """Reserve and draw no more tokens, also for requests that wait for some."""
+        self._closed = True
+        # A task that is started in a group after its cancellation is never cancelled,
+        # and the group waits for it.
+        self._updater.close()
+        for holding in self._by_account.values():
+            holding.allowance.closed = True
+
     def _get_holding(self, account: str) -> AccountHolding:
         if account not in self._by_account:
             allowance = Allowance(self._holder, self._clock.read_milliseconds)
--- a/knapweedrail/tests/test_relay_lending.py
+++ b/knapweedrail/tests/test_relay_lending.py
@@ -300,6 +300,52 @@
         assert regained <= left
 
 
+async def test_relay_lends_nothing_that_it_has_returned(monkeypatch):
+    """Guards against a relay that stops while another waits for its tokens, and lends
+    the borrowed ones that it has returned to the ledger."""
+    async with run_fleet(100_000, 2) as fleet:
+        (stopping,) = fleet.list_others("dc-0")
+        primary = fleet.holdings[fleet.find_primary("dc-0")]
+        holdings = fleet.holdings[stopping]
+        (await fleet.reserve(stopping, 20_000)).settle(200)
+        holding = holdings._get_holding(ACCOUNT)
+        holding.pending_draws += 1
+        holdings._updater.schedule_refresh(holding)
+        with anyio.fail_after(5):
+            while holdings._holder not in holding.ledger.grants:
+                await anyio.sleep(0.05)
+        holding.pending_draws -= 1
+        assert holding.allowance.borrowed_outstanding > 0
+        held = holding.allowance.free
+        trade = Trade(
+            account=ACCOUNT,
+            holder=primary._holder,
+            lender=holdings._holder,
+            needed=held + 1,
+            wanted=held + 1,
+            returned=0,
+            spent=0,
+        )
+        drawn = anyio.Event()
+
+        async def draw(*args):
+            await drawn.wait()
+
+        monkeypatch.setattr(holdings, "_draw_for_peer", draw)
+        answers = []
+
+        async def ask():
+            answers.append(await holdings.answer_trade(trade))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await anyio.sleep(0)
+            await holdings.close()
+            await holdings.release()
+            drawn.set()
+        assert answers[0].total == 0
+
+
 async def test_store_that_resets_connections_is_called_rarely():
     """Guards against excessive calls to a store that resets each connection on the
     first write. Every request that finds too few tokens would call it again and again,
--- a/knapweedrail/tests/test_relay_token_days.py
+++ b/knapweedrail/tests/test_relay_token_days.py
@@ -7,7 +7,7 @@
 from ..relay.ledger_updates import LedgerUpdater
 
 
-@pytest.mark.parametrize("hosts, seed", [(6, 3), (6, 6), (23, 0)])
+@pytest.mark.parametrize("hosts, seed", [(6, 3), (6, 6), (6, 40), (23, 0)])
 def test_stopping_relays_return_their_tokens_once(hosts, seed):
     """Guards against tokens that a stopping relay returns twice, as the store doesn't
     reply, and against a relay that never stops, as it still draws for others."""
