--- a/knapweedrail/benches/streams.py
+++ b/knapweedrail/benches/streams.py
@@ -81,6 +81,7 @@
     """Play one day with releases, deaths, cuts and a loss of all hosts."""
 
     async def play_day(clock: VirtualClock) -> Tally:
+        random.seed(seed)
         rng = random.Random(seed)
         async with anyio.create_task_group() as group:
             fleet = StreamFleet(group, split_hosts(hosts), way, rng)
@@ -104,6 +105,7 @@
     """Play a day on which anything may happen in each second."""
 
     async def play_day(clock: VirtualClock) -> Tally:
+        random.seed(seed)
         rng = random.Random(seed)
         async with anyio.create_task_group() as group:
             fleet = StreamFleet(group, split_hosts(hosts), RecordedVersion(), rng)
@@ -165,6 +167,7 @@
     releases, final = LOSSES[name]
 
     async def play_day(clock: VirtualClock) -> Tally:
+        random.seed(seed)
         rng = random.Random(seed)
         async with anyio.create_task_group() as group:
             fleet = StreamFleet(
