Take no version for stored by a read from before it was seen

What callers saw: nothing yet; found by reading the mend. A version that serves again after it was removed could count as stored by a read that began before its removal and was answered after it had been seen: its streams could go on at another version after a loss of all hosts. Change: what was read before a version was seen says nothing of that endpoint, and is read again. Measured: test_version_is_not_stored_by_a_read_from_before_it_was_seen failed before.

--- a/knapweedrail/relay/version_registry.py
+++ b/knapweedrail/relay/version_registry.py
@@ -78,6 +78,7 @@
         self._marks: dict[str, VersionMark] = {}
         self._confirmed: dict[str, frozenset[str | None]] = {}
         self._pending: set[str] = set()
+        self._renewed: set[str] = set()
         self._waiting = 0
         self._changed = Notifier()
 
@@ -108,6 +109,7 @@
         self._marks.pop(endpoint, None)
         self._confirmed.pop(endpoint, None)
         self._pending.add(endpoint)
+        self._renewed.add(endpoint)
         self._changed.notify_all()
 
     def list_stored(self, endpoints: Iterable[str]) -> frozenset[str]:
@@ -177,8 +179,13 @@
                 await self._changed.wait()
 
     async def _store_pending(self) -> bool:
-        """Write the versions of all endpoints that lack some; return whether the store
-        answered."""
+        """Write the versions of all endpoints that lack some; return whether none is
+        left.
+
+        What was read before a version was seen says nothing of it, as the version may
+        have been removed in between.
+        """
+        self._renewed.clear()
         async with anyio.create_task_group() as group:
             group.start_soon(self._ask_stored)
             marks = await read_marks(self._store)
@@ -186,9 +193,12 @@
                 group.cancel_scope.cancel()
         if marks is None:
             return False
-        self._marks |= marks
-        for endpoint in list(self._pending):
-            if await self._write(endpoint, marks.get(endpoint)):
+        for endpoint in self._pending - self._renewed:
+            self._marks[endpoint] = marks.get(endpoint, VersionMark())
+            stored = await self._write(endpoint, marks.get(endpoint))
+            if endpoint in self._renewed:
+                self._marks.pop(endpoint, None)
+            elif stored:
                 self._pending.discard(endpoint)
                 self._changed.notify_all()
         return not self._pending
@@ -232,6 +242,8 @@
         for endpoint in list(self._pending):
             members = self._membership.keepers.choose_asked(endpoint)
             answers = await self._ask(members, endpoint)
+            if endpoint in self._renewed:
+                continue
             known = self._confirmed.get(endpoint, frozenset())
             stored = (answer.stored for answer in answers.values())
             self._confirmed[endpoint] = known.union(*stored)
@@ -289,7 +301,7 @@
         the announcement and withdraws it, so the removal fails.
         """
         marks = await read_marks(self._store)
-        if marks is None:
+        if marks is None or endpoint in self._pending:
             return False
         mark = marks.get(endpoint, VersionMark())
         self._apply_mark(endpoint, mark)
--- a/knapweedrail/tests/test_relay_stream_origins.py
+++ b/knapweedrail/tests/test_relay_stream_origins.py
@@ -1,5 +1,7 @@
 """Tests of what relays remember and tell of streams, and who keeps it."""
 
+import time
+
 import attrs
 import pytest
 
@@ -26,6 +28,7 @@
     replace_mark,
     write_versions,
 )
+from ..relay.version_registry import VersionRegistry
 from .relays_in_memory import MemoryStore, make_runner
 
 ORIGIN = StreamOrigin("e", "v1", "i-1@5")
@@ -273,6 +276,46 @@
     )
 
 
+class StaleReads(MemoryStore):
+    """Lets something happen between a read and its reply."""
+
+    on_read = None
+
+    async def list_kind(self, kind, stale=False):
+        listing = await super().list_kind(kind, stale)
+        on_read, self.on_read = self.on_read, None
+        if on_read is not None:
+            on_read()
+        return listing
+
+
+@pytest.mark.anyio
+async def test_version_is_not_stored_by_a_read_from_before_it_was_seen():
+    """Guards against streams at a version that the store doesn't name: it was removed
+    after a read that still shows it, and serves again before the reply is there."""
+    store, table = StaleReads(), RunnerTable(grace_seconds=1.9)
+    registry = VersionRegistry(table, None, None, store)
+    table.on_new_version = lambda endpoint, now: registry.handle_new_version(endpoint)
+    store.put(KIND, "e", encode(VersionMark(frozenset({"v1", "v2"}))))
+    now = time.monotonic()
+    old, new = (
+        attrs.evolve(make_runner(f"i-{version}"), version=version)
+        for version in ("v1", "v2")
+    )
+    table.set_runner(new, now)
+
+    def remove_and_serve_again():
+        store.put(KIND, "e", encode(VersionMark(frozenset({"v2"}))))
+        table.set_runner(old, now)
+
+    store.on_read = remove_and_serve_again
+    assert not await registry._store_pending()
+    assert not registry.find_bound("e").allows(old)
+    assert await registry._store_pending()
+    assert registry.find_bound("e").allows(old)
+    assert (await read_mark(store)).versions == {"v1", "v2"}
+
+
 def test_mark_is_readable_by_relays_of_the_previous_build():
     """Guards against relays of two builds side by side, of which one can't read what
     the other writes."""
