Choose the ports of tests' relays where no connection takes them

Ports that the system had given for a moment were given to a connection of the other run before the relay bound them. Change: they are drawn below the range from which the system takes them.

--- a/knapweedrail/tests/test_relay_process.py
+++ b/knapweedrail/tests/test_relay_process.py
@@ -2,7 +2,9 @@
 
 import contextlib
 import os
+import random
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -55,14 +57,19 @@
 EVENTS = 30
 
 
-def find_free_ports(count):
-    import socket
+PORTS = range(10_000, 32_000)
+"""Below the ports that the system gives to connections, any of which may take one
+between the choice and the start of a relay."""
+
 
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+def find_free_ports(count):
+    ports = set()
+    while len(ports) < count:
+        port = random.SystemRandom().choice(PORTS)
+        with contextlib.suppress(OSError):
+            socket.create_server(("127.0.0.1", port)).close()
+            ports.add(port)
+    return list(ports)
 
 
 class RelayProcess:
