Measure the parser without the collector

The page has 266,000 lists, so the collector runs over all objects of the test process. Change: the collector is off while the parser is measured; the bound stays.

--- a/knapweedrail/tests/test_relay_foreign.py
+++ b/knapweedrail/tests/test_relay_foreign.py
@@ -1,5 +1,6 @@
 """Entries of the store that a foreign writer wrote, or that can't be parsed."""
 
+import gc
 import math
 import time
 
@@ -331,9 +332,14 @@
         make_object(name, text)
         for name, text in ((b"a", VALID_SPEC), (b"b", spec), (b"c", VALID_SPEC))
     )
-    began_at = time.process_time()
-    page = parse_page(b'{"entries":[%s],"morePages":false,"asOf":9}' % items)
-    assert time.process_time() - began_at < MAX_PARSE_SECONDS
+    # What the collector takes depends on all other objects of the test process.
+    gc.disable()
+    try:
+        began_at = time.process_time()
+        page = parse_page(b'{"entries":[%s],"morePages":false,"asOf":9}' % items)
+        assert time.process_time() - began_at < MAX_PARSE_SECONDS
+    finally:
+        gc.enable()
     specs = {one["metadata"]["name"]: one["spec"] for one in page["entries"]}
     assert specs["a"] == specs["c"] == orjson.loads(VALID_SPEC)
     assert specs["b"] == Unreadable()
