--- a/knapweedrail/tests/test_relay_placement.py
+++ b/knapweedrail/tests/test_relay_placement.py
@@ -230,7 +230,7 @@
     request, rng = request_of(SHORT, 1), random.Random(1)
     origin = make_origin(first)
     choice = choose_runner(
-        table, "e", request, set(), "dc-0", 1.0, rng, origin=origin, objective=0.3
+        table, "e", request, set(), "dc-0", 1.0, rng, bound=origin, objective=0.3
     )
     assert choice.view.runner.name == "i-0"
     assert table.find_placement("e").division.short
