--- a/review/parts/stage.py
+++ b/review/parts/stage.py
@@ -566,9 +566,11 @@
     """
     record = Record(folder)
     disturb = os.environ.get("TROUBLE", "1") != "0"
+    # Ended from outside, the case still ends the processes that it has started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         held = asyncio.run(asyncio.wait_for(play(record, disturb), 110))
-    except (CaseError, TimeoutError, OSError) as error:
+    except (CaseError, TimeoutError, OSError, KeyboardInterrupt) as error:
         record.write(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         sys.exit(COULD_NOT_RUN)
