Keep the review's stand-ins beside the cases, and name what a script uses

The folder review/parts held the stand-ins and is no case, so its files lie in review/ itself. Each run.sh now passes TROUBLE and record.txt on its command line; the plays took them from the environment and their own place before.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Writes record.txt beside this script; TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-exec python3 review/4/play.py
+exec python3 review/4/play.py review/4/record.txt "${TROUBLE:-1}"
--- a/review/parts/stage.py
+++ b/review/stage.py
@@ -22,7 +22,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 HOST = "127.0.0.1"
 
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
@@ -545,8 +545,8 @@
 class Record:
     """Writes what was sent, answered and run."""
 
-    def __init__(self, folder: str) -> None:
-        self._file = (pathlib.Path(folder) / "record.txt").open("w")
+    def __init__(self, path: str) -> None:
+        self._file = pathlib.Path(path).open("w")
         self._began_at = time.monotonic()
 
     def write(self, text: str) -> None:
@@ -556,16 +556,18 @@
         self._file.flush()
 
 
-def run_case(play: Callable[[Record, bool], Awaitable[bool]], folder: str) -> None:
+def run_case(play: Callable[[Record, bool], Awaitable[bool]]) -> None:
     """Run a case and exit with its result.
 
+    The command line names the file of the record and, as 0 or 1, whether to disturb.
+
     Args:
         play: Plays the case; gets whether to disturb, and returns whether the rule
             held.
-        folder: Where the record goes.
     """
-    record = Record(folder)
-    disturb = os.environ.get("TROUBLE", "1") != "0"
+    _, path, trouble = sys.argv
+    record = Record(path)
+    disturb = trouble != "0"
     # Ended from outside, the case still ends the processes that it has started.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
