Treat any error of the RPC library as a lost link or an unanswered call

Cause: when a source of updates dies right after its kernel has accepted a connection, the first write of the library fails and its connection has no transport any more by the time the request is sent. The library then raises AttributeError. GrpcSourceLink and PeerClient had lists of the errors that they expected, which lacked it; opening a link was outside of any list. An unexpected error of a task ends the process. The router's peers.py has caught every error for long, the relay's never did.

Change: rpc_errors.translate_call_errors is now the one place where an error of a call becomes a CallError, for the router's peers, the relay's peers and the links of the update feed, the opening included. UpdateFeed takes a link that can't be opened for a lost source.

--- a/knapweedrail/peers.py
+++ b/knapweedrail/peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
@@ -10,13 +9,13 @@
 
 import anyio
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Stream
 
 from .addresses import split_address
 from .ingress import IngressQuota
 from .outcomes import Unavailable, Unknown
 from .rpc import RpcServer
+from .rpc_errors import CallError, translate_call_errors
 from .wire.peers_grpc import PeersBase, PeersStub
 from .wire.peers_pb2 import (
     ConfigurationReply,
@@ -221,33 +220,26 @@
         step = "peers.follow"
         connection = self._use(address)
         sent = False
-        cancellations = asyncio.current_task().cancelling()
         try:
-            async with connection.stub.Follow.open() as stream:
-                with anyio.fail_after(self.call_seconds):
-                    await stream.send_request()
-                    sent = True
-                    await stream.send_message(request, end=True)
-                while True:
-                    with anyio.fail_after(silence_seconds):
-                        chunk = await stream.recv_message()
-                    if chunk is None:
-                        break
-                    yield chunk
-                    if chunk.last or chunk.cut or chunk.missing:
-                        # Without it the library waits, without bound, for trailers.
-                        await stream.cancel()
-                        return
+            with translate_call_errors():
+                async with connection.stub.Follow.open() as stream:
+                    with anyio.fail_after(self.call_seconds):
+                        await stream.send_request()
+                        sent = True
+                        await stream.send_message(request, end=True)
+                    while True:
+                        with anyio.fail_after(silence_seconds):
+                            chunk = await stream.recv_message()
+                        if chunk is None:
+                            break
+                        yield chunk
+                        if chunk.last or chunk.cut or chunk.missing:
+                            # Without it the library waits, without bound, for trailers.
+                            await stream.cancel()
+                            return
             yield Unknown(step, address, "the stream ended before the answer")
-        except GRPCError as error:
-            yield _fail(step, address, error, sent)
-        except Exception as error:
-            # Besides the errors of connections, grpclib raises AttributeError for one
-            # that is lost between its check and its use. Let through, any of them
-            # would end a task of a router that is in good order.
-            _undo_cancellation(error, cancellations)
-            self._doubt(address, connection)
-            yield _fail(step, address, error, sent)
+        except CallError as error:
+            yield self._fail(step, address, connection, error, sent)
         finally:
             connection.release()
 
@@ -256,10 +248,12 @@
     ) -> Any:
         connection = self._use(address)
         sent = False
-        cancellations = asyncio.current_task().cancelling()
         try:
             method = getattr(connection.stub, name)
-            with anyio.fail_after(seconds or self.call_seconds):
+            with (
+                translate_call_errors(),
+                anyio.fail_after(seconds or self.call_seconds),
+            ):
                 async with method.open() as stream:
                     await stream.send_request()
                     # Up to here only headers went out: without a message the
@@ -270,18 +264,24 @@
             if reply is None:
                 return Unknown(step, address, "the answer was empty")
             return reply
-        except GRPCError as error:
-            return _fail(step, address, error, sent)
-        except Exception as error:
-            # Besides the errors of connections, grpclib raises AttributeError for one
-            # that is lost between its check and its use. Let through, any of them
-            # would end a task of a router that is in good order.
-            _undo_cancellation(error, cancellations)
-            self._doubt(address, connection)
-            return _fail(step, address, error, sent)
+        except CallError as error:
+            return self._fail(step, address, connection, error, sent)
         finally:
             connection.release()
 
+    def _fail(
+        self,
+        step: str,
+        address: str,
+        connection: _Connection,
+        error: CallError,
+        sent: bool,
+    ) -> Unavailable | Unknown:
+        if not error.rejected:
+            self._doubt(address, connection)
+        kind = Unknown if sent else Unavailable
+        return kind(step, address, str(error))
+
     def _use(self, address: str) -> _Connection:
         connection = self._connections.get(address)
         if connection is None:
@@ -297,22 +297,3 @@
         connection.doubted = True
         if connection.calls == 0:
             connection.channel.close()
-
-
-def _undo_cancellation(error: BaseException, before: int) -> None:
-    """Take back the cancellation by which grpclib ends a call on a broken connection.
-
-    It cancels the calling task, turns that into `StreamTerminatedError` and leaves the
-    task marked as being cancelled. Code that counts these marks, such as
-    `asyncio.TaskGroup`, would later take its own end for a cancellation from outside.
-    """
-    task = asyncio.current_task()
-    if isinstance(error, StreamTerminatedError) and task.cancelling() > before:
-        task.uncancel()
-
-
-def _fail(
-    step: str, address: str, error: BaseException, sent: bool
-) -> Unavailable | Unknown:
-    kind = Unknown if sent else Unavailable
-    return kind(step, address, repr(error))
--- a/knapweedrail/relay/grpc_links.py
+++ b/knapweedrail/relay/grpc_links.py
@@ -5,13 +5,12 @@
 import contextlib
 from collections.abc import AsyncIterator, Iterable, Iterator
 
-from google.protobuf.message import DecodeError
 from grpclib.client import Channel
 from grpclib.client import Stream as ClientStream
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.server import Stream
 
 from ..addresses import split_address
+from ..rpc_errors import CallError, translate_call_errors
 from ..wire import relays_pb2
 from ..wire.relays_grpc import RelaysStub
 from ..wire.relays_pb2 import KindNews, NewsReply, NewsRequest
@@ -35,10 +34,12 @@
 
     @contextlib.asynccontextmanager
     async def dial(self, member: Member) -> AsyncIterator[SourceLink]:
-        channel = Channel(*split_address(member.address))
+        with _translate_errors():
+            channel = Channel(*split_address(member.address))
         try:
-            stream = RelaysStub(channel).FollowNews.open()
-            await stream.__aenter__()
+            with _translate_errors():
+                stream = RelaysStub(channel).FollowNews.open()
+                await stream.__aenter__()
             yield GrpcSourceLink(stream)
         finally:
             channel.close()
@@ -142,12 +143,7 @@
 @contextlib.contextmanager
 def _translate_errors() -> Iterator[None]:
     try:
-        yield
-    except (
-        OSError,
-        GRPCError,
-        ProtocolError,
-        StreamTerminatedError,
-        DecodeError,
-    ) as error:
-        raise LinkLostError(repr(error)) from error
+        with translate_call_errors():
+            yield
+    except CallError as error:
+        raise LinkLostError(str(error)) from error
--- a/knapweedrail/relay/links.py
+++ b/knapweedrail/relay/links.py
@@ -97,4 +97,8 @@
 
     @abstractmethod
     def dial(self, member: Member) -> AbstractAsyncContextManager[SourceLink]:
-        """Open a link; a failure to connect may only be raised by its first call."""
+        """Open a link; a failure to connect may only be raised by its first call.
+
+        Raises:
+            LinkLostError: If the relay's address can't be dialled.
+        """
--- a/knapweedrail/relay/peers.py
+++ b/knapweedrail/relay/peers.py
@@ -14,7 +14,6 @@
 import anyio
 import attrs
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Stream
 
 from ..addresses import split_address
@@ -22,6 +21,7 @@
 from ..ingress import IngressQuota
 from ..limits import LimitUpdate
 from ..rpc import RpcServer
+from ..rpc_errors import CallError, translate_call_errors
 from ..wire.relays_grpc import RelaysBase, RelaysStub
 from ..wire.relays_pb2 import (
     LimitsReply,
@@ -305,20 +305,27 @@
         seconds: float,
         replies: list[Any],
     ) -> None:
-        channel = self._channels.get(member.address)
-        if channel is None:
-            channel = Channel(*split_address(member.address))
-            self._channels[member.address] = channel
+        channel: Channel | None = None
         try:
-            with anyio.fail_after(seconds):
+            with translate_call_errors(), anyio.fail_after(seconds):
+                channel = self._get_channel(member.address)
                 replies.append(await getattr(RelaysStub(channel), method)(request))
                 return
-        except (OSError, TimeoutError, GRPCError, StreamTerminatedError) as error:
-            log_event(
-                Event.NEIGHBOUR_SILENT, neighbour=member.holder, error=repr(error)
-            )
-        if self._channels.get(member.address) is channel:
-            del self._channels[member.address]
+        except CallError as error:
+            log_event(Event.NEIGHBOUR_SILENT, neighbour=member.holder, error=str(error))
+        if channel is not None:
+            self._close_channel(member.address, channel)
+
+    def _get_channel(self, address: str) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = Channel(*split_address(address))
+            self._channels[address] = channel
+        return channel
+
+    def _close_channel(self, address: str, channel: Channel) -> None:
+        if self._channels.get(address) is channel:
+            del self._channels[address]
         channel.close()
 
 
--- a/knapweedrail/relay/update_feed.py
+++ b/knapweedrail/relay/update_feed.py
@@ -300,13 +300,11 @@
         self, slot: int, source: Source, source_lost: anyio.Event
     ) -> None:
         log_event(Event.SOURCE_CHOSEN, slot=slot, source=source.member.holder)
-        async with self._dialer.dial(source.member) as link:
-            await self._send_request(link, source, source_lost)
-            if not source_lost.is_set():
-                async with anyio.create_task_group() as group:
-                    group.start_soon(self._receive_replies, link, source, source_lost)
-                    await self._send_heartbeats(slot, link, source, source_lost)
-                    group.cancel_scope.cancel()
+        try:
+            async with self._dialer.dial(source.member) as link:
+                await self._follow(slot, link, source, source_lost)
+        except LinkLostError:
+            source_lost.set()
         if source_lost.is_set():
             reply_age = round(time.monotonic() - source.last_reply_at, 3)
             log_event(
@@ -316,6 +314,19 @@
                 unheard=reply_age,
             )
 
+    async def _follow(
+        self, slot: int, link: SourceLink, source: Source, source_lost: anyio.Event
+    ) -> None:
+        """Exchange messages with a source until it is lost or a better one is
+        available."""
+        await self._send_request(link, source, source_lost)
+        if source_lost.is_set():
+            return
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._receive_replies, link, source, source_lost)
+            await self._send_heartbeats(slot, link, source, source_lost)
+            group.cancel_scope.cancel()
+
     async def _send_heartbeats(
         self, slot: int, link: SourceLink, source: Source, source_lost: anyio.Event
     ) -> None:
