Refuse a request beyond the budget before it counts as demand

Cause: Holdings.reserve recorded a request as demand before it was known whether it can fit. What a grant holds and how it vests are multiples of the demand, without a bound; the store takes whole numbers of 64 bits, the encoder raises TypeError beyond them, and the task that writes ledgers or records ends the process. The width is only the end of it: 1,000,001 tokens asked of a budget of 1,000,000, twelve times, made 8,882,231 tokens vest, by a schedule that others read as demand.

Change: a request that exceeds what the budget has left for certain, by the ledger as last seen and by this relay's own spending, is refused at once: no demand, no call, no wait, also while the store is away. Used tokens never decrease, so an old view is enough for a certain refusal. No schedule lets more than the budget vest at once or per second, however many requests wait. The caller's numbers are limited to 2**53, what a ledger can hold, where they are decoded; the runner still gets the caller's own header.

--- a/knapweedrail/platform/requests.py
+++ b/knapweedrail/platform/requests.py
@@ -11,6 +11,7 @@
 
 from ..limits import read_rate
 from ..relay.codecs import Codec
+from ..relay.ledgers import MAX_TOKENS
 from ..relay.models import (
     CallerRequest,
     Malformed,
@@ -260,11 +261,15 @@
 
 
 def _parse_token_usage(value: bytes | None) -> tuple[int, int]:
-    """Return the prompt tokens and the most output tokens; ignore further values."""
+    """Return the prompt tokens and the most output tokens; ignore further values.
+
+    Each is limited to `MAX_TOKENS`, more than any budget has left.
+    """
     numbers = [_parse_number(text) for text in (value or b"").split(b",")[:2]]
     if len(numbers) < 2 or numbers[0] is None or numbers[1] is None:
         return 0, 0
-    return math.ceil(numbers[0]), math.ceil(numbers[1])
+    prompt, output = (math.ceil(min(number, MAX_TOKENS)) for number in numbers)
+    return prompt, output
 
 
 def _parse_prompt_parts(value: bytes | None) -> tuple[PromptPart, ...]:
--- a/knapweedrail/relay/holdings.py
+++ b/knapweedrail/relay/holdings.py
@@ -109,7 +109,8 @@
         """Reserve the largest number of tokens that a request may use.
 
         If too few are available, wait up to `TOKEN_WAIT_SECONDS` for the ledger or for
-        another relay.
+        another relay. A request that exceeds the budget is refused at once, and doesn't
+        count as demand: the grants of all relays follow the demand.
 
         Returns:
             The reservation, or the reason why there is none.
@@ -122,8 +123,11 @@
         allowance = holding.allowance
         if self._updater.first_request_at is None:
             self._updater.first_request_at = time.monotonic()
+        reserved = allowance.reserve(tokens)
+        if not reserved and self._updater.exceeds_budget(holding, account, tokens):
+            return Shortage.SPENT
         allowance.demand.record_request(tokens, time.monotonic())
-        if allowance.reserve(tokens):
+        if reserved:
             return Reservation(allowance, tokens)
         allowance.demand.unmet += tokens
         try:
--- a/knapweedrail/relay/ledger_updates.py
+++ b/knapweedrail/relay/ledger_updates.py
@@ -25,7 +25,7 @@
 from .members import Membership
 from .models import Account, Configuration
 from .notifiers import Notifier
-from .reservations import Shortage, find_shortage
+from .reservations import Shortage, exceeds_budget, find_shortage
 from .stores import (
     Conflict,
     Missing,
@@ -145,6 +145,13 @@
         """Include an account in the host's record."""
         self._holdings[holding.name] = holding
 
+    def exceeds_budget(
+        self, holding: AccountHolding, account: Account, tokens: int
+    ) -> bool:
+        """Return whether a request needs more tokens than the account has left."""
+        ledger = self._copy_ledger(holding)
+        return exceeds_budget(ledger, account.prepaid or 0, tokens)
+
     async def draw(
         self, holding: AccountHolding, account: Account, tokens: int
     ) -> Shortage | None:
@@ -336,10 +343,8 @@
     def _find_shortage(
         self, holding: AccountHolding, account: Account, tokens: int
     ) -> Shortage | None:
-        ledger = holding.ledger.copy()
-        holding.allowance.record_spent(ledger)
         return find_shortage(
-            ledger,
+            self._copy_ledger(holding),
             account.prepaid or 0,
             tokens,
             holding.allowance.free,
@@ -347,6 +352,12 @@
             holding.is_fresh(time.monotonic()),
         )
 
+    def _copy_ledger(self, holding: AccountHolding) -> AccountLedger:
+        """Return the ledger as last seen, with what this relay has spent since."""
+        ledger = holding.ledger.copy()
+        holding.allowance.record_spent(ledger)
+        return ledger
+
     def _is_unreadable(self, holding: AccountHolding) -> bool:
         """Return whether an account's ledger can't be read, which counts as out of
         reach.
--- a/knapweedrail/relay/reservations.py
+++ b/knapweedrail/relay/reservations.py
@@ -45,6 +45,17 @@
             self.allowance = None
 
 
+def exceeds_budget(ledger: AccountLedger, prepaid: int, tokens: int) -> bool:
+    """Return whether a request needs more tokens than an account has left for certain.
+
+    That holds for an old view of the ledger too, as used tokens never decrease.
+
+    Args:
+        tokens: Tokens that the request needs.
+    """
+    return ledger.confirmed_used + tokens > prepaid
+
+
 def find_shortage(
     ledger: AccountLedger,
     prepaid: int,
@@ -66,7 +77,7 @@
     """
     if not reachable:
         return Shortage.OUT_OF_REACH
-    if ledger.confirmed_used + tokens > prepaid:
+    if exceeds_budget(ledger, prepaid, tokens):
         return Shortage.SPENT
     if fresh and prepaid - ledger.committed < tokens - max(0, free):
         return Shortage.HELD_ELSEWHERE
--- a/knapweedrail/relay/vesting_plans.py
+++ b/knapweedrail/relay/vesting_plans.py
@@ -91,7 +91,7 @@
     if budget.warming_up:
         # The first requests may come during an outage, and their demand isn't known.
         burst = max(burst, WARM_UP_SHARE * budget.prepaid / budget.primaries)
-    return VestingTerms(int(burst) + demand.unmet, _plan_rate(free, demand, now))
+    return _limit_terms(budget, burst + demand.unmet, _plan_rate(free, demand, now))
 
 
 def plan_recorded_vesting(
@@ -113,7 +113,7 @@
         decay = WARM_UP_DECAY * demand.measure_observed(now) / WARM_UP_SECONDS
         start_share = WARM_UP_SHARE * budget.prepaid / budget.primaries
         burst = max(burst, start_share * (1 - decay))
-    return VestingTerms(int(burst) + demand.unmet, _plan_rate(free, demand, now))
+    return _limit_terms(budget, burst + demand.unmet, _plan_rate(free, demand, now))
 
 
 def compute_loss_limit(budget: BudgetView) -> float:
@@ -126,12 +126,21 @@
     return max(0.0, MAX_LOST_SHARE * budget.prepaid - budget.lost) / 2
 
 
-def _plan_rate(free: int, demand: Demand, now: float) -> int:
+def _limit_terms(budget: BudgetView, burst: float, rate: float) -> VestingTerms:
+    """Return terms by which no more than the whole budget vests at once or per second.
+
+    Schedules are stored, and the numbers that the store takes are limited.
+    """
+    limit = max(0, budget.prepaid)
+    return VestingTerms(int(min(burst, limit)), int(min(rate, limit)))
+
+
+def _plan_rate(free: int, demand: Demand, now: float) -> float:
     """Return the tokens of a grant that should vest per second."""
     rate = VESTING_FACTOR * demand.estimate_rate(now)
     if not demand.has_reliable_rate(now):
         rate = max(rate, free / MAX_VESTING_SECONDS)
-    return int(rate)
+    return rate
 
 
 def is_over_vested(
--- a/knapweedrail/tests/test_relay_process.py
+++ b/knapweedrail/tests/test_relay_process.py
@@ -252,6 +252,31 @@
     assert account["used"] <= 1000
 
 
+async def test_requests_for_unlimited_tokens_leave_streams_of_others_whole(tmp_path):
+    """Guards against a caller whose number of tokens ends the process."""
+    async with run_process(tmp_path, stream_slowly) as (_, relay, client):
+        got = []
+
+        async def read_stream():
+            headers = make_headers(1)
+            async with client.stream(
+                "POST", f"{relay.url}/s/x", headers=headers
+            ) as answer:
+                async for part in answer.aiter_bytes():
+                    got.append(part)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(read_stream)
+            while not got:
+                await anyio.sleep(0.01)
+            for number in range(12):
+                headers = make_headers(f"large-{number}", f"10,{2**63 - 1}")
+                refused = await client.post(f"{relay.url}/a/x", headers=headers)
+                assert refused.status_code == 402
+        assert relay.process.poll() is None
+    assert b"".join(got) == b"".join(map(make_event, range(1, EVENTS + 1)))
+
+
 async def hang(stream, head):
     await anyio.sleep(60)
     return False
