Limit a budget to what a ledger can hold

A prepaid amount above 2**64 comes out of the parser as a float, 1e30 as an int of 100 bits; a share of it is granted at the start, and the encoder raises. One between 2**53 and 2**64 is granted and then read as an invalid ledger, and the account is refused from then on.

Change: the amount is limited to 2**53 tokens where the configuration is decoded, so that a mistake in one account ends nothing and hides nothing.

Evidence: three tests, failed before. Found on a related path, not seen in use.

--- a/knapweedrail/platform/decoding.py
+++ b/knapweedrail/platform/decoding.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from ..relay.ledgers import MAX_TOKENS
 from ..relay.models import (
     Account,
     CallerLimits,
@@ -136,7 +137,7 @@
         name=item["name"],
         keys=tuple(item.get("apiKeys") or ()),
         priority=None if priority is None else int(priority),
-        prepaid=None if prepaid is None else int(prepaid),
+        prepaid=None if prepaid is None else min(int(prepaid), MAX_TOKENS),
     )
 
 
--- a/knapweedrail/tests/test_relay_oversized_requests.py
+++ b/knapweedrail/tests/test_relay_oversized_requests.py
@@ -1,9 +1,11 @@
 """Requests for more tokens than their account's budget, or any budget, can hold."""
 
+
 import anyio
 import orjson
 import pytest
 
+from ..platform.decoding import decode_configuration
 from ..platform.requests import PlatformCodec
 from ..relay.grants import BudgetView, Demand
 from ..relay.holdings import Holdings
@@ -106,3 +108,15 @@
     assert request.prompt_tokens == request.max_output_tokens == MAX_TOKENS
     sent = dict(request.headers)
     assert sent[b"Knapweedrail-Token-Usage"] == text + b"," + text
+
+
+@pytest.mark.parametrize("prepaid", [2**53 + 2, 2**63 - 1, 1e30])
+def test_budget_is_limited_to_what_a_ledger_can_hold(prepaid):
+    """Guards against an operator's number that ends relays or hides the ledger."""
+    spec = {
+        "version": 1,
+        "routes": [],
+        "services": [],
+        "tenants": [{"name": "farm", "prepaid": prepaid}],
+    }
+    assert decode_configuration(spec).accounts["farm"].prepaid == MAX_TOKENS
