Limit the tokens asked of a lender to what a message can hold

What callers would have seen: a 500 of the relay's own, as the encoder of messages raises ValueError for more than 64 bits. Requests that wait are added up, so this takes thousands of the largest ones at once since requests beyond the budget are refused; the limit holds for any number.

Evidence: the test, which failed before. Found on a related path, not seen in use.

--- a/knapweedrail/relay/borrowing.py
+++ b/knapweedrail/relay/borrowing.py
@@ -8,6 +8,7 @@
 from .account_holdings import AccountHolding
 from .allowances import Loan
 from .grants import plan_borrow, plan_return
+from .ledgers import MAX_TOKENS
 from .members import Membership
 from .models import Member
 from .notifiers import Notifier
@@ -151,7 +152,9 @@
                 shortage = known
                 continue
             wanted = plan_borrow(needed, allowance.demand, now)
-            answer = await self._trade(holding, member, needed, wanted)
+            answer = await self._trade(
+                holding, member, min(needed, MAX_TOKENS), min(wanted, MAX_TOKENS)
+            )
             if answer is None:
                 answered.discard(member.data_centre)
             elif answer.shortage is not None:
--- a/knapweedrail/tests/test_relay_oversized_requests.py
+++ b/knapweedrail/tests/test_relay_oversized_requests.py
@@ -1,5 +1,6 @@
 """Requests for more tokens than their account's budget, or any budget, can hold."""
 
+import time
 
 import anyio
 import orjson
@@ -7,13 +8,15 @@
 
 from ..platform.decoding import decode_configuration
 from ..platform.requests import PlatformCodec
+from ..relay.borrowing import TokenBorrower
 from ..relay.grants import BudgetView, Demand
 from ..relay.holdings import Holdings
 from ..relay.ledger_updates import LEDGER_KIND
 from ..relay.ledgers import MAX_TOKENS
 from ..relay.members import Membership
 from ..relay.models import Account, Member, RetryPolicy
-from ..relay.peers import PeerClient
+from ..relay.notifiers import Notifier
+from ..relay.peers import PeerClient, TradeAnswer
 from ..relay.reservations import Reservation, Shortage
 from ..relay.vesting import Boot, BootTime, VestingSchedule, encode_schedule
 from ..relay.vesting_plans import plan_recorded_vesting, plan_vesting
@@ -100,6 +103,27 @@
     assert orjson.dumps(encode_schedule(schedule))
 
 
+async def test_tokens_asked_of_a_lender_fit_into_a_message():
+    """Guards against a failed request for the many that wait for tokens at once."""
+    sent = []
+
+    class Peers(PeerClient):
+        async def trade(self, member, trade):
+            sent.append(trade)
+            return TradeAnswer(member.holder, 0, Shortage.HELD_ELSEWHERE)
+
+    membership = Membership(MemoryStore(), Member("h", "h/1", "", "dc"))
+    lender = Member("l", "l/1", "127.0.0.1:1", "dc")
+    membership._members = {m.host: m for m in (membership.member, lender)}
+    holdings, _ = make_holdings(MemoryStore())
+    holding = holdings._get_holding("farm")
+    holding.allowance.demand.unmet = 2**70
+    holding.allowance.demand.record_request(2**70, time.monotonic())
+    borrower = TokenBorrower(Peers(), membership, Notifier())
+    assert await borrower.borrow(holding, 5) is Shortage.HELD_ELSEWHERE
+    assert [(t.needed, t.wanted) for t in sent] == [(MAX_TOKENS, MAX_TOKENS)]
+
+
 @pytest.mark.parametrize("text", [b"9223372036854775807", b"9" * 300, b"1e300"])
 def test_token_usage_is_limited_to_what_a_ledger_can_hold(text):
     """Guards against arithmetic errors with numbers that a caller makes up."""
