Account for unfinished events of all streams together

Cause: each event was limited to 1 MiB, and nothing limited them together. A host of 300 MB may have 1,230 complete requests. Bodies that are kept whole were accounted for in the lease of the caller's connection, unfinished events of streams weren't.

Change: the reader of a stream accounts for its unfinished event in the same lease, and releases it when the event is complete or the attempt ends. A stream without room is broken off or resumed elsewhere; that isn't counted against the runner, which may be sound. The quota leaves room for small connections, so those that hold much are refused first.

--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -36,6 +36,9 @@
 another runner. A runner that preempts a stream for more urgent work sends nothing for
 some hundreds of milliseconds."""
 
+NO_MEMORY = "no memory for the answer"
+"""Description of an attempt whose answer exceeds what callers may hold together."""
+
 QUEUED_PROMPTS = 2.0
 """Queue length at a runner, in prompts of average length, above which requests carry
 the priority by account and route. A new prompt then waits about as long as its own
@@ -78,6 +81,7 @@
         self._recorder = AttemptRecorder(context, view)
         self._may_have_run_before = context.may_have_run
         self._stalled: StalledStream | None = None
+        self._reader: EventReader | None = None
 
     @property
     def stalled(self) -> bool:
@@ -99,6 +103,8 @@
             return AttemptFailed(FailureKind.SILENT, "the stream took too long")
         except ConnectionFailed as error:
             return self._handle_connection_error(error)
+        except QuotaExceeded:
+            return AttemptFailed(FailureKind.BROKEN, NO_MEMORY)
         finally:
             if not self.stalled:
                 await self._release(reader.connection, reusable)
@@ -131,6 +137,9 @@
             return outcome
         except ConnectionFailed as error:
             return self._handle_connection_error(error)
+        except QuotaExceeded:
+            # What is held for other callers isn't this runner's failure.
+            return AttemptFailed(FailureKind.BROKEN, NO_MEMORY)
         finally:
             self._recorder.record_prefill_end()
             if not self.stalled:
@@ -160,6 +169,8 @@
         Closing the connection makes the runner stop its work.
         """
         self._recorder.record_finished()
+        if self._reader is not None:
+            self._reader.close()
         if connection is not None and not reusable:
             pool = self._context.services.pool
             with anyio.CancelScope(shield=True):
@@ -183,7 +194,7 @@
         context.may_have_run = True
         context.reservation.enter_stage(Stage.SENT)
         answer: RunnerAnswer | None = None
-        reader = EventReader(connection)
+        reader = self._reader = EventReader(connection, context.response)
         first_events = b""
         try:
             with anyio.move_on_after(self._compute_first_byte_timeout()) as scope:
@@ -269,11 +280,7 @@
         began_at: float,
     ) -> tuple[Answered | AttemptFailed, bool]:
         """Receive the body of a non-streaming answer and pass it on if it is valid."""
-        try:
-            body = await connection.receive_body(self._context.response.reserve)
-        except QuotaExceeded:
-            detail = "no memory for the answer's body"
-            return AttemptFailed(FailureKind.BROKEN, detail), False
+        body = await connection.receive_body(self._context.response.reserve)
         reusable = self._return_to_pool(connection, answer)
         if answer.not_run:
             self._context.may_have_run = self._may_have_run_before
--- a/knapweedrail/relay/event_readers.py
+++ b/knapweedrail/relay/event_readers.py
@@ -4,6 +4,7 @@
 
 from .connections import ConnectionFailed, RunnerConnection
 from .models import Framing
+from .response_writer import ResponseWriter
 from .streams import EventSplitter, InvalidStream, StreamEvent, StreamProgress
 
 
@@ -12,10 +13,13 @@
 
     Args:
         connection: Connection on which the head of the answer has arrived.
+        response: Accounts for the event that isn't complete.
     """
 
-    def __init__(self, connection: RunnerConnection) -> None:
+    def __init__(self, connection: RunnerConnection, response: ResponseWriter) -> None:
         self.connection = connection
+        self._response = response
+        self._reserved_bytes = 0
         self._splitter = EventSplitter()
 
     @property
@@ -29,6 +33,7 @@
         Raises:
             ConnectionFailed: If the connection ends before the stream is complete, or
                 the runner sends something else than events.
+            QuotaExceeded: If there is no memory for an event that isn't complete.
         """
         while chunk := await self.connection.receive_chunk():
             data = progress.select_new(self._split(chunk))
@@ -37,11 +42,26 @@
         self._check_end()
         return b""
 
+    def close(self) -> None:
+        """Release the memory of an event that isn't complete."""
+        self._response.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
     def _split(self, chunk: bytes) -> list[StreamEvent]:
         try:
-            return self._splitter.feed(chunk)
+            events = self._splitter.feed(chunk)
         except InvalidStream as error:
             raise self._make_error(str(error)) from error
+        self._account_for_remainder()
+        return events
+
+    def _account_for_remainder(self) -> None:
+        added = self._splitter.remainder_bytes - self._reserved_bytes
+        if added > 0:
+            self._response.reserve(added)
+        elif added < 0:
+            self._response.release(-added)
+        self._reserved_bytes += added
 
     def _check_end(self) -> None:
         """Raise an error if the stream ended before it was complete.
--- a/knapweedrail/relay/response_writer.py
+++ b/knapweedrail/relay/response_writer.py
@@ -66,6 +66,11 @@
         if self._lease is not None:
             self._lease.reserve(size, time.monotonic())
 
+    def release(self, size: int) -> None:
+        """Release bytes that were reserved; the end of a response releases all."""
+        if self._lease is not None and not self.complete:
+            self._lease.release(size)
+
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response."""
         length = (b"content-length", b"%d" % len(body))
--- a/knapweedrail/relay/streams.py
+++ b/knapweedrail/relay/streams.py
@@ -65,6 +65,11 @@
         """Bytes after the last complete event."""
         return bytes(self._remainder)
 
+    @property
+    def remainder_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._remainder)
+
     @property
     def is_between_events(self) -> bool:
         """Whether the bytes so far end outside of any event and any line."""
