Limit what a router receives of runners' answers

Cause: httpx reads whole bodies into memory and splits streams into lines, whatever their length. Only silence was limited, and such a runner is never silent.

A head that doesn't come within twice the allowed silence, as informational answers follow each other, is given up.

Informational answers still cost processor time until they are given up.

--- a/knapweedrail/endpoints.py
+++ b/knapweedrail/endpoints.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
+import contextlib
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from typing import Any
 
+import anyio
 import attrs
 import httpx
 import httpx_sse
 import orjson
 
+from .answer_limits import (
+    MAX_EVENT_BYTES,
+    MAX_RECEIVED_BYTES,
+    AnswerMemory,
+    LimitedStream,
+    limit_body,
+)
 from .limits import read_rate
 from .models import Holder
 from .outcomes import Unavailable, Unknown
@@ -36,6 +46,14 @@
 """Idle connections are dropped soon, since something between the two ends may
 lose track of them and say nothing."""
 
+LOAD_SECONDS = 1.0
+CANCEL_SECONDS = 1.0
+"""Time for a report of load, and for the answer to a cancellation."""
+
+HEAD_FACTOR = 2.0
+"""Longest wait for the head of an answer, as a multiple of the longest silence. A
+runner that sends informational answers without end is never silent."""
+
 HTTP_OK = 200
 HTTP_MISSING = 404
 HTTP_FENCED = 412
@@ -160,10 +178,14 @@
 
     Args:
         silence_seconds: Longest silence while an answer is due.
+        memory: Accounts for answers that aren't complete.
     """
 
-    def __init__(self, silence_seconds: float) -> None:
+    def __init__(
+        self, silence_seconds: float, memory: AnswerMemory | None = None
+    ) -> None:
         self.silence_seconds = silence_seconds
+        self._memory = memory or AnswerMemory(MAX_RECEIVED_BYTES)
         self._client: httpx.AsyncClient | None = None
 
     async def start(self) -> None:
@@ -178,14 +200,51 @@
 
     async def load(self, address: str) -> LoadReport | Unavailable:
         """Ask a runner for its load."""
+        url = f"http://{address}/load"
         try:
-            response = await self._client.get(f"http://{address}/load", timeout=1.0)
+            response = await self._fetch("GET", url, timeout=LOAD_SECONDS)
             report = LoadReport(**orjson.loads(response.content))
             limit = None if report.limit is None else read_rate(str(report.limit))
             return attrs.evolve(report, limit=limit)
         except (httpx.HTTPError, TypeError, ValueError) as error:
             return Unavailable("runner.load", address, repr(error))
 
+    async def _fetch(
+        self, method: str, url: str, timeout: float | None = None, **options: Any
+    ) -> httpx.Response:
+        """Send a request and return its whole answer.
+
+        Raises:
+            httpx.HTTPError: If there is none within the bounds.
+        """
+        if timeout is not None:
+            options["timeout"] = timeout
+        async with self._open_answer(self._client, method, url, **options) as response:
+            await response.aread()
+            return response
+
+    @contextlib.asynccontextmanager
+    async def _open_answer(
+        self, client: httpx.AsyncClient, method: str, url: str, **options: Any
+    ) -> AsyncIterator[httpx.Response]:
+        """Send a request and give its answer, whose body is limited.
+
+        Raises:
+            httpx.HTTPError: If no head comes; informational answers without end are
+                none.
+        """
+        request = client.build_request(method, url, **options)
+        response = None
+        with anyio.move_on_after(HEAD_FACTOR * self.silence_seconds):
+            response = await client.send(request, stream=True)
+        if response is None:
+            raise httpx.ReadTimeout("no head in time", request=request)
+        try:
+            limit_body(response, self._memory)
+            yield response
+        finally:
+            await response.aclose()
+
     @abstractmethod
     async def stop(self, address: str, identity: str) -> Usage | None:
         """Cancel a run; the tokens that it used when the runner tells them."""
@@ -222,8 +281,8 @@
             headers[RESUME_HEADER] = str(resume)
         url = f"http://{address}/v1/chat/completions"
         try:
-            async with self._client.stream(
-                "POST", url, content=call.body, headers=headers
+            async with self._open_answer(
+                self._client, "POST", url, content=call.body, headers=headers
             ) as response:
                 if response.status_code != HTTP_OK:
                     yield await self._explain(response, address, resume)
@@ -238,9 +297,11 @@
             yield Unknown("engine.stream", address, repr(error))
 
     async def stop(self, address: str, identity: str) -> Usage | None:
+        url = f"http://{address}/v1/cancel"
+        content = {"identity": identity}
         try:
-            response = await self._client.post(
-                f"http://{address}/v1/cancel", json={"identity": identity}, timeout=1.0
+            response = await self._fetch(
+                "POST", url, timeout=CANCEL_SECONDS, json=content
             )
             if response.status_code != HTTP_OK:
                 return None
@@ -251,7 +312,11 @@
     async def _read(
         self, response: httpx.Response, address: str, call: EngineCall, offset: int
     ) -> AsyncIterator[StreamItem]:
+        limited = response.stream
+        assert isinstance(limited, LimitedStream)
+        limited.max_bytes = MAX_EVENT_BYTES
         async for event in httpx_sse.EventSource(response).aiter_sse():
+            limited.restart()
             if event.data == END_MARK:
                 yield Completed()
                 return
@@ -301,9 +366,10 @@
         headers = [*call.headers, (IDENTITY_HEADER, call.identity)]
         url = f"http://{address}{call.path}"
         try:
-            response = await client.request(
-                call.method, url, content=call.body, headers=headers
-            )
+            async with self._open_answer(
+                client, call.method, url, content=call.body, headers=headers
+            ) as response:
+                await response.aread()
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             return Unavailable("service.connect", address, repr(error))
         except httpx.TimeoutException as error:
--- a/knapweedrail/pools.py
+++ b/knapweedrail/pools.py
@@ -7,6 +7,7 @@
 import anyio.abc
 import attrs
 
+from .answer_limits import MAX_RECEIVED_BYTES, AnswerMemory
 from .dispatch import Dispatcher
 from .endpoints import EngineClient, RunnerClient, ServiceClient
 from .limits import FindStanding, stand_alone
@@ -53,6 +54,7 @@
         self._group = group
         self._placement = placement
         self._find_standing = find_standing
+        self._answer_memory = AnswerMemory(MAX_RECEIVED_BYTES)
         self._pools: dict[str, Pool] = {}
         self._retired: list[Pool] = []
 
@@ -97,7 +99,9 @@
         return same == pool.endpoint and rules == pool.rules
 
     async def _open(self, endpoint: Endpoint, rules: Rules) -> Pool:
-        client = CLIENTS[endpoint.kind == ENGINE](rules.silence_seconds)
+        client = CLIENTS[endpoint.kind == ENGINE](
+            rules.silence_seconds, self._answer_memory
+        )
         await client.start()
         dispatcher = Dispatcher(
             endpoint,
