Refuse unknown streams while no other relay answers

What callers would see: in a fleet within one data centre, a host is cut off from the others and the store while runners of a new version join.

Cause: a stream without a record goes on at the only known version if relays of all other data centres answered, while the store doesn't. With a single data centre that held without any answer.

Change: at least one other relay has to have answered, unless there is none.

Streams at such a host are refused as not run instead, as in fleets of several data centres.

--- a/knapweedrail/benches/streams.py
+++ b/knapweedrail/benches/streams.py
@@ -4,7 +4,7 @@
 
 import argparse
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import anyio
 
@@ -15,6 +15,7 @@
     HashedVersion,
     OneKeeper,
     OnlyVersion,
+    OutOfStep,
     OwnRecord,
     RecordedVersion,
     StreamFleet,
@@ -199,6 +200,57 @@
     return run_virtual(play_day)
 
 
+OUT_OF_STEP = {
+    "late with news": OutOfStep(),
+    "cut off from the others": OutOfStep(without_peers=True),
+    "cut off from the store": OutOfStep(without_store=True),
+    "cut off from all": OutOfStep(without_peers=True, without_store=True),
+}
+"""What one host lacks while runners of a new version join."""
+
+OUT_OF_STEP_SECONDS = 3.0
+
+
+def play_out_of_step(seed: int, name: str, sizes: Sequence[int], ends: bool) -> Tally:
+    """Play a release of which one host hears nothing, and let all callers return there.
+
+    Args:
+        seed: Of all random choices.
+        name: One of `OUT_OF_STEP`.
+        sizes: Number of hosts in each data centre.
+        ends: Whether the host is in step again as callers return.
+
+    Returns:
+        Counts of the streams that are resumed at that host.
+    """
+
+    async def play_day(clock: VirtualClock) -> Tally:
+        random.seed(seed)
+        rng = random.Random(seed)
+        async with anyio.create_task_group() as group:
+            fleet = StreamFleet(group, sizes, RecordedVersion(), rng)
+            for host in fleet.members:
+                fleet.start(host)
+            await anyio.sleep(0.5)
+            fleet.set_runners(OLD)
+            await _begin_streams(fleet, 2 * LOSS_WARM_SECONDS)
+            behind = rng.choice(sorted(fleet.members))
+            fleet.put_out_of_step(behind, OUT_OF_STEP[name])
+            fleet.set_runners(MIXED)
+            await _begin_streams(fleet, OUT_OF_STEP_SECONDS)
+            fleet.tally = Tally()
+            if ends:
+                fleet.join()
+            for host in fleet.hosts.keys() - {behind}:
+                fleet.hosts[host].ready = False
+                fleet.hosts[host].broken.set()
+            await anyio.sleep(LOSS_RESUME_SECONDS)
+            group.cancel_scope.cancel()
+        return fleet.tally
+
+    return run_virtual(play_day)
+
+
 async def _begin_streams(fleet: StreamFleet, seconds: float) -> None:
     """Let callers begin streams for some time."""
     pause = 1.0 / (len(fleet.members) * STREAMS_PER_HOST)
--- a/knapweedrail/relay/resumptions.py
+++ b/knapweedrail/relay/resumptions.py
@@ -189,11 +189,14 @@
         return StreamOrigin(endpoints[0], *versions) if certain else None
 
     def _have_all_answered(self, answers: Mapping[Member, StreamAnswer]) -> bool:
-        """Return whether relays of all other data centres answered."""
-        members = self._membership.list_all()
-        answered = {member.data_centre for member in answers}
-        answered.add(self._membership.member.data_centre)
-        return answered >= {member.data_centre for member in members}
+        """Return whether relays of all other data centres answered, and at least one
+        other relay, unless there is none."""
+        own = self._membership.member
+        others = [m for m in self._membership.list_all() if m.host != own.host]
+        answered = {member.data_centre for member in answers} | {own.data_centre}
+        if others and not answers:
+            return False
+        return answered >= {member.data_centre for member in others}
 
     def _find_versions(self, endpoints: Sequence[str], now: float) -> set[str | None]:
         return {
--- a/knapweedrail/standins/streamfleet.py
+++ b/knapweedrail/standins/streamfleet.py
@@ -84,6 +84,19 @@
     ready: bool = False
 
 
+@attrs.frozen
+class OutOfStep:
+    """What one host lacks beside news of the runners.
+
+    Attributes:
+        without_peers: Whether it can't reach the other hosts, nor they it.
+        without_store: Whether it can't reach the store.
+    """
+
+    without_peers: bool = False
+    without_store: bool = False
+
+
 class Way(ABC):
     """How it is decided at which version a stream goes on.
 
@@ -319,11 +332,17 @@
         self._rng = rng
         self._return_seconds = return_seconds
         self._cut: set[str] = set()
+        self._out_of_step: dict[str, OutOfStep] = {}
         self._crashes: dict[str, anyio.Event] = {}
         self._number = 0
 
     def is_cut(self, host: str, other: str | None) -> bool:
         """Return whether a host can't reach another one, or the store if ``None``."""
+        for one in (host, other):
+            fault = self._out_of_step.get(one or "")
+            lost = fault and (fault.without_peers if other else fault.without_store)
+            if lost and host != other:
+                return True
         place = self.members[host].data_centre
         there = self.members[other].data_centre if other else "store"
         return place != there and bool({place, there} & self._cut)
@@ -367,8 +386,15 @@
         """Cut a data centre off from the others and the store."""
         self._cut.add(place)
 
+    def put_out_of_step(self, host: str, fault: OutOfStep) -> None:
+        """Keep one host from what changes, until all cuts end."""
+        self._out_of_step[host] = fault
+
     def join(self) -> None:
         """End all cuts."""
+        for name in self._out_of_step.keys() & self.hosts.keys():
+            self.hosts[name].in_touch_at = time.monotonic() + CONTACT_SECONDS
+        self._out_of_step.clear()
         for host in self.hosts.values():
             if host.member.data_centre in self._cut:
                 host.in_touch_at = time.monotonic() + CONTACT_SECONDS
@@ -403,7 +429,8 @@
         self._update(host)
 
     def _update(self, host: SimulatedHost) -> None:
-        if self.is_cut(host.member.host, None):
+        name = host.member.host
+        if self.is_cut(name, None) or name in self._out_of_step:
             return
         now = time.monotonic()
         host.table.replace_all(self.runners.values(), now)
--- a/knapweedrail/tests/test_relay_stream_fleet.py
+++ b/knapweedrail/tests/test_relay_stream_fleet.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from ..benches.streams import LOSSES, play, play_loss, play_random
+from ..benches.streams import (
+    LOSSES,
+    OUT_OF_STEP,
+    play,
+    play_loss,
+    play_out_of_step,
+    play_random,
+)
 from ..standins.streamfleet import AnyVersion, OnlyVersion, RecordedVersion
 
 HOSTS = 9
@@ -69,6 +76,17 @@
     assert tally.owed_went_on >= MIN_SHARE * tally.owed
 
 
+@pytest.mark.parametrize("ends", [False, True], ids=["meanwhile", "just after"])
+@pytest.mark.parametrize("sizes", [(2, 2, 2), (6,), (2,)], ids=str)
+@pytest.mark.parametrize("name", OUT_OF_STEP)
+def test_host_that_missed_a_release_joins_no_versions(name, sizes, ends):
+    """Guards against a host out of step that takes the only version which it knows for
+    the only one, and goes on with streams that began at runners of a new version."""
+    tallies = [play_out_of_step(seed, name, sizes, ends) for seed in range(2)]
+    assert sum(tally.resumed for tally in tallies) >= MIN_OWED
+    assert sum(tally.joined for tally in tallies) == 0
+
+
 def check_share(seed):
     """Check that half of what is owed goes on in a random schedule."""
     tally = play_random(seed)
