--- a/knapweedrail/endpoints.py
+++ b/knapweedrail/endpoints.py
@@ -54,6 +54,9 @@
 """Longest wait for the head of an answer, as a multiple of the longest silence. A
 runner that sends informational answers without end is never silent."""
 
+MAX_STATUS = 599
+"""Largest status code (RFC 9110, section 15)."""
+
 HTTP_OK = 200
 HTTP_MISSING = 404
 HTTP_FENCED = 412
@@ -230,8 +233,8 @@
         """Send a request and give its answer, whose body is limited.
 
         Raises:
-            httpx.HTTPError: If no head comes; informational answers without end are
-                none.
+            httpx.HTTPError: If no valid head comes; informational answers without end
+                are none.
         """
         request = client.build_request(method, url, **options)
         response = None
@@ -240,6 +243,9 @@
         if response is None:
             raise httpx.ReadTimeout("no head in time", request=request)
         try:
+            if response.status_code > MAX_STATUS:
+                detail = f"status {response.status_code}"
+                raise httpx.RemoteProtocolError(detail, request=request)
             limit_body(response, self._memory)
             yield response
         finally:
--- a/knapweedrail/relay/connections.py
+++ b/knapweedrail/relay/connections.py
@@ -55,6 +55,9 @@
 """Parts of answers after which other tasks get a turn. One read may have 10,000 chunks
 of one byte, which take 0.17 s to parse."""
 
+MAX_STATUS = 599
+"""Largest status code (RFC 9110, section 15)."""
+
 BODILESS_STATUSES = (204, 304)
 """Status codes whose answers have no body."""
 
@@ -171,12 +174,15 @@
 
         Raises:
             ConnectionFailed: If the connection ends or the peer sends something else,
-                or more than `HEADER_BYTES` or `MAX_INFORMATIONAL_RESPONSES`.
+                such as an invalid status code, or more than `HEADER_BYTES` or
+                `MAX_INFORMATIONAL_RESPONSES`.
         """
         self._head_bytes_left = HEADER_BYTES
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event("answer", self._receive_head_bytes)
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise self._make_error("answer", f"status {event.status_code}")
                 self.framing = _find_framing(self._method, event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
--- a/knapweedrail/tests/test_endless_answers.py
+++ b/knapweedrail/tests/test_faulty_answers.py
@@ -1,4 +1,4 @@
-"""Runners that send a router bytes without end, until the router closes."""
+"""Runners that send a router bytes without end, or an answer without a status."""
 
 import anyio
 import pytest
@@ -111,6 +111,19 @@
     assert sent_bytes < MOST_BYTES
 
 
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+async def test_answer_of_a_service_without_a_valid_status_is_not_passed_on(status):
+    """Guards against an answer to a caller whose status is none."""
+
+    async def call(client, address):
+        return await client.call(address, SERVICE_CALL)
+
+    start = PLAIN.replace(b"200", status).replace(b"OK", b"X")
+    start = start.replace(b"\r\n\r\n", b"\r\nContent-Length: 65536\r\n\r\n")
+    outcome, _ = await use_client(ServiceClient(1.0), call, start, FILLER)
+    assert isinstance(outcome, Unknown)
+
+
 async def test_answers_without_end_have_one_bound_together():
     """Guards against a bound for each answer, which has no sum."""
     client = ServiceClient(5.0)
