Let each attempt discard only a connection that it owns

Cause: an attempt returned the runner's connection to the pool before the answer had gone out. If the deadline or the caller's leaving then ended the send, the attempt still believed that the connection was unusable, and closed one on which another request ran by then.

Change: an attempt owns its connection until it returns it to the pool or discards it, once; the flag that travelled beside each outcome is gone. Whole answers, streams and stalled streams that are kept all end through the same place.

--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -82,6 +82,9 @@
         self._may_have_run_before = context.may_have_run
         self._stalled: StalledStream | None = None
         self._reader: EventReader | None = None
+        # The connection while this attempt owns it: until it is returned to the pool
+        # or discarded.
+        self._connection: RunnerConnection | None = None
 
     @property
     def stalled(self) -> bool:
@@ -92,14 +95,11 @@
         """Wait for the rest of a stalled stream and pass it on."""
         stalled, self._stalled = self._stalled, None
         assert stalled is not None
-        reader, reusable = stalled.reader, False
+        reader = stalled.reader
         try:
             with anyio.move_on_after(self._context.get_remaining_seconds()):
                 data = await reader.receive_new(self._context.progress)
-                outcome, reusable = await self._relay_stream(
-                    stalled.answer, reader, data
-                )
-                return outcome
+                return await self._relay_stream(stalled.answer, reader, data)
             return AttemptFailed(FailureKind.SILENT, "the stream took too long")
         except ConnectionFailed as error:
             return self._handle_connection_error(error)
@@ -107,23 +107,21 @@
             return AttemptFailed(FailureKind.BROKEN, NO_MEMORY)
         finally:
             if not self.stalled:
-                await self._release(reader.connection, reusable)
+                await self._release()
 
     async def close(self) -> None:
         """End the run of a stalled stream, if there is one."""
         stalled, self._stalled = self._stalled, None
         if stalled is not None:
-            await self._release(stalled.reader.connection, reusable=False)
+            await self._release()
 
     async def run(self) -> Answered | AttemptFailed:
         """Send the request to the runner and pass on its answer."""
         services = self._context.services
         self._recorder.record_sent()
         runner = self._view.runner
-        connection: RunnerConnection | None = None
-        reusable = False
         try:
-            connection = await services.pool.acquire(
+            self._connection = await services.pool.acquire(
                 self._incarnation,
                 runner.address,
                 time.monotonic(),
@@ -133,8 +131,7 @@
                 # Another request was rejected while this one waited for a connection.
                 detail = "the runner wants no requests for some time"
                 return AttemptFailed(FailureKind.NOT_SENT, detail)
-            outcome, reusable = await self._send_and_relay(connection)
-            return outcome
+            return await self._send_and_relay(self._connection)
         except ConnectionFailed as error:
             return self._handle_connection_error(error)
         except QuotaExceeded:
@@ -143,7 +140,7 @@
         finally:
             self._recorder.record_prefill_end()
             if not self.stalled:
-                await self._release(connection, reusable)
+                await self._release()
 
     def _handle_connection_error(self, error: ConnectionFailed) -> AttemptFailed:
         """Record a failed connection and return the outcome of the attempt.
@@ -161,34 +158,29 @@
         kind = FailureKind.BROKEN if error.sent else FailureKind.NOT_SENT
         return AttemptFailed(kind, f"{error.step}: {error.detail}")
 
-    async def _release(
-        self, connection: RunnerConnection | None, reusable: bool
-    ) -> None:
-        """End the attempt and discard a connection that can't be reused.
+    async def _release(self) -> None:
+        """End the attempt, and discard its connection unless the pool has it again.
 
         Closing the connection makes the runner stop its work.
         """
         self._recorder.record_finished()
         if self._reader is not None:
             self._reader.close()
-        if connection is not None and not reusable:
+        connection, self._connection = self._connection, None
+        if connection is not None:
             pool = self._context.services.pool
             with anyio.CancelScope(shield=True):
                 await pool.discard(self._incarnation, connection)
 
     async def _send_and_relay(
         self, connection: RunnerConnection
-    ) -> tuple[Answered | AttemptFailed, bool]:
-        """Send the request on a connection and pass on the answer.
-
-        Returns:
-            The outcome, and whether the connection can be reused.
-        """
+    ) -> Answered | AttemptFailed:
+        """Send the request on a connection and pass on the answer."""
         context = self._context
         request = context.request
         began_at = time.monotonic()
         if context.get_remaining_seconds() <= 0:
-            return AttemptFailed(FailureKind.NOT_SENT, "no time left"), False
+            return AttemptFailed(FailureKind.NOT_SENT, "no time left")
         headers = self._make_headers()
         context.counted_attempts += 1
         context.may_have_run = True
@@ -214,19 +206,17 @@
             raise
         if answer is None or scope.cancelled_caught:
             self._recorder.record_timeout(began_at)
-            return AttemptFailed(FailureKind.SILENT, "no first byte in time"), False
+            return AttemptFailed(FailureKind.SILENT, "no first byte in time")
         if answer.identity != request.identity:
             self._recorder.record_failure(certain=False)
             return AttemptFailed(
                 FailureKind.BROKEN, f"an answer to {answer.identity!r}"
-            ), False
+            )
         if not _is_event_stream(answer):
             with anyio.move_on_after(context.get_remaining_seconds()):
                 return await self._relay_whole(connection, answer, began_at)
             self._recorder.record_failure(certain=False)
-            return AttemptFailed(
-                FailureKind.SILENT, "the answer's body took too long"
-            ), False
+            return AttemptFailed(FailureKind.SILENT, "the answer's body took too long")
         self._recorder.record_success(began_at)
         self._recorder.record_stream_begin(began_at)
         await self._on_stream_start()
@@ -278,10 +268,10 @@
         connection: RunnerConnection,
         answer: RunnerAnswer,
         began_at: float,
-    ) -> tuple[Answered | AttemptFailed, bool]:
+    ) -> Answered | AttemptFailed:
         """Receive the body of a non-streaming answer and pass it on if it is valid."""
         body = await connection.receive_body(self._context.response.reserve)
-        reusable = self._return_to_pool(connection, answer)
+        self._return_to_pool(connection, answer)
         if answer.not_run:
             self._context.may_have_run = self._may_have_run_before
             if not self._may_have_run_before:
@@ -295,38 +285,35 @@
                 self._context.counted_attempts -= 1
             self._recorder.record_rejection(answer)
             detail = f"rejected with {answer.status}"
-            return AttemptFailed(FailureKind.NOT_RUN, detail), reusable
+            return AttemptFailed(FailureKind.NOT_RUN, detail)
         if not answer.sealed:
             self._recorder.record_failure(certain=False)
-            return AttemptFailed(
-                FailureKind.BROKEN, "an answer without a seal"
-            ), reusable
+            return AttemptFailed(FailureKind.BROKEN, "an answer without a seal")
         if answer.status >= 500:
             self._recorder.record_failure(certain=False)
             detail = f"the runner failed with {answer.status}"
             name = self._view.runner.name
             return AttemptFailed(
                 FailureKind.BROKEN, detail, answer, body, name, connection.framing
-            ), reusable
+            )
         self._recorder.record_success(began_at)
         self._recorder.record_complete(connection.framing)
         if self._context.response.started:
-            return AttemptFailed(
-                FailureKind.BROKEN, f"{answer.status} to a resumed run"
-            ), reusable
+            detail = f"{answer.status} to a resumed run"
+            return AttemptFailed(FailureKind.BROKEN, detail)
         await self._context.response.send_whole(
             answer.status, list(answer.headers), body
         )
         name = self._view.runner.name
-        return Answered(answer.status, name, connection.framing), reusable
+        return Answered(answer.status, name, connection.framing)
 
     async def _relay_stream(
         self, answer: RunnerAnswer, reader: EventReader, data: bytes
-    ) -> tuple[Answered | AttemptFailed, bool]:
+    ) -> Answered | AttemptFailed:
         """Pass on a stream to its end, beginning with the events already received."""
         connection, progress = reader.connection, self._context.progress
         if not self._context.response.started and not answer.sealed:
-            return AttemptFailed(FailureKind.BROKEN, "a stream without a seal"), False
+            return AttemptFailed(FailureKind.BROKEN, "a stream without a seal")
         if data:
             self._record_origin()
         with anyio.move_on_after(self._context.get_remaining_seconds()):
@@ -344,20 +331,18 @@
                 if stall_scope.cancelled_caught:
                     self._recorder.record_failure(certain=False)
                     self._stalled = StalledStream(answer, reader)
-                    return AttemptFailed(
-                        FailureKind.SILENT, "the stream stalled"
-                    ), False
+                    return AttemptFailed(FailureKind.SILENT, "the stream stalled")
             self._recorder.record_complete(connection.framing)
             await self._send_chunk(answer, reader.remainder)
-            reusable = self._return_to_pool(connection, answer)
+            self._return_to_pool(connection, answer)
             await self._context.response.end()
             return Answered(
                 answer.status,
                 self._view.runner.name,
                 connection.framing,
                 len(reader.remainder),
-            ), reusable
-        return AttemptFailed(FailureKind.SILENT, "the stream took too long"), False
+            )
+        return AttemptFailed(FailureKind.SILENT, "the stream took too long")
 
     def _record_origin(self) -> None:
         """Record what began the stream before the caller receives its first event."""
@@ -383,13 +368,14 @@
 
     def _return_to_pool(
         self, connection: RunnerConnection, answer: RunnerAnswer
-    ) -> bool:
+    ) -> None:
+        """Return the connection to the pool if it can be reused."""
         if not connection.finish():
-            return False
+            return
+        self._connection = None
         self._context.services.pool.release(
             self._incarnation, connection, answer.idle_seconds, time.monotonic()
         )
-        return True
 
 
 def _is_event_stream(answer: RunnerAnswer) -> bool:
--- a/knapweedrail/tests/relays_in_memory.py
+++ b/knapweedrail/tests/relays_in_memory.py
@@ -328,6 +328,7 @@
         body: bytes = b"hello",
         disconnects_after: float | None = None,
         body_delay: float = 0.0,
+        end_delay: float = 0.0,
         **headers: str,
     ) -> Answer:
         """Send one request as a caller does.
@@ -336,6 +337,7 @@
             disconnects_after: Time until the caller disconnects, seconds; ``None`` to
                 stay connected.
             body_delay: Time until the body arrives, seconds.
+            end_delay: Time until the caller reads the end of the answer, seconds.
             headers: Further headers, with underscores for hyphens.
         """
         sent = {
@@ -374,6 +376,8 @@
                     k.decode().lower(): v.decode() for k, v in message["headers"]
                 }
                 return
+            if not message.get("more_body", False):
+                await anyio.sleep(end_delay)
             answer.body += message.get("body", b"")
             answer.complete = not message.get("more_body", False)
 
--- /dev/null
+++ b/knapweedrail/tests/test_relay_attempt_ends.py
@@ -0,0 +1,77 @@
+"""Ends of attempts: who closes a runner's connection."""
+
+import anyio
+import pytest
+
+from ..relay.models import RetryPolicy
+from .relays_in_memory import (
+    ScriptedRunner,
+    answer_normally,
+    find_header,
+    make_chunk,
+    make_configuration,
+    make_event,
+    make_route,
+    make_stream_head,
+    run_relay,
+)
+
+pytestmark = pytest.mark.anyio
+
+DEADLINE_MS = "400"
+SLOW_SECONDS = 5.0
+LAST_EVENT = 4
+
+
+async def answer_or_stream(stream, head):
+    """Answer at once, or send events slowly to whoever asks for a stream."""
+    if find_header(head, "x-stream") is None:
+        return await answer_normally(stream, head)
+    await stream.send(make_stream_head(head))
+    for number in range(1, LAST_EVENT + 1):
+        await stream.send(make_chunk(make_event(number)))
+        await anyio.sleep(0.1)
+    await stream.send(make_chunk(b""))
+    return True
+
+
+async def end_stream_at_once(stream, head):
+    events = b"".join(make_event(n) for n in range(1, LAST_EVENT + 1))
+    if find_header(head, "x-stream") == "slow":
+        return await answer_or_stream(stream, head)
+    await stream.send(make_stream_head(head) + make_chunk(events) + make_chunk(b""))
+    return True
+
+
+async def read_slowly(relay, leaves, **headers):
+    """Call without reading the answer's end until the deadline or until leaving."""
+    headers |= {"knapweedrail_request_id": "slow"}
+    if leaves:
+        headers |= {"disconnects_after": float(DEADLINE_MS) / 1000}
+    else:
+        headers |= {"knapweedrail_deadline_ms": DEADLINE_MS}
+    await relay.call(end_delay=SLOW_SECONDS, **headers)
+
+
+@pytest.mark.parametrize("leaves", [False, True], ids=["deadline", "leaves"])
+@pytest.mark.parametrize("script", [answer_or_stream, end_stream_at_once])
+async def test_end_of_a_slow_reader_leaves_other_requests_alone(script, leaves):
+    """Guards against an attempt that closes a connection which it has returned to the
+    pool, and on which another caller's request runs by then."""
+    route = make_route(RetryPolicy.STREAM, resumable=False, timeout=SLOW_SECONDS)
+    runner = ScriptedRunner(script)
+    streams = {} if script is answer_or_stream else {"x_stream": "quick"}
+    answers = []
+    async with run_relay(make_configuration(route), runner) as relay:
+        async with anyio.create_task_group() as group:
+
+            async def read_stream():
+                await anyio.sleep(0.15)
+                answers.append(await relay.call(x_stream="slow"))
+                answers.append(await relay.call(x_stream="slow"))
+
+            group.start_soon(read_stream)
+            await read_slowly(relay, leaves, **streams)
+        open_counts = dict(relay.pool.open_counts)
+    assert [(one.status, one.complete) for one in answers] == [(200, True)] * 2
+    assert sum(open_counts.values()) == 1
