Count events as progress when they go out to the caller

Cause: reading events moved the stream's progress on before the answer's signature was checked. The answer without one was rejected, and the next attempt resumed after events that the caller had never got. They were charged for, too.

Change: choosing the events that a caller lacks changes nothing; progress moves on when they are written to the caller.

Evidence: three tests failed before and pass now (an unsigned answer, one that is also cut, and the tokens charged).

--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -19,6 +19,7 @@
 from .runner_statements import MISDIRECTED
 from .scheduling.runner_views import RunnerView
 from .stream_origins import make_origin
+from .streams import END_OF_STREAM, NewEvents
 
 FIRST_BYTE_FACTOR = 2.0
 """First-byte timeout of a repeatable request, as a multiple of its route's latency
@@ -98,8 +99,8 @@
         reader = stalled.reader
         try:
             with anyio.move_on_after(self._context.get_remaining_seconds()):
-                data = await reader.receive_new(self._context.progress)
-                return await self._relay_stream(stalled.answer, reader, data)
+                events = await reader.receive_new(self._context.progress)
+                return await self._relay_stream(stalled.answer, reader, events)
             return AttemptFailed(FailureKind.SILENT, "the stream took too long")
         except ConnectionFailed as error:
             return self._handle_connection_error(error)
@@ -187,7 +188,7 @@
         context.reservation.enter_stage(Stage.SENT)
         answer: RunnerAnswer | None = None
         reader = self._reader = EventReader(connection, context.response)
-        first_events = b""
+        first_events = END_OF_STREAM
         try:
             with anyio.move_on_after(self._compute_first_byte_timeout()) as scope:
                 await connection.send(
@@ -308,26 +309,27 @@
         return Answered(answer.status, name, connection.framing)
 
     async def _relay_stream(
-        self, answer: RunnerAnswer, reader: EventReader, data: bytes
+        self, answer: RunnerAnswer, reader: EventReader, events: NewEvents
     ) -> Answered | AttemptFailed:
         """Pass on a stream to its end, beginning with the events already received."""
         connection, progress = reader.connection, self._context.progress
         if not self._context.response.started and not answer.sealed:
             return AttemptFailed(FailureKind.BROKEN, "a stream without a seal")
-        if data:
+        if events.data:
             self._record_origin()
         with anyio.move_on_after(self._context.get_remaining_seconds()):
-            while data:
-                await self._send_chunk(answer, data)
+            while events.data:
+                progress.record_passed_on(events)
+                await self._send_chunk(answer, events.data)
                 self._recorder.record_stream_piece()
                 if not self._may_fail_over():
                     # The remaining time already bounds the wait, and a timeout for each
                     # event is expensive if most requests are streams.
-                    data = await reader.receive_new(progress)
+                    events = await reader.receive_new(progress)
                     continue
-                data = b""
+                events = END_OF_STREAM
                 with anyio.move_on_after(self._compute_stall_timeout()) as stall_scope:
-                    data = await reader.receive_new(progress)
+                    events = await reader.receive_new(progress)
                 if stall_scope.cancelled_caught:
                     self._recorder.record_failure(certain=False)
                     self._stalled = StalledStream(answer, reader)
--- a/knapweedrail/relay/event_readers.py
+++ b/knapweedrail/relay/event_readers.py
@@ -5,7 +5,14 @@
 from .connections import ConnectionFailed, RunnerConnection
 from .models import Framing
 from .response_writer import ResponseWriter
-from .streams import EventSplitter, InvalidStream, StreamEvent, StreamProgress
+from .streams import (
+    END_OF_STREAM,
+    EventSplitter,
+    InvalidStream,
+    NewEvents,
+    StreamEvent,
+    StreamProgress,
+)
 
 
 class EventReader:
@@ -27,8 +34,8 @@
         """Bytes after the last complete event."""
         return self._splitter.remainder
 
-    async def receive_new(self, progress: StreamProgress) -> bytes:
-        """Return the next events that the caller lacks; empty at the stream's end.
+    async def receive_new(self, progress: StreamProgress) -> NewEvents:
+        """Return the next events that the caller lacks; none at the stream's end.
 
         Raises:
             ConnectionFailed: If the connection ends before the stream is complete, or
@@ -36,11 +43,11 @@
             QuotaExceeded: If there is no memory for an event that isn't complete.
         """
         while chunk := await self.connection.receive_chunk():
-            data = progress.select_new(self._split(chunk))
-            if data:
-                return data
+            events = progress.select_new(self._split(chunk))
+            if events.data:
+                return events
         self._check_end()
-        return b""
+        return END_OF_STREAM
 
     def close(self) -> None:
         """Release the memory of an event that isn't complete."""
--- a/knapweedrail/relay/streams.py
+++ b/knapweedrail/relay/streams.py
@@ -110,6 +110,24 @@
         raise InvalidStream(f"an event of more than {MAX_EVENT_BYTES} bytes")
 
 
+@attrs.frozen
+class NewEvents:
+    """Events that a caller lacks.
+
+    Attributes:
+        data: Their bytes; empty at the end of a stream.
+        last_event_id: ID of the last event that the caller has once it gets them.
+        count: Number of events.
+    """
+
+    data: bytes = b""
+    last_event_id: int | None = None
+    count: int = 0
+
+
+END_OF_STREAM = NewEvents()
+
+
 class StreamProgress:
     """Tracks which events a caller has received over all runs of its request.
 
@@ -125,17 +143,19 @@
         self.last_event_id = last_event_id
         self.event_count = 0
 
-    def select_new(self, events: list[StreamEvent]) -> bytes:
-        """Return the bytes of the events that the caller lacks and count them."""
+    def select_new(self, events: list[StreamEvent]) -> NewEvents:
+        """Return the events that the caller lacks."""
         data = []
+        last_event_id = self.last_event_id
         for event in events:
             if event.event_id is not None:
-                if (
-                    self.last_event_id is not None
-                    and event.event_id <= self.last_event_id
-                ):
+                if last_event_id is not None and event.event_id <= last_event_id:
                     continue
-                self.last_event_id = event.event_id
-            self.event_count += 1
+                last_event_id = event.event_id
             data.append(event.data)
-        return b"".join(data)
+        return NewEvents(b"".join(data), last_event_id, len(data))
+
+    def record_passed_on(self, events: NewEvents) -> None:
+        """Record that the caller gets events."""
+        self.last_event_id = events.last_event_id
+        self.event_count += events.count
--- a/knapweedrail/tests/test_relay_attempt_ends.py
+++ b/knapweedrail/tests/test_relay_attempt_ends.py
@@ -1,4 +1,4 @@
-"""Ends of attempts: who closes a runner's connection."""
+"""Ends of attempts: who closes a runner's connection, and what the caller has got."""
 
 import anyio
 import pytest
@@ -8,6 +8,7 @@
     ScriptedRunner,
     answer_normally,
     find_header,
+    make_answer,
     make_chunk,
     make_configuration,
     make_event,
@@ -75,3 +76,76 @@
         open_counts = dict(relay.pool.open_counts)
     assert [(one.status, one.complete) for one in answers] == [(200, True)] * 2
     assert sum(open_counts.values()) == 1
+
+
+def resume_events(head):
+    """Return a whole stream of the events after the last that the caller has."""
+    first = int(find_header(head, "last-event-id") or 0) + 1
+    events = [make_chunk(make_event(n)) for n in range(first, LAST_EVENT + 1)]
+    return make_stream_head(head) + b"".join(events) + make_chunk(b"")
+
+
+def spoil_seal(answer):
+    return answer.replace(b"Knapweedrail-Response-Seal: s\r\n", b"")
+
+
+SPOILED = {
+    "unsealed": spoil_seal,
+    "unsealed and cut": lambda answer: spoil_seal(answer)[:-20],
+}
+
+
+@pytest.mark.parametrize("spoil", SPOILED.values(), ids=SPOILED)
+async def test_stream_after_an_unsealed_answer_begins_with_its_first_event(spoil):
+    """Guards against a resumption after events that the caller never got."""
+    calls = 0
+
+    async def respond(stream, head):
+        nonlocal calls
+        calls += 1
+        answer = resume_events(head)
+        await stream.send(spoil(answer) if calls == 1 else answer)
+        return True
+
+    route = make_route(RetryPolicy.STREAM, resumable=True)
+    runners = ScriptedRunner(respond), ScriptedRunner(respond)
+    async with run_relay(make_configuration(route), *runners) as relay:
+        answer = await relay.call()
+    whole = b"".join(make_event(n) for n in range(1, LAST_EVENT + 1))
+    assert calls == 2
+    assert (answer.status, answer.body, answer.complete) == (200, whole, True)
+
+
+async def test_events_of_an_unsealed_answer_cost_no_tokens():
+    """Guards against tokens that are charged for events which the caller never got."""
+
+    async def respond(stream, head):
+        await stream.send(spoil_seal(resume_events(head)))
+        return True
+
+    route = make_route(RetryPolicy.STREAM, resumable=False)
+    configuration = make_configuration(route, prepaid=1000)
+    async with run_relay(configuration, ScriptedRunner(respond)) as relay:
+        answer = await relay.call(knapweedrail_token_usage="10,100")
+        await anyio.sleep(0.1)
+        spent = relay.holdings._get_holding("farm").allowance.spent
+    assert answer.status == 502
+    assert spent == 10
+
+
+async def test_refused_stream_is_answered_by_another_runner_from_its_start():
+    """A runner that hasn't run the request has sent none of its events."""
+    calls = 0
+
+    async def respond(stream, head):
+        nonlocal calls
+        calls += 1
+        refusal = make_answer(head, b"", 503, Knapweedrail_Not_Executed="1")
+        await stream.send(refusal if calls == 1 else resume_events(head))
+        return True
+
+    route = make_route(RetryPolicy.STREAM, resumable=True)
+    runners = ScriptedRunner(respond), ScriptedRunner(respond)
+    async with run_relay(make_configuration(route), *runners) as relay:
+        answer = await relay.call()
+    assert answer.body.startswith(make_event(1)) and answer.complete
--- a/knapweedrail/tests/test_relay_streams.py
+++ b/knapweedrail/tests/test_relay_streams.py
@@ -24,14 +24,21 @@
 )
 
 
+def pass_on(progress, events):
+    """Returns the bytes of the events that a caller lacks, which it gets."""
+    new = progress.select_new(events)
+    progress.record_passed_on(new)
+    return new.data
+
+
 @given(st.lists(st.integers(1, 60), max_size=30), st.integers(1, 12))
 def test_events_are_whole_for_any_chunk_boundaries(chunk_sizes, count):
     data = b"".join(make_event(n) for n in range(1, count + 1))
     splitter, progress, passed = EventSplitter(), StreamProgress(None), b""
     for size in [*chunk_sizes, len(data)]:
         part, data = data[:size], data[size:]
-        passed += progress.select_new(splitter.feed(part))
-    passed += progress.select_new(splitter.feed(data))
+        passed += pass_on(progress, splitter.feed(part))
+    passed += pass_on(progress, splitter.feed(data))
     assert passed == b"".join(make_event(n) for n in range(1, count + 1))
     assert progress.last_event_id == count
     assert splitter.remainder == b""
@@ -44,11 +51,11 @@
     first = EventSplitter().feed(
         b"".join(make_event(n) for n in range(1, received_count + 1))
     )
-    data = progress.select_new(first)
+    data = pass_on(progress, first)
     second = EventSplitter().feed(
         b"".join(make_event(n) for n in range(min(start, received_count) + 1, 11))
     )
-    data += progress.select_new(second)
+    data += pass_on(progress, second)
     assert data == b"".join(make_event(n) for n in range(1, 11))
 
 
@@ -76,7 +83,15 @@
 def test_resuming_caller_gets_events_after_its_last_event_id():
     progress = StreamProgress(2)
     events = EventSplitter().feed(b"".join(make_event(n) for n in range(1, 4)))
-    assert progress.select_new(events) == make_event(3)
+    assert pass_on(progress, events) == make_event(3)
+
+
+def test_events_that_are_not_passed_on_are_no_progress():
+    """Guards against a resumption after events that the caller never got."""
+    progress = StreamProgress(None)
+    events = EventSplitter().feed(make_event(1) + make_event(2))
+    assert progress.select_new(events) == progress.select_new(events)
+    assert (progress.last_event_id, progress.event_count) == (None, 0)
 
 
 @pytest.mark.anyio
