Blame no runner for a caller that reads slowly

Cause: the time limit of a whole answer covers its reception and its sending; at its end the runner was recorded as failing whichever of them was late.

Change: once the answer goes out, it is complete, and only the caller can be late.

Evidence: the test failed before, and passes now.

--- a/knapweedrail/relay/attempts.py
+++ b/knapweedrail/relay/attempts.py
@@ -216,6 +216,8 @@
         if not _is_event_stream(answer):
             with anyio.move_on_after(context.get_remaining_seconds()):
                 return await self._relay_whole(connection, answer, began_at)
+            if context.response.started:
+                return AttemptFailed(FailureKind.SILENT, "the caller read too slowly")
             self._recorder.record_failure(certain=False)
             return AttemptFailed(FailureKind.SILENT, "the answer's body took too long")
         self._recorder.record_success(began_at)
--- a/knapweedrail/tests/test_relay_attempt_ends.py
+++ b/knapweedrail/tests/test_relay_attempt_ends.py
@@ -78,6 +78,16 @@
     assert sum(open_counts.values()) == 1
 
 
+async def test_slow_reader_counts_as_no_failure_of_the_runner():
+    """Guards against a sound runner that is avoided, as a caller reads slowly."""
+    route = make_route(RetryPolicy.ONCE)
+    runner = ScriptedRunner(answer_normally)
+    async with run_relay(make_configuration(route), runner) as relay:
+        await read_slowly(relay, leaves=False)
+        (view,) = relay.table.list_views("e", 0.0)
+    assert view.failure_rate == 0
+
+
 def resume_events(head):
     """Return a whole stream of the events after the last that the caller has."""
     first = int(find_header(head, "last-event-id") or 0) + 1
