Say that the connection closes after an early refusal

Cause: the server closes a connection with an unread body, and only refusals for size and memory had set `Connection: close`.

Change: an answer that starts before the end of a chunked body, or of one that is longer than what is discarded, says it. Complete requests and short bodies keep the connection.

Evidence: two cases failed before (a length of 3 MiB, chunks) and pass now; the two that keep the connection passed before too.

--- a/knapweedrail/exchanges.py
+++ b/knapweedrail/exchanges.py
@@ -37,6 +37,15 @@
     return None
 
 
+def leaves_unread_body(scope: dict[str, Any]) -> bool:
+    """Return whether an answer before the end of a request's body closes the
+    connection, as more of the body may follow than is discarded."""
+    announced = find_content_length(scope)
+    if announced is not None:
+        return announced > DISCARDED_BYTES
+    return any(name == b"transfer-encoding" for name, _ in scope["headers"])
+
+
 class Exchange:
     """The application's two functions for one request.
 
@@ -48,6 +57,7 @@
 
     def __init__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         self._lease: Lease = scope["state"][LEASE]
+        self._scope = scope
         self._receive = receive
         self._send = send
         self._announced = find_content_length(scope)
@@ -93,6 +103,8 @@
         lease = self._lease
         if message["type"] == "http.response.start":
             lease.begin_phase(Phase.SENDING, time.monotonic())
+            if not self._received and leaves_unread_body(self._scope):
+                message = _announce_close(message)
         else:
             # The clock isn't read for each event of a stream.
             lease.phase = Phase.SENDING
@@ -131,3 +143,11 @@
         while not self._received and limit >= 0:
             message = await self._receive_next()
             limit -= len(message.get("body", b""))
+
+
+def _announce_close(message: dict[str, Any]) -> dict[str, Any]:
+    """Return the start of an answer that says that the connection is closed."""
+    headers = list(message.get("headers", []))
+    if (b"connection", b"close") not in headers:
+        headers.append((b"connection", b"close"))
+    return {**message, "headers": headers}
--- a/knapweedrail/tests/test_relay_raw_requests.py
+++ b/knapweedrail/tests/test_relay_raw_requests.py
@@ -14,6 +14,7 @@
 from .relays_in_memory import (
     ScriptedRunner,
     answer_normally,
+    find_header,
     make_configuration,
     make_route,
     run_relay,
@@ -191,6 +192,52 @@
     assert runner.heads == []
 
 
+async def exchange(stream, data):
+    """Send bytes, and return the head and body of the answer with a length."""
+    got = b""
+    await stream.send(data)
+    while b"\r\n\r\n" not in got:
+        got += await stream.receive()
+    head, _, body = got.partition(b"\r\n\r\n")
+    length = int(find_header(head.decode(), "content-length"))
+    while len(body) < length:
+        body += await stream.receive()
+    return head.decode().lower(), body
+
+
+UNKNOWN = HEAD.replace(b"/a/x", b"/unknown/x")
+
+
+@pytest.mark.parametrize(
+    "line", [b"Content-Length: 3145728\r\n", b"Transfer-Encoding: chunked\r\n"]
+)
+async def test_refusal_before_the_end_of_a_body_says_that_it_closes(line):
+    """Guards against a caller's pool that sends its next request into the close."""
+    async with run_server() as (_, host, port):
+        async with await anyio.connect_tcp(host, port) as stream:
+            head, body = await exchange(stream, UNKNOWN + line + b"\r\n5\r\nhello")
+            with (
+                anyio.fail_after(2),
+                pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)),
+            ):
+                await stream.receive()
+    assert head.startswith("http/1.1 404 ") and body
+    assert "\r\nconnection: close" in head
+
+
+@pytest.mark.parametrize(
+    "line, body", [(b"", b""), (b"Content-Length: 5\r\n", b"hello")]
+)
+async def test_refusal_of_a_complete_request_keeps_the_connection(line, body):
+    """Guards against a new connection for each request that is refused."""
+    async with run_server() as (_, host, port):
+        async with await anyio.connect_tcp(host, port) as stream:
+            for _ in range(2):
+                head, _ = await exchange(stream, UNKNOWN + line + b"\r\n" + body)
+                assert head.startswith("http/1.1 404 ")
+                assert "\r\nconnection: close" not in head
+
+
 async def test_incomplete_body_is_refused_with_deadline():
     """A caller's link is so slow that its request is incomplete at its deadline. A
     refusal that named a shutdown would mislead an operator who looks for the cause."""
