Stop in good order, or start again, after an error in a task

Cause: a task's error left its task group, and the group ended the process.

If what failed holds tokens, they aren't returned, but settled by the next process as after a crash. Each failure is logged and counted on the metrics address. Nothing changes while no task fails.

Not done: the router doesn't use it, the HTTP servers' own tasks still end the process, and the soak has no such fault.

--- a/knapweedrail/relay/drain_control.py
+++ b/knapweedrail/relay/drain_control.py
@@ -33,6 +33,7 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._shutdown: Shutdown | None = None
+        self._admits = True
         self._scopes: set[anyio.CancelScope] = set()
         self.closing_connections = False
         self.answer_durations = AnswerDurations()
@@ -42,9 +43,14 @@
         """Whether a shutdown is in progress; each answer then closes its connection."""
         return self._shutdown is not None
 
-    def begin(self, shutdown: Shutdown) -> None:
-        """Begin to drain; cancel requests that are in progress when answers are due."""
+    def begin(self, shutdown: Shutdown, admits: bool = True) -> None:
+        """Begin to drain; cancel requests that are in progress when answers are due.
+
+        Args:
+            admits: Whether further requests that can be finished in time are admitted.
+        """
         self._shutdown = shutdown
+        self._admits = admits
         for scope in self._scopes:
             scope.deadline = shutdown.answers_due_at
 
@@ -65,7 +71,8 @@
             return None
         slowest = self.answer_durations.find_slowest(route.name, now)
         left = shutdown.answers_due_at - now
-        if self.closing_connections or not shutdown.admits(now, ends_at - now, slowest):
+        admits = self._admits and not self.closing_connections
+        if not (admits and shutdown.admits(now, ends_at - now, slowest)):
             return refuse_stopping(left, slowest, self._rng)
         log_event(
             Event.REQUEST_TAKEN_LATE,
--- a/knapweedrail/relay/metrics.py
+++ b/knapweedrail/relay/metrics.py
@@ -77,6 +77,9 @@
         self.malformed = self.make_counter(
             "malformed_objects", "Objects of the store that couldn't be used, by kind"
         )
+        self.task_failures = self.make_counter(
+            "task_failures", "Unexpected errors of tasks"
+        )
         self.evicted = self.make_counter(
             "clients_evicted", "Connections closed as clients held too much"
         )
--- a/knapweedrail/relay/process.py
+++ b/knapweedrail/relay/process.py
@@ -6,7 +6,8 @@
 import secrets
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import anyio
@@ -18,6 +19,7 @@
 from ..ingress import ClientKind, IngressQuota, make_limits
 from ..limits import LimitUpdate
 from ..servers import HttpServer, ServerLimits
+from ..tasks import run_with_restarts
 from .codecs import Codec
 from .connections import ConnectionPool
 from .connectors import TunnellingConnector
@@ -118,6 +120,8 @@
         count_dropped: Callable[[], int],
     ) -> None:
         self._settings = settings
+        self.failed = anyio.Event()
+        self._failed_tasks: set[str] = set()
         self._store = store
         self._configuration = configuration
         self._runners = runners
@@ -267,7 +271,9 @@
             data_centre=self._settings.data_centre,
             watch_seconds=self._settings.configuration_watch_seconds,
         )
-        group.start_soon(self._metrics.monitor_loop_delay, self._overload)
+        self._start_loop(
+            group, partial(self._metrics.monitor_loop_delay, self._overload), "delays"
+        )
         for task in (
             *self._watchers,
             self._membership,
@@ -279,6 +285,7 @@
             self._connector,
             self._resumptions,
         ):
+            task.on_failure = self._stop_after_failure
             await task.start(group)
         await self._start_tunnel_server(group)
         # Connections that arrive meanwhile wait in the listener's backlog. After an
@@ -291,14 +298,37 @@
                 await self._evacuations.loaded.wait()
             await self._suspect_exchange.loaded.wait()
         await self._caller_server.start(group)
-        group.start_soon(self._store.report_calls)
-        group.start_soon(self._prune)
-        group.start_soon(self._send_limits)
+        self._start_loop(group, self._store.report_calls, "store calls")
+        self._start_loop(group, self._prune, "pruning")
+        self._start_loop(group, self._send_limits, "limits")
+
+    def _start_loop(
+        self, group: anyio.abc.TaskGroup, run: Callable[[], Awaitable[None]], name: str
+    ) -> None:
+        """Start a loop that is started again after an unexpected error."""
+        group.start_soon(
+            run_with_restarts,
+            run,
+            name,
+            self._count_failure,
+            self._stop_after_failure,
+            name=name,
+        )
+
+    def _count_failure(self, name: str) -> None:
+        self._metrics.task_failures.add(1, {"task": name})
+
+    def _stop_after_failure(self, name: str) -> None:
+        """Have the process stop: what this task knew or held is in doubt."""
+        self._count_failure(name)
+        self._failed_tasks.add(name)
+        self.failed.set()
 
     async def _start_tunnel_server(self, group: anyio.abc.TaskGroup) -> None:
         """Start to open tunnels; this host serves its own callers without them."""
         if self._tunnel_server is None:
             return
+        self._tunnel_server.on_failure = self._stop_after_failure
         try:
             await self._tunnel_server.start(group)
         except OSError as error:
@@ -312,12 +342,16 @@
         The readiness check fails first, and requests that the load balancer still sends
         are served. Then the answers in progress finish and unused tokens are returned.
 
+        After the failure of a task no further request is admitted. If it was the task
+        that holds tokens, they aren't returned: the next process settles them as after
+        a crash.
+
         Args:
             requested_at: When the process was asked to shut down, by the monotonic
                 clock, seconds.
         """
         shutdown = Shutdown(requested_at, self._settings.stop_seconds)
-        self._gateway.drain.begin(shutdown)
+        self._gateway.drain.begin(shutdown, admits=not self._failed_tasks)
         if self._tunnel_server is not None:
             self._tunnel_server.draining = True
         log_event(
@@ -347,7 +381,8 @@
                 if server is not None:
                     group.start_soon(server.close, FLUSH_SECONDS)
             with anyio.move_on_after(shutdown.tokens_due_at - time.monotonic()):
-                await self._holdings.release()
+                if self._holdings.name not in self._failed_tasks:
+                    await self._holdings.release()
                 await self._membership.leave()
         with anyio.move_on_after(FLUSH_SECONDS):
             await self._peers.close()
--- a/knapweedrail/tests/test_relay_process.py
+++ b/knapweedrail/tests/test_relay_process.py
@@ -72,10 +72,14 @@
     return list(ports)
 
 
+RELAY_PROGRAM = ("-m", "knapweedrail.tools.relay")
+
+
 class RelayProcess:
     """A relay process with its addresses and its log file."""
 
-    def __init__(self, folder, store_address, changes=None):
+    def __init__(self, folder, store_address, changes=None, program=RELAY_PROGRAM):
+        self._program = program
         caller_port, ready, peer, metrics = find_free_ports(4)
         self.peer_port = peer
         self.url = f"http://127.0.0.1:{caller_port}"
@@ -102,7 +106,7 @@
         """Start the process, or the next one after the former has ended."""
         path = str(self._settings_path)
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "knapweedrail.tools.relay", "--settings", path],
+            [sys.executable, *self._program, "--settings", path],
             stdout=self._log.open("ab"),
             stderr=subprocess.STDOUT,
         )
@@ -113,7 +117,7 @@
 
 
 @contextlib.asynccontextmanager
-async def run_process(folder, respond, changes=None, delay=0.0):
+async def run_process(folder, respond, changes=None, delay=0.0, program=RELAY_PROGRAM):
     objects = ObjectStore()
     objects.misbehaviour.delay = delay
     runner = ScriptedRunner(respond)
@@ -123,7 +127,7 @@
         await runner.serve(group)
         objects.put("config", "main", CONFIGURATION)
         objects.put("servers", "i-1", make_entry(address=runner.address))
-        relay = RelayProcess(folder, server.address, changes)
+        relay = RelayProcess(folder, server.address, changes, program)
         try:
             async with httpx.AsyncClient(timeout=15) as client:
                 if not delay:
